--- a/clock.c
+++ b/clock.c
@@ -13,7 +13,7 @@
 static int64_t running_now(const struct clock *clock)
 {
 	(void)clock;
-	return read_clock(CLOCK_MONOTONIC);
+	return read_clock(CLOCK_BOOTTIME);
 }
 
 static int64_t running_wall(const struct clock *clock)
--- a/clock.h
+++ b/clock.h
@@ -31,10 +31,10 @@
 };
 
 /**
- * clock_init() - a clock that runs (CLOCK_MONOTONIC)
+ * clock_init() - a clock that runs (CLOCK_BOOTTIME)
  *
- * CLOCK_MONOTONIC goes on while a process is stopped by a signal, so that a
- * process which wakes late sees the elapsed time.
+ * It goes on while a process is stopped by a signal and while the machine is
+ * suspended, so that a process which wakes late sees the elapsed time.
  */
 void clock_init(struct clock *clock);
 
--- a/cmd_gateway.c
+++ b/cmd_gateway.c
@@ -6,6 +6,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/stat.h>
 #include <unistd.h>
 
 #include <event2/event.h>
@@ -49,9 +50,9 @@
 	}
 }
 
-static int read_settings(const char *path, struct gateway_settings *settings)
+static int read_settings(const char *path, struct gateway_settings *settings,
+			 struct error *err)
 {
-	struct error err = {.code = ERR_NONE};
 	char *text;
 	size_t len;
 	int ret;
@@ -59,11 +60,8 @@
 	ret = command_read_file(path, &text, &len);
 	if (ret)
 		return ret;
-	ret = gateway_settings_init(settings, text, len, &err);
+	ret = gateway_settings_init(settings, text, len, err);
 	free(text);
-	if (ret)
-		fprintf(stderr, "%s: %s: %s (%s)\n", path, err.subject,
-			error_text(ret), err.expected ? err.expected : "");
 	return ret;
 }
 
@@ -74,34 +72,109 @@
 	gateway_leave(arg);
 }
 
-static int run(struct event_base *base, const struct gateway_settings *settings)
-{
-	static struct gateway gateway;
+/*
+ * The settings may change with a SIGHUP or without one: the file is looked at
+ * again once in this time.
+ */
+#define RELOAD_PERIOD_S 1
+
+/**
+ * struct process - a running instance and what its settings came from
+ * @changed: when the file was changed, as of the settings in use
+ */
+struct process {
+	const char *path;
+	struct timespec changed;
+	struct gateway_settings settings;
+	struct gateway gateway;
 	struct gateway_pages pages;
-	struct event *term;
-	struct event *interrupt;
+};
+
+static bool file_changed(struct process *process)
+{
+	struct stat info;
+
+	if (stat(process->path, &info))
+		return false;
+	if (info.st_mtim.tv_sec == process->changed.tv_sec &&
+	    info.st_mtim.tv_nsec == process->changed.tv_nsec)
+		return false;
+	process->changed = info.st_mtim;
+	return true;
+}
+
+/* What is wrong is not taken, and the instance goes on as before. */
+static void reload(struct process *process)
+{
+	struct gateway_settings settings;
+	struct error err = {.code = ERR_NONE};
+	int ret = read_settings(process->path, &settings, &err);
+
+	if (ret) {
+		LOG_WARN("reload_refused", LOG_TEXT("path", process->path),
+			 LOG_TEXT("error", error_name(ret)),
+			 LOG_TEXT("at", err.subject));
+		return;
+	}
+	gateway_settings_update(&process->settings, &settings);
+	gateway_settings_finish(&settings);
+	gateway_reloaded(&process->gateway);
+	LOG_INFO("reloaded", LOG_I64("seeds", process->settings.n_seeds));
+}
+
+static void on_hup(evutil_socket_t fd, short what, void *arg)
+{
+	struct process *process = arg;
+
+	(void)fd;
+	(void)what;
+	file_changed(process);
+	reload(process);
+}
+
+static void on_look(evutil_socket_t fd, short what, void *arg)
+{
+	struct process *process = arg;
+
+	(void)fd;
+	(void)what;
+	if (file_changed(process))
+		reload(process);
+}
+
+static int run(struct event_base *base, struct process *process)
+{
+	static const struct timeval period = {RELOAD_PERIOD_S, 0};
+	struct gateway *gateway = &process->gateway;
+	struct event *events[] = {
+		evsignal_new(base, SIGTERM, on_term, gateway),
+		evsignal_new(base, SIGINT, on_term, gateway),
+		evsignal_new(base, SIGHUP, on_hup, process),
+		event_new(base, -1, EV_PERSIST, on_look, process),
+	};
+	size_t n = sizeof(events) / sizeof(*events);
+	size_t i;
 	int ret;
 
-	ret = gateway_init(&gateway, base, settings, &platform_names,
+	ret = gateway_init(gateway, base, &process->settings, &platform_names,
 			   &platform_store);
 	if (!ret)
-		ret = gateway_pages_init(&pages, &gateway);
+		ret = gateway_pages_init(&process->pages, gateway);
 	if (ret) {
 		LOG_ERROR("start_failed", LOG_TEXT("error", error_name(ret)));
 		return ret;
 	}
-	term = evsignal_new(base, SIGTERM, on_term, &gateway);
-	interrupt = evsignal_new(base, SIGINT, on_term, &gateway);
-	event_add(term, NULL);
-	event_add(interrupt, NULL);
-	LOG_INFO("started", LOG_TEXT("data_centre", settings->data_centre));
+	for (i = 0; i < n; i++)
+		event_add(events[i], i == n - 1 ? &period : NULL);
+	LOG_INFO("started",
+		 LOG_TEXT("data_centre", process->settings.data_centre));
 	event_base_dispatch(base);
 	LOG_INFO("stopped",
-		 LOG_I64("requests", gateway.counters.requests.value));
-	event_free(term);
-	event_free(interrupt);
-	gateway_pages_finish(&pages);
-	gateway_finish(&gateway);
+		 LOG_I64("requests", gateway->counters.requests.value));
+	for (i = 0; i < n; i++)
+		event_free(events[i]);
+	gateway_pages_finish(&process->pages);
+	gateway_finish(gateway);
 	return 0;
 }
 
@@ -112,22 +185,28 @@
 		"Run a gateway instance with the settings of "
 		"garnetreach-gateway(5) until SIGTERM or SIGINT stops it "
 		"gracefully."};
-	const char *path = NULL;
-	struct gateway_settings settings;
+	static struct process process;
+	struct error err = {.code = ERR_NONE};
 	struct event_base *base;
 	int ret;
 
-	if (argp_parse(&argp, argc, argv, 0, NULL, &path))
+	if (argp_parse(&argp, argc, argv, 0, NULL, &process.path))
 		return EXIT_STATUS_USAGE;
-	if (read_settings(path, &settings))
+	file_changed(&process);
+	ret = read_settings(process.path, &process.settings, &err);
+	if (ret) {
+		fprintf(stderr, "%s: %s: %s (%s)\n", process.path, err.subject,
+			error_text(ret), err.expected ? err.expected : "");
 		return EXIT_STATUS_INVALID;
-	log_init((enum log_level)settings.log_level, settings.instance);
+	}
+	log_init((enum log_level)process.settings.log_level,
+		 process.settings.instance);
 	signal(SIGPIPE, SIG_IGN);
 	base = event_base_new();
 	log_start(base, STDOUT_FILENO);
-	ret = run(base, &settings);
+	ret = run(base, &process);
 	log_stop();
 	event_base_free(base);
-	gateway_settings_finish(&settings);
+	gateway_settings_finish(&process.settings);
 	return ret ? EXIT_STATUS_FAILED : EXIT_STATUS_OK;
 }
--- /dev/null
+++ b/crash_watch.c
@@ -0,0 +1,56 @@
+#define LOG_MODULE "crash_watch"
+#include "crash_watch.h"
+
+#include <stdlib.h>
+
+#include "log.h"
+#include "mem.h"
+
+struct crash_watch *crash_watch_new(struct poison *poison,
+				    struct upstream *upstream,
+				    struct registry_server *server,
+				    uint64_t fingerprint)
+{
+	struct crash_watch *watch = mem_zalloc(sizeof(*watch));
+	struct str name = str_from(server->entry.id);
+
+	if (poison_begin(poison, &watch->run, fingerprint, name, name, false)) {
+		free(watch);
+		return NULL;
+	}
+	watch->poison = poison;
+	watch->upstream = upstream;
+	watch->server = registry_server_ref(server);
+	return watch;
+}
+
+static void free_watch(struct crash_watch *watch)
+{
+	poison_end(watch->poison, &watch->run, false);
+	registry_server_unref(watch->server);
+	free(watch);
+}
+
+static void on_checked(void *arg, bool listens)
+{
+	struct crash_watch *watch = arg;
+	struct str name = str_from(watch->server->entry.id);
+
+	/* Another send may have found out first. */
+	if (!listens && watch->run.server) {
+		LOG_WARN("server_crashed", LOG_STR("server", name),
+			 LOG_U64("fingerprint", watch->run.hash));
+		poison_server_lost(watch->poison, name);
+	}
+	free_watch(watch);
+}
+
+void crash_watch_end(struct crash_watch *watch, bool broke)
+{
+	if (!broke || !watch->run.server) {
+		free_watch(watch);
+		return;
+	}
+	if (upstream_check(watch->upstream, watch->server, on_checked, watch))
+		on_checked(watch, false);
+}
--- a/dispatch.c
+++ b/dispatch.c
@@ -13,6 +13,8 @@
  */
 #define HEDGE_LEAST MSEC(8)
 #define HEDGE_MOST_OF_GOAL 0.35
+/* Sends end at the deadline too: what they say then is that time is up. */
+#define DEADLINE_SLACK MSEC(2)
 /* A retry without budget left is tried again so much later. */
 #define RETRY_PERIOD MSEC(5)
 /* A caller that was refused for load finds a slot after about so long. */
@@ -290,7 +292,10 @@
 
 	if (dispatch->outcome)
 		return;
-	if (dispatch->n_in == dispatch->n_parts)
+	if (now + DEADLINE_SLACK >= dispatch->deadline &&
+	    dispatch->n_in < dispatch->n_parts && !is_enough(dispatch))
+		fail_all(dispatch, ERR_TOO_LATE);
+	else if (dispatch->n_in == dispatch->n_parts)
 		end(dispatch, DISPATCH_WHOLE, 0);
 	else if (dispatch->n_in + dispatch->n_failed == dispatch->n_parts &&
 		 is_enough(dispatch))
@@ -300,8 +305,6 @@
 	else if (dispatch->route->sharded && now >= dispatch->answer_at &&
 		 is_enough(dispatch))
 		end(dispatch, DISPATCH_PARTIAL, 0);
-	else if (now >= dispatch->deadline)
-		fail_all(dispatch, ERR_TOO_LATE);
 }
 
 static void fail_part(struct dispatch_part *part)
--- a/dispatch.h
+++ b/dispatch.h
@@ -34,6 +34,7 @@
 /**
  * struct dispatch_send - one send of a part to a server
  * @handle: of the owner
+ * @watch: of the owner
  * @why: for logs: "first", "hedge", "retry"
  */
 struct dispatch_send {
@@ -42,6 +43,7 @@
 	enum dispatch_send_state state;
 	int64_t sent_at;
 	void *handle;
+	void *watch;
 	const char *why;
 };
 
--- a/gateway.c
+++ b/gateway.c
@@ -175,6 +175,12 @@
 	arm_store(gateway);
 }
 
+void gateway_reloaded(struct gateway *gateway)
+{
+	set_limits(gateway, gateway->instances);
+	gateway_fleet_seeds(&gateway->fleet);
+}
+
 int gateway_init(struct gateway *gateway, struct event_base *base,
 		 const struct gateway_settings *settings,
 		 const struct gateway_names *names,
@@ -220,6 +226,7 @@
 	struct route_stats *next;
 
 	gateway_request_drop_all(gateway);
+	upstream_finish(&gateway->upstream);
 	inbound_finish(&gateway->inbound);
 	gateway_fleet_finish(&gateway->fleet);
 	store_client_finish(&gateway->store);
--- a/gateway.h
+++ b/gateway.h
@@ -106,6 +106,11 @@
  */
 void gateway_fleet_changed(struct gateway *gateway);
 
+/**
+ * gateway_reloaded() - the settings were changed
+ */
+void gateway_reloaded(struct gateway *gateway);
+
 /**
  * gateway_leave() - stop gracefully; ends the event loop when done
  */
--- a/gateway_fleet.c
+++ b/gateway_fleet.c
@@ -19,6 +19,8 @@
  */
 #define PROBE_PERIOD MSEC(300)
 #define LEASE MSEC(2000)
+/* A request is refused once so many servers were lost to it. */
+#define CRASHES_MOST 3
 /* Seeds are asked again: they may have been down, or start late. */
 #define SEEDS_PERIOD_S 1
 
@@ -118,6 +120,14 @@
 	member_table_seeds(&fleet->members.members, entries, settings->n_seeds);
 }
 
+static void on_beat(void *arg, int64_t lag)
+{
+	struct gateway_fleet *fleet = arg;
+
+	(void)lag;
+	poison_net_beat(&fleet->poison);
+}
+
 static void on_seeds_timer(evutil_socket_t fd, short what, void *arg)
 {
 	(void)fd;
@@ -163,6 +173,9 @@
 	if (ret)
 		return ret;
 	poison_net_init(&fleet->poison, &fleet->board, &fleet->peers);
+	fleet->board.poison.tolerant = true;
+	fleet->board.poison.ban_after = CRASHES_MOST;
+	loop_lag_init(&fleet->loop, &fleet->board, on_beat, fleet);
 	fleet->handler.up = on_up;
 	fleet->handler.frame = on_frame;
 	fleet->handler.types =
@@ -189,6 +202,7 @@
 	struct fleet_heard *next;
 
 	event_free(fleet->seeds_timer);
+	loop_lag_finish(&fleet->loop);
 	member_net_finish(&fleet->members);
 	peers_finish(&fleet->peers);
 	view_share_finish(&fleet->views);
--- a/gateway_fleet.h
+++ b/gateway_fleet.h
@@ -7,6 +7,7 @@
 
 #include "blackboard.h"
 #include "directory.h"
+#include "loop_lag.h"
 #include "member_net.h"
 #include "peer.h"
 #include "poison_net.h"
@@ -36,6 +37,7 @@
 	struct peers peers;
 	struct member_net members;
 	struct poison_net poison;
+	struct loop_lag loop;
 	struct view_share views;
 	struct peer_handler handler;
 	struct blackboard_watch fleet_watch;
--- a/gateway_request.c
+++ b/gateway_request.c
@@ -10,6 +10,7 @@
 #include <event2/event.h>
 #include <utlist.h>
 
+#include "crash_watch.h"
 #include "error.h"
 #include "log.h"
 #include "mem.h"
@@ -37,6 +38,7 @@
 	struct evbuffer *head;
 	struct event *timer;
 	struct kept_answer kept;
+	uint64_t fingerprint;
 	struct gateway_request *prev;
 	struct gateway_request *next;
 };
@@ -293,6 +295,7 @@
 	};
 	int status;
 
+	crash_watch_end(send->watch, result->code == ERR_LOST);
 	count_result(request->gateway, result);
 	log_bad_result(send, result);
 	if (!result->code) {
@@ -314,14 +317,21 @@
 static int send_part(void *arg, struct dispatch_send *send, int64_t deadline)
 {
 	struct gateway_request *request = arg;
+	struct gateway *gateway = request->gateway;
 	struct exchange *exchange;
 	int ret;
 
-	ret = upstream_send(&request->gateway->upstream, send->server,
-			    &request->request, deadline,
-			    send->part->target->connections_max, on_result,
-			    send, &exchange);
-	if (!ret)
+	send->watch = crash_watch_new(&gateway->fleet.board.poison,
+				      &gateway->upstream, send->server,
+				      request->fingerprint);
+	if (!send->watch)
+		return ERR_BANNED;
+	ret = upstream_send(&gateway->upstream, send->server, &request->request,
+			    deadline, send->part->target->connections_max,
+			    on_result, send, &exchange);
+	if (ret)
+		crash_watch_end(send->watch, false);
+	else
 		send->handle = exchange;
 	return ret;
 }
@@ -331,6 +341,7 @@
 	struct gateway_request *request = arg;
 	int64_t linger = LINGER;
 
+	crash_watch_end(send->watch, false);
 	/* Cut off, nobody would know whether it ran. */
 	if (!request->route->repeatable)
 		linger = request->dispatch.deadline -
@@ -422,21 +433,46 @@
 					     evbuffer_get_length(head)};
 }
 
+/* Counted from when it came, which is earlier if the process was stopped. */
 static int64_t time_left(const struct gateway *gateway,
 			 const struct route *route,
 			 const struct http_message *message)
 {
+	int64_t stall = blackboard_stall(&gateway->fleet.board);
 	struct str text =
 		http_message_field(message, gateway->names->upstream.deadline);
 	uint64_t ms;
 
 	if (str_parse_u64(text, &ms) || ms > (uint64_t)route->timeout_ms)
-		return MSEC(route->timeout_ms);
-	return MSEC((int64_t)ms);
+		ms = (uint64_t)route->timeout_ms;
+	return MSEC((int64_t)ms) - stall;
+}
+
+static struct str host_of(const struct http_message *message)
+{
+	struct str host = http_message_field(message, STR("host"));
+	const char *colon = memchr(host.data, ':', host.len);
+
+	if (colon)
+		host.len = (size_t)(colon - host.data);
+	return host;
+}
+
+/* The same request comes again: same path, caller and body. */
+static uint64_t fingerprint_of(const struct inbound_conn *conn,
+			       const struct http_message *message)
+{
+	uint64_t hash = str_hash(http_message_body(message));
+
+	hash = str_hash_mix(hash, str_hash(host_of(message)));
+	hash = str_hash_mix(hash, message->parser.method);
+	return poison_fingerprint(str_from(inbound_conn_peer(conn)),
+				  http_message_target(message), hash);
 }
 
 static void start(struct gateway *gateway, struct inbound_conn *conn,
-		  const struct http_message *message, const struct route *route)
+		  const struct http_message *message, const struct route *route,
+		  uint64_t fingerprint)
 {
 	struct gateway_request *request = mem_zalloc(sizeof(*request));
 	const struct route_service *target = NULL;
@@ -445,6 +481,7 @@
 	request->conn = conn;
 	request->routes = route_set_ref(gateway->sync.routes);
 	request->route = route;
+	request->fingerprint = fingerprint;
 	request->head = evbuffer_new();
 	request->timer = evtimer_new(gateway->base, on_timer, request);
 	request->request.id =
@@ -465,16 +502,6 @@
 	go_on(request, dispatch_start(&request->dispatch));
 }
 
-static struct str host_of(const struct http_message *message)
-{
-	struct str host = http_message_field(message, STR("host"));
-	const char *colon = memchr(host.data, ':', host.len);
-
-	if (colon)
-		host.len = (size_t)(colon - host.data);
-	return host;
-}
-
 static void refuse(struct gateway *gateway, struct inbound_conn *conn,
 		   const struct http_message *message, int status,
 		   int64_t retry_after_ms, const char *why)
@@ -518,6 +545,8 @@
 {
 	struct gateway *gateway = arg;
 	const struct route *route;
+	uint64_t fingerprint;
+	uint32_t retry_after_ms;
 
 	metric_inc(&gateway->counters.requests);
 	if (!http_message_field(message, gateway->names->upstream.request_id)
@@ -533,10 +562,17 @@
 	}
 	route = route_set_find(gateway->sync.routes, host_of(message),
 			       http_message_target(message));
-	if (route)
-		start(gateway, conn, message, route);
-	else
+	if (!route) {
 		refuse_unrouted(gateway, conn, message);
+		return;
+	}
+	fingerprint = fingerprint_of(conn, message);
+	if (poison_check(&gateway->fleet.board.poison, fingerprint,
+			 &retry_after_ms) == POISON_BANNED)
+		refuse(gateway, conn, message, HTTP_STATUS_SERVICE_UNAVAILABLE,
+		       retry_after_ms, "crashes_servers");
+	else
+		start(gateway, conn, message, route, fingerprint);
 }
 
 static void on_left(void *arg, struct inbound_conn *conn, void *data)
--- a/gateway_settings.c
+++ b/gateway_settings.c
@@ -259,6 +259,21 @@
 	return ret;
 }
 
+void gateway_settings_update(struct gateway_settings *settings,
+			     const struct gateway_settings *from)
+{
+	memcpy(settings->seeds, from->seeds, sizeof(settings->seeds));
+	settings->n_seeds = from->n_seeds;
+	settings->store_address = from->store_address;
+	settings->stop_max_s = from->stop_max_s;
+	settings->drain_ms = from->drain_ms;
+	settings->config_apply_ms = from->config_apply_ms;
+	settings->retry_ratio = from->retry_ratio;
+	settings->retry_slack = from->retry_slack;
+	settings->retry_window_s = from->retry_window_s;
+	settings->address_lifetime_max_s = from->address_lifetime_max_s;
+}
+
 void gateway_settings_finish(struct gateway_settings *settings)
 {
 	option_finish(options, n_options, settings);
--- a/gateway_settings.h
+++ b/gateway_settings.h
@@ -65,6 +65,13 @@
  */
 int gateway_settings_init(struct gateway_settings *settings, const char *text,
 			  size_t len, struct error *err);
+/**
+ * gateway_settings_update() - take what may change while an instance runs
+ *
+ * Names, addresses and the machine's limits stay as they were at the start.
+ */
+void gateway_settings_update(struct gateway_settings *settings,
+			     const struct gateway_settings *from);
 void gateway_settings_finish(struct gateway_settings *settings);
 
 #endif
--- a/http_message.c
+++ b/http_message.c
@@ -69,6 +69,14 @@
 		       sizeof(*message->fields));
 		message->in_value = false;
 	}
+	/*
+	 * The library takes "Content-Length : 5" for another header than
+	 * servers may: a request could hide in the body of another.
+	 */
+	if (memchr(at, ' ', len)) {
+		message->error = ERR_SYNTAX;
+		return 1;
+	}
 	return add_head(message, at, len,
 			&message->fields[message->n_fields - 1].name);
 }
--- a/poison.c
+++ b/poison.c
@@ -20,7 +20,7 @@
 	bool unwatched;
 	bool banned;
 	int n_servers;
-	uint64_t servers[POISON_CRASHES];
+	uint64_t servers[POISON_SERVERS_MAX];
 	uint64_t replica_set;
 	int64_t since;
 	int64_t expires;
@@ -119,7 +119,7 @@
 
 static void add_server(struct poison_entry *entry, uint64_t server)
 {
-	if (entry->n_servers < POISON_CRASHES && !has_server(entry, server))
+	if (entry->n_servers < POISON_SERVERS_MAX && !has_server(entry, server))
 		entry->servers[entry->n_servers++] = server;
 }
 
@@ -131,7 +131,7 @@
 
 	if (good)
 		drop_good(poison, good);
-	if (count_crashes(entry) >= POISON_CRASHES)
+	if (count_crashes(entry) >= poison->ban_after)
 		entry->banned = true;
 	entry->since = now;
 	entry->expires = now + (entry->banned ? poison->tunables.ban
@@ -178,6 +178,7 @@
 {
 	memset(poison, 0, sizeof(*poison));
 	poison->clock = clock;
+	poison->ban_after = POISON_CRASHES;
 	poison->changed = changed;
 	poison->ctx = ctx;
 }
@@ -337,9 +338,9 @@
 
 	if (entry && entry->banned)
 		return ERR_BANNED;
-	if (entry && !watched)
+	if (entry && !watched && !poison->tolerant)
 		return ERR_SHED;
-	if (entry && !may_run_suspect(poison, hash, name))
+	if (entry && !poison->tolerant && !may_run_suspect(poison, hash, name))
 		return ERR_NO_SLOT;
 	run->hash = hash;
 	run->replica_set = str_hash(replica_set);
@@ -402,7 +403,9 @@
 
 	if (!entry)
 		entry = add_entry(poison, run->hash);
-	if (!run->watched)
+	if (poison->tolerant)
+		add_server(entry, server);
+	else if (!run->watched)
 		entry->unwatched = true;
 	else if (has_server(entry, server) && run->started >= entry->since)
 		/* The same server, back and lost again. */
@@ -500,7 +503,7 @@
 		entry = add_entry(poison, report->hash);
 	entry->unwatched = entry->unwatched || report->unwatched;
 	entry->banned = entry->banned || report->banned;
-	for (i = 0; i < report->n_servers && i < POISON_CRASHES; i++)
+	for (i = 0; i < report->n_servers && i < POISON_SERVERS_MAX; i++)
 		add_server(entry, report->servers[i]);
 	if (!differs(entry, &before))
 		return false;
--- a/poison.h
+++ b/poison.h
@@ -19,6 +19,8 @@
 
 /* Servers lost to a fingerprint before it is banned. */
 #define POISON_CRASHES 2
+/* Servers lost to one fingerprint that are remembered. */
+#define POISON_SERVERS_MAX 4
 /* A kind of request that is not a mode of searches. */
 #define POISON_KIND_RUN 100
 /* Most entries told to a peer at once. */
@@ -57,7 +59,7 @@
 	uint64_t hash;
 	bool unwatched;
 	int n_servers;
-	uint64_t servers[POISON_CRASHES];
+	uint64_t servers[POISON_SERVERS_MAX];
 	uint64_t replica_set;
 	bool banned;
 	int64_t left;
@@ -95,6 +97,11 @@
  * @entries: suspects and banned, by hash, oldest first
  * @goods: known to be safe, by hash, oldest first
  * @servers: those with requests running, by hash of the name
+ * @ban_after: servers lost to a fingerprint before it is banned; set by the
+ *	owner, POISON_CRASHES unless told otherwise, POISON_SERVERS_MAX at most
+ * @tolerant: set by the owner where requests cannot be tried on one server
+ *	first: suspects run as all others, and each server that is lost counts
+ *	against all that ran there
  * @changed: an entry changed here and peers should know; may be NULL
  * @n_banned: bans made here, not learned, since the start
  */
@@ -104,6 +111,8 @@
 	struct poison_entry *entries;
 	struct poison_good *goods;
 	struct poison_server *servers;
+	int ban_after;
+	bool tolerant;
 	void (*changed)(void *ctx, const struct poison_report *report);
 	void *ctx;
 	uint64_t n_banned;
--- a/poison_net.c
+++ b/poison_net.c
@@ -74,9 +74,9 @@
 	struct poison_report report = {
 		.hash = entry->hash,
 		.unwatched = entry->crashes > entry->n_servers,
-		.n_servers = entry->n_servers < POISON_CRASHES
+		.n_servers = entry->n_servers < POISON_SERVERS_MAX
 				     ? (int)entry->n_servers
-				     : POISON_CRASHES,
+				     : POISON_SERVERS_MAX,
 		.replica_set = entry->replica_set,
 		.banned = entry->banned,
 		.left = MSEC(entry->expires_ms),
--- a/store_sync.c
+++ b/store_sync.c
@@ -23,7 +23,7 @@
  * silent is noticed only by the time-out, so that the wait must be well below
  * the 3 s within which routes must be in force.
  */
-#define ROUTES_WAIT_MS 1200
+#define ROUTES_WAIT_MS 1000
 #define ROUTES_PERIOD MSEC(50)
 /* Above the wait: an answer takes 4 ms, and up to 60 times that when slow. */
 #define CALL_TIMEOUT MSEC(600)
--- a/tests/fake_server.py
+++ b/tests/fake_server.py
@@ -185,9 +185,14 @@
             return self.search(self, body)
         return http(b"", "204 No Content")
 
-    def close(self):
+    def stop_listening(self):
+        if self.listener.fileno() < 0:
+            return
         self.listener.shutdown(socket.SHUT_RDWR)
         self.listener.close()
+
+    def close(self):
+        self.stop_listening()
         with self.lock:
             conns = list(self.conns)
         for conn in conns:
--- /dev/null
+++ b/tests/opaque_world.py
@@ -0,0 +1,353 @@
+"""Stand-ins for what a gateway meets: the platform's store, and backend servers
+of opaque requests. Both answer right unless a test tells them otherwise."""
+
+import base64
+import http.client
+import http.server
+import json
+import pathlib
+import socket
+import struct
+import subprocess
+import sys
+import threading
+import urllib.parse
+
+HERE = pathlib.Path(__file__).resolve().parent
+sys.path.insert(0, str(HERE.parent / "bench"))
+
+import experiment  # noqa: E402
+from fake_server import FakeServer  # noqa: E402
+
+PAGE = 3
+HOST = "shop.example"
+
+
+def free_port():
+    return experiment.free_ports(1)[0]
+
+
+class Request:
+    """A request as it arrived at a server."""
+
+    def __init__(self, method, target, headers, body):
+        self.method = method
+        self.target = target
+        self.headers = headers
+        self.body = body
+        self.id = headers.get("x-request-id", "")
+
+
+def answer(body=b"", status="200 OK", headers=(), length=None):
+    """A whole answer; `length` is what it says of its body, None: the truth,
+    -1: nothing."""
+    lines = [f"HTTP/1.1 {status}"]
+    lines += [f"{name}: {value}" for name, value in headers]
+    if length is None:
+        length = len(body)
+    if length >= 0:
+        lines.append(f"Content-Length: {length}")
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+
+class OpaqueServer(FakeServer):
+    """`behave` takes the server and a Request and gives the bytes to send;
+    None resets the connection. `ran` are the requests that it ran."""
+
+    def __init__(self, store, name, service, data_centre="dc-0"):
+        self.store = store
+        self.data_centre = data_centre
+        self.behave = type(self).good
+        self.ran = []
+        self.seen = []
+        self.closed = threading.Event()
+        super().__init__(name, service)
+        self.publish()
+
+    def entry(self, state="ready"):
+        return {
+            "service": self.service,
+            "address": f"127.0.0.1:{self.port}",
+            "data_centre": self.data_centre,
+            "version": "v1",
+            "slots": 2,
+            "state": state,
+            "cold_for_ms": 0,
+            "Sequence": 1,
+        }
+
+    def publish(self, state="ready"):
+        self.store.put(f"servers/{self.name}", self.entry(state))
+
+    def stamp(self, request):
+        return f"{self.name}.{request.id}"
+
+    def headers(self, request):
+        return [
+            ("X-Request-Id", request.id),
+            ("X-Server-Stamp", self.stamp(request)),
+        ]
+
+    def good(self, request):
+        self.ran.append(request)
+        body = f"{self.name} {request.target} ".encode() + request.body
+        return answer(body, headers=self.headers(request))
+
+    def records(self, request):
+        """Two records of 16 bytes, and a rest that is none."""
+        self.ran.append(request)
+        tail = int(self.name.rpartition("-")[2])
+        body = b"".join(
+            bytes([200 + i]) + b"-" * 14 + bytes([tail]) for i in range(2)
+        )
+        return answer(body + b"rest", headers=self.headers(request))
+
+    def refuse(self, request):
+        return answer(
+            status="503 Service Unavailable",
+            headers=[("X-Request-Id", request.id), ("X-Not-Executed", "1")],
+        )
+
+    def serve_one(self, conn, stream):
+        line = stream.readline()
+        if not line:
+            return False
+        method, target, _ = line.decode().split()
+        headers = {}
+        for header in iter(stream.readline, b"\r\n"):
+            if not header:
+                return False
+            name, _, value = header.decode().partition(":")
+            headers[name.lower()] = value.strip()
+        request = Request(method, target, headers, b"")
+        self.seen.append(request)
+        early = getattr(self, "early", None)
+        if early:
+            conn.sendall(early(request))
+        request.body = stream.read(int(headers.get("content-length", 0)))
+        data = b"" if early else self.behave(self, request)
+        if data is None:
+            conn.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+            )
+            return False
+        conn.sendall(data)
+        return not self.close_after
+
+
+class Store(http.server.ThreadingHTTPServer):
+    """The platform's store: items, their revisions and changes."""
+
+    daemon_threads = True
+
+    def __init__(self):
+        super().__init__(("127.0.0.1", 0), StoreHandler)
+        self.cond = threading.Condition()
+        self.revision = 1
+        self.items = {}
+        self.changes = []
+        self.calls = 0
+        self.refused = set()
+        self.away = False
+        self.compacted = 0
+        threading.Thread(target=self.serve_forever, daemon=True).start()
+
+    @property
+    def address(self):
+        return f"127.0.0.1:{self.server_address[1]}"
+
+    def put(self, key, value):
+        with self.cond:
+            self.revision += 1
+            text = json.dumps(value).encode()
+            item = {
+                "key": key,
+                "value": base64.b64encode(text).decode(),
+                "changed_at": self.revision,
+                "CreatedRev": self.revision,
+                "LeaseId": 0,
+            }
+            self.items[key] = item
+            self.changes.append(item)
+            self.cond.notify_all()
+
+    def remove(self, key):
+        with self.cond:
+            self.revision += 1
+            self.items.pop(key, None)
+            self.changes.append(
+                {"key": key, "changed_at": self.revision, "removed": True}
+            )
+            self.cond.notify_all()
+
+    def compact(self):
+        with self.cond:
+            self.compacted = self.revision
+            self.changes = []
+            self.cond.notify_all()
+
+    def range(self, prefix, after):
+        with self.cond:
+            keys = sorted(
+                k for k in self.items if k.startswith(prefix) and k > after
+            )
+            return {
+                "items": [self.items[k] for k in keys[:PAGE]],
+                "more": len(keys) > PAGE,
+                "read_at": self.revision,
+            }
+
+    def events(self, prefix, after):
+        return [
+            c
+            for c in self.changes
+            if c["changed_at"] > after and c["key"].startswith(prefix)
+        ]
+
+    def watch(self, prefix, after, wait_s):
+        with self.cond:
+            if after < self.compacted:
+                return None
+            self.cond.wait_for(
+                lambda: self.away or self.events(prefix, after), wait_s
+            )
+            return {
+                "events": self.events(prefix, after),
+                "read_at": self.revision,
+            }
+
+
+class StoreHandler(http.server.BaseHTTPRequestHandler):
+    protocol_version = "HTTP/1.1"
+
+    def log_message(self, *args):
+        pass
+
+    def reply(self, status, value=None):
+        body = json.dumps(value).encode() if value is not None else b""
+        try:
+            self.send_response(status)
+            self.send_header("Content-Length", str(len(body)))
+            self.end_headers()
+            self.wfile.write(body)
+        except OSError:
+            # The caller stopped while its watch was waiting.
+            self.close_connection = True
+
+    def do_GET(self):
+        store = self.server
+        store.calls += 1
+        url = urllib.parse.urlsplit(self.path)
+        query = dict(urllib.parse.parse_qsl(url.query))
+        if store.away or self.client_address[0] in store.refused:
+            self.reply(503)
+            return
+        if url.path.endswith("/kv-range"):
+            self.reply(200, store.range(query["prefix"],
+                                        query.get("after", "")))
+            return
+        found = store.watch(
+            query["prefix"], int(query["after"]),
+            int(query.get("wait_ms", 0)) / 1000
+        )
+        self.reply(410 if found is None else 200, found)
+
+
+def document(version, routes, services):
+    return {
+        "version": version,
+        "routes": routes,
+        "services": [{"name": s, "connections_max": 64} for s in services],
+        "limits": {
+            "header_bytes_max": 4096,
+            "body_bytes_max": 100000,
+            "header_timeout_ms": 700,
+            "idle_timeout_ms": 20000,
+        },
+    }
+
+
+def route(prefix, **members):
+    return {
+        "name": prefix.strip("/"),
+        "host": HOST,
+        "prefix": prefix,
+        "repeat": "any",
+        "timeout_ms": 3000,
+        "goal_ms": 1000,
+        "servers_max": 2,
+        "priority": 1,
+        **members,
+    }
+
+
+class Gateway:
+    """A real instance, on an own address of the loopback range."""
+
+    def __init__(self, build, folder, store, number, peer_port, seeds=(),
+                 data_centre="dc-0", stop_max_s=2.2):
+        self.ip = f"127.0.0.{10 + number}"
+        self.port = free_port()
+        self.pages = free_port()
+        self.path = folder / f"gateway-{number}.json"
+        self.settings = {
+            "instance": f"gateway-{number}",
+            "data_centre": data_centre,
+            "caller_address": f"{self.ip}:{self.port}",
+            "ready_address": f"{self.ip}:{self.pages}",
+            "directory_address": f"{self.ip}:{free_port()}",
+            "control_address": f"{self.ip}:{free_port()}",
+            "peer_ports": [peer_port, peer_port],
+            "seeds": list(seeds),
+            "store_address": store.address,
+            "stop_max_s": stop_max_s,
+            "retry_ratio": 0.2,
+            "retry_slack": 100,
+            "log_level": "debug",
+        }
+        self.write_settings()
+        self.log_path = folder / f"gateway-{number}.log"
+        self.build = build
+        self.process = None
+
+    def write_settings(self):
+        self.path.write_text(json.dumps(self.settings), encoding="utf-8")
+
+    def start(self):
+        with open(self.log_path, "ab") as log:
+            self.process = subprocess.Popen(
+                [str(self.build / "garnetreach"), "gateway", str(self.path)],
+                stdout=log, stderr=log,
+            )
+
+    def page(self, key, path):
+        """(status, body) of a page; (0, b"") if nobody answers."""
+        ip, _, port = self.settings[key].partition(":")
+        conn = http.client.HTTPConnection(ip, int(port), timeout=5)
+        try:
+            conn.request("GET", path)
+            response = conn.getresponse()
+            return response.status, response.read()
+        except OSError:
+            return 0, b""
+        finally:
+            conn.close()
+
+    def is_ready(self):
+        return self.page("ready_address", "/v1/ready")[0] == 200
+
+    def log(self):
+        """Its log lines so far; what is no JSON is a sanitizer's report."""
+        lines = []
+        for line in self.log_path.read_text(encoding="utf-8").splitlines():
+            try:
+                lines.append(json.loads(line))
+            except ValueError:
+                lines.append({"event": "no JSON", "text": line})
+        return lines
+
+    def stop(self):
+        """Exit status of a planned stop."""
+        if self.process.poll() is None:
+            self.process.terminate()
+        return self.process.wait(timeout=30)
--- /dev/null
+++ b/tests/test_directory.c
@@ -0,0 +1,68 @@
+#include <stdio.h>
+#include <string.h>
+
+#include "directory.h"
+#include "unit.h"
+
+static struct directory_candidate candidate(const char *dc, bool ready)
+{
+	struct directory_candidate candidate = {.ready = ready};
+
+	snprintf(candidate.data_centre, sizeof(candidate.data_centre), "%s",
+		 dc);
+	return candidate;
+}
+
+static void test_own_data_centre(void)
+{
+	struct directory_candidate all[] = {candidate("a", true),
+					    candidate("b", true),
+					    candidate("a", true),
+					    candidate("a", false)};
+	int out[DIRECTORY_MAX];
+
+	CU_ASSERT(directory_choose(all, 4, STR("a"), out) == 2);
+	CU_ASSERT(out[0] == 0 && out[1] == 2);
+}
+
+/* Of two instances of a data centre one is lost: callers there get others. */
+static void test_too_few(void)
+{
+	struct directory_candidate all[] = {candidate("a", true),
+					    candidate("b", true),
+					    candidate("a", false)};
+	int out[DIRECTORY_MAX];
+
+	CU_ASSERT(directory_choose(all, 3, STR("a"), out) == 2);
+	CU_ASSERT(directory_choose(all, 3, STR("elsewhere"), out) == 2);
+}
+
+static void test_none_ready(void)
+{
+	struct directory_candidate all[] = {candidate("a", false)};
+	int out[DIRECTORY_MAX];
+
+	CU_ASSERT(directory_choose(all, 1, STR("a"), out) == 0);
+	CU_ASSERT(directory_choose(all, 0, STR("a"), out) == 0);
+}
+
+static void test_bounded(void)
+{
+	static struct directory_candidate all[DIRECTORY_MAX + 9];
+	int out[DIRECTORY_MAX];
+	int i;
+
+	for (i = 0; i < DIRECTORY_MAX + 9; i++)
+		all[i] = candidate("a", true);
+	CU_ASSERT(directory_choose(all, DIRECTORY_MAX + 9, STR("a"), out) ==
+		  DIRECTORY_MAX);
+}
+
+static const struct unit_test tests[] = {
+	{"own data centre", test_own_data_centre},
+	{"too few there", test_too_few},
+	{"none ready", test_none_ready},
+	{"bounded", test_bounded},
+};
+
+UNIT_MAIN("directory", tests)
--- /dev/null
+++ b/tests/test_dispatch.c
@@ -0,0 +1,411 @@
+#include <stdio.h>
+#include <string.h>
+
+#include "dispatch.h"
+#include "error.h"
+#include "unit.h"
+
+#define SENDS_MAX 128
+
+/* A request that is dispatched, and what became of its sends. */
+struct world {
+	struct clock clock;
+	struct registry registry;
+	struct route_set *routes;
+	struct latency latency;
+	struct dispatch_limits limits;
+	struct dispatch dispatch;
+	struct dispatch_send *sent[SENDS_MAX];
+	int n_sent;
+	int n_abandoned;
+	int refuse; /* what ops->send returns */
+};
+
+static int on_send(void *arg, struct dispatch_send *send, int64_t deadline)
+{
+	struct world *world = arg;
+
+	(void)deadline;
+	if (world->refuse)
+		return world->refuse;
+	server_score_sent(&send->server->score, clock_now(&world->clock));
+	world->sent[world->n_sent++] = send;
+	return 0;
+}
+
+static void on_abandon(void *arg, struct dispatch_send *send)
+{
+	struct world *world = arg;
+
+	(void)send;
+	world->n_abandoned++;
+}
+
+static const struct dispatch_ops ops = {
+	.send = on_send,
+	.abandon = on_abandon,
+};
+
+static void on_closing(void *arg, struct registry_server *server)
+{
+	(void)arg;
+	(void)server;
+}
+
+static void add_server(struct world *world, const char *service, int i)
+{
+	struct server_entry entry = {.slots = 2};
+
+	snprintf(entry.id, sizeof(entry.id), "%s-%d", service, i);
+	snprintf(entry.service, sizeof(entry.service), "%s", service);
+	snprintf(entry.data_centre, sizeof(entry.data_centre), "dc%d", i);
+	registry_put(&world->registry, &entry, 1, clock_now(&world->clock));
+}
+
+static const char document[] =
+	"{\"version\": 1, \"services\": [{\"name\": \"s0\"}, {\"name\":"
+	"\"s1\"}, {\"name\": \"s2\"}, {\"name\": \"s3\"}], \"routes\": ["
+	"{\"host\": \"h\", \"prefix\": \"/shards/\", \"shards\": [\"s0\","
+	"\"s1\", \"s2\", \"s3\"], \"timeout_ms\": 1000, \"goal_ms\": 100,"
+	"\"servers_max\": 2, \"records_max\": 3, \"coverage_min\": 0.75},"
+	"{\"host\": \"h\", \"prefix\": \"/once/\", \"service\": \"s0\","
+	"\"repeat\": \"once\", \"timeout_ms\": 1000, \"goal_ms\": 100,"
+	"\"servers_max\": 2},"
+	"{\"host\": \"h\", \"prefix\": \"/any/\", \"service\": \"s0\","
+	"\"repeat\": \"any\", \"timeout_ms\": 1000, \"goal_ms\": 100,"
+	"\"servers_max\": 2}]}";
+
+static void world_init(struct world *world)
+{
+	char name[8];
+	int i;
+
+	memset(world, 0, sizeof(*world));
+	clock_init_paused(&world->clock, MSEC(1000000));
+	registry_init(&world->registry, STR("dc0"), on_closing, NULL);
+	for (i = 0; i < 4; i++) {
+		snprintf(name, sizeof(name), "s%d", i);
+		add_server(world, name, 0);
+		add_server(world, name, 1);
+	}
+	CU_ASSERT(!route_set_parse(str_from(document), &world->routes, NULL));
+	latency_init(&world->latency, MSEC(20));
+	world->limits.budget = (struct budget_limit){.ratio = 0.2, .burst = 5};
+	world->limits.answer_margin = MSEC(10);
+}
+
+static void world_finish(struct world *world)
+{
+	dispatch_finish(&world->dispatch);
+	route_set_unref(world->routes);
+	registry_finish(&world->registry);
+}
+
+static enum dispatch_outcome start(struct world *world, const char *path)
+{
+	const struct route *route =
+		route_set_find(world->routes, STR("h"), str_from(path));
+
+	dispatch_init(&world->dispatch, &world->clock, &ops, &world->limits,
+		      world, &world->registry, route, route->targets[0].service,
+		      &world->latency,
+		      clock_now(&world->clock) + MSEC(route->timeout_ms));
+	return dispatch_start(&world->dispatch);
+}
+
+static enum dispatch_outcome pass(struct world *world, int64_t ms)
+{
+	clock_advance(&world->clock, MSEC(ms));
+	return dispatch_tick(&world->dispatch);
+}
+
+static enum dispatch_outcome result(struct world *world, int i, int code,
+				    bool not_run, const char *stamp)
+{
+	struct dispatch_answer answer = {
+		.code = code,
+		.success = !code,
+		.not_run = not_run,
+		.stamp = str_from(stamp),
+		.body = STR("0123456789abcdef"),
+	};
+
+	return dispatch_result(&world->dispatch, world->sent[i], &answer);
+}
+
+static void test_all_parts(void)
+{
+	struct world world;
+
+	world_init(&world);
+	CU_ASSERT(start(&world, "/shards/") == DISPATCH_OPEN);
+	CU_ASSERT(world.n_sent == 4);
+	CU_ASSERT(result(&world, 0, 0, false, "a") == DISPATCH_OPEN);
+	CU_ASSERT(result(&world, 1, 0, false, "b") == DISPATCH_OPEN);
+	CU_ASSERT(result(&world, 2, 0, false, "c") == DISPATCH_OPEN);
+	CU_ASSERT(result(&world, 3, 0, false, "d") == DISPATCH_WHOLE);
+	CU_ASSERT(world.dispatch.records.n == 3);
+	world_finish(&world);
+}
+
+/*
+ * A server stops while a shard's answer is due. The caller would wait for it
+ * until the goal is missed; the shard's other server is asked once the answer
+ * is later than most, and the first of the two counts.
+ */
+static void test_hedge(void)
+{
+	struct world world;
+
+	world_init(&world);
+	start(&world, "/shards/");
+	result(&world, 0, 0, false, "a");
+	result(&world, 1, 0, false, "b");
+	result(&world, 2, 0, false, "c");
+	CU_ASSERT(pass(&world, 10) == DISPATCH_OPEN);
+	CU_ASSERT(world.n_sent == 4);
+	CU_ASSERT(pass(&world, 15) == DISPATCH_OPEN);
+	CU_ASSERT(world.n_sent == 5);
+	CU_ASSERT(world.sent[4]->server != world.sent[3]->server);
+	CU_ASSERT(world.sent[4]->part == world.sent[3]->part);
+	CU_ASSERT(result(&world, 4, 0, false, "d") == DISPATCH_WHOLE);
+	CU_ASSERT(world.n_abandoned == 1);
+	world_finish(&world);
+}
+
+/*
+ * A shard is lost. With enough of the others, the answer goes out shortly
+ * before the goal; waiting longer would make it late for all.
+ */
+static void test_partial_at_goal(void)
+{
+	struct world world;
+	int i;
+
+	world_init(&world);
+	start(&world, "/shards/");
+	for (i = 0; i < 3; i++)
+		result(&world, i, 0, false, i == 0 ? "a" : i == 1 ? "b" : "c");
+	CU_ASSERT(pass(&world, 85) == DISPATCH_OPEN);
+	CU_ASSERT(dispatch_due(&world.dispatch) ==
+		  clock_now(&world.clock) + MSEC(5));
+	CU_ASSERT(pass(&world, 5) == DISPATCH_PARTIAL);
+	CU_ASSERT(world.dispatch.n_in == 3);
+	world_finish(&world);
+}
+
+static void test_late_part_makes_it_enough(void)
+{
+	struct world world;
+
+	world_init(&world);
+	start(&world, "/shards/");
+	result(&world, 0, 0, false, "a");
+	result(&world, 1, 0, false, "b");
+	CU_ASSERT(pass(&world, 300) == DISPATCH_OPEN);
+	CU_ASSERT(result(&world, 2, 0, false, "c") == DISPATCH_PARTIAL);
+	world_finish(&world);
+}
+
+/*
+ * Two of four shards are lost for good, so that three quarters cannot be
+ * reached. The caller is told at once; it would otherwise wait for its timeout
+ * to learn the same.
+ */
+static void test_hopeless_fails_at_once(void)
+{
+	struct world world;
+	enum dispatch_outcome outcome = DISPATCH_OPEN;
+	int i;
+
+	world_init(&world);
+	start(&world, "/shards/");
+	for (i = 0; i < world.n_sent && !outcome; i++) {
+		if (world.sent[i]->part - world.dispatch.parts < 2)
+			outcome = result(&world, i, ERR_LOST, false, "");
+	}
+	CU_ASSERT(outcome == DISPATCH_FAILED);
+	CU_ASSERT(clock_now(&world.clock) == world.dispatch.start);
+	world_finish(&world);
+}
+
+/*
+ * A request that must not be repeated was sent, and its connection broke. It
+ * may have run: no other server may get it, and nobody may be told that it did
+ * not run.
+ */
+static void test_once_is_not_repeated(void)
+{
+	struct world world;
+
+	world_init(&world);
+	start(&world, "/once/");
+	CU_ASSERT(pass(&world, 200) == DISPATCH_OPEN);
+	CU_ASSERT(world.n_sent == 1);
+	CU_ASSERT(result(&world, 0, ERR_LOST, false, "") == DISPATCH_FAILED);
+	CU_ASSERT(world.n_sent == 1);
+	world_finish(&world);
+}
+
+static void test_once_goes_on_if_not_run(void)
+{
+	struct world world;
+
+	world_init(&world);
+	start(&world, "/once/");
+	CU_ASSERT(result(&world, 0, ERR_SHED, true, "") == DISPATCH_OPEN);
+	CU_ASSERT(world.n_sent == 2);
+	CU_ASSERT(result(&world, 1, ERR_SHED, true, "") == DISPATCH_REFUSED);
+	world_finish(&world);
+}
+
+/* Still under way when time is up: it may run, so that "not run" is untrue. */
+static void test_timeout_under_way(void)
+{
+	struct world world;
+
+	world_init(&world);
+	start(&world, "/once/");
+	CU_ASSERT(pass(&world, 1000) == DISPATCH_FAILED);
+	CU_ASSERT(world.dispatch.code == ERR_TOO_LATE);
+	world_finish(&world);
+}
+
+static void test_attempts_are_bounded(void)
+{
+	struct world world;
+
+	world_init(&world);
+	add_server(&world, "s0", 2);
+	add_server(&world, "s0", 3);
+	start(&world, "/any/");
+	CU_ASSERT(result(&world, 0, ERR_LOST, false, "") == DISPATCH_OPEN);
+	CU_ASSERT(result(&world, 1, ERR_LOST, false, "") == DISPATCH_FAILED);
+	CU_ASSERT(world.n_sent == 2);
+	world_finish(&world);
+}
+
+/*
+ * Many servers crash, and their connections are refused. What never arrived is
+ * no extra load, and must not use up what retries and hedges are allowed:
+ * else requests fail although a server of each shard lives.
+ */
+static void test_refused_connections_cost_nothing(void)
+{
+	struct world world;
+	int i;
+
+	world_init(&world);
+	world.limits.budget = (struct budget_limit){.ratio = 0.001, .burst = 0};
+	for (i = 0; i < 20; i++) {
+		world.n_sent = 0;
+		CU_ASSERT(start(&world, "/any/") == DISPATCH_OPEN);
+		result(&world, 0, ERR_CONNECT, true, "");
+		CU_ASSERT(world.n_sent == 2);
+		CU_ASSERT(result(&world, 1, 0, false, "x") == DISPATCH_WHOLE);
+		dispatch_finish(&world.dispatch);
+	}
+	start(&world, "/any/");
+	world_finish(&world);
+}
+
+/*
+ * Servers refuse much. The budget of second sends is used up, and the next
+ * request's part is refused too. It waits while other parts are waited for:
+ * requests that come meanwhile add to the budget.
+ */
+static void test_retry_waits_for_budget(void)
+{
+	struct world world;
+	struct registry_service *service;
+
+	world_init(&world);
+	world.limits.budget.burst = 0;
+	start(&world, "/any/");
+	service = registry_service(&world.registry, STR("s0"));
+	CU_ASSERT(result(&world, 0, ERR_SHED, true, "") == DISPATCH_OPEN);
+	CU_ASSERT(world.n_sent == 1);
+	budget_need(&service->budget, &world.limits.budget, 20,
+		    clock_now(&world.clock));
+	CU_ASSERT(dispatch_due(&world.dispatch) <=
+		  clock_now(&world.clock) + MSEC(5));
+	CU_ASSERT(pass(&world, 5) == DISPATCH_OPEN);
+	CU_ASSERT(world.n_sent == 2);
+	world_finish(&world);
+}
+
+static void test_retry_gives_up_at_goal(void)
+{
+	struct world world;
+	enum dispatch_outcome outcome = DISPATCH_OPEN;
+	int i;
+
+	world_init(&world);
+	world.limits.budget = (struct budget_limit){.ratio = 0, .burst = 0};
+	start(&world, "/any/");
+	result(&world, 0, ERR_SHED, true, "");
+	for (i = 0; i < 18 && !outcome; i++)
+		outcome = pass(&world, 5);
+	CU_ASSERT(outcome == DISPATCH_REFUSED);
+	CU_ASSERT(world.n_sent == 1);
+	world_finish(&world);
+}
+
+static void test_no_server(void)
+{
+	struct world world;
+
+	world_init(&world);
+	registry_remove(&world.registry, STR("s0-0"), 2);
+	registry_remove(&world.registry, STR("s0-1"), 2);
+	CU_ASSERT(start(&world, "/any/") == DISPATCH_REFUSED);
+	CU_ASSERT(world.dispatch.code == ERR_NO_REPLICA);
+	world_finish(&world);
+}
+
+/* A stamp that is in already would make the whole answer wrong. */
+static void test_same_stamp_twice(void)
+{
+	struct world world;
+
+	world_init(&world);
+	start(&world, "/shards/");
+	result(&world, 0, 0, false, "a");
+	result(&world, 1, 0, false, "a");
+	CU_ASSERT(world.dispatch.n_in == 1);
+	world_finish(&world);
+}
+
+static void test_caller_left(void)
+{
+	struct world world;
+
+	world_init(&world);
+	start(&world, "/shards/");
+	result(&world, 0, 0, false, "a");
+	dispatch_cancel(&world.dispatch);
+	CU_ASSERT(world.dispatch.outcome == DISPATCH_CANCELLED);
+	CU_ASSERT(world.n_abandoned == 3);
+	world_finish(&world);
+}
+
+static const struct unit_test tests[] = {
+	{"all parts", test_all_parts},
+	{"hedge", test_hedge},
+	{"partial at the goal", test_partial_at_goal},
+	{"a late part makes it enough", test_late_part_makes_it_enough},
+	{"hopeless fails at once", test_hopeless_fails_at_once},
+	{"once is not repeated", test_once_is_not_repeated},
+	{"once goes on if not run", test_once_goes_on_if_not_run},
+	{"time-out while under way", test_timeout_under_way},
+	{"attempts are bounded", test_attempts_are_bounded},
+	{"refused connections cost nothing",
+	 test_refused_connections_cost_nothing},
+	{"a retry waits for budget", test_retry_waits_for_budget},
+	{"a retry gives up at the goal", test_retry_gives_up_at_goal},
+	{"no server", test_no_server},
+	{"the same stamp twice", test_same_stamp_twice},
+	{"the caller left", test_caller_left},
+};
+
+UNIT_MAIN("dispatch", tests)
--- /dev/null
+++ b/tests/test_gateway.py
@@ -0,0 +1,691 @@
+"""Real gateways against stand-ins of the store and of backend servers.
+
+Each test ends with a planned stop of its instances, whose exit status must be
+0 and whose logs must hold nothing but JSON lines.
+"""
+
+import pathlib
+import signal
+import socket
+import sys
+import tempfile
+import threading
+import unittest
+
+HERE = pathlib.Path(__file__).resolve().parent
+sys.path.insert(0, str(HERE))
+sys.path.insert(0, str(HERE.parent / "bench"))
+
+import experiment  # noqa: E402
+import json  # noqa: E402
+from opaque_world import (  # noqa: E402
+    HOST, Gateway, OpaqueServer, Store, answer, document, free_port, route,
+)
+
+BUILD = None
+BOUND_S = 20  # of every wait; reached only by a failure
+
+SERVICES = ["one", "two", "s0", "s1", "s2", "s3"]
+ROUTES = [
+    route("/any/", service="one"),
+    route("/once/", service="one", repeat="once"),
+    route("/slow/", service="two", timeout_ms=400, goal_ms=300),
+    route("/shards/", shards=["s0", "s1", "s2", "s3"], records_max=3,
+          coverage_min=0.75, timeout_ms=2000, goal_ms=500),
+]
+
+
+class Answer:
+    def __init__(self, status, headers, body):
+        self.status = status
+        self.headers = headers
+        self.body = body
+
+
+class Caller:
+    """One connection, on which requests can be sent as bytes."""
+
+    def __init__(self, gateway):
+        self.sock = socket.create_connection((gateway.ip, gateway.port),
+                                             timeout=BOUND_S)
+        self.stream = self.sock.makefile("rb")
+
+    def send(self, data):
+        self.sock.sendall(data)
+
+    def request(self, target, method="GET", headers=(), body=b"",
+                request_id="r1"):
+        lines = [f"{method} {target} HTTP/1.1", f"Host: {HOST}"]
+        if request_id:
+            lines.append(f"X-Request-Id: {request_id}")
+        lines += [f"{name}: {value}" for name, value in headers]
+        if body:
+            lines.append(f"Content-Length: {len(body)}")
+        self.send("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
+        return self.read()
+
+    def read(self):
+        """The next answer, or None if the connection ended first."""
+        line = self.stream.readline()
+        if not line:
+            return None
+        headers = {}
+        for header in iter(self.stream.readline, b"\r\n"):
+            if not header:
+                return None
+            name, _, value = header.decode().partition(":")
+            headers[name.lower()] = value.strip()
+        body = self.stream.read(int(headers["content-length"]))
+        return Answer(int(line.split()[1]), headers, body)
+
+    def close(self):
+        self.stream.close()
+        self.sock.close()
+
+
+class GatewayTest(unittest.TestCase):
+    def setUp(self):
+        self.folder = tempfile.TemporaryDirectory()
+        self.store = Store()
+        self.servers = []
+        self.gateways = []
+        self.callers = []
+        self.peer_port = free_port()
+
+    def tearDown(self):
+        for caller in self.callers:
+            caller.close()
+        for gateway in self.gateways:
+            self.assertEqual(gateway.stop(), 0)
+            bad = [line for line in gateway.log()
+                   if line["event"] == "no JSON"]
+            self.assertEqual(bad, [])
+        for server in self.servers:
+            server.close()
+        self.store.shutdown()
+        self.store.server_close()
+        self.folder.cleanup()
+
+    def wait(self, what, check):
+        return experiment.wait_until(what, check, BOUND_S)
+
+    def server(self, name, service, **members):
+        server = OpaqueServer(self.store, name, service, **members)
+        self.servers.append(server)
+        return server
+
+    def publish(self, version=1, routes=None):
+        self.store.put("op/config",
+                       document(version, routes or ROUTES, SERVICES))
+
+    def gateway(self, **members):
+        gateway = Gateway(BUILD, pathlib.Path(self.folder.name), self.store,
+                          len(self.gateways), self.peer_port, **members)
+        gateway.start()
+        self.gateways.append(gateway)
+        return gateway
+
+    def ready_gateway(self, **members):
+        gateway = self.gateway(**members)
+        self.wait("ready", gateway.is_ready)
+        return gateway
+
+    def caller(self, gateway):
+        caller = Caller(gateway)
+        self.callers.append(caller)
+        return caller
+
+    def one(self, behave=None):
+        """A gateway before one server of the service "one"."""
+        server = self.server("one-1", "one")
+        if behave:
+            server.behave = behave
+        self.publish()
+        gateway = self.ready_gateway()
+        return server, gateway, self.caller(gateway)
+
+
+class Forwarding(GatewayTest):
+    def test_request_and_answer_pass_unchanged(self):
+        server, _, caller = self.one()
+        got = caller.request(
+            "/any/a%20b?x=1&y", method="POST", body=b"\x00body\r\n",
+            headers=[("X-Deadline-Ms", "2000"), ("X-Other", "kept"),
+                     ("Connection", "X-Hop"), ("X-Hop", "dropped"),
+                     ("X-Expect-Instance", "forged")])
+        self.assertEqual(got.status, 200)
+        self.assertEqual(got.body, b"one-1 /any/a%20b?x=1&y \x00body\r\n")
+        self.assertEqual(got.headers["x-server-stamp"], "one-1.r1")
+        seen = server.ran[0]
+        self.assertEqual((seen.method, seen.target), ("POST",
+                                                      "/any/a%20b?x=1&y"))
+        self.assertEqual(seen.body, b"\x00body\r\n")
+        self.assertEqual(seen.headers["x-request-id"], "r1")
+        self.assertEqual(seen.headers["x-expect-instance"], "one-1")
+        self.assertEqual(seen.headers["x-other"], "kept")
+        self.assertEqual(seen.headers["host"], HOST)
+        self.assertNotIn("x-hop", seen.headers)
+        self.assertLessEqual(int(seen.headers["x-deadline-ms"]), 2000)
+
+    def test_chunked_body(self):
+        server, _, caller = self.one()
+        caller.send(b"POST /any/ HTTP/1.1\r\nHost: " + HOST.encode() +
+                    b"\r\nX-Request-Id: c\r\nTransfer-Encoding: chunked\r\n"
+                    b"\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n")
+        self.assertEqual(caller.read().status, 200)
+        self.assertEqual(server.ran[0].body, b"abcde")
+
+    def test_requests_on_one_connection(self):
+        _, _, caller = self.one()
+        for i in range(5):
+            got = caller.request(f"/any/{i}", request_id=f"k{i}")
+            self.assertEqual(got.body, f"one-1 /any/{i} ".encode())
+
+    def test_two_requests_in_one_write(self):
+        _, _, caller = self.one()
+        caller.send(b"".join(
+            f"GET /any/{i} HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: p{i}"
+            "\r\n\r\n".encode() for i in range(2)))
+        self.assertEqual(caller.read().body, b"one-1 /any/0 ")
+        self.assertEqual(caller.read().body, b"one-1 /any/1 ")
+
+    def test_answers_of_the_service_pass(self):
+        for status in ("404 Not Found", "302 Found"):
+            with self.subTest(status):
+                self.setUp()
+                _, _, caller = self.one(lambda s, r, st=status: answer(
+                    b"own", st, s.headers(r)))
+                got = caller.request("/any/x")
+                self.assertEqual(got.status, int(status[:3]))
+                self.assertEqual(got.body, b"own")
+                self.assertEqual(got.headers["x-server-stamp"], "one-1.r1")
+                self.tearDown()
+        self.setUp()
+
+    def test_split_by_weight(self):
+        one = self.server("one-1", "one")
+        two = self.server("two-1", "two")
+        self.publish(routes=[route("/w/", split=[
+            {"service": "one", "weight": 3}, {"service": "two",
+                                              "weight": 1}])])
+        caller = self.caller(self.ready_gateway())
+        for i in range(40):
+            caller.request("/w/", request_id=f"w{i}")
+        self.assertEqual((len(one.ran), len(two.ran)), (30, 10))
+
+
+class WrongAnswers(GatewayTest):
+    """What a faulty server sends must reach nobody as an answer."""
+
+    def test_bytes_behind_the_answer(self):
+        """A server sends a second answer at once after the first. If the
+        connection were used again, the next caller would get it."""
+        def behave(server, request):
+            good = server.good(request)
+            if request.id == "first":
+                good += answer(b"extra", headers=server.headers(request))
+            return good
+
+        _, _, caller = self.one(behave)
+        self.assertEqual(caller.request("/any/1", request_id="first").body,
+                         b"one-1 /any/1 ")
+        self.assertEqual(caller.request("/any/2", request_id="second").body,
+                         b"one-1 /any/2 ")
+
+    def test_late_second_answer(self):
+        """The second answer to an earlier request comes where the next one is
+        due; its id tells."""
+        last = []
+
+        def behave(server, request):
+            data = server.good(request)
+            if last:
+                data = last.pop() + data
+            elif request.id == "first":
+                last.append(answer(b"late", headers=server.headers(request)))
+            return data
+
+        _, _, caller = self.one(behave)
+        caller.request("/any/1", request_id="first")
+        self.assertEqual(caller.request("/any/2", request_id="second").body,
+                         b"one-1 /any/2 ")
+
+    def test_cut_answer(self):
+        def behave(server, request):
+            server.ran.append(request)
+            server.close_after = True
+            return answer(b"half", headers=server.headers(request), length=9)
+
+        server, _, caller = self.one(behave)
+        got = caller.request("/once/x", method="POST", body=b"b")
+        self.assertEqual(got.status, 502)
+        self.assertEqual(len(server.ran), 1)
+        self.assertNotIn("x-server-stamp", got.headers)
+
+    def test_answer_without_length(self):
+        def behave(server, request):
+            server.close_after = True
+            return answer(b"all of it", headers=server.headers(request),
+                          length=-1)
+
+        _, _, caller = self.one(behave)
+        got = caller.request("/any/x")
+        self.assertEqual((got.status, got.body), (200, b"all of it"))
+
+    def test_no_http(self):
+        _, _, caller = self.one(lambda s, r: b"\x00garbage\r\n\r\n")
+        self.assertEqual(caller.request("/any/x").status, 502)
+
+    def test_success_without_stamp(self):
+        _, _, caller = self.one(lambda s, r: answer(b"who?"))
+        self.assertEqual(caller.request("/any/x").status, 502)
+
+    def test_encoded_body(self):
+        _, _, caller = self.one(lambda s, r: answer(
+            b"zip", headers=s.headers(r) + [("Content-Encoding", "gzip")]))
+        self.assertEqual(caller.request("/any/x").status, 502)
+
+    def test_early_answer(self):
+        """A server answers before it has read the body and keeps the
+        connection. Were the rest of the body followed by another request,
+        the server would take it for the body."""
+        server, _, caller = self.one()
+        server.early = lambda r: answer(b"no", "413 Too Large",
+                                        server.headers(r))
+        body = b"x" * 90000
+        got = caller.request("/any/x", method="POST", body=body)
+        self.assertEqual(got.status, 413)
+        del server.early
+        got = caller.request("/any/y", request_id="r2")
+        self.assertEqual(got.body, b"one-1 /any/y ")
+        self.assertEqual(len(server.ran), 1)
+
+
+class NotRun(GatewayTest):
+    """What a caller is told of whether its request ran must be true."""
+
+    def test_refused_by_all(self):
+        server, _, caller = self.one(OpaqueServer.refuse)
+        got = caller.request("/once/x", method="POST", body=b"b")
+        self.assertEqual(got.status, 503)
+        self.assertGreater(float(got.headers["retry-after"]), 0)
+        self.assertEqual(server.ran, [])
+
+    def test_refused_by_one(self):
+        first, _, caller = self.one(OpaqueServer.refuse)
+        second = self.server("one-2", "one")
+        self.wait("both known", lambda: caller.request(
+            "/once/x", method="POST", body=b"b").status == 200)
+        self.assertEqual(first.ran, [])
+        self.assertEqual(len(second.ran), 1)
+
+    def test_unmarked_refusal_may_have_run(self):
+        """503 promises that a request did not run. A server that does not say
+        so by its header may have run it."""
+        for status in ("503 Busy", "429 Slow", "408 Late"):
+            with self.subTest(status):
+                self.setUp()
+                _, _, caller = self.one(lambda s, r, st=status: answer(
+                    b"?", st, s.headers(r)))
+                got = caller.request("/once/x", method="POST", body=b"b")
+                self.assertEqual(got.status, 502)
+                self.tearDown()
+        self.setUp()
+
+    def test_lost_answer_is_not_repeated(self):
+        """A server runs a request and its answer is lost. Sent to another
+        server it would run twice."""
+        def lose(server, request):
+            server.ran.append(request)
+
+        first = self.server("one-1", "one")
+        second = self.server("one-2", "one")
+        first.behave = lose
+        second.behave = lose
+        self.publish()
+        caller = self.caller(self.ready_gateway())
+        got = caller.request("/once/x", method="POST", body=b"b")
+        self.assertEqual(got.status, 502)
+        self.assertEqual(len(first.ran) + len(second.ran), 1)
+
+    def test_lost_answer_is_repeated_if_it_may(self):
+        def lose(server, request):
+            server.ran.append(request)
+
+        first = self.server("one-1", "one")
+        second = self.server("one-2", "one", data_centre="dc-1")
+        first.behave = lose
+        self.publish()
+        caller = self.caller(self.ready_gateway())
+        self.assertEqual(caller.request("/any/x").status, 200)
+        self.assertEqual((len(first.ran), len(second.ran)), (1, 1))
+
+    def test_other_server_at_the_address(self):
+        """A server ended and another service has its address. It says that it
+        is not the one meant, and did not run the request."""
+        first = self.server("one-1", "one")
+        second = self.server("one-2", "one", data_centre="dc-1")
+        first.behave = lambda s, r: answer(
+            status="421 Misdirected Request",
+            headers=[("X-Instance-Id", "other")])
+        self.publish()
+        caller = self.caller(self.ready_gateway())
+        for i in range(3):
+            got = caller.request("/once/x", method="POST", body=b"b",
+                                 request_id=f"m{i}")
+            self.assertEqual(got.status, 200)
+        self.assertEqual(len(first.seen), 1)
+        self.assertEqual(len(second.ran), 3)
+
+    def test_timeout_of_the_route(self):
+        server = self.server("two-1", "two")
+        release = threading.Event()
+
+        def hang(server, request):
+            server.ran.append(request)
+            release.wait(BOUND_S)
+            return server.good(request)
+
+        server.behave = hang
+        self.publish()
+        caller = self.caller(self.ready_gateway())
+        got = caller.request("/slow/x")
+        release.set()
+        self.assertEqual(got.status, 504)
+
+    def test_request_that_crashes_servers(self):
+        """A request crashes each server that begins to run it, and its caller
+        sends it again and again. After three servers no other gets it."""
+        servers = [self.server(f"one-{i}", "one") for i in range(6)]
+
+        def crash(server, request):
+            if "bad" not in request.target:
+                return server.good(request)
+            server.ran.append(request)
+            server.stop_listening()
+            return None
+
+        for server in servers:
+            server.behave = crash
+        self.publish()
+        gateway = self.ready_gateway()
+
+        def ask(i):
+            caller = Caller(gateway)
+            got = caller.request("/any/bad", request_id=f"b{i}")
+            caller.close()
+            return got
+
+        self.wait("banned", lambda: b"crashes" in ask(0).body)
+        lost = sum(len(s.ran) for s in servers)
+        self.assertLessEqual(lost, 4)
+        self.assertEqual(ask(1).status, 503)
+        caller = self.caller(gateway)
+        self.assertEqual(caller.request("/any/good").status, 200)
+        self.assertEqual(sum(len(s.ran) for s in servers), lost + 1)
+
+
+class Shards(GatewayTest):
+    def world(self):
+        servers = [self.server(f"s{i}-{i}", f"s{i}") for i in range(4)]
+        for server in servers:
+            server.behave = OpaqueServer.records
+        self.publish()
+        return servers, self.caller(self.ready_gateway())
+
+    def stamps(self, got):
+        return sorted(got.headers["x-part-stamps"].split(", "))
+
+    def test_all_parts(self):
+        servers, caller = self.world()
+        got = caller.request("/shards/q")
+        self.assertEqual(got.status, 200)
+        self.assertEqual(self.stamps(got), [f"s{i}-{i}.r1" for i in range(4)])
+        self.assertEqual(got.headers["x-missing-parts"], "0")
+        self.assertEqual(got.body, b"".join(
+            b"\xc9" + b"-" * 14 + bytes([tail]) for tail in (3, 2, 1)))
+        self.assertTrue(all(len(s.ran) == 1 for s in servers))
+
+    def test_one_part_missing(self):
+        servers, caller = self.world()
+        servers[2].behave = lambda s, r: answer(
+            b"fault", "500 Fault", s.headers(r))
+        got = caller.request("/shards/q")
+        self.assertEqual(got.status, 200)
+        self.assertEqual(self.stamps(got), ["s0-0.r1", "s1-1.r1", "s3-3.r1"])
+        self.assertEqual(got.headers["x-missing-parts"], "1")
+
+    def test_too_few_parts(self):
+        servers, caller = self.world()
+        for server in servers[:2]:
+            server.behave = lambda s, r: answer(
+                b"fault", "500 Fault", s.headers(r))
+        self.assertEqual(caller.request("/shards/q").status, 502)
+
+    def test_versions_do_not_mix(self):
+        """The index is cut anew while requests run. All parts of an answer
+        come from the shards of one version."""
+        servers, caller = self.world()
+        old = [s.name for s in servers[:2]]
+        new = [s.name for s in servers[2:]]
+        for version in range(2, 20):
+            shards = ["s0", "s1"] if version % 2 else ["s2", "s3"]
+            self.publish(version, [route("/shards/", shards=shards,
+                                         records_max=3, coverage_min=1)])
+            for i in range(10):
+                got = caller.request("/shards/q", request_id=f"v{i}")
+                names = [s.rpartition(".")[0] for s in self.stamps(got)]
+                self.assertIn(len(names), (2, 4))
+                if len(names) == 2:
+                    self.assertIn(names, (old, new))
+
+
+class Limits(GatewayTest):
+    def test_refused_messages(self):
+        _, gateway, _ = self.one()
+        cases = [
+            (b"\x16\x03\x01\x02\r\n\r\n", 400),
+            (b"GET /any/ HTTP/1.1\r\nHost: h\r\nX: " + b"x" * 5000, 431),
+            (b"POST /any/ HTTP/1.1\r\nHost: h\r\nX-Request-Id: r\r\n"
+             b"Content-Length: 100001\r\n\r\n", 413),
+            (b"POST /any/ HTTP/1.1\r\nHost: h\r\nX-Request-Id: r\r\n"
+             b"Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n", 400),
+            (b"GET /any/ HTTP/1.1\r\nHost: h\r\nX-Requ", 408),
+        ]
+        for data, status in cases:
+            with self.subTest(status):
+                caller = self.caller(gateway)
+                caller.send(data)
+                self.assertEqual(caller.read().status, status)
+                self.assertIsNone(caller.read())
+
+    def test_no_request_id(self):
+        server, _, caller = self.one()
+        self.assertEqual(caller.request("/any/x", request_id="").status, 400)
+        self.assertEqual(server.seen, [])
+
+    def test_no_route(self):
+        _, _, caller = self.one()
+        self.assertEqual(caller.request("/none/x").status, 404)
+
+    def test_starting(self):
+        """Without routes nobody knows whether there is one: a caller must not
+        be told that there is none."""
+        self.server("one-1", "one")
+        gateway = self.gateway()
+        self.wait("pages", lambda: gateway.page("ready_address",
+                                                "/v1/ready")[0] == 503)
+        got = self.caller(gateway).request("/any/x")
+        self.assertEqual(got.status, 503)
+        self.assertIn("retry-after", got.headers)
+
+    def test_old_routes_do_not_deny(self):
+        """The store is away, and an operator adds a route meanwhile. An
+        instance that has not heard of it must not say that there is none."""
+        _, gateway, caller = self.one()
+        self.store.away = True
+        self.wait("old", lambda: caller.request("/new/x").status == 503)
+        self.store.away = False
+        self.publish(2, ROUTES + [route("/new/", service="one")])
+        self.wait("served",
+                  lambda: caller.request("/new/x").status == 200)
+        self.assertTrue(gateway.is_ready())
+
+
+class Lifecycle(GatewayTest):
+    def test_planned_stop_cuts_nothing(self):
+        """An instance is told to stop while a request runs. It is out of the
+        directory at once, the request is answered, and the caller is told to
+        connect elsewhere."""
+        server = self.server("one-1", "one")
+        release = threading.Event()
+
+        def hang(server, request):
+            release.wait(BOUND_S)
+            return server.good(request)
+
+        server.behave = hang
+        self.publish()
+        gateway = self.ready_gateway(stop_max_s=8)
+        caller = self.caller(gateway)
+        idle = self.caller(gateway)
+        got = []
+        thread = threading.Thread(
+            target=lambda: got.append(caller.request("/any/x")))
+        thread.start()
+        self.wait("running", lambda: server.seen)
+        gateway.process.send_signal(signal.SIGTERM)
+        self.wait("unready", lambda: not gateway.is_ready())
+        release.set()
+        thread.join()
+        self.assertEqual(got[0].status, 200)
+        self.assertEqual(got[0].headers["connection"], "close")
+        self.assertEqual(idle.request("/any/y").status, 200)
+        self.assertEqual(gateway.process.wait(timeout=BOUND_S), 0)
+
+    def test_caller_leaves(self):
+        """A caller gives up. The server would work on for nobody; closing its
+        connection is the only way to tell it."""
+        server = self.server("one-1", "one")
+        ended = threading.Event()
+
+        def watch(server, request):
+            server.ran.append(request)
+            conn = list(server.conns)[0]
+            conn.settimeout(BOUND_S)
+            if not conn.recv(1, socket.MSG_PEEK):
+                ended.set()
+
+        server.behave = watch
+        self.publish()
+        caller = Caller(self.ready_gateway())
+        caller.send(f"GET /any/x HTTP/1.1\r\nHost: {HOST}\r\n"
+                    "X-Request-Id: g\r\n\r\n".encode())
+        self.wait("running", lambda: server.ran)
+        caller.close()
+        self.wait("told", ended.is_set)
+
+    def test_server_drains(self):
+        first, _, caller = self.one()
+        second = self.server("one-2", "one", data_centre="dc-1")
+        self.wait("both known", lambda: (first.publish("draining"),
+                                         caller.request("/any/x"),
+                                         second.ran)[2])
+        n = len(first.ran)
+        for i in range(5):
+            caller.request("/any/y", request_id=f"d{i}")
+        self.assertEqual(len(first.ran), n)
+
+    def test_history_of_the_store_is_gone(self):
+        first, _, caller = self.one()
+        second = self.server("one-2", "one", data_centre="dc-1")
+        self.store.compact()
+        self.store.remove("servers/one-1")
+        self.store.compact()
+        self.wait("left", lambda: caller.request("/any/x").body.startswith(
+            b"one-2"))
+        n = len(first.ran)
+        caller.request("/any/y")
+        self.assertEqual(len(first.ran), n)
+        self.assertTrue(second.ran)
+
+
+class Fleet(GatewayTest):
+    def addresses(self, gateway):
+        status, body = gateway.page("directory_address",
+                                    "/v1/directory?data_centre=dc-0")
+        return set(json.loads(body)["addrs"]) if status == 200 else set()
+
+    def fleet(self, n):
+        self.server("one-1", "one")
+        self.publish()
+        seed = f"127.0.0.10:{self.peer_port}"
+        return [self.ready_gateway(seeds=[seed]) for _ in range(n)]
+
+    def test_directory(self):
+        """Instances find each other by one seed. One that is killed is not
+        named any more, and one that comes back is named again."""
+        gateways = self.fleet(3)
+        all_of_them = {f"{g.ip}:{g.port}" for g in gateways}
+        for gateway in gateways:
+            self.wait("named", lambda g=gateway: self.addresses(g) ==
+                      all_of_them)
+        gateways[2].process.kill()
+        gateways[2].process.wait()
+        self.wait("left out", lambda: self.addresses(gateways[1]) ==
+                  {f"{g.ip}:{g.port}" for g in gateways[:2]})
+        gateways[2].start()
+        for gateway in gateways:
+            self.wait("named again", lambda g=gateway: self.addresses(g) ==
+                      all_of_them)
+
+    def test_seed_is_down(self):
+        """The seed ends after the others found each other, and an instance
+        restarts. It knows nobody but the seed; the others ask for it."""
+        gateways = self.fleet(3)
+        for gateway in gateways:
+            self.wait("named", lambda g=gateway: len(self.addresses(g)) == 3)
+        gateways[0].stop()
+        gateways[2].process.kill()
+        gateways[2].process.wait()
+        gateways[2].start()
+        for gateway in gateways[1:]:
+            self.wait("named", lambda g=gateway: len(self.addresses(g)) == 2)
+
+    def test_routes_by_peers(self):
+        """The store refuses one instance and serves the others. What the
+        operator changes must be in force there too."""
+        gateways = self.fleet(2)
+        for gateway in gateways:
+            self.wait("named", lambda g=gateway: len(self.addresses(g)) == 2)
+        # All calls come from one address here: the store stops serving those
+        # that read, and the change is brought by a third instance.
+        caller = self.caller(gateways[1])
+        self.publish(2, ROUTES + [route("/new/", service="one")])
+        self.wait("served",
+                  lambda: caller.request("/new/x").status == 200)
+        calls = self.store.calls
+        self.wait("time passes", lambda: self.store.calls > calls + 4)
+        by_peers = [line for g in gateways for line in g.log()
+                    if line["event"] == "routes_in_force" and
+                    line["version"] == 2 and line["from"] == "peer"]
+        self.assertEqual(len(by_peers), 1)
+
+    def test_settings_change(self):
+        """New seeds come without a signal, and a broken file changes
+        nothing."""
+        gateways = self.fleet(1)
+        alone = self.ready_gateway()
+        self.assertEqual(self.addresses(alone), {f"{alone.ip}:{alone.port}"})
+        alone.path.write_text("{", encoding="utf-8")
+        self.wait("refused", lambda: any(
+            line["event"] == "reload_refused" for line in alone.log()
+        ))
+        alone.settings["seeds"] = [f"{gateways[0].ip}:1"]
+        alone.write_settings()
+        self.wait("found", lambda: len(self.addresses(alone)) == 2)
+
+
+if __name__ == "__main__":
+    BUILD = pathlib.Path(sys.argv.pop(1))
+    unittest.main()
--- /dev/null
+++ b/tests/test_gateway_settings.c
@@ -0,0 +1,86 @@
+#include <string.h>
+
+#include "gateway_settings.h"
+#include "unit.h"
+
+#define ADDRESSES                                                              \
+	"\"caller_address\": \"127.0.0.1:1\", \"ready_address\":"              \
+	"\"127.0.0.1:2\", \"directory_address\": \"127.0.0.1:3\","             \
+	"\"control_address\": \"127.0.0.1:4\", \"store_address\":"             \
+	"\"127.0.0.1:5\""
+#define HEAD                                                                   \
+	"{ // comment\n\"instance\": \"i\", \"data_centre\": \"d\"," ADDRESSES
+
+static int read_text(const char *text, struct gateway_settings *settings,
+		     struct error *err)
+{
+	return gateway_settings_init(settings, text, strlen(text), err);
+}
+
+static void test_read(void)
+{
+	struct gateway_settings settings;
+
+	CU_ASSERT(!read_text(HEAD ", \"peer_ports\": [7, 9], \"seeds\": "
+				  "[\"127.0.0.1:8\"], \"memory_mb\": null,"
+				  "\"retry_ratio\": 0.2}",
+			     &settings, NULL));
+	CU_ASSERT_STRING_EQUAL(settings.instance, "i");
+	CU_ASSERT(settings.store_address.port == 5);
+	CU_ASSERT(settings.peer_ports[0] == 7);
+	CU_ASSERT(settings.n_seeds == 1 && settings.seeds[0].port == 8);
+	CU_ASSERT(settings.retry_ratio == 0.2);
+	CU_ASSERT(settings.metrics_address.port == 0);
+	gateway_settings_finish(&settings);
+}
+
+static void check(const char *text, int code, const char *subject)
+{
+	struct gateway_settings settings;
+	struct error err = {.code = ERR_NONE};
+
+	CU_ASSERT(read_text(text, &settings, &err) == code);
+	CU_ASSERT_STRING_EQUAL(err.subject, subject);
+}
+
+static void test_refused(void)
+{
+	check(HEAD "}", ERR_KEY_MISSING, "peer_ports");
+	check(HEAD ", \"peer_ports\": [7]}", ERR_TYPE, "peer_ports");
+	check(HEAD ", \"peer_ports\": [0, 9]}", ERR_RANGE, "peer_ports");
+	check(HEAD ", \"peer_ports\": [7, 9], \"seeds\": [\"x\"]}", ERR_ADDRESS,
+	      "seeds");
+	check(HEAD ", \"peer_ports\": [7, 9], \"what\": 1}", ERR_KEY_UNKNOWN,
+	      "what");
+	check("{\"instance\": \"i\"}", ERR_KEY_MISSING, "data_centre");
+}
+
+/* Names and addresses are in use; the rest may change while it runs. */
+static void test_update(void)
+{
+	struct gateway_settings settings;
+	struct gateway_settings next;
+
+	CU_ASSERT(
+		!read_text(HEAD ", \"peer_ports\": [7, 9]}", &settings, NULL));
+	CU_ASSERT(!read_text("{\"instance\": \"other\", \"data_centre\": "
+			     "\"d\"," ADDRESSES ", \"peer_ports\": [1, 2],"
+			     "\"seeds\": [\"127.0.0.1:8\"], \"retry_slack\":"
+			     "77}",
+			     &next, NULL));
+	gateway_settings_update(&settings, &next);
+	gateway_settings_finish(&next);
+	CU_ASSERT_STRING_EQUAL(settings.instance, "i");
+	CU_ASSERT(settings.peer_ports[0] == 7);
+	CU_ASSERT(settings.n_seeds == 1);
+	CU_ASSERT(settings.retry_slack == 77);
+	gateway_settings_finish(&settings);
+}
+
+static const struct unit_test tests[] = {
+	{"read", test_read},
+	{"refused", test_refused},
+	{"update", test_update},
+};
+
+UNIT_MAIN("gateway_settings", tests)
--- /dev/null
+++ b/tests/test_registry.c
@@ -0,0 +1,195 @@
+#include <stdio.h>
+#include <string.h>
+
+#include "clock.h"
+#include "registry.h"
+#include "unit.h"
+
+#define START MSEC(1000000)
+
+static int n_closed;
+
+static void on_closing(void *arg, struct registry_server *server)
+{
+	(void)arg;
+	(void)server;
+	n_closed++;
+}
+
+static void init(struct registry *registry)
+{
+	n_closed = 0;
+	registry_init(registry, STR("dc1"), on_closing, NULL);
+}
+
+static struct server_entry entry_of(const char *id, const char *dc)
+{
+	struct server_entry entry = {.slots = 2};
+
+	snprintf(entry.id, sizeof(entry.id), "%s", id);
+	snprintf(entry.service, sizeof(entry.service), "s");
+	snprintf(entry.data_centre, sizeof(entry.data_centre), "%s", dc);
+	address_parse(STR("127.0.0.1:1"), &entry.address);
+	return entry;
+}
+
+static struct registry_server *put(struct registry *registry, const char *id,
+				   const char *dc, uint64_t changed_at)
+{
+	struct server_entry entry = entry_of(id, dc);
+
+	registry_put(registry, &entry, changed_at, START);
+	return registry_find(registry, str_from(id));
+}
+
+static struct registry_server *pick(struct registry *registry,
+				    struct registry_server *tried,
+				    bool fresh_only, int64_t now)
+{
+	return registry_pick(registry_service(registry, STR("s")), &tried,
+			     tried ? 1 : 0, fresh_only, now);
+}
+
+static void test_own_data_centre_first(void)
+{
+	struct registry registry;
+	struct registry_server *far;
+	struct registry_server *near;
+
+	init(&registry);
+	far = put(&registry, "far", "dc2", 1);
+	near = put(&registry, "near", "dc1", 2);
+	CU_ASSERT(pick(&registry, NULL, false, START) == near);
+	CU_ASSERT(pick(&registry, near, false, START) == far);
+	/* A queue there is worse than the way. */
+	server_score_sent(&near->score, START);
+	server_score_sent(&near->score, START);
+	server_score_sent(&near->score, START);
+	CU_ASSERT(pick(&registry, NULL, false, START) == far);
+	registry_finish(&registry);
+}
+
+/*
+ * A server stops for 150 ms without a word. Requests sent to it meanwhile would
+ * all be late; the first one that is, shows it, and others are asked until it
+ * answers again.
+ */
+static void test_stopped_server(void)
+{
+	struct registry registry;
+	struct registry_server *a;
+	struct registry_server *b;
+	int64_t now = START;
+
+	init(&registry);
+	a = put(&registry, "a", "dc1", 1);
+	b = put(&registry, "b", "dc2", 2);
+	server_score_sent(&a->score, now);
+	server_score_result(&a->score, SERVER_ANSWERED, MSEC(10), now);
+	server_score_sent(&a->score, now);
+	CU_ASSERT(pick(&registry, NULL, true, now + MSEC(5)) == a);
+	now += MSEC(40);
+	CU_ASSERT(pick(&registry, NULL, true, now) == b);
+	CU_ASSERT(!pick(&registry, b, true, now));
+	/* Better a late one than none. */
+	CU_ASSERT(pick(&registry, b, false, now) == a);
+	server_score_result(&a->score, SERVER_ANSWERED, MSEC(150),
+			    now + MSEC(110));
+	CU_ASSERT(pick(&registry, b, true, now + MSEC(111)) == a);
+	registry_finish(&registry);
+}
+
+/*
+ * One server of a pair crashed and the other is slow. The crashed one answers
+ * nothing, so that it must not seem the better one for having been faster.
+ */
+static void test_dead_is_worse_than_late(void)
+{
+	struct registry registry;
+	struct registry_server *dead;
+	struct registry_server *late;
+	int64_t now = START;
+
+	init(&registry);
+	dead = put(&registry, "dead", "dc1", 1);
+	late = put(&registry, "late", "dc1", 2);
+	server_score_sent(&late->score, now);
+	server_score_sent(&dead->score, now);
+	now += MSEC(50);
+	server_score_result(&dead->score, SERVER_SILENT, 0, now);
+	CU_ASSERT(pick(&registry, NULL, false, now) == late);
+	/* It is tried again after a while, and then left alone for longer. */
+	CU_ASSERT(now >= dead->score.avoid_until - MSEC(100));
+	server_score_sent(&dead->score, now);
+	server_score_result(&dead->score, SERVER_SILENT, 0, now);
+	CU_ASSERT(dead->score.avoid_until == now + MSEC(200));
+	registry_finish(&registry);
+}
+
+static void test_failures_turn_the_choice(void)
+{
+	struct registry registry;
+	struct registry_server *grey;
+	struct registry_server *good;
+	int64_t now = START;
+	int i;
+
+	init(&registry);
+	grey = put(&registry, "grey", "dc1", 1);
+	good = put(&registry, "good", "dc2", 2);
+	for (i = 0; i < 5; i++) {
+		server_score_sent(&grey->score, now);
+		server_score_result(&grey->score, SERVER_REFUSED, 0, now);
+	}
+	CU_ASSERT(pick(&registry, NULL, false, now) == good);
+	registry_finish(&registry);
+}
+
+static void test_draining_gets_nothing(void)
+{
+	struct server_entry entry = entry_of("a", "dc1");
+	struct registry registry;
+
+	init(&registry);
+	put(&registry, "a", "dc1", 1);
+	entry.draining = true;
+	CU_ASSERT(registry_put(&registry, &entry, 2, START));
+	CU_ASSERT(n_closed == 1);
+	CU_ASSERT(!pick(&registry, NULL, false, START));
+	/* An older word that comes late changes nothing. */
+	entry.draining = false;
+	CU_ASSERT(!registry_put(&registry, &entry, 1, START));
+	CU_ASSERT(!pick(&registry, NULL, false, START));
+	registry_finish(&registry);
+}
+
+/*
+ * A server's entry is removed, and a peer that has not heard of it tells the
+ * older entry. The server must not come back: its address may be another's.
+ */
+static void test_removed_stays_removed(void)
+{
+	struct registry registry;
+
+	init(&registry);
+	put(&registry, "a", "dc1", 5);
+	CU_ASSERT(!registry_remove(&registry, STR("a"), 4));
+	CU_ASSERT(registry_remove(&registry, STR("a"), 6));
+	CU_ASSERT(!put(&registry, "a", "dc1", 5));
+	CU_ASSERT(put(&registry, "a", "dc1", 7) != NULL);
+	/* The word of a removal may come before the entry itself. */
+	CU_ASSERT(!registry_remove(&registry, STR("b"), 9));
+	CU_ASSERT(!put(&registry, "b", "dc1", 8));
+	registry_finish(&registry);
+}
+
+static const struct unit_test tests[] = {
+	{"own data centre first", test_own_data_centre_first},
+	{"a stopped server is left", test_stopped_server},
+	{"dead is worse than late", test_dead_is_worse_than_late},
+	{"failures turn the choice", test_failures_turn_the_choice},
+	{"draining gets nothing", test_draining_gets_nothing},
+	{"removed stays removed", test_removed_stays_removed},
+};
+
+UNIT_MAIN("registry", tests)
--- /dev/null
+++ b/tests/test_store_sync.c
@@ -0,0 +1,330 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "error.h"
+#include "mem.h"
+#include "store_sync.h"
+#include "unit.h"
+
+#define START MSEC(1000000)
+
+/* One instance, and a store that the test plays by hand. */
+struct world {
+	struct clock clock;
+	struct registry registry;
+	struct store_sync sync;
+	struct store_call calls[STORE_TOPICS];
+	int n_calls[STORE_TOPICS];
+};
+
+static int read_server(const struct store_item *item,
+		       struct server_entry *entry)
+{
+	memset(entry, 0, sizeof(*entry));
+	str_copy(entry->id, sizeof(entry->id), str_from(item->name));
+	snprintf(entry->service, sizeof(entry->service), "s");
+	entry->draining = str_eq(item->value, STR("draining"));
+	return 0;
+}
+
+static const struct store_ops format = {
+	.server = read_server,
+};
+
+static void on_call(void *arg, const struct store_call *call, int64_t timeout)
+{
+	struct world *world = arg;
+
+	CU_ASSERT(timeout > MSEC(call->wait_ms));
+	world->calls[call->topic] = *call;
+	world->n_calls[call->topic]++;
+}
+
+static void on_routes(void *arg)
+{
+	(void)arg;
+}
+
+static void on_server(void *arg, const char *id, uint64_t changed_at,
+		      bool removed)
+{
+	(void)arg;
+	(void)id;
+	(void)changed_at;
+	(void)removed;
+}
+
+static const struct store_sync_ops ops = {
+	.call = on_call,
+	.routes = on_routes,
+	.server = on_server,
+};
+
+static void on_closing(void *arg, struct registry_server *server)
+{
+	(void)arg;
+	(void)server;
+}
+
+static void world_init(struct world *world)
+{
+	memset(world, 0, sizeof(*world));
+	clock_init_paused(&world->clock, START);
+	registry_init(&world->registry, STR("dc"), on_closing, NULL);
+	store_sync_init(&world->sync, &world->clock, &format, &ops, world,
+			&world->registry);
+	store_sync_tick(&world->sync);
+}
+
+static void world_finish(struct world *world)
+{
+	store_sync_finish(&world->sync);
+	registry_finish(&world->registry);
+}
+
+static void pass(struct world *world, int64_t ms)
+{
+	clock_advance(&world->clock, MSEC(ms));
+	store_sync_tick(&world->sync);
+}
+
+static struct store_item item_of(const char *name, uint64_t at, bool removed)
+{
+	struct store_item item = {.changed_at = at, .removed = removed};
+
+	snprintf(item.name, sizeof(item.name), "%s", name);
+	item.value = STR("ready");
+	return item;
+}
+
+static void answer(struct world *world, enum store_topic topic,
+		   uint64_t read_at, struct store_item *items, int n)
+{
+	struct store_answer answer = {.read_at = read_at,
+				      .items = items,
+				      .n_items = n};
+
+	store_sync_answered(&world->sync, topic, &answer);
+}
+
+static void fail(struct world *world, enum store_topic topic, int code)
+{
+	struct store_answer answer = {.code = code};
+
+	store_sync_answered(&world->sync, topic, &answer);
+}
+
+static bool knows(const struct world *world, const char *id)
+{
+	return registry_find(&world->registry, str_from(id));
+}
+
+static void give_routes(struct world *world, int version)
+{
+	struct store_item item = item_of("", 1, false);
+	char text[100];
+
+	snprintf(text, sizeof(text),
+		 "{\"version\":%d,\"routes\":[],\"services\":[]}", version);
+	item.value = str_from(text);
+	answer(world, STORE_ROUTES, 1, &item, 1);
+}
+
+static void list_servers(struct world *world)
+{
+	struct store_item items[] = {item_of("a", 1, false),
+				     item_of("b", 2, false)};
+
+	answer(world, STORE_SERVERS, 2, items, 2);
+}
+
+static void test_start(void)
+{
+	struct world world;
+
+	world_init(&world);
+	CU_ASSERT(!world.calls[STORE_SERVERS].watch);
+	CU_ASSERT(!store_sync_ready(&world.sync));
+	give_routes(&world, 3);
+	CU_ASSERT(!store_sync_ready(&world.sync));
+	list_servers(&world);
+	CU_ASSERT(store_sync_ready(&world.sync));
+	pass(&world, 900);
+	CU_ASSERT(world.calls[STORE_SERVERS].watch);
+	CU_ASSERT(world.calls[STORE_SERVERS].after == 2);
+	world_finish(&world);
+}
+
+/*
+ * A list comes in pages, and a server leaves while they are read. Its removal
+ * lies between the first page and the last, so that the watch must go on from
+ * the first.
+ */
+static void test_pages(void)
+{
+	struct store_item items[] = {item_of("a", 1, false)};
+	struct store_answer page = {.read_at = 10,
+				    .more = true,
+				    .items = items,
+				    .n_items = 1};
+	struct world world;
+
+	world_init(&world);
+	snprintf(page.last_key, sizeof(page.last_key), "servers/a");
+	store_sync_answered(&world.sync, STORE_SERVERS, &page);
+	CU_ASSERT(world.sync.feeds[STORE_SERVERS].fresh_at < 0);
+	pass(&world, 1);
+	CU_ASSERT_STRING_EQUAL(world.calls[STORE_SERVERS].from, "servers/a");
+	items[0] = item_of("b", 2, false);
+	answer(&world, STORE_SERVERS, 15, items, 1);
+	pass(&world, 900);
+	CU_ASSERT(world.calls[STORE_SERVERS].watch);
+	CU_ASSERT(world.calls[STORE_SERVERS].after == 10);
+	CU_ASSERT(knows(&world, "a") && knows(&world, "b"));
+	world_finish(&world);
+}
+
+/* A peer or a slow answer shows an older version: it is never taken. */
+static void test_routes_never_go_back(void)
+{
+	struct world world;
+
+	world_init(&world);
+	give_routes(&world, 7);
+	give_routes(&world, 5);
+	CU_ASSERT(world.sync.routes->version == 7);
+	CU_ASSERT(store_sync_take_routes(
+			  &world.sync,
+			  STR("{\"version\":7,\"routes\":[],\"services\":[]}"),
+			  "peer") == ERR_STALE);
+	CU_ASSERT(store_sync_take_routes(&world.sync, STR("{\"version\":"),
+					 "peer") == ERR_SYNTAX);
+	CU_ASSERT(world.sync.routes->version == 7);
+	world_finish(&world);
+}
+
+static void test_removed_at_once(void)
+{
+	struct store_item items[] = {item_of("a", 5, true)};
+	struct world world;
+
+	world_init(&world);
+	list_servers(&world);
+	pass(&world, 900);
+	answer(&world, STORE_SERVERS, 5, items, 1);
+	CU_ASSERT(!knows(&world, "a"));
+	CU_ASSERT(knows(&world, "b"));
+	world_finish(&world);
+}
+
+/*
+ * The store is away for some seconds, and entries lapse meanwhile though their
+ * servers live. When it is back it tells so many removals that shards would
+ * have no server; those that live write again within about two seconds.
+ */
+static void test_lapsed_while_store_was_away(void)
+{
+	struct store_item gone[] = {item_of("a", 5, true),
+				    item_of("b", 6, true)};
+	struct store_item back[] = {item_of("a", 8, false)};
+	struct world world;
+	int i;
+
+	world_init(&world);
+	list_servers(&world);
+	for (i = 0; i < 5; i++) {
+		pass(&world, 1500);
+		fail(&world, STORE_SERVERS, ERR_UNAVAILABLE);
+	}
+	CU_ASSERT(knows(&world, "a"));
+	pass(&world, 1500);
+	answer(&world, STORE_SERVERS, 6, gone, 2);
+	CU_ASSERT(knows(&world, "a") && knows(&world, "b"));
+	pass(&world, 1500);
+	answer(&world, STORE_SERVERS, 8, back, 1);
+	pass(&world, 1500);
+	CU_ASSERT(knows(&world, "a"));
+	CU_ASSERT(!knows(&world, "b"));
+	world_finish(&world);
+}
+
+/*
+ * The store drops its history while a server leaves, so that no change tells
+ * of it. The whole list is read, and what it does not name is gone.
+ */
+static void test_history_gone(void)
+{
+	struct store_item items[] = {item_of("b", 2, false)};
+	struct world world;
+
+	world_init(&world);
+	list_servers(&world);
+	pass(&world, 900);
+	fail(&world, STORE_SERVERS, ERR_STALE);
+	pass(&world, 1);
+	CU_ASSERT(!world.calls[STORE_SERVERS].watch);
+	answer(&world, STORE_SERVERS, 30, items, 1);
+	CU_ASSERT(!knows(&world, "a"));
+	CU_ASSERT(knows(&world, "b"));
+	world_finish(&world);
+}
+
+/* While the store fails, calls get rarer and the view stays. */
+static void test_failures_back_off(void)
+{
+	struct world world;
+	int n;
+	int i;
+
+	world_init(&world);
+	list_servers(&world);
+	n = world.n_calls[STORE_SERVERS];
+	for (i = 0; i < 100; i++) {
+		pass(&world, 100);
+		if (world.sync.feeds[STORE_SERVERS].busy)
+			fail(&world, STORE_SERVERS, ERR_BUDGET);
+	}
+	CU_ASSERT(world.n_calls[STORE_SERVERS] - n < 16);
+	CU_ASSERT(world.n_calls[STORE_SERVERS] - n > 5);
+	CU_ASSERT(knows(&world, "a"));
+	world_finish(&world);
+}
+
+/* Told by peers, an instance does not call; once they fall silent, it does. */
+static void test_patience(void)
+{
+	struct world world;
+	int n;
+	int i;
+
+	world_init(&world);
+	list_servers(&world);
+	store_sync_set_patience(&world.sync, MSEC(1500));
+	n = world.n_calls[STORE_SERVERS];
+	for (i = 0; i < 20; i++) {
+		pass(&world, 500);
+		store_sync_confirm(&world.sync, STORE_SERVERS, 2,
+				   clock_now(&world.clock) - MSEC(20));
+	}
+	CU_ASSERT(world.n_calls[STORE_SERVERS] == n);
+	pass(&world, 1470);
+	CU_ASSERT(world.n_calls[STORE_SERVERS] == n);
+	pass(&world, 20);
+	CU_ASSERT(world.n_calls[STORE_SERVERS] == n + 1);
+	CU_ASSERT(world.calls[STORE_SERVERS].watch);
+	world_finish(&world);
+}
+
+static const struct unit_test tests[] = {
+	{"start", test_start},
+	{"pages", test_pages},
+	{"routes never go back", test_routes_never_go_back},
+	{"removed at once", test_removed_at_once},
+	{"lapsed while the store was away", test_lapsed_while_store_was_away},
+	{"history gone", test_history_gone},
+	{"failures back off", test_failures_back_off},
+	{"patience", test_patience},
+};
+
+UNIT_MAIN("store_sync", tests)
--- /dev/null
+++ b/tests/test_view_share.c
@@ -0,0 +1,465 @@
+/* Many gateways in one process, a modelled store, and messages by hand. */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "error.h"
+#include "mem.h"
+#include "unit.h"
+#include "view_share.h"
+
+#define NODES_MAX 300
+#define STEP_MS 20
+#define CALL_MS 8
+
+struct world;
+
+struct node {
+	struct world *world;
+	char name[16];
+	struct registry registry;
+	struct store_sync sync;
+	struct view_share share;
+	bool dead;
+	bool cut_off; /* from the store */
+	struct store_call calls[STORE_TOPICS];
+	int64_t answer_at[STORE_TOPICS];
+};
+
+/* The store: one server, whose entry changes, and routes. */
+struct world {
+	struct clock clock;
+	struct node *nodes;
+	int n_nodes;
+	uint64_t revision;
+	uint64_t drained_at;
+	uint64_t routes_at;
+	int routes_version;
+	bool away;
+	int n_calls;
+	int n_messages;
+};
+
+static int read_server(const struct store_item *item,
+		       struct server_entry *entry)
+{
+	memset(entry, 0, sizeof(*entry));
+	str_copy(entry->id, sizeof(entry->id), str_from(item->name));
+	snprintf(entry->service, sizeof(entry->service), "s");
+	snprintf(entry->data_centre, sizeof(entry->data_centre), "dc0");
+	address_parse(STR("127.0.0.1:1"), &entry->address);
+	entry->draining = str_eq(item->value, STR("draining"));
+	return 0;
+}
+
+static const struct store_ops format = {
+	.server = read_server,
+};
+
+static void on_call(void *arg, const struct store_call *call, int64_t timeout)
+{
+	struct node *node = arg;
+
+	(void)timeout;
+	node->world->n_calls++;
+	node->calls[call->topic] = *call;
+	node->answer_at[call->topic] = clock_now(&node->world->clock) +
+				       MSEC(CALL_MS) + MSEC(call->wait_ms);
+}
+
+static void on_routes(void *arg)
+{
+	(void)arg;
+}
+
+static void on_server(void *arg, const char *id, uint64_t changed_at,
+		      bool removed)
+{
+	struct node *node = arg;
+
+	view_share_changed(&node->share, id, changed_at, removed);
+}
+
+static const struct store_sync_ops sync_ops = {
+	.call = on_call,
+	.routes = on_routes,
+	.server = on_server,
+};
+
+static struct node *find_node(struct world *world, const char *name)
+{
+	return &world->nodes[atoi(name + 1)];
+}
+
+static void on_update(void *arg, const char *member,
+		      const Peer__ViewUpdate *message)
+{
+	struct node *node = arg;
+	struct node *to = find_node(node->world, member);
+
+	node->world->n_messages++;
+	if (!to->dead && !node->dead)
+		view_share_update(&to->share, node->name, message);
+}
+
+static void on_request(void *arg, const char *member,
+		       const Peer__ViewRequest *message)
+{
+	struct node *node = arg;
+	struct node *to = find_node(node->world, member);
+
+	if (!to->dead && !node->dead)
+		view_share_request(&to->share, node->name, message);
+}
+
+static const struct view_share_ops share_ops = {
+	.update = on_update,
+	.request = on_request,
+};
+
+static void on_closing(void *arg, struct registry_server *server)
+{
+	(void)arg;
+	(void)server;
+}
+
+static void tell_fleet(struct world *world)
+{
+	struct fleet fleet;
+	int i;
+
+	fleet_init(&fleet);
+	for (i = 0; i < world->n_nodes; i++) {
+		struct fleet_member *member;
+
+		if (world->nodes[i].dead)
+			continue;
+		member = fleet_put(&fleet, str_from(world->nodes[i].name));
+		snprintf(member->data_centre, sizeof(member->data_centre),
+			 "dc%d", i % 3);
+		member->status = FLEET_ALIVE;
+	}
+	for (i = 0; i < world->n_nodes; i++) {
+		if (!world->nodes[i].dead)
+			view_share_set_members(&world->nodes[i].share, &fleet);
+	}
+	fleet_finish(&fleet);
+}
+
+static void start_node(struct world *world, int i)
+{
+	struct node *node = &world->nodes[i];
+	char dc[8];
+
+	memset(node, 0, sizeof(*node));
+	node->world = world;
+	snprintf(node->name, sizeof(node->name), "n%d", i);
+	snprintf(dc, sizeof(dc), "dc%d", i % 3);
+	registry_init(&node->registry, str_from(dc), on_closing, NULL);
+	store_sync_init(&node->sync, &world->clock, &format, &sync_ops, node,
+			&node->registry);
+	view_share_init(&node->share, &world->clock, &share_ops, node,
+			&node->sync, node->name, dc);
+}
+
+static void stop_node(struct node *node)
+{
+	view_share_finish(&node->share);
+	store_sync_finish(&node->sync);
+	registry_finish(&node->registry);
+}
+
+static void world_init(struct world *world, int n)
+{
+	int i;
+
+	memset(world, 0, sizeof(*world));
+	clock_init_paused(&world->clock, MSEC(1000000));
+	world->nodes = mem_zalloc((size_t)n * sizeof(*world->nodes));
+	world->n_nodes = n;
+	world->revision = 5;
+	world->routes_at = 1;
+	world->routes_version = 1;
+	for (i = 0; i < n; i++)
+		start_node(world, i);
+	tell_fleet(world);
+}
+
+static void world_finish(struct world *world)
+{
+	int i;
+
+	for (i = 0; i < world->n_nodes; i++)
+		stop_node(&world->nodes[i]);
+	free(world->nodes);
+}
+
+static void answer_routes(struct node *node, const struct store_call *call)
+{
+	struct world *world = node->world;
+	struct store_item item = {.changed_at = world->routes_at};
+	struct store_answer answer = {.read_at = world->revision,
+				      .items = &item};
+	char text[100];
+
+	snprintf(text, sizeof(text),
+		 "{\"version\":%d,\"routes\":[],\"services\":[]}",
+		 world->routes_version);
+	item.value = str_from(text);
+	answer.n_items = !call->watch || call->after < world->routes_at;
+	store_sync_answered(&node->sync, STORE_ROUTES, &answer);
+}
+
+static void answer_servers(struct node *node, const struct store_call *call)
+{
+	struct world *world = node->world;
+	struct store_item item = {.name = "server", .value = STR("ready")};
+	struct store_answer answer = {.read_at = world->revision,
+				      .items = &item};
+
+	item.changed_at = world->drained_at ? world->drained_at : 1;
+	if (world->drained_at)
+		item.value = STR("draining");
+	answer.n_items = !call->watch || call->after < item.changed_at;
+	store_sync_answered(&node->sync, STORE_SERVERS, &answer);
+}
+
+static void answer_node(struct node *node, enum store_topic topic)
+{
+	struct store_answer failed = {.code = ERR_UNAVAILABLE};
+
+	node->answer_at[topic] = 0;
+	if (node->world->away || node->cut_off) {
+		store_sync_answered(&node->sync, topic, &failed);
+		return;
+	}
+	if (topic == STORE_ROUTES)
+		answer_routes(node, &node->calls[topic]);
+	else
+		answer_servers(node, &node->calls[topic]);
+	view_share_read(&node->share);
+}
+
+static bool is_due(const struct node *node, int topic)
+{
+	int64_t now = clock_now(&node->world->clock);
+	/* A change ends the wait of a watch. */
+	bool changed = topic == STORE_ROUTES &&
+		       node->calls[topic].after < node->world->routes_at;
+
+	return node->answer_at[topic] &&
+	       (now >= node->answer_at[topic] || changed);
+}
+
+static void pass(struct world *world, int64_t ms)
+{
+	int64_t t;
+	int i;
+	int topic;
+
+	for (t = 0; t < ms; t += STEP_MS) {
+		clock_advance(&world->clock, MSEC(STEP_MS));
+		for (i = 0; i < world->n_nodes; i++) {
+			struct node *node = &world->nodes[i];
+
+			if (node->dead)
+				continue;
+			for (topic = 0; topic < STORE_TOPICS; topic++) {
+				if (is_due(node, topic))
+					answer_node(node,
+						    (enum store_topic)topic);
+			}
+			store_sync_tick(&node->sync);
+		}
+	}
+}
+
+static bool knows_drain(const struct node *node)
+{
+	const struct registry_server *server =
+		registry_find(&node->registry, STR("server"));
+
+	return server && server->entry.draining;
+}
+
+static int count_drained(const struct world *world)
+{
+	int n = 0;
+	int i;
+
+	for (i = 0; i < world->n_nodes; i++)
+		n += !world->nodes[i].dead && knows_drain(&world->nodes[i]);
+	return n;
+}
+
+static int count_version(const struct world *world, uint64_t version)
+{
+	int n = 0;
+	int i;
+
+	for (i = 0; i < world->n_nodes; i++) {
+		const struct node *node = &world->nodes[i];
+
+		n += !node->dead && node->sync.routes &&
+		     node->sync.routes->version == version;
+	}
+	return n;
+}
+
+static void drain(struct world *world)
+{
+	world->drained_at = ++world->revision;
+}
+
+static void change_routes(struct world *world)
+{
+	world->routes_at = ++world->revision;
+	world->routes_version++;
+}
+
+/* Calls in ten seconds must not grow with the fleet. */
+static int calls_of(int n)
+{
+	struct world world;
+	int calls;
+
+	world_init(&world, n);
+	pass(&world, 6000);
+	world.n_calls = 0;
+	pass(&world, 10000);
+	calls = world.n_calls;
+	world_finish(&world);
+	return calls;
+}
+
+static void test_calls_do_not_grow(void)
+{
+	int few = calls_of(8);
+	int many = calls_of(NODES_MAX);
+
+	CU_ASSERT(few > 10 && few < 40);
+	CU_ASSERT(many < few + 10);
+}
+
+static void test_all_hear(void)
+{
+	struct world world;
+
+	world_init(&world, 76);
+	pass(&world, 5000);
+	CU_ASSERT(count_version(&world, 1) == 76);
+	drain(&world);
+	change_routes(&world);
+	pass(&world, 1200);
+	CU_ASSERT(count_drained(&world) == 76);
+	CU_ASSERT(count_version(&world, 2) == 76);
+	world_finish(&world);
+}
+
+static int reader_of(const struct world *world)
+{
+	int i;
+
+	for (i = 0; i < world->n_nodes; i++) {
+		if (!world->nodes[i].dead && !world->nodes[i].share.rank)
+			return i;
+	}
+	return 0;
+}
+
+/*
+ * The instance that reads for all loses power, and nobody knows yet. A server
+ * drains at that moment. It must be left everywhere within 3 s, though others
+ * still count on the one that is lost.
+ */
+static void test_reader_lost(void)
+{
+	struct world world;
+
+	world_init(&world, 8);
+	pass(&world, 5000);
+	world.nodes[reader_of(&world)].dead = true;
+	drain(&world);
+	change_routes(&world);
+	pass(&world, 2700);
+	CU_ASSERT(count_drained(&world) == 7);
+	CU_ASSERT(count_version(&world, 2) == 7);
+	world_finish(&world);
+}
+
+/*
+ * The store refuses the three instances that would read first, and serves the
+ * others. These take over, and the refused ones hear from them.
+ */
+static void test_readers_refused(void)
+{
+	struct world world;
+	int i;
+
+	world_init(&world, 8);
+	pass(&world, 5000);
+	for (i = 0; i < 8; i++)
+		world.nodes[i].cut_off = world.nodes[i].share.rank < 3;
+	drain(&world);
+	change_routes(&world);
+	pass(&world, 2900);
+	CU_ASSERT(count_drained(&world) == 8);
+	CU_ASSERT(count_version(&world, 2) == 8);
+	world_finish(&world);
+}
+
+/* An instance that starts while the store is away learns all from a peer. */
+static void test_start_while_store_is_away(void)
+{
+	struct world world;
+	int fresh;
+
+	world_init(&world, 5);
+	pass(&world, 3000);
+	world.away = true;
+	fresh = (reader_of(&world) + 1) % 5;
+	stop_node(&world.nodes[fresh]);
+	start_node(&world, fresh);
+	tell_fleet(&world);
+	pass(&world, 1000);
+	CU_ASSERT(!store_sync_ready(&world.nodes[fresh].sync));
+	view_share_whole(&world.nodes[reader_of(&world)].share,
+			 world.nodes[fresh].name);
+	CU_ASSERT(store_sync_ready(&world.nodes[fresh].sync));
+	CU_ASSERT(registry_find(&world.nodes[fresh].registry, STR("server")) !=
+		  NULL);
+	world_finish(&world);
+}
+
+/*
+ * A message of changes is lost. The next one shows that something is missing,
+ * and the receiver asks for it.
+ */
+static void test_lost_message(void)
+{
+	struct world world;
+	struct node *deaf;
+
+	world_init(&world, 8);
+	pass(&world, 5000);
+	deaf = &world.nodes[(reader_of(&world) + 1) % 8];
+	deaf->dead = true;
+	drain(&world);
+	pass(&world, 1000);
+	deaf->dead = false;
+	CU_ASSERT(!knows_drain(deaf));
+	pass(&world, 1000);
+	CU_ASSERT(knows_drain(deaf));
+	world_finish(&world);
+}
+
+static const struct unit_test tests[] = {
+	{"calls do not grow with the fleet", test_calls_do_not_grow},
+	{"all hear", test_all_hear},
+	{"the reader is lost", test_reader_lost},
+	{"readers are refused", test_readers_refused},
+	{"start while the store is away", test_start_while_store_is_away},
+	{"a lost message", test_lost_message},
+};
+
+UNIT_MAIN("view_share", tests)
--- a/upstream.c
+++ b/upstream.c
@@ -26,6 +26,8 @@
 #define CONNECT_TIMEOUT MSEC(250)
 /* An abandoned request without an answer for so long speaks of its server. */
 #define SILENCE_LEAST MSEC(200)
+/* Whoever waits gives up at the deadline; the connection just after it. */
+#define SILENCE_GRACE MSEC(10)
 #define HEAD_MAX 65536
 #define BODY_MAX (8 * 1024 * 1024)
 
@@ -43,11 +45,15 @@
 	struct http_message message;
 	enum conn_state state;
 	struct exchange *exchange;
+	upstream_check_cb check;
+	void *check_arg;
 	int64_t idle_since;
 	int64_t idle_for;
 	bool foreign;
-	struct upstream_conn *prev;
+	struct upstream_conn *prev; /* of the server */
 	struct upstream_conn *next;
+	struct upstream_conn *prev_open; /* of all */
+	struct upstream_conn *next_open;
 };
 
 /**
@@ -94,6 +100,7 @@
 static void free_conn(struct upstream_conn *conn)
 {
 	DL_DELETE(conn->server->conns, conn);
+	DL_DELETE2(conn->upstream->conns, conn, prev_open, next_open);
 	conn->server->n_conns--;
 	bufferevent_free(conn->bev);
 	event_free(conn->timer);
@@ -345,7 +352,19 @@
 			    STR_ARG(names->server_id), conn->server->entry.id);
 	evbuffer_add_buffer(out, exchange->out);
 	exchange->written = true;
-	arm(conn, left);
+	arm(conn, left + SILENCE_GRACE);
+}
+
+/* Return: whether the connection was made for a check. */
+static bool end_check(struct upstream_conn *conn, bool listens)
+{
+	upstream_check_cb check = conn->check;
+
+	if (!check)
+		return false;
+	conn->check = NULL;
+	check(conn->check_arg, listens);
+	return true;
 }
 
 static void connected(struct upstream_conn *conn)
@@ -354,12 +373,13 @@
 					 .not_run = true};
 
 	event_del(conn->timer);
-	if (!conn->exchange->abandoned) {
+	if (conn->exchange && !conn->exchange->abandoned) {
 		write_request(conn);
 		return;
 	}
 	/* Nobody waits any more: nothing is sent, the connection stays. */
 	end(conn, &result);
+	end_check(conn, true);
 	conn->message.keep_alive = true;
 	go_idle(conn);
 }
@@ -373,6 +393,10 @@
 		connected(conn);
 		return;
 	}
+	if (end_check(conn, false)) {
+		free_conn(conn);
+		return;
+	}
 	if (!conn->exchange) {
 		/* Refused while open_conn() still runs, which frees it. */
 		if (conn->state != CONN_CONNECTING)
@@ -395,6 +419,7 @@
 	(void)fd;
 	(void)what;
 	if (!conn->exchange) {
+		end_check(conn, false);
 		free_conn(conn);
 		return;
 	}
@@ -424,6 +449,7 @@
 					   BEV_OPT_CLOSE_ON_FREE);
 	bufferevent_setcb(conn->bev, on_read, NULL, on_event, conn);
 	DL_APPEND(server->conns, conn);
+	DL_APPEND2(upstream->conns, conn, prev_open, next_open);
 	server->n_conns++;
 	upstream->opened++;
 	if (bufferevent_socket_connect(conn->bev, (struct sockaddr *)&sin,
@@ -529,6 +555,31 @@
 		arm(conn, linger);
 }
 
+void upstream_finish(struct upstream *upstream)
+{
+	while (upstream->conns) {
+		struct upstream_conn *conn = upstream->conns;
+
+		if (conn->exchange)
+			free_exchange(conn->exchange);
+		end_check(conn, true);
+		free_conn(conn);
+	}
+}
+
+int upstream_check(struct upstream *upstream, struct registry_server *server,
+		   upstream_check_cb cb, void *arg)
+{
+	struct upstream_conn *conn = open_conn(upstream, server);
+
+	if (!conn)
+		return ERR_CONNECT;
+	conn->check = cb;
+	conn->check_arg = arg;
+	arm(conn, upstream->limits.connect_timeout);
+	return 0;
+}
+
 void upstream_close_idle(struct registry_server *server)
 {
 	struct upstream_conn *conn;
--- a/upstream.h
+++ b/upstream.h
@@ -85,6 +85,7 @@
 
 /**
  * struct upstream - all connections to backend servers
+ * @conns: open connections
  * @opened: connections opened
  * @foreign: answers to other requests that were dropped
  */
@@ -94,6 +95,7 @@
 	const struct upstream_names *names;
 	struct upstream_limits limits;
 	struct http_limits answer_limits;
+	struct upstream_conn *conns;
 	uint64_t opened;
 	uint64_t foreign;
 	uint64_t silent;
@@ -103,6 +105,12 @@
 		   const struct clock *clock,
 		   const struct upstream_names *names);
 
+/**
+ * upstream_finish() - close all connections; callbacks of requests are not
+ * called
+ */
+void upstream_finish(struct upstream *upstream);
+
 /**
  * upstream_send() - send a request
  * @deadline: the server is told what is left until then, microseconds
@@ -127,6 +135,20 @@
  */
 void exchange_abandon(struct exchange *exchange, int64_t linger);
 
+typedef void (*upstream_check_cb)(void *arg, bool listens);
+
+/**
+ * upstream_check() - whether anybody listens at a server's address
+ * @cb: called once, never before this function returns
+ *
+ * If so, the connection is kept for the next request.
+ *
+ * Return: 0; or ERR_CONNECT if the connection was refused at once, with @cb
+ * not called.
+ */
+int upstream_check(struct upstream *upstream, struct registry_server *server,
+		   upstream_check_cb cb, void *arg);
+
 /**
  * upstream_close_idle() - close a server's idle connections
  */
--- a/view_share.c
+++ b/view_share.c
@@ -9,13 +9,16 @@
 #include "mem.h"
 
 /*
- * How old the view may get before the store is read, by rank: the first reads
- * each time, and four others may be lost before a view is older than 2.1 s.
- * Routes and drains must be known everywhere within 3 s.
+ * How old the view may get before the store is read, by rank. What the first
+ * reads is told before it is 1.3 s old, so that the second does not read while
+ * the first does; and five may be lost or refused before a view is older than
+ * 2.2 s. Routes and drains must be known everywhere within 3 s.
  */
-#define PATIENCE_SECOND MSEC(1300)
-#define PATIENCE_STEP MSEC(200)
-#define PATIENCE_MOST MSEC(2100)
+#define PATIENCE_SECOND MSEC(1700)
+#define PATIENCE_STEP MSEC(100)
+#define PATIENCE_MOST MSEC(2200)
+#define PATIENCE_SPREAD MSEC(1)
+#define PATIENCE_LAST MSEC(2500)
 /* Nothing new: that it is still so is told no oftener than this. */
 #define TELL_PERIOD MSEC(400)
 /* Most rows of a message: a row takes about 150 bytes. */
@@ -56,7 +59,11 @@
 	if (!rank)
 		return 0;
 	patience = PATIENCE_SECOND + (rank - 1) * PATIENCE_STEP;
-	return patience < PATIENCE_MOST ? patience : PATIENCE_MOST;
+	if (patience <= PATIENCE_MOST)
+		return patience;
+	/* In a large fleet the rest must not read all at the same moment. */
+	patience = PATIENCE_MOST + rank * PATIENCE_SPREAD;
+	return patience < PATIENCE_LAST ? patience : PATIENCE_LAST;
 }
 
 static void find_rank(struct view_share *share)
