--- a/scripts/check-events.py
+++ b/scripts/check-events.py
@@ -17,6 +17,7 @@
 METRIC = re.compile(
     r"\bX\(\s*\w+,\s*METRIC_(\w+),\s*\"([^\"]+)\",\s*((?:\"[^\"]*\"\s*)+)\)")
 ROW = re.compile(r"^\| `([^`]+)` \|(.*)\|\s*$", re.M)
+METRIC_HEADERS = ("counters.h", "gateway_stats.h")
 BEGIN = "<!-- begin of the list of counters.h -->\n"
 END = "<!-- end of the list of counters.h -->\n"
 
@@ -50,11 +51,15 @@
 
 def code_metrics(root):
     """Lines of the page's table, by name."""
-    text = (root / "counters.h").read_text(encoding="utf-8")
     out = {}
-    for kind, name, help_text in METRIC.findall(text.replace("\\\n", "\n")):
-        words = "".join(re.findall(r'"([^"]*)"', help_text))
-        out[name] = f"| `{name}` | {kind.lower()} | {words} |"
+    for header in METRIC_HEADERS:
+        if not (root / header).exists():
+            continue
+        text = (root / header).read_text(encoding="utf-8")
+        text = text.replace("\\\n", "\n")
+        for kind, name, help_text in METRIC.findall(text):
+            words = "".join(re.findall(r'"([^"]*)"', help_text))
+            out[name] = f"| `{name}` | {kind.lower()} | {words} |"
     return out
 
 
