--- a/dispatch.c
+++ b/dispatch.c
@@ -20,7 +20,7 @@
 /* A caller that was refused for load finds a slot after about so long. */
 #define RETRY_AFTER_MS 100
 
-static int64_t hedge_delay(const struct dispatch *dispatch)
+int64_t dispatch_hedge_delay(const struct dispatch *dispatch)
 {
 	int64_t most = (int64_t)((double)MSEC(dispatch->route->goal_ms) *
 				 HEDGE_MOST_OF_GOAL);
@@ -157,7 +157,7 @@
 	part->n_run++;
 	part->n_arrived++;
 	dispatch->n_sends++;
-	part->hedge_at = now + hedge_delay(dispatch);
+	part->hedge_at = now + dispatch_hedge_delay(dispatch);
 	if (dispatch->ops->decided)
 		dispatch->ops->decided(dispatch->arg, send);
 	return 0;
@@ -290,7 +290,7 @@
 {
 	int64_t now = clock_now(dispatch->clock);
 
-	if (dispatch->outcome)
+	if (dispatch->outcome || dispatch->held)
 		return;
 	if (now + DEADLINE_SLACK >= dispatch->deadline &&
 	    dispatch->n_in < dispatch->n_parts && !is_enough(dispatch))
@@ -353,7 +353,7 @@
 	part->stamp = mem_dup_len(answer->stamp.data, answer->stamp.len);
 	dispatch->n_in++;
 	if (dispatch->route->sharded)
-		records_add(&dispatch->records, answer->body);
+		records_add(&dispatch->records, answer->body, 0);
 	abandon_sends(part);
 }
 
@@ -383,10 +383,9 @@
 				      const struct dispatch_answer *answer)
 {
 	struct dispatch_part *part = send->part;
-	int64_t now = clock_now(dispatch->clock);
 
 	send->state = SEND_OVER;
-	if (answer->code == ERR_CONNECT)
+	if (answer->code == ERR_CONNECT || answer->code == ERR_BUDGET)
 		part->n_arrived--;
 	if (answer->not_run)
 		part->n_run--;
@@ -396,7 +395,7 @@
 		return dispatch->outcome;
 	if (!answer->code && answer->success &&
 	    !has_stamp(dispatch, answer->stamp)) {
-		latency_add(dispatch->latency, now - send->sent_at);
+		latency_add(dispatch->latency, answer->took);
 		take_part(part, answer);
 	} else {
 		part->code = answer->code ? answer->code : ERR_UNKNOWN;
@@ -406,6 +405,18 @@
 	return dispatch->outcome;
 }
 
+void dispatch_hold(struct dispatch *dispatch)
+{
+	dispatch->held = true;
+}
+
+enum dispatch_outcome dispatch_release(struct dispatch *dispatch)
+{
+	dispatch->held = false;
+	review(dispatch);
+	return dispatch->outcome;
+}
+
 static void hedge_part(struct dispatch_part *part, int64_t now)
 {
 	if (part->state != PART_WAITING || now < part->hedge_at)
--- a/dispatch.h
+++ b/dispatch.h
@@ -35,6 +35,7 @@
  * struct dispatch_send - one send of a part to a server
  * @handle: of the owner
  * @watch: of the owner
+ * @relayed: of the owner
  * @why: for logs: "first", "hedge", "retry"
  */
 struct dispatch_send {
@@ -44,6 +45,7 @@
 	int64_t sent_at;
 	void *handle;
 	void *watch;
+	bool relayed;
 	const char *why;
 };
 
@@ -85,6 +87,7 @@
  * @not_run: surely
  * @stamp: of the server
  * @body: whole
+ * @took: from the send to the server's answer, microseconds
  */
 struct dispatch_answer {
 	int code;
@@ -92,6 +95,7 @@
 	bool not_run;
 	struct str stamp;
 	struct str body;
+	int64_t took;
 };
 
 enum dispatch_outcome {
@@ -131,6 +135,7 @@
  * @start: when it was taken, microseconds
  * @deadline: of the caller and the route
  * @answer_at: sharded: from then on enough parts make the answer
+ * @held: see dispatch_hold()
  * @n_in: parts that are in
  * @code: why it failed
  */
@@ -151,6 +156,7 @@
 	int n_sends;
 	int n_extra;
 	bool ran;
+	bool held;
 	struct records records;
 	enum dispatch_outcome outcome;
 	int code;
@@ -184,6 +190,15 @@
 				      struct dispatch_send *send,
 				      const struct dispatch_answer *answer);
 
+/**
+ * dispatch_hold() - results that belong together follow
+ *
+ * Merged records are whole only with all of them, so that the request must not
+ * end between them. dispatch_release() is called after the last.
+ */
+void dispatch_hold(struct dispatch *dispatch);
+enum dispatch_outcome dispatch_release(struct dispatch *dispatch);
+
 /**
  * dispatch_tick() - time passed
  */
@@ -194,6 +209,13 @@
  */
 int64_t dispatch_due(const struct dispatch *dispatch);
 
+/**
+ * dispatch_hedge_delay() - how late an answer is when another server is asked
+ *
+ * Return: microseconds.
+ */
+int64_t dispatch_hedge_delay(const struct dispatch *dispatch);
+
 /**
  * dispatch_cancel() - the caller left
  */
--- a/frame.h
+++ b/frame.h
@@ -38,7 +38,10 @@
 	X(FRAME_LIST_REQUEST, 17, peer__list_request)                          \
 	X(FRAME_LIST_UPDATE, 18, peer__list_update)                            \
 	X(FRAME_VIEW_UPDATE, 19, peer__view_update)                            \
-	X(FRAME_VIEW_REQUEST, 20, peer__view_request)
+	X(FRAME_VIEW_REQUEST, 20, peer__view_request)                          \
+	X(FRAME_PART_REQUEST, 21, peer__part_request)                          \
+	X(FRAME_PART_RESULT, 22, peer__part_result)                            \
+	X(FRAME_PART_CANCEL, 23, peer__part_cancel)
 
 #define FRAME_ENUM(symbol, number, descriptor) symbol = number,
 enum frame_type {
--- a/gateway.c
+++ b/gateway.c
@@ -21,7 +21,7 @@
 #define END_BEFORE MSEC(400)
 #define STOP_CHECK MSEC(50)
 /* Sharded requests are answered so long before the goal of their route. */
-#define ANSWER_MARGIN MSEC(12)
+#define ANSWER_MARGIN MSEC(14)
 /*
  * Second sends are counted over all instances. Their ratio adds up by itself,
  * kept a little below what is allowed; the slack is divided.
@@ -30,9 +30,13 @@
 #define RETRY_SLACK_KEPT 0.8
 /* Until so many are known: at the start nobody knows the others. */
 #define INSTANCES_LEAST 4
-/* Of the connections a server accepts; others may open some at the same time.
+/*
+ * Of the connections a server accepts: those of the instances in its own data
+ * centre, which relay for all, and those of the others, which ask it directly
+ * while there is no relay.
  */
-#define CONNECTIONS_KEPT 0.9
+#define CONNECTIONS_NEAR 0.6
+#define CONNECTIONS_FAR 0.35
 
 bool gateway_ready(const struct gateway *gateway)
 {
@@ -160,7 +164,9 @@
 	budget->ratio = settings->retry_ratio * RETRY_RATIO_KEPT;
 	budget->burst = settings->retry_slack * RETRY_SLACK_KEPT / alive;
 	budget->per_second = 0;
-	gateway->upstream.limits.share = CONNECTIONS_KEPT / alive;
+	gateway->upstream.limits.share_near =
+		CONNECTIONS_NEAR / gateway_fleet_near(&gateway->fleet);
+	gateway->upstream.limits.share_far = CONNECTIONS_FAR / alive;
 }
 
 /* The slack is never divided by fewer than were alive at some time. */
@@ -168,10 +174,9 @@
 {
 	int alive = gateway_fleet_alive(&gateway->fleet);
 
-	if (alive > gateway->instances) {
+	if (alive > gateway->instances)
 		gateway->instances = alive;
-		set_limits(gateway, alive);
-	}
+	set_limits(gateway, gateway->instances);
 	arm_store(gateway);
 }
 
@@ -181,6 +186,13 @@
 	gateway_fleet_seeds(&gateway->fleet);
 }
 
+static bool is_relay(void *arg, const struct fleet_member *member)
+{
+	const struct gateway *gateway = arg;
+
+	return gateway_fleet_is_ready(&gateway->fleet, member);
+}
+
 int gateway_init(struct gateway *gateway, struct event_base *base,
 		 const struct gateway_settings *settings,
 		 const struct gateway_names *names,
@@ -216,6 +228,12 @@
 	ret = gateway_fleet_init(&gateway->fleet, gateway);
 	if (ret)
 		return ret;
+	relay_ask_init(&gateway->relay_ask, &gateway->fleet.board,
+		       &gateway->fleet.peers, &gateway->registry, is_relay,
+		       gateway);
+	relay_serve_init(&gateway->relay_serve, &gateway->fleet.board,
+			 &gateway->fleet.peers, &gateway->registry,
+			 &gateway->upstream);
 	on_store_timer(gateway);
 	return 0;
 }
@@ -226,6 +244,8 @@
 	struct route_stats *next;
 
 	gateway_request_drop_all(gateway);
+	relay_serve_finish(&gateway->relay_serve);
+	relay_ask_finish(&gateway->relay_ask);
 	upstream_finish(&gateway->upstream);
 	inbound_finish(&gateway->inbound);
 	gateway_fleet_finish(&gateway->fleet);
--- a/gateway.h
+++ b/gateway.h
@@ -19,6 +19,8 @@
 #include "inbound.h"
 #include "latency.h"
 #include "registry.h"
+#include "relay_ask.h"
+#include "relay_serve.h"
 #include "store_client.h"
 #include "store_sync.h"
 #include "upstream.h"
@@ -69,6 +71,8 @@
 	struct store_sync sync;
 	struct wake_timer store_timer;
 	struct gateway_fleet fleet;
+	struct relay_ask relay_ask;
+	struct relay_serve relay_serve;
 	struct dispatch_limits limits;
 	int instances;
 	struct route_stats *stats;
--- a/gateway_fleet.c
+++ b/gateway_fleet.c
@@ -226,8 +226,8 @@
 	blackboard_changed(&fleet->board, BLACKBOARD_LIFECYCLE);
 }
 
-static bool is_ready(const struct gateway_fleet *fleet,
-		     const struct fleet_member *member)
+bool gateway_fleet_is_ready(const struct gateway_fleet *fleet,
+			    const struct fleet_member *member)
 {
 	const struct fleet_heard *heard;
 
@@ -251,7 +251,7 @@
 		memcpy(out[n].data_centre, member->data_centre,
 		       FLEET_NAME_SIZE);
 		out[n].address = member->caller_address;
-		out[n].ready = is_ready(fleet, member);
+		out[n].ready = gateway_fleet_is_ready(fleet, member);
 		n++;
 	}
 	return n;
@@ -261,3 +261,14 @@
 {
 	return fleet->views.n_members > 0 ? fleet->views.n_members : 1;
 }
+
+int gateway_fleet_near(const struct gateway_fleet *fleet)
+{
+	int n = 0;
+	int i;
+
+	for (i = 0; i < fleet->views.n_members; i++)
+		n += !strcmp(fleet->views.members[i].data_centre,
+			     fleet->settings.data_centre);
+	return n > 0 ? n : 1;
+}
--- a/gateway_fleet.h
+++ b/gateway_fleet.h
@@ -68,6 +68,12 @@
  */
 void gateway_fleet_seeds(struct gateway_fleet *fleet);
 
+/**
+ * gateway_fleet_is_ready() - an instance said that it knows routes and servers
+ */
+bool gateway_fleet_is_ready(const struct gateway_fleet *fleet,
+			    const struct fleet_member *member);
+
 /**
  * gateway_fleet_candidates() - instances that may take callers
  * @out: room for @max
@@ -82,4 +88,9 @@
  */
 int gateway_fleet_alive(const struct gateway_fleet *fleet);
 
+/**
+ * gateway_fleet_near() - of these, the ones in the own data centre
+ */
+int gateway_fleet_near(const struct gateway_fleet *fleet);
+
 #endif
--- a/gateway_pages.c
+++ b/gateway_pages.c
@@ -85,6 +85,7 @@
 	int64_t age = store_sync_routes_age(&gateway->sync);
 
 	metric_set(&counters->opened, (int64_t)gateway->upstream.opened);
+	metric_set(&counters->relay_jobs, (int64_t)gateway->relay_ask.asked);
 	metric_set(&counters->store_calls, (int64_t)gateway->store.calls);
 	metric_set(&counters->routes_version,
 		   gateway->sync.routes ? (int64_t)gateway->sync.routes->version
--- a/gateway_request.c
+++ b/gateway_request.c
@@ -19,6 +19,9 @@
 #define START_RETRY_MS 500
 /* A loser of a hedge, or of a caller that left, may still end by itself. */
 #define LINGER MSEC(300)
+/* To a relay and back, and what both take for it. */
+#define RELAY_WAY MSEC(6)
+#define RELAY_FLUSH_LEAST MSEC(4)
 
 /* An answer of a server, kept while something better may come. */
 struct kept_answer {
@@ -38,6 +41,7 @@
 	struct evbuffer *head;
 	struct event *timer;
 	struct kept_answer kept;
+	struct relay_client relay;
 	uint64_t fingerprint;
 	struct gateway_request *prev;
 	struct gateway_request *next;
@@ -47,6 +51,7 @@
 {
 	DL_DELETE(request->gateway->open, request);
 	dispatch_finish(&request->dispatch);
+	relay_client_finish(&request->gateway->relay_ask, &request->relay);
 	route_set_unref(request->routes);
 	evbuffer_free(request->head);
 	event_free(request->timer);
@@ -96,6 +101,34 @@
 		 LOG_TEXT("error", error_name(dispatch->code)));
 }
 
+/* Why a shard is not in an answer: where it was sent, and since when. */
+static void log_missing(const struct gateway_request *request)
+{
+	const struct dispatch *dispatch = &request->dispatch;
+	int64_t now = clock_now(&request->gateway->clock);
+	int i;
+
+	for (i = 0; i < dispatch->n_parts; i++) {
+		const struct dispatch_part *part = &dispatch->parts[i];
+		const struct dispatch_send *last =
+			&part->sends[part->n_sends > 0 ? part->n_sends - 1 : 0];
+
+		if (part->state == PART_IN)
+			continue;
+		LOG_INFO("part_missing",
+			 LOG_STR("request", request->request.id),
+			 LOG_TEXT("service", part->service->name),
+			 LOG_I64("sends", part->n_sends),
+			 LOG_TEXT("server",
+				  part->n_sends ? last->server->entry.id : "-"),
+			 LOG_I64("relayed", last->relayed),
+			 LOG_I64("waited_us",
+				 part->n_sends ? now - last->sent_at : 0),
+			 LOG_TEXT("error", error_name(part->code)),
+			 LOG_F64("budget", part->service->budget.tokens));
+	}
+}
+
 static void answer_parts(struct gateway_request *request)
 {
 	const struct gateway_names *names = request->gateway->names;
@@ -119,6 +152,7 @@
 			    STR_ARG(names->parts_missing),
 			    dispatch->n_parts - dispatch->n_in);
 	log_end(request, HTTP_STATUS_OK);
+	log_missing(request);
 	inbound_answer(request->conn, HTTP_STATUS_OK, fields,
 		       (struct str){dispatch->records.bytes,
 				    (size_t)dispatch->records.n * RECORD_SIZE});
@@ -204,10 +238,12 @@
 static void go_on(struct gateway_request *request,
 		  enum dispatch_outcome outcome)
 {
-	if (outcome)
+	if (outcome) {
 		finish(request);
-	else
-		arm_timer(request);
+		return;
+	}
+	relay_ask_flush(&request->gateway->relay_ask, &request->relay);
+	arm_timer(request);
 }
 
 static void on_timer(evutil_socket_t fd, short what, void *arg)
@@ -292,6 +328,7 @@
 		.code = result->code,
 		.not_run = result->not_run,
 		.stamp = result->stamp,
+		.took = result->took,
 	};
 	int status;
 
@@ -312,8 +349,54 @@
 	go_on(request, dispatch_result(&request->dispatch, send, &answer));
 }
 
+static void on_relayed(struct dispatch_send *send,
+		       const struct dispatch_answer *answer)
+{
+	struct gateway_request *request = send->part->dispatch->arg;
+	const struct exchange_result result = {.code = answer->code,
+					       .not_run = answer->not_run,
+					       .took = answer->took};
+
+	count_result(request->gateway, &result);
+	if (answer->code)
+		log_bad_result(send, &result);
+	dispatch_result(&request->dispatch, send, answer);
+}
+
+static void hold(void *arg)
+{
+	struct gateway_request *request = arg;
+
+	dispatch_hold(&request->dispatch);
+}
+
+static void release(void *arg)
+{
+	struct gateway_request *request = arg;
+
+	go_on(request, dispatch_release(&request->dispatch));
+}
+
 /* Towards the decisions. */
 
+/*
+ * Parts of one data centre share the bytes of the request and of the merged
+ * records; an answer of one server is not merged with others.
+ */
+static int relay_part(struct gateway_request *request,
+		      struct dispatch_send *send)
+{
+	int ret;
+
+	if (!request->route->sharded || !send->server->remote)
+		return ERR_UNAVAILABLE;
+	request->relay.connections_max = send->part->target->connections_max;
+	ret = relay_ask_send(&request->gateway->relay_ask, &request->relay,
+			     send, &send->handle);
+	send->relayed = !ret;
+	return ret;
+}
+
 static int send_part(void *arg, struct dispatch_send *send, int64_t deadline)
 {
 	struct gateway_request *request = arg;
@@ -321,6 +404,8 @@
 	struct exchange *exchange;
 	int ret;
 
+	if (!relay_part(request, send))
+		return 0;
 	send->watch = crash_watch_new(&gateway->fleet.board.poison,
 				      &gateway->upstream, send->server,
 				      request->fingerprint);
@@ -341,6 +426,10 @@
 	struct gateway_request *request = arg;
 	int64_t linger = LINGER;
 
+	if (send->relayed) {
+		relay_ask_abandon(send->handle);
+		return;
+	}
 	crash_watch_end(send->watch, false);
 	/* Cut off, nobody would know whether it ran. */
 	if (!request->route->repeatable)
@@ -470,6 +559,28 @@
 				  http_message_target(message), hash);
 }
 
+/*
+ * A relay tells what is in shortly before a hedge would be sent for what is
+ * not, so that the way between data centres is not taken for a late server.
+ */
+static void start_relays(struct gateway_request *request)
+{
+	struct relay_client *relay = &request->relay;
+	int64_t delay = dispatch_hedge_delay(&request->dispatch);
+
+	relay->request = &request->request;
+	relay->fingerprint = request->fingerprint;
+	relay->deadline = request->dispatch.deadline;
+	relay->records_max = request->route->records_max;
+	relay->result = on_relayed;
+	relay->hold = hold;
+	relay->release = release;
+	relay->arg = request;
+	relay->flush_after = delay - RELAY_WAY;
+	if (relay->flush_after < RELAY_FLUSH_LEAST)
+		relay->flush_after = RELAY_FLUSH_LEAST;
+}
+
 static void start(struct gateway *gateway, struct inbound_conn *conn,
 		  const struct http_message *message, const struct route *route,
 		  uint64_t fingerprint)
@@ -499,6 +610,7 @@
 		      target, &stats_of(gateway, route)->latency,
 		      clock_now(&gateway->clock) +
 			      time_left(gateway, route, message));
+	start_relays(request);
 	go_on(request, dispatch_start(&request->dispatch));
 }
 
--- a/gateway_stats.h
+++ b/gateway_stats.h
@@ -38,6 +38,8 @@
 	  "time from a request sent to its answer")                            \
 	X(opened, METRIC_GAUGE, "garnetreach_server_connections_opened",       \
 	  "connections opened to backend servers since the start")             \
+	X(relay_jobs, METRIC_GAUGE, "garnetreach_relay_jobs",                  \
+	  "messages given to instances of other data centres to relay")        \
 	X(store_calls, METRIC_GAUGE, "garnetreach_store_calls",                \
 	  "calls on the platform's store since the start")                     \
 	X(routes_version, METRIC_GAUGE, "garnetreach_routes_version",          \
--- a/peer.pb-c.c
+++ b/peer.pb-c.c
@@ -1447,6 +1447,231 @@
   assert(message->base.descriptor == &peer__view_request__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   peer__part_send__init
+                     (Peer__PartSend         *message)
+{
+  static const Peer__PartSend init_value = PEER__PART_SEND__INIT;
+  *message = init_value;
+}
+size_t peer__part_send__get_packed_size
+                     (const Peer__PartSend *message)
+{
+  assert(message->base.descriptor == &peer__part_send__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer__part_send__pack
+                     (const Peer__PartSend *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer__part_send__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer__part_send__pack_to_buffer
+                     (const Peer__PartSend *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__part_send__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__PartSend *
+       peer__part_send__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__PartSend *)
+     protobuf_c_message_unpack (&peer__part_send__descriptor,
+                                allocator, len, data);
+}
+void   peer__part_send__free_unpacked
+                     (Peer__PartSend *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__part_send__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   peer__part_request__init
+                     (Peer__PartRequest         *message)
+{
+  static const Peer__PartRequest init_value = PEER__PART_REQUEST__INIT;
+  *message = init_value;
+}
+size_t peer__part_request__get_packed_size
+                     (const Peer__PartRequest *message)
+{
+  assert(message->base.descriptor == &peer__part_request__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer__part_request__pack
+                     (const Peer__PartRequest *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer__part_request__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer__part_request__pack_to_buffer
+                     (const Peer__PartRequest *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__part_request__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__PartRequest *
+       peer__part_request__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__PartRequest *)
+     protobuf_c_message_unpack (&peer__part_request__descriptor,
+                                allocator, len, data);
+}
+void   peer__part_request__free_unpacked
+                     (Peer__PartRequest *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__part_request__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   peer__part_done__init
+                     (Peer__PartDone         *message)
+{
+  static const Peer__PartDone init_value = PEER__PART_DONE__INIT;
+  *message = init_value;
+}
+size_t peer__part_done__get_packed_size
+                     (const Peer__PartDone *message)
+{
+  assert(message->base.descriptor == &peer__part_done__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer__part_done__pack
+                     (const Peer__PartDone *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer__part_done__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer__part_done__pack_to_buffer
+                     (const Peer__PartDone *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__part_done__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__PartDone *
+       peer__part_done__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__PartDone *)
+     protobuf_c_message_unpack (&peer__part_done__descriptor,
+                                allocator, len, data);
+}
+void   peer__part_done__free_unpacked
+                     (Peer__PartDone *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__part_done__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   peer__part_result__init
+                     (Peer__PartResult         *message)
+{
+  static const Peer__PartResult init_value = PEER__PART_RESULT__INIT;
+  *message = init_value;
+}
+size_t peer__part_result__get_packed_size
+                     (const Peer__PartResult *message)
+{
+  assert(message->base.descriptor == &peer__part_result__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer__part_result__pack
+                     (const Peer__PartResult *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer__part_result__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer__part_result__pack_to_buffer
+                     (const Peer__PartResult *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__part_result__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__PartResult *
+       peer__part_result__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__PartResult *)
+     protobuf_c_message_unpack (&peer__part_result__descriptor,
+                                allocator, len, data);
+}
+void   peer__part_result__free_unpacked
+                     (Peer__PartResult *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__part_result__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   peer__part_cancel__init
+                     (Peer__PartCancel         *message)
+{
+  static const Peer__PartCancel init_value = PEER__PART_CANCEL__INIT;
+  *message = init_value;
+}
+size_t peer__part_cancel__get_packed_size
+                     (const Peer__PartCancel *message)
+{
+  assert(message->base.descriptor == &peer__part_cancel__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer__part_cancel__pack
+                     (const Peer__PartCancel *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer__part_cancel__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer__part_cancel__pack_to_buffer
+                     (const Peer__PartCancel *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__part_cancel__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__PartCancel *
+       peer__part_cancel__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__PartCancel *)
+     protobuf_c_message_unpack (&peer__part_cancel__descriptor,
+                                allocator, len, data);
+}
+void   peer__part_cancel__free_unpacked
+                     (Peer__PartCancel *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__part_cancel__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 static const ProtobufCFieldDescriptor peer__hello__field_descriptors[6] =
 {
   {
@@ -4510,6 +4735,430 @@
   (ProtobufCMessageInit) peer__view_request__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor peer__part_send__field_descriptors[2] =
+{
+  {
+    "index",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__PartSend, index),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "server",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Peer__PartSend, server),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer__part_send__field_indices_by_name[] = {
+  0,   /* field[0] = index */
+  1,   /* field[1] = server */
+};
+static const ProtobufCIntRange peer__part_send__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor peer__part_send__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.PartSend",
+  "PartSend",
+  "Peer__PartSend",
+  "peer",
+  sizeof(Peer__PartSend),
+  2,
+  peer__part_send__field_descriptors,
+  peer__part_send__field_indices_by_name,
+  1,  peer__part_send__number_ranges,
+  (ProtobufCMessageInit) peer__part_send__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__part_request__field_descriptors[10] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__PartRequest, id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "request_id",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Peer__PartRequest, request_id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "head",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Peer__PartRequest, head),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "body",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Peer__PartRequest, body),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "deadline_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__PartRequest, deadline_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "flush_ms",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__PartRequest, flush_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "records_max",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__PartRequest, records_max),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "fingerprint",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__PartRequest, fingerprint),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "connections_max",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__PartRequest, connections_max),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sends",
+    10,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__PartRequest, n_sends),
+    offsetof(Peer__PartRequest, sends),
+    &peer__part_send__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer__part_request__field_indices_by_name[] = {
+  3,   /* field[3] = body */
+  8,   /* field[8] = connections_max */
+  4,   /* field[4] = deadline_ms */
+  7,   /* field[7] = fingerprint */
+  5,   /* field[5] = flush_ms */
+  2,   /* field[2] = head */
+  0,   /* field[0] = id */
+  6,   /* field[6] = records_max */
+  1,   /* field[1] = request_id */
+  9,   /* field[9] = sends */
+};
+static const ProtobufCIntRange peer__part_request__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 10 }
+};
+const ProtobufCMessageDescriptor peer__part_request__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.PartRequest",
+  "PartRequest",
+  "Peer__PartRequest",
+  "peer",
+  sizeof(Peer__PartRequest),
+  10,
+  peer__part_request__field_descriptors,
+  peer__part_request__field_indices_by_name,
+  1,  peer__part_request__number_ranges,
+  (ProtobufCMessageInit) peer__part_request__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__part_done__field_descriptors[6] =
+{
+  {
+    "index",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__PartDone, index),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "code",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_SINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__PartDone, code),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "not_run",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Peer__PartDone, not_run),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "success",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Peer__PartDone, success),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "stamp",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Peer__PartDone, stamp),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "took_us",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__PartDone, took_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer__part_done__field_indices_by_name[] = {
+  1,   /* field[1] = code */
+  0,   /* field[0] = index */
+  2,   /* field[2] = not_run */
+  4,   /* field[4] = stamp */
+  3,   /* field[3] = success */
+  5,   /* field[5] = took_us */
+};
+static const ProtobufCIntRange peer__part_done__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor peer__part_done__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.PartDone",
+  "PartDone",
+  "Peer__PartDone",
+  "peer",
+  sizeof(Peer__PartDone),
+  6,
+  peer__part_done__field_descriptors,
+  peer__part_done__field_indices_by_name,
+  1,  peer__part_done__number_ranges,
+  (ProtobufCMessageInit) peer__part_done__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__part_result__field_descriptors[4] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__PartResult, id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "parts",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__PartResult, n_parts),
+    offsetof(Peer__PartResult, parts),
+    &peer__part_done__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "records",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Peer__PartResult, records),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "origins",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Peer__PartResult, origins),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer__part_result__field_indices_by_name[] = {
+  0,   /* field[0] = id */
+  3,   /* field[3] = origins */
+  1,   /* field[1] = parts */
+  2,   /* field[2] = records */
+};
+static const ProtobufCIntRange peer__part_result__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor peer__part_result__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.PartResult",
+  "PartResult",
+  "Peer__PartResult",
+  "peer",
+  sizeof(Peer__PartResult),
+  4,
+  peer__part_result__field_descriptors,
+  peer__part_result__field_indices_by_name,
+  1,  peer__part_result__number_ranges,
+  (ProtobufCMessageInit) peer__part_result__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__part_cancel__field_descriptors[1] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__PartCancel, id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer__part_cancel__field_indices_by_name[] = {
+  0,   /* field[0] = id */
+};
+static const ProtobufCIntRange peer__part_cancel__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor peer__part_cancel__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.PartCancel",
+  "PartCancel",
+  "Peer__PartCancel",
+  "peer",
+  sizeof(Peer__PartCancel),
+  1,
+  peer__part_cancel__field_descriptors,
+  peer__part_cancel__field_indices_by_name,
+  1,  peer__part_cancel__number_ranges,
+  (ProtobufCMessageInit) peer__part_cancel__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCEnumValue peer__member_status__enum_values_by_number[4] =
 {
   { "ALIVE", "PEER__MEMBER_STATUS__ALIVE", 0 },
--- a/peer.pb-c.h
+++ b/peer.pb-c.h
@@ -48,6 +48,11 @@
 typedef struct Peer__ViewServer Peer__ViewServer;
 typedef struct Peer__ViewUpdate Peer__ViewUpdate;
 typedef struct Peer__ViewRequest Peer__ViewRequest;
+typedef struct Peer__PartSend Peer__PartSend;
+typedef struct Peer__PartRequest Peer__PartRequest;
+typedef struct Peer__PartDone Peer__PartDone;
+typedef struct Peer__PartResult Peer__PartResult;
+typedef struct Peer__PartCancel Peer__PartCancel;
 
 
 /* --- enums --- */
@@ -742,6 +747,119 @@
     , 0, 0 }
 
 
+/*
+ * Entry to relay: send a request to backend servers of the relay's data centre.
+ * See docs/design/platform.md.
+ */
+struct  Peer__PartSend
+{
+  ProtobufCMessage base;
+  /*
+   * of the send, unique within the job
+   */
+  uint32_t index;
+  char *server;
+};
+#define PEER__PART_SEND__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__part_send__descriptor) \
+    , 0, (char *)protobuf_c_empty_string }
+
+
+struct  Peer__PartRequest
+{
+  ProtobufCMessage base;
+  /*
+   * unique for the sender
+   */
+  uint64_t id;
+  /*
+   * the caller's
+   */
+  char *request_id;
+  /*
+   * request line and headers, as sent to each server
+   */
+  ProtobufCBinaryData head;
+  ProtobufCBinaryData body;
+  uint32_t deadline_ms;
+  /*
+   * tell what is in by then, then each result at once;
+   */
+  uint32_t flush_ms;
+  /*
+   * 0: each at once from the start
+   */
+  uint32_t records_max;
+  /*
+   * for requests that crash servers
+   */
+  uint64_t fingerprint;
+  uint32_t connections_max;
+  size_t n_sends;
+  Peer__PartSend **sends;
+};
+#define PEER__PART_REQUEST__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__part_request__descriptor) \
+    , 0, (char *)protobuf_c_empty_string, {0,NULL}, {0,NULL}, 0, 0, 0, 0, 0, 0,NULL }
+
+
+struct  Peer__PartDone
+{
+  ProtobufCMessage base;
+  uint32_t index;
+  /*
+   * see error.h
+   */
+  int32_t code;
+  protobuf_c_boolean not_run;
+  /*
+   * a 2xx
+   */
+  protobuf_c_boolean success;
+  char *stamp;
+  uint32_t took_us;
+};
+#define PEER__PART_DONE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__part_done__descriptor) \
+    , 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0 }
+
+
+/*
+ * Relay to entry: results, perhaps none, of one job.
+ */
+struct  Peer__PartResult
+{
+  ProtobufCMessage base;
+  uint64_t id;
+  size_t n_parts;
+  Peer__PartDone **parts;
+  /*
+   * the greatest of these parts
+   */
+  ProtobufCBinaryData records;
+  /*
+   * of each record: which of the parts
+   */
+  ProtobufCBinaryData origins;
+};
+#define PEER__PART_RESULT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__part_result__descriptor) \
+    , 0, 0,NULL, {0,NULL}, {0,NULL} }
+
+
+/*
+ * The request is over: what is not in soon is given up.
+ */
+struct  Peer__PartCancel
+{
+  ProtobufCMessage base;
+  uint64_t id;
+};
+#define PEER__PART_CANCEL__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__part_cancel__descriptor) \
+    , 0 }
+
+
 /* Peer__Hello methods */
 void   peer__hello__init
                      (Peer__Hello         *message);
@@ -1350,6 +1468,101 @@
 void   peer__view_request__free_unpacked
                      (Peer__ViewRequest *message,
                       ProtobufCAllocator *allocator);
+/* Peer__PartSend methods */
+void   peer__part_send__init
+                     (Peer__PartSend         *message);
+size_t peer__part_send__get_packed_size
+                     (const Peer__PartSend   *message);
+size_t peer__part_send__pack
+                     (const Peer__PartSend   *message,
+                      uint8_t             *out);
+size_t peer__part_send__pack_to_buffer
+                     (const Peer__PartSend   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__PartSend *
+       peer__part_send__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__part_send__free_unpacked
+                     (Peer__PartSend *message,
+                      ProtobufCAllocator *allocator);
+/* Peer__PartRequest methods */
+void   peer__part_request__init
+                     (Peer__PartRequest         *message);
+size_t peer__part_request__get_packed_size
+                     (const Peer__PartRequest   *message);
+size_t peer__part_request__pack
+                     (const Peer__PartRequest   *message,
+                      uint8_t             *out);
+size_t peer__part_request__pack_to_buffer
+                     (const Peer__PartRequest   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__PartRequest *
+       peer__part_request__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__part_request__free_unpacked
+                     (Peer__PartRequest *message,
+                      ProtobufCAllocator *allocator);
+/* Peer__PartDone methods */
+void   peer__part_done__init
+                     (Peer__PartDone         *message);
+size_t peer__part_done__get_packed_size
+                     (const Peer__PartDone   *message);
+size_t peer__part_done__pack
+                     (const Peer__PartDone   *message,
+                      uint8_t             *out);
+size_t peer__part_done__pack_to_buffer
+                     (const Peer__PartDone   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__PartDone *
+       peer__part_done__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__part_done__free_unpacked
+                     (Peer__PartDone *message,
+                      ProtobufCAllocator *allocator);
+/* Peer__PartResult methods */
+void   peer__part_result__init
+                     (Peer__PartResult         *message);
+size_t peer__part_result__get_packed_size
+                     (const Peer__PartResult   *message);
+size_t peer__part_result__pack
+                     (const Peer__PartResult   *message,
+                      uint8_t             *out);
+size_t peer__part_result__pack_to_buffer
+                     (const Peer__PartResult   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__PartResult *
+       peer__part_result__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__part_result__free_unpacked
+                     (Peer__PartResult *message,
+                      ProtobufCAllocator *allocator);
+/* Peer__PartCancel methods */
+void   peer__part_cancel__init
+                     (Peer__PartCancel         *message);
+size_t peer__part_cancel__get_packed_size
+                     (const Peer__PartCancel   *message);
+size_t peer__part_cancel__pack
+                     (const Peer__PartCancel   *message,
+                      uint8_t             *out);
+size_t peer__part_cancel__pack_to_buffer
+                     (const Peer__PartCancel   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__PartCancel *
+       peer__part_cancel__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__part_cancel__free_unpacked
+                     (Peer__PartCancel *message,
+                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*Peer__Hello_Closure)
@@ -1448,6 +1661,21 @@
 typedef void (*Peer__ViewRequest_Closure)
                  (const Peer__ViewRequest *message,
                   void *closure_data);
+typedef void (*Peer__PartSend_Closure)
+                 (const Peer__PartSend *message,
+                  void *closure_data);
+typedef void (*Peer__PartRequest_Closure)
+                 (const Peer__PartRequest *message,
+                  void *closure_data);
+typedef void (*Peer__PartDone_Closure)
+                 (const Peer__PartDone *message,
+                  void *closure_data);
+typedef void (*Peer__PartResult_Closure)
+                 (const Peer__PartResult *message,
+                  void *closure_data);
+typedef void (*Peer__PartCancel_Closure)
+                 (const Peer__PartCancel *message,
+                  void *closure_data);
 
 /* --- services --- */
 
@@ -1487,6 +1715,11 @@
 extern const ProtobufCMessageDescriptor peer__view_server__descriptor;
 extern const ProtobufCMessageDescriptor peer__view_update__descriptor;
 extern const ProtobufCMessageDescriptor peer__view_request__descriptor;
+extern const ProtobufCMessageDescriptor peer__part_send__descriptor;
+extern const ProtobufCMessageDescriptor peer__part_request__descriptor;
+extern const ProtobufCMessageDescriptor peer__part_done__descriptor;
+extern const ProtobufCMessageDescriptor peer__part_result__descriptor;
+extern const ProtobufCMessageDescriptor peer__part_cancel__descriptor;
 
 PROTOBUF_C__END_DECLS
 
--- a/records.c
+++ b/records.c
@@ -8,6 +8,7 @@
 void records_init(struct records *records, int max)
 {
 	records->bytes = mem_zalloc((size_t)max * RECORD_SIZE);
+	records->tags = mem_zalloc((size_t)max);
 	records->n = 0;
 	records->max = max;
 }
@@ -15,6 +16,7 @@
 void records_finish(struct records *records)
 {
 	free(records->bytes);
+	free(records->tags);
 }
 
 /* Behind all that are not smaller. */
@@ -35,7 +37,7 @@
 	return low;
 }
 
-static void add(struct records *records, const char *record)
+static void add(struct records *records, const char *record, uint8_t tag)
 {
 	int at = place_of(records, record);
 	char *slot = records->bytes + at * RECORD_SIZE;
@@ -47,12 +49,15 @@
 	memmove(slot + RECORD_SIZE, slot,
 		(size_t)(records->n - at - 1) * RECORD_SIZE);
 	memcpy(slot, record, RECORD_SIZE);
+	memmove(records->tags + at + 1, records->tags + at,
+		(size_t)(records->n - at - 1));
+	records->tags[at] = tag;
 }
 
-void records_add(struct records *records, struct str body)
+void records_add(struct records *records, struct str body, uint8_t tag)
 {
 	size_t at;
 
 	for (at = 0; at + RECORD_SIZE <= body.len; at += RECORD_SIZE)
-		add(records, body.data + at);
+		add(records, body.data + at, tag);
 }
--- a/records.h
+++ b/records.h
@@ -9,10 +9,12 @@
 /**
  * struct records - the greatest records so far, falling
  * @bytes: @n of them, owned
+ * @tags: of each, as it was added with
  * @max: how many are kept
  */
 struct records {
 	char *bytes;
+	uint8_t *tags;
 	int n;
 	int max;
 };
@@ -23,9 +25,10 @@
 /**
  * records_add() - take the records of one part
  * @body: in no order; a rest shorter than a record is none
+ * @tag: kept with each of them
  *
  * Equal records all count.
  */
-void records_add(struct records *records, struct str body);
+void records_add(struct records *records, struct str body, uint8_t tag);
 
 #endif
--- /dev/null
+++ b/relay_ask.c
@@ -0,0 +1,575 @@
+#define LOG_MODULE "relay_ask"
+#include "relay_ask.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include <utlist.h>
+
+#include "error.h"
+#include "log.h"
+#include "mem.h"
+#include "records.h"
+
+/*
+ * A relay tells what is in at the flush time, even if that is nothing. One
+ * that has not done so this long after it is late: it hangs, or the way to it
+ * is cut, and parts go another way.
+ */
+#define LATE_AFTER MSEC(15)
+/* To a relay of the same region and back: 3 ms, and its work. */
+#define WAY_MOST MSEC(4)
+/* What a relay costs is judged like a server's latency; nothing is usual. */
+#define RELAY_SLOTS 64
+#define RELAY_USUAL 30000.0
+
+struct relay_batch;
+
+/* One send within a batch. */
+struct relay_send {
+	struct relay_batch *batch;
+	struct dispatch_send *send; /* NULL once it is over or abandoned */
+	struct registry_server *server;
+	int64_t sent_at;
+	bool over;
+};
+
+/**
+ * struct relay_batch - sends of one request to one data centre, told together
+ * @client: NULL once the request is over
+ * @told: it was given to the relay, as job @id
+ */
+struct relay_batch {
+	struct relay_ask *relay;
+	struct relay_client *client;
+	struct relay_peer *peer;
+	char data_centre[REGISTRY_NAME_SIZE];
+	uint64_t id;
+	bool told;
+	bool heard;
+	int64_t told_at;
+	int64_t flush_after;
+	struct relay_send **sends;
+	int n_sends;
+	int cap_sends;
+	int n_open;
+	struct relay_batch *prev; /* of the client */
+	struct relay_batch *next;
+	UT_hash_handle hh; /* of all that were told */
+};
+
+static struct relay_peer *peer_of(struct relay_ask *relay, const char *instance)
+{
+	struct relay_peer *peer;
+
+	HASH_FIND_STR(relay->relays, instance, peer);
+	if (peer)
+		return peer;
+	peer = mem_zalloc(sizeof(*peer));
+	str_copy(peer->instance, sizeof(peer->instance), str_from(instance));
+	HASH_ADD_STR(relay->relays, instance, peer);
+	return peer;
+}
+
+static bool is_late(const struct relay_batch *batch, int64_t now)
+{
+	/* Told each result at once, it says nothing before the first. */
+	return !batch->heard && batch->flush_after &&
+	       now > batch->told_at + batch->flush_after + LATE_AFTER;
+}
+
+static bool has_late_job(const struct relay_ask *relay,
+			 const struct relay_peer *peer, int64_t now)
+{
+	const struct relay_batch *batch;
+
+	for (batch = relay->jobs; batch; batch = batch->hh.next) {
+		if (batch->peer == peer && is_late(batch, now))
+			return true;
+	}
+	return false;
+}
+
+static double cost_of(const struct relay_ask *relay,
+		      const struct relay_peer *peer, int64_t now)
+{
+	static const struct server_traits traits = {.slots = RELAY_SLOTS,
+						    .usual = RELAY_USUAL};
+
+	if (has_late_job(relay, peer, now))
+		return SERVER_COST_AVOID;
+	return server_score_cost(&peer->score, &traits, now);
+}
+
+/* The best instance of a data centre, or NULL if none is good enough. */
+static struct relay_peer *choose(struct relay_ask *relay,
+				 const char *data_centre)
+{
+	const struct fleet_member *member = relay->board->fleet.members;
+	int64_t now = clock_now(relay->board->clock);
+	struct relay_peer *best = NULL;
+	double least = SERVER_COST_AVOID;
+
+	for (; member; member = member->hh.next) {
+		struct relay_peer *peer;
+		double cost;
+
+		if (member->status != FLEET_ALIVE ||
+		    strcmp(member->data_centre, data_centre) ||
+		    !relay->usable(relay->arg, member) ||
+		    !peers_find(relay->peers, str_from(member->instance)))
+			continue;
+		peer = peer_of(relay, member->instance);
+		cost = cost_of(relay, peer, now);
+		if (cost >= least)
+			continue;
+		least = cost;
+		best = peer;
+	}
+	return best;
+}
+
+static struct relay_batch *find_batch(const struct relay_client *client,
+				      const char *data_centre)
+{
+	struct relay_batch *batch;
+
+	DL_FOREACH (client->batches, batch) {
+		if (!batch->told && !strcmp(batch->data_centre, data_centre))
+			return batch;
+	}
+	return NULL;
+}
+
+static struct relay_batch *new_batch(struct relay_ask *relay,
+				     struct relay_client *client,
+				     const char *data_centre)
+{
+	struct relay_peer *peer = choose(relay, data_centre);
+	struct relay_batch *batch;
+
+	if (!peer)
+		return NULL;
+	batch = mem_zalloc(sizeof(*batch));
+	batch->relay = relay;
+	batch->client = client;
+	batch->peer = peer;
+	str_copy(batch->data_centre, sizeof(batch->data_centre),
+		 str_from(data_centre));
+	DL_APPEND(client->batches, batch);
+	return batch;
+}
+
+int relay_ask_send(struct relay_ask *relay, struct relay_client *client,
+		   struct dispatch_send *send, void **handle)
+{
+	const char *data_centre = send->server->entry.data_centre;
+	struct relay_batch *batch = find_batch(client, data_centre);
+	struct relay_send *entry;
+
+	if (!batch)
+		batch = new_batch(relay, client, data_centre);
+	if (!batch)
+		return ERR_UNAVAILABLE;
+	entry = mem_zalloc(sizeof(*entry));
+	entry->batch = batch;
+	entry->send = send;
+	entry->server = registry_server_ref(send->server);
+	entry->sent_at = clock_now(relay->board->clock);
+	server_score_sent(&entry->server->score, entry->sent_at);
+	MEM_GROW(batch->sends, batch->n_sends, batch->cap_sends);
+	batch->sends[batch->n_sends++] = entry;
+	batch->n_open++;
+	*handle = entry;
+	return 0;
+}
+
+/* The server's observations, as if it had been asked directly. */
+static void end_send(struct relay_send *entry, enum server_result result,
+		     int64_t took)
+{
+	int64_t now = clock_now(entry->batch->relay->board->clock);
+
+	if (entry->over)
+		return;
+	entry->over = true;
+	entry->batch->n_open--;
+	server_score_result(&entry->server->score, result, took, now);
+	if (result == SERVER_ANSWERED)
+		registry_answered(entry->server->service, took);
+}
+
+static void free_batch(struct relay_batch *batch)
+{
+	struct relay_ask *relay = batch->relay;
+	int64_t now = clock_now(relay->board->clock);
+	int i;
+
+	if (batch->told) {
+		HASH_DEL(relay->jobs, batch);
+		if (!batch->heard)
+			server_score_result(&batch->peer->score,
+					    is_late(batch, now)
+						    ? SERVER_SILENT
+						    : SERVER_DROPPED,
+					    0, now);
+	}
+	if (batch->client)
+		DL_DELETE(batch->client->batches, batch);
+	for (i = 0; i < batch->n_sends; i++) {
+		end_send(batch->sends[i], SERVER_DROPPED, 0);
+		registry_server_unref(batch->sends[i]->server);
+		free(batch->sends[i]);
+	}
+	free(batch->sends);
+	free(batch);
+}
+
+static void fill_sends(const struct relay_batch *batch,
+		       Peer__PartRequest *message, Peer__PartSend *sends,
+		       Peer__PartSend **pointers)
+{
+	int i;
+
+	for (i = 0; i < batch->n_sends; i++) {
+		peer__part_send__init(&sends[i]);
+		sends[i].index = (uint32_t)i;
+		sends[i].server = batch->sends[i]->server->entry.id;
+		pointers[i] = &sends[i];
+	}
+	message->sends = pointers;
+	message->n_sends = (size_t)batch->n_sends;
+}
+
+static void tell(struct relay_batch *batch)
+{
+	struct relay_ask *relay = batch->relay;
+	struct relay_client *client = batch->client;
+	int64_t now = clock_now(relay->board->clock);
+	int64_t left = client->deadline - now;
+	struct peer_link *link =
+		peers_find(relay->peers, str_from(batch->peer->instance));
+	Peer__PartRequest message = PEER__PART_REQUEST__INIT;
+	size_t n = (size_t)batch->n_sends;
+	Peer__PartSend *sends = mem_zalloc(n * sizeof(*sends));
+	Peer__PartSend **pointers = mem_zalloc(n * sizeof(*pointers));
+	char *id =
+		mem_dup_len(client->request->id.data, client->request->id.len);
+
+	message.id = ++relay->last_id;
+	message.request_id = id;
+	message.head.data = (uint8_t *)client->request->head.data;
+	message.head.len = client->request->head.len;
+	message.body.data = (uint8_t *)client->request->body.data;
+	message.body.len = client->request->body.len;
+	message.deadline_ms = left > 0 ? (uint32_t)(left / USEC_PER_MSEC) : 0;
+	message.flush_ms = (uint32_t)(client->flush_after / USEC_PER_MSEC);
+	message.records_max = (uint32_t)client->records_max;
+	message.fingerprint = client->fingerprint;
+	message.connections_max = (uint32_t)client->connections_max;
+	fill_sends(batch, &message, sends, pointers);
+	batch->id = message.id;
+	batch->told = true;
+	batch->told_at = now;
+	batch->flush_after = client->flush_after;
+	HASH_ADD(hh, relay->jobs, id, sizeof(batch->id), batch);
+	server_score_sent(&batch->peer->score, now);
+	relay->asked++;
+	/* A link that has just broken is reported as down, with its jobs. */
+	if (link)
+		peer_send(link, FRAME_PART_REQUEST, &message.base);
+	free(sends);
+	free(pointers);
+	free(id);
+}
+
+void relay_ask_flush(struct relay_ask *relay, struct relay_client *client)
+{
+	struct relay_batch *batch;
+
+	(void)relay;
+	DL_FOREACH (client->batches, batch) {
+		if (!batch->told)
+			tell(batch);
+	}
+	client->flush_after = 0;
+}
+
+void relay_ask_abandon(void *handle)
+{
+	struct relay_send *entry = handle;
+
+	entry->send = NULL;
+}
+
+static void cancel(struct relay_batch *batch)
+{
+	struct peer_link *link = peers_find(batch->relay->peers,
+					    str_from(batch->peer->instance));
+	Peer__PartCancel message = PEER__PART_CANCEL__INIT;
+
+	if (!link || !batch->told || !batch->n_open)
+		return;
+	message.id = batch->id;
+	peer_send(link, FRAME_PART_CANCEL, &message.base);
+}
+
+void relay_client_finish(struct relay_ask *relay, struct relay_client *client)
+{
+	struct relay_batch *batch;
+	struct relay_batch *next;
+
+	(void)relay;
+	DL_FOREACH_SAFE (client->batches, batch, next) {
+		cancel(batch);
+		DL_DELETE(client->batches, batch);
+		batch->client = NULL;
+		/* Told ones wait for what the servers still answer. */
+		if (!batch->told || !batch->n_open)
+			free_batch(batch);
+	}
+}
+
+/* The records of one part among those of a message. */
+static struct str records_of(const Peer__PartResult *message, size_t part,
+			     char *out)
+{
+	size_t n = message->origins.len;
+	size_t len = 0;
+	size_t i;
+
+	if (n > message->records.len / RECORD_SIZE)
+		n = message->records.len / RECORD_SIZE;
+	for (i = 0; i < n; i++) {
+		if (message->origins.data[i] != part)
+			continue;
+		memcpy(out + len, message->records.data + i * RECORD_SIZE,
+		       RECORD_SIZE);
+		len += RECORD_SIZE;
+	}
+	return (struct str){out, len};
+}
+
+/*
+ * What the server took and the way there and back, without the time that the
+ * relay waited for other parts.
+ */
+static int64_t took_of(const struct relay_send *entry,
+		       const Peer__PartDone *done)
+{
+	int64_t now = clock_now(entry->batch->relay->board->clock);
+	int64_t way = now - entry->sent_at - (int64_t)done->took_us;
+
+	if (way > WAY_MOST)
+		way = WAY_MOST;
+	return done->took_us + (way > 0 ? way : 0);
+}
+
+static void take_part(struct relay_send *entry, const Peer__PartDone *done,
+		      struct str records, bool spoilt)
+{
+	struct relay_batch *batch = entry->batch;
+	struct dispatch_send *send = entry->send;
+	int64_t took = took_of(entry, done);
+	struct dispatch_answer answer = {
+		.code = done->code,
+		.success = done->success,
+		.not_run = done->not_run,
+		.stamp = str_from(done->stamp),
+		.body = records,
+		.took = took,
+	};
+
+	if (entry->over)
+		return;
+	end_send(entry, server_result_of(done->code, done->success), took);
+	if (done->code == ERR_FOREIGN)
+		entry->server->gone = true;
+	if (done->success && spoilt)
+		answer.code = ERR_PROTOCOL;
+	entry->send = NULL;
+	if (send)
+		batch->client->result(send, &answer);
+}
+
+static struct relay_send *entry_of(const struct relay_batch *batch,
+				   const Peer__PartDone *done)
+{
+	if (done->index >= (uint32_t)batch->n_sends)
+		return NULL;
+	return batch->sends[done->index];
+}
+
+/*
+ * Only the greatest records of all parts in a message come. If one of the parts
+ * is not taken, because another server answered for it meanwhile, its records
+ * may have displaced some of the others', and these would be missing.
+ */
+static bool is_spoilt(const struct relay_batch *batch,
+		      const Peer__PartResult *message)
+{
+	size_t i;
+
+	if (!batch->client ||
+	    message->origins.len < (size_t)batch->client->records_max)
+		return false;
+	for (i = 0; i < message->n_parts; i++) {
+		const struct relay_send *entry =
+			entry_of(batch, message->parts[i]);
+
+		if (message->parts[i]->success && (!entry || !entry->send))
+			return true;
+	}
+	return false;
+}
+
+static void heard(struct relay_batch *batch)
+{
+	int64_t now = clock_now(batch->relay->board->clock);
+
+	if (batch->heard)
+		return;
+	batch->heard = true;
+	server_score_result(&batch->peer->score, SERVER_ANSWERED,
+			    now - batch->told_at, now);
+}
+
+static struct relay_batch *find_job(struct relay_ask *relay, uint64_t id)
+{
+	struct relay_batch *batch;
+
+	HASH_FIND(hh, relay->jobs, &id, sizeof(id), batch);
+	return batch;
+}
+
+static void take_parts(struct relay_batch *batch,
+		       const Peer__PartResult *message)
+{
+	char *room = mem_zalloc(message->records.len);
+	bool spoilt = is_spoilt(batch, message);
+	size_t i;
+
+	for (i = 0; i < message->n_parts; i++) {
+		const Peer__PartDone *done = message->parts[i];
+		struct relay_send *entry = entry_of(batch, done);
+
+		if (entry)
+			take_part(entry, done, records_of(message, i, room),
+				  spoilt);
+	}
+	free(room);
+}
+
+static void take_result(struct relay_ask *relay,
+			const Peer__PartResult *message)
+{
+	struct relay_batch *batch = find_job(relay, message->id);
+	struct relay_client *client;
+
+	if (!batch)
+		return;
+	heard(batch);
+	if (!message->n_parts)
+		return;
+	/* The request does not end between these, so that the batch stays. */
+	client = batch->client;
+	if (client)
+		client->hold(client->arg);
+	take_parts(batch, message);
+	if (!batch->n_open)
+		free_batch(batch);
+	if (client)
+		client->release(client->arg);
+}
+
+static void on_frame(void *arg, struct peer_link *link, struct frame *frame)
+{
+	struct relay_ask *relay = arg;
+
+	if (link->outgoing)
+		take_result(relay, (const Peer__PartResult *)frame->message);
+}
+
+static void lose(struct relay_ask *relay, uint64_t id)
+{
+	static const struct dispatch_answer lost = {.code = ERR_LOST,
+						    .stamp = STR("")};
+	struct relay_batch *batch = find_job(relay, id);
+	struct relay_client *client;
+	int i;
+
+	if (!batch)
+		return;
+	client = batch->client;
+	if (client)
+		client->hold(client->arg);
+	for (i = 0; i < batch->n_sends; i++) {
+		struct relay_send *entry = batch->sends[i];
+		struct dispatch_send *send = entry->send;
+
+		/* Says nothing of the server. */
+		end_send(entry, SERVER_DROPPED, 0);
+		entry->send = NULL;
+		if (send)
+			client->result(send, &lost);
+	}
+	free_batch(batch);
+	if (client)
+		client->release(client->arg);
+}
+
+/* All that was given to an instance is lost with the connection to it. */
+static void on_down(void *arg, struct peer_link *link)
+{
+	struct relay_ask *relay = arg;
+	struct relay_batch *batch;
+	uint64_t *ids;
+	int n = 0;
+	int i;
+
+	if (!link->outgoing)
+		return;
+	ids = mem_zalloc((HASH_COUNT(relay->jobs) + 1) * sizeof(*ids));
+	for (batch = relay->jobs; batch; batch = batch->hh.next) {
+		if (!strcmp(batch->peer->instance, link->instance))
+			ids[n++] = batch->id;
+	}
+	if (n)
+		LOG_INFO("relay_lost", LOG_TEXT("peer", link->instance),
+			 LOG_I64("jobs", n));
+	for (i = 0; i < n; i++)
+		lose(relay, ids[i]);
+	free(ids);
+}
+
+void relay_ask_init(struct relay_ask *relay, struct blackboard *board,
+		    struct peers *peers, struct registry *registry,
+		    bool (*usable)(void *arg,
+				   const struct fleet_member *member),
+		    void *arg)
+{
+	memset(relay, 0, sizeof(*relay));
+	relay->board = board;
+	relay->peers = peers;
+	relay->registry = registry;
+	relay->usable = usable;
+	relay->arg = arg;
+	relay->handler.frame = on_frame;
+	relay->handler.down = on_down;
+	relay->handler.types = 1u << FRAME_PART_RESULT;
+	relay->handler.arg = relay;
+	peers_add_handler(peers, &relay->handler);
+}
+
+void relay_ask_finish(struct relay_ask *relay)
+{
+	struct relay_peer *peer;
+	struct relay_peer *next;
+
+	while (relay->jobs)
+		free_batch(relay->jobs);
+	HASH_ITER (hh, relay->relays, peer, next) {
+		HASH_DEL(relay->relays, peer);
+		free(peer);
+	}
+}
--- /dev/null
+++ b/relay_serve.c
@@ -0,0 +1,315 @@
+#define LOG_MODULE "relay_serve"
+#include "relay_serve.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include <event2/event.h>
+#include <utlist.h>
+
+#include "crash_watch.h"
+#include "error.h"
+#include "log.h"
+#include "mem.h"
+#include "records.h"
+
+/* A job of more sends than this is malformed. */
+#define SENDS_MAX 4096
+#define RECORDS_MAX 4096
+/* Parts of one message: records name theirs by a byte. */
+#define PARTS_MAX 255
+/* As at the entry: one that nobody waits for may still end by itself. */
+#define LINGER MSEC(300)
+
+struct relay_send {
+	struct relay_job *job;
+	struct registry_server *server;
+	struct exchange *exchange;
+	struct crash_watch *watch;
+	uint32_t index;
+};
+
+/**
+ * struct relay_job - one message of an entry
+ * @link: to answer on; NULL once it is down
+ * @open: sends that have no result yet
+ * @done: results that were not told yet
+ * @flushed: the first results were told; later ones go out at once
+ */
+struct relay_job {
+	struct relay_serve *relay;
+	struct peer_link *link;
+	uint64_t id;
+	struct event *timer;
+	struct relay_send *sends;
+	int n_sends;
+	int open;
+	Peer__PartDone *done;
+	Peer__PartDone **pointers;
+	int n_done;
+	struct records records;
+	bool flushed;
+	struct relay_job *prev;
+	struct relay_job *next;
+};
+
+static void clear_done(struct relay_job *job)
+{
+	int i;
+
+	for (i = 0; i < job->n_done; i++)
+		free(job->done[i].stamp);
+	job->n_done = 0;
+	job->records.n = 0;
+}
+
+static void free_job(struct relay_job *job)
+{
+	int i;
+
+	DL_DELETE(job->relay->jobs, job);
+	for (i = 0; i < job->n_sends; i++) {
+		struct relay_send *send = &job->sends[i];
+
+		if (!send->exchange)
+			continue;
+		crash_watch_end(send->watch, false);
+		exchange_abandon(send->exchange, LINGER);
+	}
+	clear_done(job);
+	records_finish(&job->records);
+	event_free(job->timer);
+	free(job->sends);
+	free(job->done);
+	free(job->pointers);
+	free(job);
+}
+
+static void flush(struct relay_job *job)
+{
+	Peer__PartResult message = PEER__PART_RESULT__INIT;
+
+	job->flushed = true;
+	message.id = job->id;
+	message.parts = job->pointers;
+	message.n_parts = (size_t)job->n_done;
+	message.records.data = (uint8_t *)job->records.bytes;
+	message.records.len = (size_t)job->records.n * RECORD_SIZE;
+	message.origins.data = job->records.tags;
+	message.origins.len = (size_t)job->records.n;
+	peer_send(job->link, FRAME_PART_RESULT, &message.base);
+	clear_done(job);
+}
+
+/* Return: whether the job goes on. */
+static bool review(struct relay_job *job, bool urgent)
+{
+	if (!job->open || (job->n_done && (urgent || job->flushed)))
+		flush(job);
+	if (job->open)
+		return true;
+	free_job(job);
+	return false;
+}
+
+static void on_timer(evutil_socket_t fd, short what, void *arg)
+{
+	(void)fd;
+	(void)what;
+	/* Even without results: it shows that this instance lives. */
+	flush(arg);
+}
+
+static Peer__PartDone *add_done(struct relay_job *job, uint32_t index, int code,
+				bool not_run)
+{
+	Peer__PartDone *done = &job->done[job->n_done];
+
+	peer__part_done__init(done);
+	done->index = index;
+	done->code = code;
+	done->not_run = not_run;
+	done->stamp = NULL;
+	job->pointers[job->n_done++] = done;
+	return done;
+}
+
+static void on_result(void *arg, const struct exchange_result *result)
+{
+	struct relay_send *send = arg;
+	struct relay_job *job = send->job;
+	Peer__PartDone *done;
+
+	crash_watch_end(send->watch, result->code == ERR_LOST);
+	send->exchange = NULL;
+	job->open--;
+	done = add_done(job, send->index, result->code, result->not_run);
+	done->stamp = mem_dup_len(result->stamp.data, result->stamp.len);
+	done->took_us = (uint32_t)result->took;
+	if (!result->code)
+		done->success = result->message->parser.status_code / 100 == 2;
+	if (done->success)
+		records_add(&job->records, http_message_body(result->message),
+			    (uint8_t)(job->n_done - 1));
+	/* What failed is tried elsewhere: the entry must know at once. */
+	review(job, !done->success || job->n_done == PARTS_MAX);
+}
+
+static int start_send(struct relay_job *job, struct relay_send *send,
+		      const Peer__PartRequest *message,
+		      const struct upstream_request *request, const char *name)
+{
+	struct relay_serve *relay = job->relay;
+	struct registry_server *server =
+		registry_find(relay->registry, str_from(name));
+	int64_t deadline = clock_now(relay->board->clock) +
+			   MSEC((int64_t)message->deadline_ms) -
+			   blackboard_stall(relay->board);
+	int ret;
+
+	if (!server || server->entry.draining || server->gone)
+		return ERR_DRAINING;
+	send->watch = crash_watch_new(&relay->board->poison, relay->upstream,
+				      server, message->fingerprint);
+	if (!send->watch)
+		return ERR_BANNED;
+	ret = upstream_send(relay->upstream, server, request, deadline,
+			    message->connections_max, on_result, send,
+			    &send->exchange);
+	if (ret) {
+		crash_watch_end(send->watch, false);
+		send->exchange = NULL;
+	}
+	return ret;
+}
+
+static void start_sends(struct relay_job *job, const Peer__PartRequest *message)
+{
+	const struct upstream_request request = {
+		.head = {(char *)message->head.data, message->head.len},
+		.body = {(char *)message->body.data, message->body.len},
+		.id = str_from(message->request_id),
+	};
+	int ret;
+	int i;
+
+	for (i = 0; i < job->n_sends; i++) {
+		struct relay_send *send = &job->sends[i];
+
+		send->job = job;
+		send->index = message->sends[i]->index;
+		ret = start_send(job, send, message, &request,
+				 message->sends[i]->server);
+		if (!ret)
+			job->open++;
+		else
+			add_done(job, send->index, ret, true)->stamp =
+				mem_dup("");
+	}
+}
+
+static void take_request(struct relay_serve *relay, struct peer_link *link,
+			 const Peer__PartRequest *message)
+{
+	struct timeval tv = {message->flush_ms / 1000,
+			     message->flush_ms % 1000 * 1000};
+	struct relay_job *job;
+	size_t n = message->n_sends;
+
+	if (!n || n > SENDS_MAX || message->records_max > RECORDS_MAX) {
+		LOG_WARN("relay_refused", LOG_TEXT("peer", link->instance),
+			 LOG_U64("sends", n));
+		return;
+	}
+	job = mem_zalloc(sizeof(*job));
+	job->relay = relay;
+	job->link = link;
+	job->id = message->id;
+	job->n_sends = (int)n;
+	job->sends = mem_zalloc(n * sizeof(*job->sends));
+	job->done = mem_zalloc(n * sizeof(*job->done));
+	job->pointers = mem_zalloc(n * sizeof(*job->pointers));
+	records_init(&job->records, (int)message->records_max);
+	job->timer = evtimer_new(relay->base, on_timer, job);
+	DL_APPEND(relay->jobs, job);
+	job->flushed = !message->flush_ms;
+	start_sends(job, message);
+	if (review(job, true) && message->flush_ms)
+		evtimer_add(job->timer, &tv);
+}
+
+/*
+ * Nobody waits any more. What still comes is told all the same: how long a
+ * server took is what the entry chooses by.
+ */
+static void hurry(struct relay_job *job)
+{
+	int i;
+
+	for (i = 0; i < job->n_sends; i++) {
+		if (job->sends[i].exchange)
+			exchange_hurry(job->sends[i].exchange, LINGER);
+	}
+}
+
+static void take_cancel(struct relay_serve *relay, struct peer_link *link,
+			const Peer__PartCancel *message)
+{
+	struct relay_job *job;
+
+	DL_FOREACH (relay->jobs, job) {
+		if (job->link == link && job->id == message->id)
+			hurry(job);
+	}
+}
+
+static void on_frame(void *arg, struct peer_link *link, struct frame *frame)
+{
+	struct relay_serve *relay = arg;
+
+	/* Entries ask on links that they opened. */
+	if (link->outgoing)
+		return;
+	if (frame->type == FRAME_PART_REQUEST)
+		take_request(relay, link,
+			     (const Peer__PartRequest *)frame->message);
+	else
+		take_cancel(relay, link,
+			    (const Peer__PartCancel *)frame->message);
+}
+
+static void on_down(void *arg, struct peer_link *link)
+{
+	struct relay_serve *relay = arg;
+	struct relay_job *job;
+	struct relay_job *next;
+
+	DL_FOREACH_SAFE (relay->jobs, job, next) {
+		if (job->link == link)
+			free_job(job);
+	}
+}
+
+void relay_serve_init(struct relay_serve *relay, struct blackboard *board,
+		      struct peers *peers, struct registry *registry,
+		      struct upstream *upstream)
+{
+	memset(relay, 0, sizeof(*relay));
+	relay->base = board->base;
+	relay->board = board;
+	relay->peers = peers;
+	relay->registry = registry;
+	relay->upstream = upstream;
+	relay->handler.frame = on_frame;
+	relay->handler.down = on_down;
+	relay->handler.types =
+		1u << FRAME_PART_REQUEST | 1u << FRAME_PART_CANCEL;
+	relay->handler.arg = relay;
+	peers_add_handler(peers, &relay->handler);
+}
+
+void relay_serve_finish(struct relay_serve *relay)
+{
+	while (relay->jobs)
+		free_job(relay->jobs);
+}
--- /dev/null
+++ b/scripts/replay-seeds.sh
@@ -0,0 +1,17 @@
+#!/bin/sh
+# Plays the days of tests/seeds.txt again on the users' bench, which is not part
+# of this repository. usage: replay-seeds.sh BENCH SITES_FOLDER
+set -eu
+bench=$1
+sites=$2
+status=0
+here=$(dirname "$0")
+while read -r site day seed rest; do
+	case "$site" in "" | "#"*) continue ;; esac
+	line=$("$bench" run "$sites/$site.toml" "$day" --seed "$seed" \
+		--why "replay of an old seed: ${rest%%|*}" </dev/null |
+		sed -n "s/^$day .*/&/p" | head -1)
+	echo "$site --seed $seed: $line"
+	case "$line" in *BROKEN* | "") status=1 ;; esac
+done <"$here/../tests/seeds.txt"
+exit $status
--- a/server_score.c
+++ b/server_score.c
@@ -3,6 +3,7 @@
 #include <math.h>
 
 #include "clock.h"
+#include "error.h"
 
 /* Weight of the newest answer: ten answers make most of the average. */
 #define LATENCY_WEIGHT 0.1
@@ -29,6 +30,8 @@
 #define STOPPED_LEAST MSEC(25)
 /* Worse than a server that is only late. */
 #define SERVER_COST_DEAD 1e12
+/* Silence of less than this may be a pause: it says nothing. */
+#define SILENCE_LEAST MSEC(200)
 /* Without any answer: left alone for this long, doubled up to the most. */
 #define AVOID_FIRST MSEC(100)
 #define AVOID_MOST MSEC(2000)
@@ -58,17 +61,18 @@
 			 int64_t took, int64_t now)
 {
 	score->outstanding--;
-	if (result == SERVER_DROPPED)
+	if (result == SERVER_DROPPED ||
+	    (result == SERVER_SILENT && took < SILENCE_LEAST))
 		return;
-	if (result != SERVER_SILENT) {
+	if (result == SERVER_SILENT || result == SERVER_UNREACHABLE) {
+		avoid(score, now);
+	} else {
 		score->waiting_since = now;
 		score->avoid_for = 0;
 		score->avoid_until = 0;
-	} else {
-		avoid(score, now);
 	}
 	average(&score->failures,
-		result == SERVER_FAILED || result == SERVER_SILENT,
+		result == SERVER_FAILED || result >= SERVER_SILENT,
 		RESULT_WEIGHT);
 	average(&score->refusals, result == SERVER_REFUSED, RESULT_WEIGHT);
 	if (result != SERVER_ANSWERED)
@@ -79,6 +83,27 @@
 	score->latency_at = now;
 }
 
+enum server_result server_result_of(int code, bool success)
+{
+	switch (code) {
+	case 0:
+		return success ? SERVER_ANSWERED : SERVER_FAILED;
+	case ERR_SHED:
+		return SERVER_REFUSED;
+	case ERR_SILENT:
+		return SERVER_SILENT;
+	case ERR_CONNECT:
+		return SERVER_UNREACHABLE;
+	case ERR_LOST:
+	case ERR_PROTOCOL:
+	case ERR_FOREIGN:
+		return SERVER_FAILED;
+	default:
+		/* Ended on our side. */
+		return SERVER_DROPPED;
+	}
+}
+
 static bool is_stopped(const struct server_score *score, double latency,
 		       int64_t now)
 {
--- a/server_score.h
+++ b/server_score.h
@@ -33,22 +33,30 @@
 };
 
 enum server_result {
+	SERVER_DROPPED, /* says nothing: ended on our side */
 	SERVER_ANSWERED,
-	SERVER_REFUSED, /* surely not run */
-	SERVER_FAILED,	/* an error, or a broken connection */
-	SERVER_SILENT,	/* given up without a byte */
-	SERVER_DROPPED, /* says nothing: cancelled on our side */
+	SERVER_REFUSED,	    /* surely not run */
+	SERVER_FAILED,	    /* an error, or a broken connection */
+	SERVER_SILENT,	    /* given up without an answer */
+	SERVER_UNREACHABLE, /* no connection was made */
 };
 
 void server_score_sent(struct server_score *score, int64_t now);
 
 /**
  * server_score_result() - a request ended
- * @took: since it was sent, for SERVER_ANSWERED
+ * @took: since it was sent, for SERVER_ANSWERED and SERVER_SILENT
  */
 void server_score_result(struct server_score *score, enum server_result result,
 			 int64_t took, int64_t now);
 
+/**
+ * server_result_of() - what the end of a send says of its server
+ * @code: as in struct exchange_result
+ * @success: with code 0: the server's answer is no failure of its own
+ */
+enum server_result server_result_of(int code, bool success);
+
 /**
  * struct server_traits - what is known of a server besides
  * @slots: requests that it runs at once
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -480,6 +480,97 @@
                     self.assertIn(names, (old, new))
 
 
+class Relays(GatewayTest):
+    """Shards lie in another data centre than the entry."""
+
+    def world(self):
+        servers = [self.server(f"s{i}-{i}", f"s{i}", data_centre="dc-1")
+                   for i in range(4)]
+        for server in servers:
+            server.behave = OpaqueServer.records
+        self.publish(routes=[route(
+            "/shards/", shards=["s0", "s1", "s2", "s3"], records_max=3,
+            coverage_min=0.75, timeout_ms=4000, goal_ms=2000)])
+        seed = f"127.0.0.10:{self.peer_port}"
+        entry = self.ready_gateway(seeds=[seed])
+        relay = self.ready_gateway(seeds=[seed], data_centre="dc-1")
+        caller = self.caller(entry)
+        self.wait("relayed", lambda: caller.request(
+            "/shards/w").status == 200 and self.jobs(entry))
+        return servers, entry, relay, caller
+
+    def jobs(self, gateway):
+        _, body = gateway.page("control_address", "/metrics")
+        return [int(float(line.split()[1]))
+                for line in body.decode().splitlines()
+                if line.startswith("garnetreach_relay_jobs ")][0]
+
+    def check_whole(self, got):
+        self.assertEqual(got.status, 200)
+        self.assertEqual(got.headers["x-missing-parts"], "0")
+        self.assertEqual(len(got.headers["x-part-stamps"].split(", ")), 4)
+        self.assertEqual(got.body, b"".join(
+            b"\xc9" + b"-" * 14 + bytes([tail]) for tail in (3, 2, 1)))
+
+    def test_one_message_for_all_parts(self):
+        servers, entry, _, caller = self.world()
+        before = self.jobs(entry)
+        for i in range(5):
+            self.check_whole(caller.request("/shards/q", request_id=f"q{i}"))
+        self.assertEqual(self.jobs(entry) - before, 5)
+        seen = servers[0].ran[-1]
+        self.assertEqual(seen.headers["x-request-id"], "q4")
+        self.assertEqual(seen.headers["x-expect-instance"], "s0-0")
+        self.assertLessEqual(int(seen.headers["x-deadline-ms"]), 4000)
+
+    def test_late_part_does_not_hold_the_others(self):
+        """A server is late. The other parts come first; then another server
+        of that shard is asked, and its part is in the answer."""
+        servers, _, _, caller = self.world()
+        release = threading.Event()
+
+        def late(server, request):
+            release.wait(BOUND_S)
+            return server.records(request)
+
+        servers[3].behave = late
+        second = self.server("s3x-3", "s3", data_centre="dc-1")
+        second.behave = OpaqueServer.records
+        self.wait("known", lambda: (caller.request("/shards/w"),
+                                    second.ran)[1])
+        self.check_whole(caller.request("/shards/q"))
+        release.set()
+
+    def test_relay_is_killed(self):
+        """The relay ends while it has parts. What it had is lost; from then
+        on the servers are asked directly."""
+        _, entry, relay, caller = self.world()
+        relay.process.kill()
+        relay.process.wait()
+        self.wait("direct", lambda: caller.request(
+            "/shards/w").headers.get("x-missing-parts") == "0")
+        before = self.jobs(entry)
+        self.check_whole(caller.request("/shards/q"))
+        self.assertEqual(self.jobs(entry), before)
+        relay.start()
+
+    def test_relay_hangs(self):
+        """The relay is stopped and says nothing. The entry must not wait for
+        it with every request."""
+        _, entry, relay, caller = self.world()
+        relay.process.send_signal(signal.SIGSTOP)
+        try:
+            self.wait("direct", lambda: caller.request(
+                "/shards/w").headers.get("x-missing-parts") == "0")
+            before = self.jobs(entry)
+            for i in range(3):
+                self.check_whole(caller.request("/shards/q",
+                                                request_id=f"h{i}"))
+            self.assertLessEqual(self.jobs(entry) - before, 1)
+        finally:
+            relay.process.send_signal(signal.SIGCONT)
+
+
 class Limits(GatewayTest):
     def test_refused_messages(self):
         _, gateway, _ = self.one()
--- a/tests/test_records.c
+++ b/tests/test_records.c
@@ -29,7 +29,8 @@
 	}
 	records_init(&records, 40);
 	for (i = 0; i < MANY; i += 50)
-		records_add(&records, (struct str){all[i], 50 * RECORD_SIZE});
+		records_add(&records, (struct str){all[i], 50 * RECORD_SIZE},
+			    (uint8_t)(i / 50));
 	qsort(all, MANY, RECORD_SIZE, falling);
 	CU_ASSERT(records.n == 40);
 	CU_ASSERT(!memcmp(records.bytes, all, 40 * RECORD_SIZE));
@@ -41,14 +42,14 @@
 	struct records records;
 
 	records_init(&records, 5);
-	records_add(&records, STR("0123456789abcdefXYZ"));
+	records_add(&records, STR("0123456789abcdefXYZ"), 0);
 	CU_ASSERT(records.n == 1);
-	records_add(&records, STR("short"));
-	records_add(&records, STR(""));
+	records_add(&records, STR("short"), 0);
+	records_add(&records, STR(""), 0);
 	CU_ASSERT(records.n == 1);
 	records_finish(&records);
 	records_init(&records, 0);
-	records_add(&records, STR("0123456789abcdef"));
+	records_add(&records, STR("0123456789abcdef"), 0);
 	CU_ASSERT(records.n == 0);
 	records_finish(&records);
 }
--- a/tests/test_view_share.c
+++ b/tests/test_view_share.c
@@ -33,6 +33,7 @@
 	int n_nodes;
 	uint64_t revision;
 	uint64_t drained_at;
+	uint64_t removed_at;
 	uint64_t routes_at;
 	int routes_version;
 	bool away;
@@ -220,7 +221,12 @@
 	item.changed_at = world->drained_at ? world->drained_at : 1;
 	if (world->drained_at)
 		item.value = STR("draining");
-	answer.n_items = !call->watch || call->after < item.changed_at;
+	if (world->removed_at) {
+		item.changed_at = world->removed_at;
+		item.removed = true;
+	}
+	answer.n_items =
+		call->watch ? call->after < item.changed_at : !item.removed;
 	store_sync_answered(&node->sync, STORE_SERVERS, &answer);
 }
 
@@ -408,6 +414,48 @@
 	world_finish(&world);
 }
 
+static int count_knowing(const struct world *world)
+{
+	int n = 0;
+	int i;
+
+	for (i = 0; i < world->n_nodes; i++)
+		n += registry_find(&world->nodes[i].registry, STR("server")) !=
+		     NULL;
+	return n;
+}
+
+/*
+ * The first reader was cut off from the store for a while, and takes what it
+ * missed for entries that lapsed while the store was away: it waits whether
+ * they come back. The others count on what it tells, and a server that left
+ * meanwhile would get requests for longer than 3 s.
+ */
+static void return_after(int64_t ms)
+{
+	struct world world;
+	struct node *reader;
+
+	world_init(&world, 7);
+	pass(&world, 5000);
+	reader = &world.nodes[reader_of(&world)];
+	reader->cut_off = true;
+	pass(&world, 8000 + ms);
+	world.removed_at = ++world.revision;
+	reader->cut_off = false;
+	pass(&world, 2800);
+	CU_ASSERT(count_knowing(&world) == 0);
+	world_finish(&world);
+}
+
+static void test_reader_returns(void)
+{
+	int64_t ms;
+
+	for (ms = 0; ms < 2000; ms += 100)
+		return_after(ms);
+}
+
 /* An instance that starts while the store is away learns all from a peer. */
 static void test_start_while_store_is_away(void)
 {
@@ -458,6 +506,7 @@
 	{"all hear", test_all_hear},
 	{"the reader is lost", test_reader_lost},
 	{"readers are refused", test_readers_refused},
+	{"the reader returns", test_reader_returns},
 	{"start while the store is away", test_start_while_store_is_away},
 	{"a lost message", test_lost_message},
 };
--- a/upstream.c
+++ b/upstream.c
@@ -24,8 +24,6 @@
 /* A request that must not be repeated uses none that was idle for longer. */
 #define IDLE_FRESH MSEC(100)
 #define CONNECT_TIMEOUT MSEC(250)
-/* An abandoned request without an answer for so long speaks of its server. */
-#define SILENCE_LEAST MSEC(200)
 /* Whoever waits gives up at the deadline; the connection just after it. */
 #define SILENCE_GRACE MSEC(10)
 #define HEAD_MAX 65536
@@ -84,7 +82,8 @@
 	upstream->base = base;
 	upstream->clock = clock;
 	upstream->names = names;
-	upstream->limits.share = 1;
+	upstream->limits.share_near = 1;
+	upstream->limits.share_far = 1;
 	upstream->limits.connect_timeout = CONNECT_TIMEOUT;
 	upstream->answer_limits.head = HEAD_MAX;
 	upstream->answer_limits.body = BODY_MAX;
@@ -117,38 +116,15 @@
 	free(exchange);
 }
 
-static enum server_result score_of(const struct exchange_result *result)
-{
-	switch (result->code) {
-	case 0:
-		return SERVER_ANSWERED;
-	case ERR_SHED:
-		return SERVER_REFUSED;
-	case ERR_CANCELLED:
-	case ERR_TOO_LATE:
-		return SERVER_DROPPED;
-	case ERR_SILENT:
-	case ERR_CONNECT:
-		return SERVER_SILENT;
-	default:
-		return SERVER_FAILED;
-	}
-}
-
-static void observe(struct upstream_conn *conn, struct exchange *exchange,
+static void observe(struct upstream_conn *conn,
 		    const struct exchange_result *result)
 {
 	int64_t now = clock_now(conn->upstream->clock);
-	enum server_result kind = score_of(result);
-
-	if (kind == SERVER_ANSWERED &&
-	    result->message->parser.status_code >=
-		    HTTP_STATUS_INTERNAL_SERVER_ERROR)
-		kind = SERVER_FAILED;
-	/* Too short a time to tell silence from a pause. */
-	if (exchange->abandoned && kind == SERVER_SILENT &&
-	    result->took < SILENCE_LEAST)
-		kind = SERVER_DROPPED;
+	bool success =
+		!result->code && result->message->parser.status_code <
+					 HTTP_STATUS_INTERNAL_SERVER_ERROR;
+	enum server_result kind = server_result_of(result->code, success);
+
 	server_score_result(&conn->server->score, kind, result->took, now);
 	if (kind == SERVER_ANSWERED)
 		registry_answered(conn->server->service, result->took);
@@ -163,7 +139,7 @@
 		return;
 	conn->exchange = NULL;
 	result->took = clock_now(conn->upstream->clock) - exchange->sent_at;
-	observe(conn, exchange, result);
+	observe(conn, result);
 	if (!exchange->abandoned)
 		exchange->cb(exchange->arg, result);
 	free_exchange(exchange);
@@ -489,7 +465,9 @@
 		     const struct registry_server *server,
 		     int64_t connections_max)
 {
-	int most = (int)((double)connections_max * upstream->limits.share);
+	double share = server->remote ? upstream->limits.share_far
+				      : upstream->limits.share_near;
+	int most = (int)((double)connections_max * share);
 
 	if (most < CONNS_LEAST)
 		most = CONNS_LEAST;
@@ -580,6 +558,12 @@
 	return 0;
 }
 
+void exchange_hurry(struct exchange *exchange, int64_t linger)
+{
+	if (exchange->written)
+		arm(exchange->conn, linger);
+}
+
 void upstream_close_idle(struct registry_server *server)
 {
 	struct upstream_conn *conn;
--- a/upstream.h
+++ b/upstream.h
@@ -75,11 +75,14 @@
 
 /**
  * struct upstream_limits - how connections are used
- * @share: of the connections a server accepts, those of this instance; 0 to 1
+ * @share_near: of the connections a server of the own data centre accepts,
+ *those of this instance; 0 to 1
+ * @share_far: the same for servers elsewhere
  * @connect_timeout: microseconds
  */
 struct upstream_limits {
-	double share;
+	double share_near;
+	double share_far;
 	int64_t connect_timeout;
 };
 
@@ -135,6 +138,11 @@
  */
 void exchange_abandon(struct exchange *exchange, int64_t linger);
 
+/**
+ * exchange_hurry() - as exchange_abandon(), but its end is still reported
+ */
+void exchange_hurry(struct exchange *exchange, int64_t linger);
+
 typedef void (*upstream_check_cb)(void *arg, bool listens);
 
 /**
--- a/view_share.c
+++ b/view_share.c
@@ -328,7 +328,11 @@
 	struct update update;
 	int n;
 
-	if (!routes || feed->fresh_at < 0)
+	/*
+	 * A view that holds back removals is not the store's: those that took
+	 * it for fresh would not read, and not leave servers that left.
+	 */
+	if (!routes || feed->fresh_at < 0 || share->sync->absent)
 		return;
 	n = (int)(share->n_changes - share->told_changes);
 	if (n > VIEW_CHANGES_MAX)
