--- a/latency.h
+++ b/latency.h
@@ -17,7 +17,7 @@
 };
 
 /* Answers later than this share of all are worth asking another server for. */
-#define LATENCY_LATE 0.08
+#define LATENCY_LATE 0.05
 
 /**
  * latency_init() - before the first answer
--- a/server_score.c
+++ b/server_score.c
@@ -13,20 +13,20 @@
  * What was seen of a server that is not chosen any more fades: it may have
  * recovered, and only a request can show it.
  */
-#define FADE_US 2000000.0
+#define FADE_US 1500000.0
 /* At a failure rate of a tenth, a server costs twice as much. */
 #define FAILURE_PRICE 10.0
 #define REFUSAL_PRICE 4.0
 /* A server that has just started needs about 1.6 times as long. */
 #define COLD_PRICE 1.6
 /* Breaks ties for the own data centre. */
-#define REMOTE_PRICE 2.0
+#define REMOTE_PRICE 1.4
 /*
  * A server is taken for stopped when an answer is due for so many times its
  * usual latency, and at least for this long. Pauses last 120 to 150 ms, and
  * answers that late are rarer than pauses.
  */
-#define STOPPED_TIMES 3.0
+#define STOPPED_TIMES 2.5
 #define STOPPED_LEAST MSEC(25)
 /* Worse than a server that is only late. */
 #define SERVER_COST_DEAD 1e12
