--- a/dispatch.c
+++ b/dispatch.c
@@ -120,17 +120,28 @@
 	return false;
 }
 
-static struct registry_server *pick(const struct dispatch_part *part,
-				    bool fresh_only)
+/* Servers that a part is not sent to (any more). */
+struct tried {
+	struct registry_server *servers[DISPATCH_SENDS_MAX];
+	int n;
+};
+
+static void fill_tried(const struct dispatch_part *part, struct tried *tried)
 {
-	struct registry_server *tried[DISPATCH_SENDS_MAX];
-	int64_t now = clock_now(part->dispatch->clock);
 	int i;
 
-	for (i = 0; i < part->n_sends; i++)
-		tried[i] = part->sends[i].server;
-	return registry_pick(part->service, tried, part->n_sends, fresh_only,
-			     now);
+	tried->n = 0;
+	for (i = 0; i < part->n_sends; i++) {
+		if (!part->sends[i].busy)
+			tried->servers[tried->n++] = part->sends[i].server;
+	}
+}
+
+static struct registry_server *pick(const struct dispatch_part *part,
+				    const struct tried *tried, bool fresh_only)
+{
+	return registry_pick(part->service, tried->servers, tried->n,
+			     fresh_only, clock_now(part->dispatch->clock));
 }
 
 /* Return: 0 if it was sent to the server; or why not. */
@@ -142,18 +153,19 @@
 	int64_t now = clock_now(dispatch->clock);
 	int ret;
 
+	memset(send, 0, sizeof(*send));
 	send->part = part;
-	send->server = registry_server_ref(server);
+	send->server = server;
 	send->state = SEND_UNDER_WAY;
 	send->sent_at = now;
 	send->why = why;
-	part->n_sends++;
 	ret = dispatch->ops->send(dispatch->arg, send, dispatch->deadline);
 	if (ret) {
-		send->state = SEND_OVER;
 		part->code = ret;
 		return ret;
 	}
+	registry_server_ref(server);
+	part->n_sends++;
 	part->n_run++;
 	part->n_arrived++;
 	dispatch->n_sends++;
@@ -166,23 +178,32 @@
 /*
  * Sends it to the best server that takes it.
  *
- * Return: whether it was sent.
+ * Return: 0; ERR_NO_REPLICA if there is none that was not tried; ERR_BUDGET if
+ * those that are left have no connection free.
  */
-static bool send_part(struct dispatch_part *part, const char *why,
-		      bool fresh_only)
+static int send_part(struct dispatch_part *part, const char *why,
+		     bool fresh_only)
 {
-	while (part->n_sends < DISPATCH_SENDS_MAX) {
-		struct registry_server *server = pick(part, fresh_only);
+	struct registry_server *server;
+	int ret = ERR_NO_REPLICA;
+	struct tried tried;
 
-		if (!server) {
-			if (!part->n_sends)
-				part->code = ERR_NO_REPLICA;
-			return false;
-		}
+	if (part->n_sends == DISPATCH_SENDS_MAX)
+		return ERR_NO_REPLICA;
+	fill_tried(part, &tried);
+	while (tried.n < DISPATCH_SENDS_MAX) {
+		server = pick(part, &tried, fresh_only);
+		if (!server)
+			break;
+		tried.servers[tried.n++] = server;
 		if (!send_to(part, server, why))
-			return true;
+			return 0;
+		if (part->code == ERR_BUDGET)
+			ret = ERR_BUDGET;
 	}
-	return false;
+	if (!part->n_sends && ret == ERR_NO_REPLICA && !part->code)
+		part->code = ERR_NO_REPLICA;
+	return ret;
 }
 
 /*
@@ -207,25 +228,27 @@
  * Sends a part once more.
  *
  * Return: 0; ERR_NO_REPLICA if no server or no attempt is left; ERR_BUDGET if
- * the budget of all requests does not allow it now.
+ * the budget of all requests does not allow it now, or no connection is free.
  */
 static int send_again(struct dispatch_part *part, const char *why, bool hedge)
 {
 	struct dispatch *dispatch = part->dispatch;
 	bool arrived = part->n_arrived;
+	struct tried tried;
+	int ret;
 
+	fill_tried(part, &tried);
 	if (part->n_run >= dispatch->route->servers_max ||
-	    part->n_sends >= DISPATCH_SENDS_MAX || !pick(part, hedge))
+	    part->n_sends == DISPATCH_SENDS_MAX || !pick(part, &tried, hedge))
 		return ERR_NO_REPLICA;
 	if (!take_budget(part, hedge))
 		return ERR_BUDGET;
-	if (!send_part(part, why, hedge)) {
-		if (arrived)
-			budget_refund(&part->service->budget);
-		return ERR_NO_REPLICA;
-	}
-	dispatch->n_extra++;
-	return 0;
+	ret = send_part(part, why, hedge);
+	if (!ret)
+		dispatch->n_extra++;
+	else if (arrived)
+		budget_refund(&part->service->budget);
+	return ret;
 }
 
 static void end(struct dispatch *dispatch, enum dispatch_outcome outcome,
@@ -315,9 +338,26 @@
 	part->dispatch->n_failed++;
 }
 
+/*
+ * Without budget or a free connection, a part waits for it as long as others
+ * are waited for: each request that comes adds to the budget, and each that
+ * ends frees a connection.
+ */
+static void wait_or_fail(struct dispatch_part *part, int code)
+{
+	struct dispatch *dispatch = part->dispatch;
+	int64_t now = clock_now(dispatch->clock);
+
+	if (code == ERR_BUDGET && now + RETRY_PERIOD < dispatch->answer_at)
+		part->retry_at = now + RETRY_PERIOD;
+	else
+		fail_part(part);
+}
+
 enum dispatch_outcome dispatch_start(struct dispatch *dispatch)
 {
 	int64_t now = clock_now(dispatch->clock);
+	int ret;
 	int i;
 
 	for (i = 0; i < dispatch->n_parts; i++) {
@@ -325,8 +365,9 @@
 
 		budget_need(&part->service->budget, &dispatch->limits->budget,
 			    1, now);
-		if (!send_part(part, "first", false))
-			fail_part(part);
+		ret = send_part(part, "first", false);
+		if (ret)
+			wait_or_fail(part, ret);
 	}
 	review(dispatch);
 	return dispatch->outcome;
@@ -357,25 +398,16 @@
 	abandon_sends(part);
 }
 
-/*
- * Without budget, a part waits for it as long as others are waited for: each
- * request that comes adds to it.
- */
 static void try_again(struct dispatch_part *part)
 {
 	struct dispatch *dispatch = part->dispatch;
-	int64_t now = clock_now(dispatch->clock);
 	int ret = ERR_NO_REPLICA;
 
 	part->retry_at = INT64_MAX;
 	if (dispatch->route->repeatable || !part->n_run)
 		ret = send_again(part, "retry", false);
-	if (!ret || under_way(part))
-		return;
-	if (ret == ERR_BUDGET && now + RETRY_PERIOD < dispatch->answer_at)
-		part->retry_at = now + RETRY_PERIOD;
-	else
-		fail_part(part);
+	if (ret && !under_way(part))
+		wait_or_fail(part, ret);
 }
 
 enum dispatch_outcome dispatch_result(struct dispatch *dispatch,
@@ -387,6 +419,7 @@
 	send->state = SEND_OVER;
 	if (answer->code == ERR_CONNECT || answer->code == ERR_BUDGET)
 		part->n_arrived--;
+	send->busy = answer->code == ERR_BUDGET;
 	if (answer->not_run)
 		part->n_run--;
 	else
--- a/dispatch.h
+++ b/dispatch.h
@@ -24,7 +24,7 @@
 struct dispatch_part;
 
 /* Sends of one part, refused ones included. */
-#define DISPATCH_SENDS_MAX 4
+#define DISPATCH_SENDS_MAX 6
 
 enum dispatch_send_state {
 	SEND_UNDER_WAY,
@@ -36,6 +36,8 @@
  * @handle: of the owner
  * @watch: of the owner
  * @relayed: of the owner
+ * @busy: it was not sent, for want of a connection; the server may be asked
+ * again
  * @why: for logs: "first", "hedge", "retry"
  */
 struct dispatch_send {
@@ -46,6 +48,7 @@
 	void *handle;
 	void *watch;
 	bool relayed;
+	bool busy;
 	const char *why;
 };
 
--- a/tests/test_dispatch.c
+++ b/tests/test_dispatch.c
@@ -334,6 +334,45 @@
 	world_finish(&world);
 }
 
+/*
+ * All connections that this instance may have to a shard's servers are in use.
+ * One is free again in a moment; the request must not fail before it would have
+ * been answered for its other parts.
+ */
+static void test_waits_for_connection(void)
+{
+	struct world world;
+
+	world_init(&world);
+	world.refuse = ERR_BUDGET;
+	CU_ASSERT(start(&world, "/any/") == DISPATCH_OPEN);
+	CU_ASSERT(pass(&world, 5) == DISPATCH_OPEN);
+	world.refuse = 0;
+	CU_ASSERT(pass(&world, 5) == DISPATCH_OPEN);
+	CU_ASSERT(world.n_sent == 1);
+	CU_ASSERT(result(&world, 0, 0, false, "x") == DISPATCH_WHOLE);
+	world_finish(&world);
+}
+
+/* The same, told by a relay: the server may be asked again. */
+static void test_relay_has_no_connection(void)
+{
+	struct world world;
+	int i;
+
+	world_init(&world);
+	world.limits.budget = (struct budget_limit){.ratio = 0, .burst = 0};
+	start(&world, "/any/");
+	for (i = 0; i < 3; i++) {
+		CU_ASSERT(result(&world, i, ERR_BUDGET, true, "") ==
+			  DISPATCH_OPEN);
+		pass(&world, 5);
+		CU_ASSERT(world.n_sent == i + 2);
+	}
+	CU_ASSERT(result(&world, 3, 0, false, "x") == DISPATCH_WHOLE);
+	world_finish(&world);
+}
+
 static void test_retry_gives_up_at_goal(void)
 {
 	struct world world;
@@ -402,6 +441,8 @@
 	{"refused connections cost nothing",
 	 test_refused_connections_cost_nothing},
 	{"a retry waits for budget", test_retry_waits_for_budget},
+	{"waits for a connection", test_waits_for_connection},
+	{"a relay has no connection", test_relay_has_no_connection},
 	{"a retry gives up at the goal", test_retry_gives_up_at_goal},
 	{"no server", test_no_server},
 	{"the same stamp twice", test_same_stamp_twice},
