--- a/cmd_check.c
+++ b/cmd_check.c
@@ -1,6 +1,7 @@
 #include "command.h"
 
 #include <argp.h>
+#include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -8,6 +9,8 @@
 #include <json-c/json.h>
 
 #include "describe.h"
+#include "gateway_settings.h"
+#include "routes.h"
 #include "settings.h"
 #include "table.h"
 
@@ -55,19 +58,62 @@
 	}
 }
 
-/* A settings file has no sheets, and a table has no instance. */
-static bool looks_like_settings(const char *text, size_t len)
+enum document {
+	DOCUMENT_TABLE,
+	DOCUMENT_ROUTES,
+	DOCUMENT_SETTINGS,
+	DOCUMENT_GATEWAY_SETTINGS,
+};
+
+static bool has_key(struct json_object *root, const char *key)
+{
+	return json_object_object_get_ex(root, key, NULL);
+}
+
+/* Each kind has a key that no other has; what cannot be read is no settings. */
+static enum document kind_of(const char *text, size_t len)
 {
+	enum document kind = DOCUMENT_SETTINGS;
 	struct json_object *root;
-	bool found;
 
 	if (option_parse_document(text, len, &root, NULL))
-		return false;
-	found = !json_object_object_get_ex(root, "servers", NULL) &&
-		!json_object_object_get_ex(root, "services", NULL) &&
-		!json_object_object_get_ex(root, "markets", NULL);
+		return DOCUMENT_TABLE;
+	if (has_key(root, "routes"))
+		kind = DOCUMENT_ROUTES;
+	else if (has_key(root, "servers") || has_key(root, "services") ||
+		 has_key(root, "markets"))
+		kind = DOCUMENT_TABLE;
+	else if (has_key(root, "store_address") || has_key(root, "peer_ports"))
+		kind = DOCUMENT_GATEWAY_SETTINGS;
 	json_object_put(root);
-	return found;
+	return kind;
+}
+
+static int check_gateway_settings(const char *text, size_t len,
+				  struct error *err)
+{
+	struct gateway_settings settings;
+	int ret = gateway_settings_init(&settings, text, len, err);
+
+	if (ret)
+		return ret;
+	printf("settings of gateway %s in data centre %s: valid\n",
+	       settings.instance, settings.data_centre);
+	gateway_settings_finish(&settings);
+	return 0;
+}
+
+static int check_routes(const char *text, size_t len, struct error *err)
+{
+	struct route_set *set;
+	int ret = route_set_parse((struct str){text, len}, &set, err);
+
+	if (ret)
+		return ret;
+	printf("version %" PRIu64 " of %d routes to %d services: valid\n",
+	       set->version, set->n_routes, set->n_services);
+	route_set_unref(set);
+	return 0;
 }
 
 static int check_settings(const char *text, size_t len, struct error *err)
@@ -113,7 +159,15 @@
 {
 	static const struct argp argp = {
 		options, parse, "FILE\n--describe",
-		"Check a settings file or a table without running anything."};
+		"Check a settings file, a table or routes without running "
+		"anything."};
+	static int (*const checks[])(const char *text, size_t len,
+				     struct error *err) = {
+		[DOCUMENT_TABLE] = check_table,
+		[DOCUMENT_ROUTES] = check_routes,
+		[DOCUMENT_SETTINGS] = check_settings,
+		[DOCUMENT_GATEWAY_SETTINGS] = check_gateway_settings,
+	};
 	struct arguments args = {0};
 	struct error err = {0};
 	char *text;
@@ -128,10 +182,7 @@
 	}
 	if (command_read_file(args.path, &text, &len))
 		return EXIT_STATUS_FAILED;
-	if (looks_like_settings(text, len))
-		ret = check_settings(text, len, &err);
-	else
-		ret = check_table(text, len, &err);
+	ret = checks[kind_of(text, len)](text, len, &err);
 	free(text);
 	if (!ret)
 		return EXIT_STATUS_OK;
--- a/gateway.c
+++ b/gateway.c
@@ -217,6 +217,8 @@
 			   gateway);
 	if (ret)
 		return ret;
+	if (settings->descriptors_max)
+		gateway->inbound.max = (int)(settings->descriptors_max / 2);
 	store_client_init(&gateway->store, base, store,
 			  &settings->store_address, on_store_answer, gateway);
 	store_sync_init(&gateway->sync, &gateway->clock, store, &sync_ops,
--- a/gateway_pages.c
+++ b/gateway_pages.c
@@ -53,6 +53,13 @@
 	}
 }
 
+static double lifetime_s(const struct gateway *gateway)
+{
+	double most = gateway->settings->address_lifetime_max_s;
+
+	return most < DIRECTORY_LIFETIME_S ? most : DIRECTORY_LIFETIME_S;
+}
+
 static void on_directory(struct evhttp_request *http, void *arg)
 {
 	struct gateway_pages *pages = arg;
@@ -74,7 +81,7 @@
 	data_centre = evhttp_find_header(&query, "data_centre");
 	add_addresses(gateway, str_from(data_centre ? data_centre : ""), body);
 	evhttp_clear_headers(&query);
-	evbuffer_add_printf(body, "],\"ttl_s\":%.3g}", DIRECTORY_LIFETIME_S);
+	evbuffer_add_printf(body, "],\"ttl_s\":%.3g}", lifetime_s(gateway));
 	reply(http, 200, "application/json", body);
 	evbuffer_free(body);
 }
--- a/gateway_settings.h
+++ b/gateway_settings.h
@@ -20,12 +20,9 @@
  *	same at all of them
  * @seeds: instances that may be asked for the others; may be stale
  * @store_address: where routes and servers are published
- * @memory_mb: limit of the process, 0 if there is none
  * @descriptors_max: limit of the process, 0 if there is none
  * @cpu_quota: cores
- * @link_mbps: of the machine
  * @stop_max_s: after SIGTERM the process is killed
- * @drain_ms: a server that drains may get requests for so long
  * @config_apply_ms: routes are in force everywhere after so long
  * @retry_ratio: second sends to a service, of its requests, all instances
  * @retry_slack: second sends above that, in @retry_window_s, all instances
@@ -43,12 +40,9 @@
 	struct address seeds[GATEWAY_SEEDS_MAX];
 	int n_seeds;
 	struct address store_address;
-	int64_t memory_mb;
 	int64_t descriptors_max;
 	double cpu_quota;
-	double link_mbps;
 	double stop_max_s;
-	int64_t drain_ms;
 	int64_t config_apply_ms;
 	double retry_ratio;
 	double retry_slack;
--- a/tests/test_gateway_settings.c
+++ b/tests/test_gateway_settings.c
@@ -22,7 +22,7 @@
 	struct gateway_settings settings;
 
 	CU_ASSERT(!read_text(HEAD ", \"peer_ports\": [7, 9], \"seeds\": "
-				  "[\"127.0.0.1:8\"], \"memory_mb\": null,"
+				  "[\"127.0.0.1:8\"], \"cpu_quota\": null,"
 				  "\"retry_ratio\": 0.2}",
 			     &settings, NULL));
 	CU_ASSERT_STRING_EQUAL(settings.instance, "i");
