--- /dev/null
+++ b/gateway_answer.c
@@ -0,0 +1,166 @@
+/* What a gateway's caller is told, and what is logged of it. */
+#define LOG_MODULE "request"
+#include "gateway_request_private.h"
+
+#include <stdio.h>
+
+#include <event2/buffer.h>
+
+#include "error.h"
+#include "log.h"
+
+void gateway_answer_error(struct inbound_conn *conn, int status,
+			  int64_t retry_after_ms, const char *why)
+{
+	struct evbuffer *fields = evbuffer_new();
+	char body[128];
+	int len = snprintf(body, sizeof(body), "{\"error\":\"%s\"}\n", why);
+
+	evbuffer_add_printf(fields, "Content-Type: application/json\r\n");
+	if (retry_after_ms)
+		evbuffer_add_printf(fields, "Retry-After: %.3f\r\n",
+				    (double)retry_after_ms / 1000);
+	inbound_answer(conn, status, fields, (struct str){body, (size_t)len});
+	evbuffer_free(fields);
+}
+
+void gateway_answer_log(const struct gateway_request *request, int status)
+{
+	const struct dispatch *dispatch = &request->dispatch;
+	struct gateway *gateway = request->gateway;
+	int64_t took = clock_now(&gateway->clock) - dispatch->start;
+
+	metric_histogram_add(&gateway->counters.request_time.histogram, took);
+	LOG_INFO("request", LOG_STR("request", request->request.id),
+		 LOG_TEXT("route", request->route->name
+					   ? request->route->name
+					   : request->route->prefix),
+		 LOG_U64("routes_version", request->routes->version),
+		 LOG_I64("routes_age_ms",
+			 store_sync_routes_age(&gateway->sync) / USEC_PER_MSEC),
+		 LOG_I64("status", status), LOG_I64("took_us", took),
+		 LOG_I64("left_us",
+			 dispatch->deadline - clock_now(&gateway->clock)),
+		 LOG_I64("parts", dispatch->n_parts),
+		 LOG_I64("parts_in", dispatch->n_in),
+		 LOG_I64("sends", dispatch->n_sends),
+		 LOG_I64("extra", dispatch->n_extra),
+		 LOG_TEXT("error", error_name(dispatch->code)));
+}
+
+/* Why a shard is not in an answer: where it was sent, and since when. */
+static void log_missing(const struct gateway_request *request)
+{
+	const struct dispatch *dispatch = &request->dispatch;
+	int64_t now = clock_now(&request->gateway->clock);
+	int i;
+
+	for (i = 0; i < dispatch->n_parts; i++) {
+		const struct dispatch_part *part = &dispatch->parts[i];
+		const struct dispatch_send *last =
+			&part->sends[part->n_sends > 0 ? part->n_sends - 1 : 0];
+
+		if (part->state == PART_IN)
+			continue;
+		LOG_INFO("part_missing",
+			 LOG_STR("request", request->request.id),
+			 LOG_TEXT("service", part->service->name),
+			 LOG_I64("sends", part->n_sends),
+			 LOG_TEXT("server",
+				  part->n_sends ? last->server->entry.id : "-"),
+			 LOG_I64("relayed", last->relayed),
+			 LOG_I64("waited_us",
+				 part->n_sends ? now - last->sent_at : 0),
+			 LOG_TEXT("error", error_name(part->code)),
+			 LOG_F64("budget", part->service->budget.tokens));
+	}
+}
+
+static void answer_parts(struct gateway_request *request)
+{
+	const struct gateway_names *names = request->gateway->names;
+	struct dispatch *dispatch = &request->dispatch;
+	struct evbuffer *fields = evbuffer_new();
+	const char *comma = "";
+	int i;
+
+	evbuffer_add_printf(fields,
+			    "Content-Type: application/octet-stream\r\n" STR_FMT
+			    ": ",
+			    STR_ARG(names->part_stamps));
+	for (i = 0; i < dispatch->n_parts; i++) {
+		if (!dispatch->parts[i].stamp)
+			continue;
+		evbuffer_add_printf(fields, "%s%s", comma,
+				    dispatch->parts[i].stamp);
+		comma = ", ";
+	}
+	evbuffer_add_printf(fields, "\r\n" STR_FMT ": %d\r\n",
+			    STR_ARG(names->parts_missing),
+			    dispatch->n_parts - dispatch->n_in);
+	gateway_answer_log(request, HTTP_STATUS_OK);
+	log_missing(request);
+	inbound_answer(request->conn, HTTP_STATUS_OK, fields,
+		       (struct str){dispatch->records.bytes,
+				    (size_t)dispatch->records.n * RECORD_SIZE});
+	evbuffer_free(fields);
+}
+
+bool gateway_promises_not_run(int status)
+{
+	return status == HTTP_STATUS_REQUEST_TIMEOUT ||
+	       status == HTTP_STATUS_MISDIRECTED_REQUEST ||
+	       status == HTTP_STATUS_TOO_MANY_REQUESTS ||
+	       status == HTTP_STATUS_SERVICE_UNAVAILABLE;
+}
+
+static bool answer_kept(struct gateway_request *request)
+{
+	struct kept_answer *kept = &request->kept;
+
+	if (!kept->fields || gateway_promises_not_run(kept->status))
+		return false;
+	gateway_answer_log(request, kept->status);
+	inbound_answer(request->conn, kept->status, kept->fields,
+		       (struct str){kept->body, kept->body_len});
+	return true;
+}
+
+static void answer_failure(struct gateway_request *request, bool ran)
+{
+	int code = request->dispatch.code;
+	int status = HTTP_STATUS_SERVICE_UNAVAILABLE;
+	int64_t retry_after = 0;
+
+	if (ran && code == ERR_TOO_LATE)
+		status = HTTP_STATUS_GATEWAY_TIMEOUT;
+	else if (ran)
+		status = HTTP_STATUS_BAD_GATEWAY;
+	else
+		retry_after = dispatch_retry_after(&request->dispatch);
+	gateway_answer_log(request, status);
+	gateway_answer_error(request->conn, status, retry_after,
+			     error_name(code));
+}
+
+void gateway_answer(struct gateway_request *request)
+{
+	struct gateway_stats *counters = &request->gateway->counters;
+	enum dispatch_outcome outcome = request->dispatch.outcome;
+
+	if (outcome == DISPATCH_WHOLE || outcome == DISPATCH_PARTIAL) {
+		metric_inc(outcome == DISPATCH_WHOLE ? &counters->answered
+						     : &counters->partial);
+		if (request->route->sharded)
+			answer_parts(request);
+		else
+			answer_kept(request);
+	} else if (outcome == DISPATCH_REFUSED) {
+		metric_inc(&counters->refused);
+		answer_failure(request, false);
+	} else {
+		metric_inc(&counters->failed);
+		if (request->route->sharded || !answer_kept(request))
+			answer_failure(request, true);
+	}
+}
--- /dev/null
+++ b/gateway_send.c
@@ -0,0 +1,250 @@
+/* What a gateway's dispatch decided: sends to servers, direct or by relays. */
+#define LOG_MODULE "request"
+#include "gateway_request_private.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include <event2/buffer.h>
+
+#include "crash_watch.h"
+#include "error.h"
+#include "log.h"
+#include "mem.h"
+
+/* A loser of a hedge, or of a caller that left, may still end by itself. */
+#define LINGER MSEC(300)
+/* To a relay and back, and what both take for it. */
+#define RELAY_WAY MSEC(6)
+#define RELAY_FLUSH_LEAST MSEC(4)
+
+static void copy_fields(const struct http_message *message,
+			struct evbuffer *fields)
+{
+	int i;
+
+	for (i = 0; i < message->n_fields; i++) {
+		struct str name =
+			http_message_span(message, message->fields[i].name);
+		struct str value =
+			http_message_span(message, message->fields[i].value);
+
+		if (!http_field_is_hop(message, name))
+			evbuffer_add_printf(fields, STR_FMT ": " STR_FMT "\r\n",
+					    STR_ARG(name), STR_ARG(value));
+	}
+}
+
+static void keep_answer(struct gateway_request *request,
+			const struct http_message *message)
+{
+	struct kept_answer *kept = &request->kept;
+	struct str body = http_message_body(message);
+
+	if (kept->fields)
+		evbuffer_free(kept->fields);
+	free(kept->body);
+	kept->fields = evbuffer_new();
+	kept->status = (int)message->parser.status_code;
+	kept->body = mem_dup_len(body.data, body.len);
+	kept->body_len = body.len;
+	copy_fields(message, kept->fields);
+}
+
+static void count_result(struct gateway *gateway,
+			 const struct exchange_result *result)
+{
+	struct gateway_stats *counters = &gateway->counters;
+
+	if (!result->code)
+		metric_histogram_add(&counters->send_time.histogram,
+				     result->took);
+	else if (result->not_run)
+		metric_inc(&counters->shed);
+	else
+		metric_inc(&counters->lost);
+}
+
+static void log_bad_result(const struct dispatch_send *send,
+			   const struct exchange_result *result)
+{
+	const struct gateway_request *request = send->part->dispatch->arg;
+	int status =
+		result->message ? (int)result->message->parser.status_code : 0;
+
+	if (!result->code && status / 100 == 2)
+		return;
+	LOG_INFO("send_failed", LOG_STR("request", request->request.id),
+		 LOG_TEXT("server", send->server->entry.id),
+		 LOG_TEXT("service", send->part->service->name),
+		 LOG_TEXT("why_sent", send->why),
+		 LOG_TEXT("error", error_name(result->code)),
+		 LOG_I64("status", status), LOG_I64("not_run", result->not_run),
+		 LOG_I64("took_us", result->took));
+}
+
+static void on_result(void *arg, const struct exchange_result *result)
+{
+	struct dispatch_send *send = arg;
+	struct gateway_request *request = send->part->dispatch->arg;
+	struct dispatch_answer answer = {
+		.code = result->code,
+		.not_run = result->not_run,
+		.stamp = result->stamp,
+		.took = result->took,
+	};
+	int status;
+
+	crash_watch_end(send->watch, result->code == ERR_LOST);
+	count_result(request->gateway, result);
+	log_bad_result(send, result);
+	if (!result->code) {
+		status = (int)result->message->parser.status_code;
+		answer.body = http_message_body(result->message);
+		answer.success = status / 100 == 2;
+		if (!request->route->sharded) {
+			/* Other answers below 500 are the service's own. */
+			answer.success = status < 500 &&
+					 !gateway_promises_not_run(status);
+			keep_answer(request, result->message);
+		}
+	}
+	gateway_request_go_on(request, dispatch_result(&request->dispatch, send,
+						       &answer));
+}
+
+static void on_relayed(struct dispatch_send *send,
+		       const struct dispatch_answer *answer)
+{
+	struct gateway_request *request = send->part->dispatch->arg;
+	const struct exchange_result result = {.code = answer->code,
+					       .not_run = answer->not_run,
+					       .took = answer->took};
+
+	count_result(request->gateway, &result);
+	if (answer->code)
+		log_bad_result(send, &result);
+	dispatch_result(&request->dispatch, send, answer);
+}
+
+static void hold(void *arg)
+{
+	struct gateway_request *request = arg;
+
+	dispatch_hold(&request->dispatch);
+}
+
+static void release(void *arg)
+{
+	struct gateway_request *request = arg;
+
+	gateway_request_go_on(request, dispatch_release(&request->dispatch));
+}
+
+/* Towards the decisions. */
+
+/*
+ * Parts of one data centre share the bytes of the request and of the merged
+ * records; an answer of one server is not merged with others.
+ */
+static int relay_part(struct gateway_request *request,
+		      struct dispatch_send *send)
+{
+	int ret;
+
+	if (!request->route->sharded || !send->server->remote)
+		return ERR_UNAVAILABLE;
+	request->relay.connections_max = send->part->target->connections_max;
+	ret = relay_ask_send(&request->gateway->relay_ask, &request->relay,
+			     send, &send->handle);
+	send->relayed = !ret;
+	return ret;
+}
+
+static int send_part(void *arg, struct dispatch_send *send, int64_t deadline)
+{
+	struct gateway_request *request = arg;
+	struct gateway *gateway = request->gateway;
+	struct exchange *exchange;
+	int ret;
+
+	if (!relay_part(request, send))
+		return 0;
+	send->watch = crash_watch_new(&gateway->fleet.board.poison,
+				      &gateway->upstream, send->server,
+				      request->fingerprint);
+	if (!send->watch)
+		return ERR_BANNED;
+	ret = upstream_send(&gateway->upstream, send->server, &request->request,
+			    deadline, send->part->target->connections_max,
+			    on_result, send, &exchange);
+	if (ret)
+		crash_watch_end(send->watch, false);
+	else
+		send->handle = exchange;
+	return ret;
+}
+
+static void abandon(void *arg, struct dispatch_send *send)
+{
+	struct gateway_request *request = arg;
+	int64_t linger = LINGER;
+
+	if (send->relayed) {
+		relay_ask_abandon(send->handle);
+		return;
+	}
+	crash_watch_end(send->watch, false);
+	/* Cut off, nobody would know whether it ran. */
+	if (!request->route->repeatable)
+		linger = request->dispatch.deadline -
+			 clock_now(&request->gateway->clock);
+	exchange_abandon(send->handle, linger > 0 ? linger : 0);
+}
+
+static void decided(void *arg, const struct dispatch_send *send)
+{
+	struct gateway_request *request = arg;
+	struct gateway_stats *counters = &request->gateway->counters;
+	bool hedge = !strcmp(send->why, "hedge");
+
+	metric_inc(&counters->sends);
+	if (!strcmp(send->why, "first"))
+		return;
+	metric_inc(hedge ? &counters->hedges : &counters->retries);
+	LOG_INFO("sent_again", LOG_STR("request", request->request.id),
+		 LOG_TEXT("why", send->why),
+		 LOG_TEXT("service", send->part->service->name),
+		 LOG_TEXT("server", send->server->entry.id),
+		 LOG_I64("after_us", send->sent_at - request->dispatch.start),
+		 LOG_TEXT("error", error_name(send->part->code)),
+		 LOG_F64("budget", send->part->service->budget.tokens));
+}
+
+const struct dispatch_ops gateway_send_ops = {
+	.send = send_part,
+	.abandon = abandon,
+	.decided = decided,
+};
+
+/*
+ * A relay tells what is in shortly before a hedge would be sent for what is
+ * not, so that the way between data centres is not taken for a late server.
+ */
+void gateway_send_init(struct gateway_request *request)
+{
+	struct relay_client *relay = &request->relay;
+	int64_t delay = dispatch_hedge_delay(&request->dispatch);
+
+	relay->request = &request->request;
+	relay->fingerprint = request->fingerprint;
+	relay->deadline = request->dispatch.deadline;
+	relay->records_max = request->route->records_max;
+	relay->result = on_relayed;
+	relay->hold = hold;
+	relay->release = release;
+	relay->arg = request;
+	relay->flush_after = delay - RELAY_WAY;
+	if (relay->flush_after < RELAY_FLUSH_LEAST)
+		relay->flush_after = RELAY_FLUSH_LEAST;
+}
--- a/gateway_settings.c
+++ b/gateway_settings.c
@@ -1,6 +1,5 @@
 #include "gateway_settings.h"
 
-#include <stdio.h>
 #include <string.h>
 
 #include <json-c/json.h>
@@ -125,26 +124,15 @@
 
 static const int n_options = sizeof(options) / sizeof(options[0]);
 
+/* None is fine: the first instance of all has nobody to ask. */
 static int read_seeds(struct gateway_settings *settings,
 		      struct json_object *list, struct error *err)
 {
-	const struct option_spec option = {.type = OPTION_ADDRESS};
-	size_t n;
-	size_t i;
-	int ret;
-
-	if (!json_object_is_type(list, json_type_array))
-		return error_set(err, ERR_TYPE, "seeds", NULL,
-				 "a list of \"IP:PORT\"");
-	n = json_object_array_length(list);
-	for (i = 0; i < n && i < GATEWAY_SEEDS_MAX; i++) {
-		ret = option_read(&option, json_object_array_get_idx(list, i),
-				  &settings->seeds[i], "seeds", err);
-		if (ret)
-			return ret;
-		settings->n_seeds++;
-	}
-	return 0;
+	if (json_object_is_type(list, json_type_array) &&
+	    !json_object_array_length(list))
+		return 0;
+	return option_read_addresses(list, settings->seeds, GATEWAY_SEEDS_MAX,
+				     &settings->n_seeds, "seeds", err);
 }
 
 static int read_ports(struct gateway_settings *settings,
@@ -203,17 +191,10 @@
 
 static int check_required(struct json_object *root, struct error *err)
 {
-	struct json_object *value;
-	int i;
+	int ret = option_check_required(options, n_options, root, err);
 
-	for (i = 0; i < n_options; i++) {
-		if (!options[i].required)
-			continue;
-		if (!json_object_object_get_ex(root, options[i].name, &value) ||
-		    !value)
-			return error_set(err, ERR_KEY_MISSING, options[i].name,
-					 NULL, options[i].help);
-	}
+	if (ret)
+		return ret;
 	if (!json_object_object_get_ex(root, "peer_ports", NULL))
 		return error_set(err, ERR_KEY_MISSING, "peer_ports", NULL,
 				 "[FIRST, LAST]");
--- a/json_value.c
+++ b/json_value.c
@@ -6,6 +6,19 @@
 
 #include "str.h"
 
+struct json_object *json_value_parse(struct str text)
+{
+	struct json_tokener *tokener = json_tokener_new();
+	struct json_object *root =
+		json_tokener_parse_ex(tokener, text.data, (int)text.len);
+
+	json_tokener_free(tokener);
+	if (json_object_is_type(root, json_type_object))
+		return root;
+	json_object_put(root);
+	return NULL;
+}
+
 const char *json_value_text(struct json_object *object, const char *key)
 {
 	struct json_object *value;
--- a/json_value.h
+++ b/json_value.h
@@ -5,8 +5,18 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "str.h"
+
 struct json_object;
 
+/**
+ * json_value_parse() - read an object from bytes without a NUL behind
+ *
+ * Return: the object, to be released with json_object_put(); NULL if the bytes
+ * are no object.
+ */
+struct json_object *json_value_parse(struct str text);
+
 /**
  * json_value_text() - a member as text
  *
--- a/option.c
+++ b/option.c
@@ -128,6 +128,51 @@
 	return ERR_TYPE;
 }
 
+int option_read_addresses(struct json_object *list, struct address *out,
+			  int max, int *n, const char *subject,
+			  struct error *err)
+{
+	const struct option_spec option = {.type = OPTION_ADDRESS};
+	char where[ERROR_SUBJECT_SIZE];
+	size_t len;
+	size_t i;
+	int ret;
+
+	if (!json_object_is_type(list, json_type_array))
+		return error_set(err, ERR_TYPE, subject, NULL,
+				 "a list of \"IP:PORT\"");
+	len = json_object_array_length(list);
+	if (!len || len > (size_t)max)
+		return error_set(err, ERR_RANGE, subject, NULL,
+				 "1 to 8 addresses");
+	for (i = 0; i < len; i++) {
+		snprintf(where, sizeof(where), "%s[%zu]", subject, i);
+		ret = option_read(&option, json_object_array_get_idx(list, i),
+				  &out[i], where, err);
+		if (ret)
+			return ret;
+	}
+	*n = (int)len;
+	return 0;
+}
+
+int option_check_required(const struct option_spec *options, int n,
+			  struct json_object *root, struct error *err)
+{
+	struct json_object *value;
+	int i;
+
+	for (i = 0; i < n; i++) {
+		if (!options[i].required)
+			continue;
+		if (!json_object_object_get_ex(root, options[i].name, &value) ||
+		    !value)
+			return error_set(err, ERR_KEY_MISSING, options[i].name,
+					 NULL, options[i].help);
+	}
+	return 0;
+}
+
 static void set_default(const struct option_spec *option, void *base)
 {
 	void *slot = field(option, base);
--- a/option.h
+++ b/option.h
@@ -11,6 +11,7 @@
 
 #include "error.h"
 
+struct address;
 struct json_object;
 
 enum option_type {
@@ -69,6 +70,26 @@
 int option_read(const struct option_spec *option, struct json_object *value,
 		void *base, const char *subject, struct error *err);
 
+/**
+ * option_read_addresses() - read a list of "IP:PORT"
+ * @out: room for @max
+ * @n: set to how many there are
+ * @subject: the list's key, for @err
+ *
+ * Return: 0, or ERR_TYPE, ERR_RANGE (none, or more than @max) or ERR_ADDRESS.
+ */
+int option_read_addresses(struct json_object *list, struct address *out,
+			  int max, int *n, const char *subject,
+			  struct error *err);
+
+/**
+ * option_check_required() - every required key has a value
+ *
+ * Return: 0, or ERR_KEY_MISSING.
+ */
+int option_check_required(const struct option_spec *options, int n,
+			  struct json_object *root, struct error *err);
+
 /**
  * option_set_defaults() - store every default
  *
--- a/routes.c
+++ b/routes.c
@@ -8,6 +8,7 @@
 
 #include <json-c/json.h>
 
+#include "json_value.h"
 #include "mem.h"
 
 /* For documents that leave them out. */
@@ -250,18 +251,13 @@
 
 int route_set_parse(struct str text, struct route_set **out, struct error *err)
 {
-	struct json_tokener *tokener = json_tokener_new();
-	struct json_object *root =
-		json_tokener_parse_ex(tokener, text.data, (int)text.len);
+	struct json_object *root = json_value_parse(text);
 	struct route_set *set;
 	int ret;
 
-	json_tokener_free(tokener);
-	if (!json_object_is_type(root, json_type_object)) {
-		json_object_put(root);
+	if (!root)
 		return error_set(err, ERR_SYNTAX, "routes", NULL,
 				 "a JSON object");
-	}
 	set = mem_zalloc(sizeof(*set));
 	set->refs = 1;
 	set->text = mem_dup_len(text.data, text.len);
--- a/settings.c
+++ b/settings.c
@@ -1,6 +1,5 @@
 #include "settings.h"
 
-#include <stdio.h>
 #include <string.h>
 
 #include <json-c/json.h>
@@ -50,34 +49,6 @@
 const int n_settings_options =
 	sizeof(settings_options) / sizeof(settings_options[0]);
 
-static int read_platforms(struct settings *settings, struct json_object *list,
-			  struct error *err)
-{
-	size_t n;
-	size_t i;
-
-	if (!json_object_is_type(list, json_type_array))
-		return error_set(err, ERR_TYPE, PLATFORM_KEY, NULL,
-				 "a list of \"IP:PORT\"");
-	n = json_object_array_length(list);
-	if (!n || n > SETTINGS_PLATFORMS_MAX)
-		return error_set(err, ERR_RANGE, PLATFORM_KEY, NULL,
-				 "1 to 8 addresses");
-	for (i = 0; i < n; i++) {
-		struct option_spec option = {.type = OPTION_ADDRESS};
-		char subject[ERROR_SUBJECT_SIZE];
-		int ret;
-
-		snprintf(subject, sizeof(subject), PLATFORM_KEY "[%zu]", i);
-		ret = option_read(&option, json_object_array_get_idx(list, i),
-				  &settings->platform[i], subject, err);
-		if (ret)
-			return ret;
-	}
-	settings->n_platform = (int)n;
-	return 0;
-}
-
 static int read_keys(struct settings *settings, struct json_object *root,
 		     struct error *err)
 {
@@ -87,7 +58,10 @@
 		int i;
 
 		if (!strcmp(key, PLATFORM_KEY)) {
-			ret = read_platforms(settings, value, err);
+			ret = option_read_addresses(value, settings->platform,
+						    SETTINGS_PLATFORMS_MAX,
+						    &settings->n_platform,
+						    PLATFORM_KEY, err);
 			if (ret)
 				return ret;
 			continue;
@@ -106,16 +80,11 @@
 
 static int check_required(struct json_object *root, struct error *err)
 {
-	int i;
-
-	for (i = 0; i < n_settings_options; i++) {
-		const struct option_spec *option = &settings_options[i];
+	int ret = option_check_required(settings_options, n_settings_options,
+					root, err);
 
-		if (option->required &&
-		    !json_object_object_get_ex(root, option->name, NULL))
-			return error_set(err, ERR_KEY_MISSING, option->name,
-					 NULL, option->help);
-	}
+	if (ret)
+		return ret;
 	if (!json_object_object_get_ex(root, PLATFORM_KEY, NULL))
 		return error_set(err, ERR_KEY_MISSING, PLATFORM_KEY, NULL,
 				 "addresses of the platform's service");
--- a/tests/test_gateway_settings.c
+++ b/tests/test_gateway_settings.c
@@ -49,7 +49,7 @@
 	check(HEAD ", \"peer_ports\": [7]}", ERR_TYPE, "peer_ports");
 	check(HEAD ", \"peer_ports\": [0, 9]}", ERR_RANGE, "peer_ports");
 	check(HEAD ", \"peer_ports\": [7, 9], \"seeds\": [\"x\"]}", ERR_ADDRESS,
-	      "seeds");
+	      "seeds[0]");
 	check(HEAD ", \"peer_ports\": [7, 9], \"what\": 1}", ERR_KEY_UNKNOWN,
 	      "what");
 	check("{\"instance\": \"i\"}", ERR_KEY_MISSING, "data_centre");
