upstream, store_sync: keep to the servers' connections, log the first list once

One from each far instance is enough while relays do the rest.

An instance that starts wrote a line for each server it learned of, 0.5 s of the log's rate at 98 servers; the first list is one line (ready).

--- a/store_sync.c
+++ b/store_sync.c
@@ -171,10 +171,14 @@
 	if (!registry_put(sync->registry, entry, changed_at,
 			  clock_now(sync->clock)))
 		return;
-	LOG_INFO("server_changed", LOG_TEXT("server", entry->id),
-		 LOG_TEXT("service", entry->service),
-		 LOG_TEXT("state", entry->draining ? "draining" : "ready"),
-		 LOG_U64("store_revision", changed_at));
+	/* The first list is told by one line: 9,200 servers would be as many.
+	 */
+	if (sync->feeds[STORE_SERVERS].fresh_at >= 0)
+		LOG_INFO("server_changed", LOG_TEXT("server", entry->id),
+			 LOG_TEXT("service", entry->service),
+			 LOG_TEXT("state",
+				  entry->draining ? "draining" : "ready"),
+			 LOG_U64("store_revision", changed_at));
 	sync->ops->server(sync->arg, entry->id, changed_at, false);
 }
 
--- a/upstream.c
+++ b/upstream.c
@@ -15,8 +15,9 @@
 #include "mem.h"
 
 #define STATUS_MISDIRECTED 421
-/* Connections a server accepts are shared by all; one is always allowed. */
-#define CONNS_LEAST 2
+/* However many instances share what a server accepts, so many are allowed. */
+#define CONNS_NEAR_LEAST 2
+#define CONNS_FAR_LEAST 1
 /* Without a Keep-Alive header a connection is not kept idle for longer. */
 #define IDLE_MOST MSEC(4000)
 /* The server counts from its side: this much before its time-out we stop. */
@@ -465,12 +466,13 @@
 		     const struct registry_server *server,
 		     int64_t connections_max)
 {
-	double share = server->remote ? upstream->limits.share_far
-				      : upstream->limits.share_near;
+	const struct upstream_limits *limits = &upstream->limits;
+	double share = server->remote ? limits->share_far : limits->share_near;
+	int least = server->remote ? CONNS_FAR_LEAST : CONNS_NEAR_LEAST;
 	int most = (int)((double)connections_max * share);
 
-	if (most < CONNS_LEAST)
-		most = CONNS_LEAST;
+	if (most < least)
+		most = least;
 	return server->n_conns < most;
 }
 
