upstream: round a far server's connections up

With 0.35 of 26 connections over 8 instances an entry had one to a server of another data centre, which one slow answer blocks while relays there are cut off. Half for the own data centre, 0.45 over all for the others, rounded up: 24 of 26 at most with two relays.

--- a/gateway.c
+++ b/gateway.c
@@ -35,8 +35,8 @@
  * centre, which relay for all, and those of the others, which ask it directly
  * while there is no relay.
  */
-#define CONNECTIONS_NEAR 0.6
-#define CONNECTIONS_FAR 0.35
+#define CONNECTIONS_NEAR 0.5
+#define CONNECTIONS_FAR 0.45
 
 bool gateway_ready(const struct gateway *gateway)
 {
--- a/upstream.c
+++ b/upstream.c
@@ -1,6 +1,7 @@
 #define LOG_MODULE "upstream"
 #include "upstream.h"
 
+#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -17,7 +18,6 @@
 #define STATUS_MISDIRECTED 421
 /* However many instances share what a server accepts, so many are allowed. */
 #define CONNS_NEAR_LEAST 2
-#define CONNS_FAR_LEAST 1
 /* Without a Keep-Alive header a connection is not kept idle for longer. */
 #define IDLE_MOST MSEC(4000)
 /* The server counts from its side: this much before its time-out we stop. */
@@ -467,12 +467,15 @@
 		     int64_t connections_max)
 {
 	const struct upstream_limits *limits = &upstream->limits;
-	double share = server->remote ? limits->share_far : limits->share_near;
-	int least = server->remote ? CONNS_FAR_LEAST : CONNS_NEAR_LEAST;
-	int most = (int)((double)connections_max * share);
+	int most;
 
-	if (most < least)
-		most = least;
+	/* Rounded up: with one connection, one slow answer blocks a server. */
+	if (server->remote)
+		most = (int)ceil((double)connections_max * limits->share_far);
+	else
+		most = (int)((double)connections_max * limits->share_near);
+	if (!server->remote && most < CONNS_NEAR_LEAST)
+		most = CONNS_NEAR_LEAST;
 	return server->n_conns < most;
 }
 
