experiment: give no port twice

test_table_fleet's test_parts failed once: instance i6 ended with its address in use, and the test waited for the table in vain. Two instances were told the same port: one that starts slowly has not bound it when the next one looks for a free one. 24 of 22,768 ports are drawn in such a test, so that one run in 80 meets it; nothing of the product was at fault. Ports given by a process are remembered; the test asks for 2,000 one by one and fails without that.

--- a/bench/experiment.py
+++ b/bench/experiment.py
@@ -311,8 +311,14 @@
     return True
 
 
+given_ports = set()
+
+
 def free_ports(n):
-    """Random ports, all different, that were free a moment ago.
+    """Random ports that were free a moment ago, and were not given before.
+
+    A process binds its port only some time after it was told of it. Until then
+    the port looks free, and another one must not be told of it too.
 
     A port of the ephemeral range could go to an outgoing connection of any
     process before the instance binds it: the instance would end at its start,
@@ -323,7 +329,8 @@
     ports = []
     while len(ports) < n:
         port = random.randrange(FIRST_PORT, first)
-        if port not in ports and is_free(port):
+        if port not in given_ports and is_free(port):
+            given_ports.add(port)
             ports.append(port)
     return ports
 
--- a/tests/test_experiment.py
+++ b/tests/test_experiment.py
@@ -69,6 +69,13 @@
 
 
 class Ports(unittest.TestCase):
+    def test_no_port_is_given_twice(self):
+        """An instance is told its port and starts slowly. Before it listens,
+        the next one is told its own; with the same port it could not start,
+        and a test would wait for it in vain."""
+        ports = [experiment.free_ports(1)[0] for _ in range(2000)]
+        self.assertEqual(len(set(ports)), len(ports))
+
     def test_no_port_of_the_ephemeral_range(self):
         """An instance's port goes to a connection of another process.
 
