--- a/dispatch.c
+++ b/dispatch.c
@@ -450,12 +450,18 @@
 	return dispatch->outcome;
 }
 
+/*
+ * The shard's other servers may be stopped as well, or the budget used up: both
+ * change within the time that is left.
+ */
 static void hedge_part(struct dispatch_part *part, int64_t now)
 {
 	if (part->state != PART_WAITING || now < part->hedge_at)
 		return;
 	part->hedge_at = INT64_MAX;
-	if (send_again(part, "hedge", true) == ERR_BUDGET)
+	if (part->n_run >= part->dispatch->route->servers_max)
+		return;
+	if (send_again(part, "hedge", true))
 		part->hedge_at = now + RETRY_PERIOD;
 }
 
--- a/tests/test_dispatch.c
+++ b/tests/test_dispatch.c
@@ -173,6 +173,34 @@
 	world_finish(&world);
 }
 
+/*
+ * Both servers of a shard stop, one after the other. When a hedge is due the
+ * other one does not answer either; a moment later it does, and must be asked
+ * then, for the first one may stay away for longer than the goal.
+ */
+static void test_hedge_when_other_is_back(void)
+{
+	struct world world;
+	struct registry_server *other;
+
+	world_init(&world);
+	start(&world, "/any/");
+	other = registry_find(
+		&world.registry,
+		str_eq_text(str_from(world.sent[0]->server->entry.id), "s0-0")
+			? STR("s0-1")
+			: STR("s0-0"));
+	other->score.avoid_until = clock_now(&world.clock) + MSEC(40);
+	CU_ASSERT(pass(&world, 25) == DISPATCH_OPEN);
+	CU_ASSERT(world.n_sent == 1);
+	CU_ASSERT(dispatch_due(&world.dispatch) <=
+		  clock_now(&world.clock) + MSEC(5));
+	CU_ASSERT(pass(&world, 16) == DISPATCH_OPEN);
+	CU_ASSERT(world.n_sent == 2);
+	CU_ASSERT(world.sent[1]->server == other);
+	world_finish(&world);
+}
+
 /*
  * A shard is lost. With enough of the others, the answer goes out shortly
  * before the goal; waiting longer would make it late for all.
@@ -431,6 +459,7 @@
 static const struct unit_test tests[] = {
 	{"all parts", test_all_parts},
 	{"hedge", test_hedge},
+	{"hedge when the other is back", test_hedge_when_other_is_back},
 	{"partial at the goal", test_partial_at_goal},
 	{"a late part makes it enough", test_late_part_makes_it_enough},
 	{"hopeless fails at once", test_hopeless_fails_at_once},
