--- a/gateway_pages.c
+++ b/gateway_pages.c
@@ -151,8 +151,7 @@
 		ret = bind_to(pages, &settings->directory_address);
 	if (!ret)
 		ret = bind_to(pages, &settings->control_address);
-	/* Callers matter more: without a collector's address it serves all the
-	 * same. */
+	/* Callers matter more: it serves without a collector's address. */
 	if (!ret && bind_to(pages, &settings->metrics_address))
 		LOG_WARN("no_metrics_address",
 			 LOG_I64("port", settings->metrics_address.port));
