poison: a crash among others does not count against what ran well

Cause: a query that runs everywhere is there on the first server that is restarted, and is suspect for it. On probation it was on the second one when that was restarted a few ms later: two crashes, banned for ten minutes, "all of version 1" never seen. The crash among others told nothing of the query: whatever is popular runs on every server that goes.

Change: a run remembers whether its fingerprint had run well there before. If so, the loss of its server among others makes it suspect but counts nothing; two servers lost on probation ban it. A home that clears a fingerprint tells the others, which now also take it for one that ran well; what nobody knew is counted as before.

Conclusion: the false ban is gone and the bound of two servers stands for requests not known. What begins to crash servers after it ran well takes one server more.

--- a/peer.pb-c.c
+++ b/peer.pb-c.c
@@ -4002,7 +4002,7 @@
   (ProtobufCMessageInit) peer__view_state__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__fingerprint__field_descriptors[6] =
+static const ProtobufCFieldDescriptor peer__fingerprint__field_descriptors[7] =
 {
   {
     "hash",
@@ -4076,6 +4076,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "was_safe",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Fingerprint, was_safe),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__fingerprint__field_indices_by_name[] = {
   3,   /* field[3] = banned */
@@ -4084,11 +4096,12 @@
   0,   /* field[0] = hash */
   5,   /* field[5] = replica_set */
   4,   /* field[4] = servers */
+  6,   /* field[6] = was_safe */
 };
 static const ProtobufCIntRange peer__fingerprint__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor peer__fingerprint__descriptor =
 {
@@ -4098,7 +4111,7 @@
   "Peer__Fingerprint",
   "peer",
   sizeof(Peer__Fingerprint),
-  6,
+  7,
   peer__fingerprint__field_descriptors,
   peer__fingerprint__field_indices_by_name,
   1,  peer__fingerprint__number_ranges,
--- a/peer.pb-c.h
+++ b/peer.pb-c.h
@@ -607,10 +607,14 @@
    * hash of that of the last one lost
    */
   uint64_t replica_set;
+  /*
+   * ran well before it was lost with a server among others
+   */
+  protobuf_c_boolean was_safe;
 };
 #define PEER__FINGERPRINT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__fingerprint__descriptor) \
-    , 0, 0, 0, 0, 0,NULL, 0 }
+    , 0, 0, 0, 0, 0,NULL, 0, 0 }
 
 
 struct  Peer__Fingerprints
--- a/poison.c
+++ b/poison.c
@@ -18,6 +18,7 @@
 struct poison_entry {
 	uint64_t hash;
 	bool unwatched;
+	bool was_safe;
 	bool banned;
 	int n_servers;
 	uint64_t servers[POISON_SERVERS_MAX];
@@ -101,9 +102,17 @@
 	return entry;
 }
 
+/*
+ * Guard against banning a popular search for servers that are restarted in a
+ * row: it runs everywhere, so that the first restart always finds it there,
+ * and the second may find it on probation. What ran well before it was lost
+ * with a server among others is on probation for that, but not counted.
+ */
 static int count_crashes(const struct poison_entry *entry)
 {
-	return entry->n_servers + entry->unwatched;
+	bool counted = entry->unwatched && !entry->was_safe;
+
+	return entry->n_servers + counted;
 }
 
 static bool has_server(const struct poison_entry *entry, uint64_t server)
@@ -145,6 +154,7 @@
 	*report = (struct poison_report){
 		.hash = entry->hash,
 		.unwatched = entry->unwatched,
+		.was_safe = entry->was_safe,
 		.n_servers = entry->n_servers,
 		.replica_set = entry->replica_set,
 		.banned = entry->banned,
@@ -212,12 +222,18 @@
 	return hash ? hash : 1;
 }
 
+static bool is_known_safe(const struct poison *poison, uint64_t hash)
+{
+	const struct poison_good *good = find_good(poison, hash);
+
+	return good && good->expires > clock_now(poison->clock);
+}
+
 enum poison_verdict poison_check(struct poison *poison, uint64_t hash,
 				 uint32_t *retry_after_ms)
 {
 	int64_t now = clock_now(poison->clock);
 	struct poison_entry *entry = live_entry(poison, hash);
-	const struct poison_good *good;
 
 	if (entry && entry->banned) {
 		*retry_after_ms =
@@ -226,8 +242,7 @@
 	}
 	if (entry)
 		return POISON_PROBATION;
-	good = find_good(poison, hash);
-	return good && good->expires > now ? POISON_FREE : POISON_CANARY;
+	return is_known_safe(poison, hash) ? POISON_FREE : POISON_CANARY;
 }
 
 static uint64_t rank_of(const struct poison *poison, uint64_t hash,
@@ -346,6 +361,7 @@
 	run->replica_set = str_hash(replica_set);
 	run->watched = watched;
 	run->suspect = entry;
+	run->safe = is_known_safe(poison, hash);
 	run->started = clock_now(poison->clock);
 	run->server = server_of(poison, name);
 	DL_APPEND(run->server->runs, run);
@@ -391,6 +407,12 @@
 	poison_well(poison, run->hash);
 }
 
+static void add_unwatched(struct poison_entry *entry, bool was_safe)
+{
+	entry->was_safe = was_safe && (entry->was_safe || !entry->unwatched);
+	entry->unwatched = true;
+}
+
 /*
  * Whom a crash is put down to: those watched, if any ran there, for the others
  * are known to be safe; else all.
@@ -406,7 +428,7 @@
 	if (poison->tolerant)
 		add_server(entry, server);
 	else if (!run->watched)
-		entry->unwatched = true;
+		add_unwatched(entry, run->safe);
 	else if (has_server(entry, server) && run->started >= entry->since)
 		/* The same server, back and lost again. */
 		add_server(entry, str_hash_mix(server, 1));
@@ -479,7 +501,8 @@
 {
 	return entry->banned != before->banned ||
 	       entry->n_servers != before->n_servers ||
-	       entry->unwatched != before->unwatched;
+	       entry->unwatched != before->unwatched ||
+	       entry->was_safe != before->was_safe;
 }
 
 bool poison_learn(struct poison *poison, const struct poison_report *report)
@@ -493,6 +516,7 @@
 		if (!entry || entry->banned)
 			return false;
 		drop_entry(poison, entry);
+		poison_well(poison, report->hash);
 		return true;
 	}
 	if (report->left <= 0)
@@ -501,7 +525,8 @@
 		before = *entry;
 	else
 		entry = add_entry(poison, report->hash);
-	entry->unwatched = entry->unwatched || report->unwatched;
+	if (report->unwatched)
+		add_unwatched(entry, report->was_safe);
 	entry->banned = entry->banned || report->banned;
 	for (i = 0; i < report->n_servers && i < POISON_SERVERS_MAX; i++)
 		add_server(entry, report->servers[i]);
--- a/poison.h
+++ b/poison.h
@@ -46,6 +46,7 @@
  * struct poison_report - what instances tell each other of a fingerprint
  * @hash: of the request
  * @unwatched: a server was lost while it ran there among others
+ * @was_safe: it had run well before each such loss, so that these do not count
  * @n_servers: lost while it ran there under watch
  * @servers: hashes of their names
  * @replica_set: hash of that of the last one lost
@@ -58,6 +59,7 @@
 struct poison_report {
 	uint64_t hash;
 	bool unwatched;
+	bool was_safe;
 	int n_servers;
 	uint64_t servers[POISON_SERVERS_MAX];
 	uint64_t replica_set;
@@ -74,6 +76,7 @@
 	uint64_t replica_set;
 	bool watched;
 	bool suspect;
+	bool safe;
 	int64_t started;
 	struct poison_server *server;
 	struct poison_run *prev;
--- a/poison_net.c
+++ b/poison_net.c
@@ -16,6 +16,7 @@
 	out->expires_ms =
 		report->left > 0 ? (uint32_t)(report->left / USEC_PER_MSEC) : 0;
 	out->banned = report->banned;
+	out->was_safe = report->was_safe;
 	out->n_servers = (size_t)report->n_servers;
 	out->servers = (uint64_t *)report->servers;
 	out->replica_set = report->replica_set;
@@ -74,6 +75,7 @@
 	struct poison_report report = {
 		.hash = entry->hash,
 		.unwatched = entry->crashes > entry->n_servers,
+		.was_safe = entry->was_safe,
 		.n_servers = entry->n_servers < POISON_SERVERS_MAX
 				     ? (int)entry->n_servers
 				     : POISON_SERVERS_MAX,
--- a/tests/test_poison.c
+++ b/tests/test_poison.c
@@ -283,6 +283,97 @@
 	poison_finish(&f.poison);
 }
 
+/*
+ * Servers are restarted one after the other while a popular search runs
+ * everywhere. It ran among others on the first, and on its own on the second
+ * when that went too. It had run well until then, so that two restarts alone
+ * do not ban it, here or at a peer; only a second server lost on its own does.
+ */
+static void test_restarts_in_a_row(void)
+{
+	struct poison_run run;
+	struct fixture peer;
+	struct fixture f;
+
+	setup(&f);
+	setup(&peer);
+	poison_well(&f.poison, F);
+	begin(&f, &run, F, "b1", false);
+	lose(&f, "b1");
+	CU_ASSERT_EQUAL(verdict(&f, F), POISON_PROBATION);
+	CU_ASSERT(poison_learn(&peer.poison, &f.last));
+	CU_ASSERT_EQUAL(verdict(&peer, F), POISON_PROBATION);
+	begin(&f, &run, F, "b2", true);
+	lose(&f, "b2");
+	CU_ASSERT_EQUAL(verdict(&f, F), POISON_PROBATION);
+	CU_ASSERT(poison_learn(&peer.poison, &f.last));
+	CU_ASSERT_EQUAL(verdict(&peer, F), POISON_PROBATION);
+	begin(&f, &run, F, "b3", true);
+	lose(&f, "b3");
+	CU_ASSERT_EQUAL(verdict(&f, F), POISON_BANNED);
+	CU_ASSERT(poison_learn(&peer.poison, &f.last));
+	CU_ASSERT_EQUAL(verdict(&peer, F), POISON_BANNED);
+	poison_finish(&f.poison);
+	poison_finish(&peer.poison);
+}
+
+/*
+ * A search that was cleared by one home ran well, and the others know it: when
+ * a server of theirs is restarted next, that does not count against it either.
+ */
+static void test_cleared_elsewhere(void)
+{
+	struct poison_run run;
+	struct fixture home;
+	struct fixture f;
+
+	setup(&f);
+	setup(&home);
+	begin(&home, &run, F, "b1", false);
+	lose(&home, "b1");
+	poison_learn(&f.poison, &home.last);
+	begin(&home, &run, F, "b2", true);
+	poison_end(&home.poison, &run, true);
+	CU_ASSERT(poison_learn(&f.poison, &home.last));
+	CU_ASSERT_EQUAL(verdict(&f, F), POISON_FREE);
+	begin(&f, &run, F, "b3", false);
+	lose(&f, "b3");
+	begin(&f, &run, F, "b4", true);
+	lose(&f, "b4");
+	CU_ASSERT_EQUAL(verdict(&f, F), POISON_PROBATION);
+	poison_finish(&f.poison);
+	poison_finish(&home.poison);
+}
+
+/*
+ * A search nobody knew crashes all that it was sent to, and two homes see one
+ * each. One had seen it run well on other records, the other had not: the
+ * crash counts, and one more bans it.
+ */
+static void test_safe_elsewhere_only(void)
+{
+	struct poison_run run;
+	struct fixture home;
+	struct fixture f;
+
+	setup(&f);
+	setup(&home);
+	poison_well(&home.poison, F);
+	begin(&f, &run, F, "b1", false);
+	lose(&f, "b1");
+	begin(&home, &run, F, "b2", false);
+	lose(&home, "b2");
+	CU_ASSERT(poison_learn(&home.poison, &f.last));
+	poison_learn(&f.poison, &home.last);
+	begin(&home, &run, F, "b3", true);
+	lose(&home, "b3");
+	CU_ASSERT_EQUAL(verdict(&home, F), POISON_BANNED);
+	CU_ASSERT(poison_learn(&f.poison, &home.last));
+	CU_ASSERT_EQUAL(verdict(&f, F), POISON_BANNED);
+	poison_finish(&f.poison);
+	poison_finish(&home.poison);
+}
+
 /* However many fingerprints are sent, memory is bounded, and bans stay. */
 static void test_bounds(void)
 {
@@ -853,6 +944,9 @@
 	{"same server", test_same_server},
 	{"one at a time", test_one_at_a_time},
 	{"replica set", test_replica_set},
+	{"restarts in a row", test_restarts_in_a_row},
+	{"cleared elsewhere", test_cleared_elsewhere},
+	{"safe elsewhere only", test_safe_elsewhere_only},
 	{"bounds", test_bounds},
 	{"learned expiry", test_learned_expiry},
 	{"model, poison", test_model_poison},
