relay_ask: take results only from the instance that was asked

Cause: a relay's result was matched by the job's id alone, and ids count up from 1 at each entry: any instance could answer for another, by a mistake or on purpose.

Found by the new fuzz entry for frames between entries and relays, whose world has a second link: its seeds fail without the guard. Results of the one that was asked are taken as before.

--- a/relay_ask.c
+++ b/relay_ask.c
@@ -483,13 +483,21 @@
 	free(room);
 }
 
-static void take_result(struct relay_ask *relay,
+/* Only the instance that was asked answers: another's ids say nothing here. */
+static bool is_from(const struct relay_batch *batch,
+		    const struct peer_link *link)
+{
+	return link->outgoing &&
+	       !strcmp(batch->peer->instance, link->instance);
+}
+
+static void take_result(struct relay_ask *relay, const struct peer_link *link,
 			const Peer__PartResult *message)
 {
 	struct relay_batch *batch = find_job(relay, message->id);
 	struct relay_client *client;
 
-	if (!batch)
+	if (!batch || !is_from(batch, link))
 		return;
 	heard(batch);
 	if (!message->n_parts)
@@ -509,8 +517,7 @@
 {
 	struct relay_ask *relay = arg;
 
-	if (link->outgoing)
-		take_result(relay, (const Peer__PartResult *)frame->message);
+	take_result(relay, link, (const Peer__PartResult *)frame->message);
 }
 
 static void lose(struct relay_ask *relay, uint64_t id)
--- a/tests/fuzz/seeds.py
+++ b/tests/fuzz/seeds.py
@@ -10,12 +10,16 @@
 
 import wire  # noqa: E402
 
+HELLO = 1
 QUERY = 2
 CANCEL = 4
 SERVER_STATES = 5
 MAP = 7
 RUN = 13
 FAILURE = 15
+PART_REQUEST = 21
+PART_RESULT = 22
+PART_CANCEL = 23
 HALVES = [(0, 32767), (32768, 65535)]
 
 
@@ -185,12 +189,32 @@
     yield bytes([len(change)]) + change
 
 
+def relays():
+    head = b"POST /x HTTP/1.1\r\n"
+    near = [(10, wire.encode((1, i), (2, name)))
+            for i, name in enumerate(("a", "b", "none"))]
+    job = wire.encode((1, 1), (2, "r"), (3, head), (4, b"body"), (5, 50),
+                      (6, 20), (7, 4), (9, 2), *near)
+    done = [(2, wire.encode((1, i), (4, 1), (5, "s"), (6, 900)))
+            for i in range(2)]
+    records = bytes(range(32))
+    result = wire.encode((1, 1), *done, (3, records), (4, bytes([0, 1])))
+    lost = wire.encode((1, 1), (2, wire.encode((1, 0), (2, 9))))
+    cancel = wire.encode((1, 1))
+    yield frame(PART_REQUEST, job) + frame(PART_CANCEL, cancel)
+    yield frame(PART_RESULT, wire.encode((1, 1))) + frame(PART_RESULT, result)
+    yield frame(PART_RESULT, lost) + frame(HELLO, b"") + frame(
+        PART_RESULT, result) + frame(FAILURE, b"")
+    yield frame(PART_REQUEST, job) * 2 + frame(FAILURE, b"")
+
+
 def write(out):
     """A directory of inputs for each entry."""
     for name, seeds in (
         ("frame", frames()),
         ("home", homes()),
         ("http", messages()),
+        ("relay", relays()),
         ("request", requests()),
         ("search", answers()),
         ("settings", settings()),
