member, share, table_sync, gateway: calls go one way

Cause: files of one module called each other both ways, so that none could be read alone: member and member_probe, share and share_pool, the three of table_sync, gateway and gateway_fleet, gateway_request and gateway_send.

--- a/gateway.c
+++ b/gateway.c
@@ -59,20 +59,11 @@
 	arm_store(gateway);
 }
 
-static void on_store_answer(void *arg, enum store_topic topic,
-			    const struct store_answer *answer)
+/* Routes or servers may have changed. */
+static void on_view_changed(void *arg, bool was_ready)
 {
 	struct gateway *gateway = arg;
-	bool was_ready = gateway_ready(gateway);
-
-	store_sync_answered(&gateway->sync, topic, answer);
-	if (!answer->code)
-		view_share_read(&gateway->fleet.views);
-	gateway_view_changed(gateway, was_ready);
-}
 
-void gateway_view_changed(struct gateway *gateway, bool was_ready)
-{
 	if (!was_ready && gateway_ready(gateway))
 		LOG_INFO("ready",
 			 LOG_U64("routes_version",
@@ -83,6 +74,18 @@
 	arm_store(gateway);
 }
 
+static void on_store_answer(void *arg, enum store_topic topic,
+			    const struct store_answer *answer)
+{
+	struct gateway *gateway = arg;
+	bool was_ready = gateway_ready(gateway);
+
+	store_sync_answered(&gateway->sync, topic, answer);
+	if (!answer->code)
+		view_share_read(&gateway->fleet.views);
+	on_view_changed(gateway, was_ready);
+}
+
 static void call_store(void *arg, const struct store_call *call,
 		       int64_t timeout)
 {
@@ -175,8 +178,9 @@
  * The slack is never divided by fewer than took callers at some time: some of
  * these may still have requests, and others may know of more.
  */
-void gateway_fleet_changed(struct gateway *gateway)
+static void on_members_changed(void *arg)
 {
+	struct gateway *gateway = arg;
 	int entries = gateway_fleet_entries(&gateway->fleet, NULL);
 
 	if (entries > gateway->instances)
@@ -191,6 +195,17 @@
 	gateway_fleet_seeds(&gateway->fleet);
 }
 
+static bool is_ready(const void *arg)
+{
+	return gateway_ready(arg);
+}
+
+static const struct gateway_fleet_ops fleet_ops = {
+	.ready = is_ready,
+	.view_changed = on_view_changed,
+	.members_changed = on_members_changed,
+};
+
 static bool is_relay(void *arg, const struct fleet_member *member)
 {
 	const struct gateway *gateway = arg;
@@ -198,6 +213,20 @@
 	return gateway_fleet_is_ready(&gateway->fleet, member);
 }
 
+static int start_fleet(struct gateway *gateway)
+{
+	const struct gateway_fleet_config config = {
+		.base = gateway->base,
+		.clock = &gateway->clock,
+		.from = gateway->settings,
+		.sync = &gateway->sync,
+		.ops = &fleet_ops,
+		.arg = gateway,
+	};
+
+	return gateway_fleet_init(&gateway->fleet, &config);
+}
+
 int gateway_init(struct gateway *gateway, struct event_base *base,
 		 const struct gateway_settings *settings,
 		 const struct gateway_names *names,
@@ -232,7 +261,7 @@
 		event_new(base, -1, EV_PERSIST, on_stop_timer, gateway);
 	wake_timer_init(&gateway->store_timer, base, &gateway->clock,
 			on_store_timer, gateway);
-	ret = gateway_fleet_init(&gateway->fleet, gateway);
+	ret = start_fleet(gateway);
 	if (ret)
 		return ret;
 	relay_ask_init(&gateway->relay_ask, &gateway->fleet.board,
--- a/gateway.h
+++ b/gateway.h
@@ -99,17 +99,6 @@
  */
 bool gateway_ready(const struct gateway *gateway);
 
-/**
- * gateway_view_changed() - routes or servers may have changed by a peer
- * @was_ready: gateway_ready() before
- */
-void gateway_view_changed(struct gateway *gateway, bool was_ready);
-
-/**
- * gateway_fleet_changed() - instances came or went
- */
-void gateway_fleet_changed(struct gateway *gateway);
-
 /**
  * gateway_reloaded() - the settings were changed
  */
--- a/gateway_fleet.c
+++ b/gateway_fleet.c
@@ -9,9 +9,10 @@
 #include <event2/util.h>
 
 #include "error.h"
-#include "gateway.h"
+#include "gateway_settings.h"
 #include "log.h"
 #include "mem.h"
+#include "store_sync.h"
 
 /*
  * Heartbeats: one in so long to one member in turn. A member that falls silent
@@ -58,7 +59,7 @@
 static void on_frame(void *arg, struct peer_link *link, struct frame *frame)
 {
 	struct gateway_fleet *fleet = arg;
-	bool was_ready = gateway_ready(fleet->gateway);
+	bool was_ready = fleet->config.ops->ready(fleet->config.arg);
 
 	if (frame->type == FRAME_VIEW_REQUEST)
 		view_share_request(&fleet->views, link->instance,
@@ -66,7 +67,7 @@
 	else
 		view_share_update(&fleet->views, link->instance,
 				  (const Peer__ViewUpdate *)frame->message);
-	gateway_view_changed(fleet->gateway, was_ready);
+	fleet->config.ops->view_changed(fleet->config.arg, was_ready);
 }
 
 /* A new instance needs not wait for the store: it asks whom it meets first. */
@@ -102,12 +103,12 @@
 	struct gateway_fleet *fleet = arg;
 
 	view_share_set_members(&fleet->views, &fleet->board.fleet);
-	gateway_fleet_changed(fleet->gateway);
+	fleet->config.ops->members_changed(fleet->config.arg);
 }
 
 void gateway_fleet_seeds(struct gateway_fleet *fleet)
 {
-	const struct gateway_settings *settings = fleet->gateway->settings;
+	const struct gateway_settings *settings = fleet->config.from;
 	struct member_entry entries[GATEWAY_SEEDS_MAX] = {0};
 	char names[GATEWAY_SEEDS_MAX][FLEET_NAME_SIZE];
 	int i;
@@ -155,7 +156,7 @@
 
 static void fill_settings(struct gateway_fleet *fleet)
 {
-	const struct gateway_settings *from = fleet->gateway->settings;
+	const struct gateway_settings *from = fleet->config.from;
 	struct settings *settings = &fleet->settings;
 
 	settings->instance = from->instance;
@@ -175,18 +176,19 @@
 	return n;
 }
 
-int gateway_fleet_init(struct gateway_fleet *fleet, struct gateway *gateway)
+int gateway_fleet_init(struct gateway_fleet *fleet,
+		       const struct gateway_fleet_config *config)
 {
 	static const struct timeval period = {SEEDS_PERIOD_S, 0};
 	int ret;
 
 	memset(fleet, 0, sizeof(*fleet));
-	fleet->gateway = gateway;
+	fleet->config = *config;
 	fill_settings(fleet);
-	blackboard_init(&fleet->board, &gateway->clock, &fleet->settings,
-			gateway->base, draw_incarnation());
-	view_share_init(&fleet->views, &gateway->clock, &view_ops, fleet,
-			&gateway->sync, fleet->settings.instance,
+	blackboard_init(&fleet->board, config->clock, &fleet->settings,
+			config->base, draw_incarnation());
+	view_share_init(&fleet->views, config->clock, &view_ops, fleet,
+			config->sync, fleet->settings.instance,
 			fleet->settings.data_centre);
 	ret = peers_init(&fleet->peers, &fleet->board);
 	if (ret)
@@ -209,7 +211,7 @@
 		return ret;
 	member_table_set_periods(&fleet->members.members, PROBE_PERIOD, LEASE);
 	fleet->seeds_timer =
-		event_new(gateway->base, -1, EV_PERSIST, on_seeds_timer, fleet);
+		event_new(config->base, -1, EV_PERSIST, on_seeds_timer, fleet);
 	event_add(fleet->seeds_timer, &period);
 	gateway_fleet_seeds(fleet);
 	return 0;
@@ -235,13 +237,13 @@
 void gateway_fleet_routes(struct gateway_fleet *fleet)
 {
 	fleet->members.members.beacon.table_revision =
-		fleet->gateway->sync.routes->version;
+		fleet->config.sync->routes->version;
 }
 
 void gateway_fleet_leave(struct gateway_fleet *fleet)
 {
 	fleet->board.lifecycle = LIFECYCLE_LEAVING;
-	fleet->board.leaving_since = clock_now(&fleet->gateway->clock);
+	fleet->board.leaving_since = clock_now(fleet->config.clock);
 	blackboard_changed(&fleet->board, BLACKBOARD_LIFECYCLE);
 }
 
@@ -251,7 +253,7 @@
 	const struct fleet_heard *heard;
 
 	if (!strcmp(member->instance, fleet->settings.instance))
-		return gateway_ready(fleet->gateway);
+		return fleet->config.ops->ready(fleet->config.arg);
 	HASH_FIND_STR(fleet->heard, member->instance, heard);
 	return heard && heard->incarnation == member->incarnation &&
 	       heard->routes_version;
--- a/gateway_fleet.h
+++ b/gateway_fleet.h
@@ -15,8 +15,35 @@
 #include "view_share.h"
 
 struct event;
-struct gateway;
+struct event_base;
 struct gateway_settings;
+struct store_sync;
+
+/**
+ * struct gateway_fleet_ops - what the owner knows and wants to know
+ * @ready: callers may be sent to this instance
+ * @view_changed: a peer told of routes or servers; @was_ready: before that
+ * @members_changed: instances came or went
+ */
+struct gateway_fleet_ops {
+	bool (*ready)(const void *arg);
+	void (*view_changed)(void *arg, bool was_ready);
+	void (*members_changed)(void *arg);
+};
+
+/**
+ * struct gateway_fleet_config - what the fleet's part of an instance works with
+ * @from: settings, read again with gateway_fleet_seeds()
+ * @arg: handed to @ops
+ */
+struct gateway_fleet_config {
+	struct event_base *base;
+	const struct clock *clock;
+	const struct gateway_settings *from;
+	struct store_sync *sync;
+	const struct gateway_fleet_ops *ops;
+	void *arg;
+};
 
 /* An instance that said which routes it has, by its heartbeats. */
 struct fleet_heard {
@@ -31,7 +58,7 @@
  * @heard: by instance
  */
 struct gateway_fleet {
-	struct gateway *gateway;
+	struct gateway_fleet_config config;
 	struct settings settings;
 	struct blackboard board;
 	struct peers peers;
@@ -50,7 +77,8 @@
  *
  * Return: 0, or ERR_ADDRESS.
  */
-int gateway_fleet_init(struct gateway_fleet *fleet, struct gateway *gateway);
+int gateway_fleet_init(struct gateway_fleet *fleet,
+		       const struct gateway_fleet_config *config);
 void gateway_fleet_finish(struct gateway_fleet *fleet);
 
 /**
--- a/gateway_request.c
+++ b/gateway_request.c
@@ -43,8 +43,8 @@
 	evtimer_add(request->timer, &tv);
 }
 
-void gateway_request_go_on(struct gateway_request *request,
-			   enum dispatch_outcome outcome)
+static void go_on(struct gateway_request *request,
+		  enum dispatch_outcome outcome)
 {
 	if (outcome) {
 		gateway_answer(request);
@@ -61,7 +61,7 @@
 
 	(void)fd;
 	(void)what;
-	gateway_request_go_on(request, dispatch_tick(&request->dispatch));
+	go_on(request, dispatch_tick(&request->dispatch));
 }
 
 static struct route_stats *stats_of(struct gateway *gateway,
@@ -170,6 +170,7 @@
 	request->routes = route_set_ref(gateway->sync.routes);
 	request->route = route;
 	request->fingerprint = fingerprint;
+	request->go_on = go_on;
 	request->head = evbuffer_new();
 	request->timer = evtimer_new(gateway->base, on_timer, request);
 	request->request.id =
@@ -188,7 +189,7 @@
 		      clock_now(&gateway->clock) +
 			      time_left(gateway, route, message));
 	gateway_send_init(request);
-	gateway_request_go_on(request, dispatch_start(&request->dispatch));
+	go_on(request, dispatch_start(&request->dispatch));
 }
 
 static void refuse(struct gateway *gateway, struct inbound_conn *conn,
--- a/gateway_request_private.h
+++ b/gateway_request_private.h
@@ -20,6 +20,8 @@
  * @head: bytes of it
  * @kept: of a request to one service
  * @fingerprint: for requests that crash servers
+ * @go_on: called after something happened to the dispatch; answers and frees
+ *	the request if it is over
  */
 struct gateway_request {
 	struct gateway *gateway;
@@ -33,18 +35,12 @@
 	struct kept_answer kept;
 	struct relay_client relay;
 	uint64_t fingerprint;
+	void (*go_on)(struct gateway_request *request,
+		      enum dispatch_outcome outcome);
 	struct gateway_request *prev;
 	struct gateway_request *next;
 };
 
-/**
- * gateway_request_go_on() - after something happened to the dispatch
- *
- * Answers and frees the request if it is over.
- */
-void gateway_request_go_on(struct gateway_request *request,
-			   enum dispatch_outcome outcome);
-
 /**
  * gateway_answer() - answer a request by the outcome of its dispatch
  */
--- a/gateway_send.c
+++ b/gateway_send.c
@@ -109,8 +109,8 @@
 			keep_answer(request, result->message);
 		}
 	}
-	gateway_request_go_on(request, dispatch_result(&request->dispatch, send,
-						       &answer));
+	request->go_on(request,
+		       dispatch_result(&request->dispatch, send, &answer));
 }
 
 static void on_relayed(struct dispatch_send *send,
@@ -138,7 +138,7 @@
 {
 	struct gateway_request *request = arg;
 
-	gateway_request_go_on(request, dispatch_release(&request->dispatch));
+	request->go_on(request, dispatch_release(&request->dispatch));
 }
 
 /* Towards the decisions. */
--- a/member_private.h
+++ b/member_private.h
@@ -1,4 +1,8 @@
-/* Shared by member.c and member_probe.c only. */
+/*
+ * Shared by the files of member only. Each calls those above it here:
+ * member_state.c, member_send.c, member_probe.c, member_merge.c,
+ * member_datagram.c and member.c.
+ */
 #ifndef MEMBER_PRIVATE_H
 #define MEMBER_PRIVATE_H
 
@@ -6,6 +10,14 @@
 #include "peer.pb-c.h"
 
 #define MEMBER_TICKS_LATE 2 /* probe periods without a tick */
+/* How long what is gone is remembered. */
+#define MEMBER_GONE_KEEP MSEC(600000)
+
+/* The first byte of a datagram. */
+enum member_datagram_kind {
+	MEMBER_DATAGRAM_PING = 1,
+	MEMBER_DATAGRAM_ACK = 2,
+};
 
 /**
  * struct member_wire - a Peer__Member with the room for its texts
@@ -16,12 +28,46 @@
 	char caller_address[ADDRESS_TEXT_SIZE];
 };
 
+/* member_state.c */
+
 void member_to_wire(const struct member *member, struct member_wire *wire);
 
 /**
- * member_merge() - take what a peer says about somebody, maybe about us
+ * member_fill() - set texts and addresses; what was there is freed
  */
-void member_merge(struct member_table *table, const Peer__Member *update);
+void member_fill(struct member *member, const char *instance,
+		 const char *data_centre, const struct address *peer_address,
+		 const struct address *caller_address);
+void member_free(struct member *member);
+
+/**
+ * member_add() - known by name only
+ */
+struct member *member_add(struct member_table *table, const char *instance,
+			  const char *data_centre,
+			  const struct address *peer_address,
+			  const struct address *caller_address);
+
+/**
+ * member_move() - texts that only the list or the member itself tells
+ */
+void member_move(struct member *member, const char *data_centre,
+		 const struct address *peer_address,
+		 const struct address *caller_address);
+
+/**
+ * member_set_status() - all changes of status and incarnation go through here
+ */
+void member_set_status(struct member_table *table, struct member *member,
+		       enum member_status status, uint64_t incarnation);
+void member_set_self_incarnation(struct member_table *table,
+				 uint64_t incarnation);
+void member_add_tombstone(struct member_table *table, uint64_t incarnation);
+
+/**
+ * member_forget_hot() - tell no news of it any more
+ */
+void member_forget_hot(struct member_table *table, const struct member *member);
 
 /**
  * member_spread() - put a member's record into the next datagrams
@@ -59,14 +105,44 @@
  */
 void member_heard(struct member_table *table, struct member *member);
 
-/* Of member_probe.c, called by member.c. */
+/* member_send.c */
+
+/**
+ * member_send_ping() - ask a member whether it lives
+ *
+ * Return: what awaits its answer.
+ */
+struct member_probe *member_send_ping(struct member_table *table,
+				      struct member *member);
+
+/**
+ * member_send_help() - ask a helper to ask the member of a ping
+ */
+void member_send_help(struct member_table *table, const struct member *helper,
+		      const struct member_probe *probe);
+void member_send_ack(struct member_table *table, const struct address *to,
+		     const struct member *peer, const Peer__Ping *ping,
+		     bool gone);
+void member_send_relayed_ack(struct member_table *table,
+			     const struct member_probe *probe,
+			     const Peer__Ack *answer);
+void member_send_members(struct member_table *table, const struct address *to,
+			 bool reply);
+
+/* member_probe.c */
+
 void member_probe_forget(struct member_table *table,
 			 const struct member *member);
 void member_probe_now(struct member_table *table, struct member *member);
 void member_probe_burst(struct member_table *table, int n);
 void member_probe_tick(struct member_table *table);
 void member_probe_void(struct member_table *table);
-void member_send_members(struct member_table *table, const struct address *to,
-			 bool reply);
+
+/* member_merge.c */
+
+/**
+ * member_merge() - take what a peer says about somebody, maybe about us
+ */
+void member_merge(struct member_table *table, const Peer__Member *update);
 
 #endif
--- a/share.c
+++ b/share.c
@@ -1,29 +1,21 @@
-#define LOG_MODULE "share"
 #include "share.h"
 
 #include <stdlib.h>
 #include <string.h>
 
 #include "clock.h"
-#include "error.h"
-#include "log.h"
 #include "mem.h"
 #include "member.h"
 #include "peer.pb-c.h"
 #include "share_private.h"
 #include "table.h"
 
-static bool lease_runs(const struct share *share)
-{
-	return clock_now(share->clock) - share->confirmed < share->lease;
-}
-
 static struct quota usable_settled(const struct share *share,
 				   const struct share_row *row)
 {
 	const struct quota none = {0, 0};
 
-	if (row->pool->fresh || !lease_runs(share))
+	if (row->pool->fresh || !share_lease_runs(share))
 		return none;
 	return row->cap;
 }
@@ -45,69 +37,11 @@
 	.usable = usable_naive,
 };
 
-static int homes_of(const struct share_view *view, const struct share_row *row)
-{
-	int n = SHARE_HOMES;
-
-	if (row->limit.slots < n)
-		n = row->limit.slots;
-	if (row->limit.connections < n)
-		n = row->limit.connections;
-	return view->n < n ? view->n : n;
-}
-
-int share_rank(const struct share_view *view, const struct share_row *row,
-	       const struct share_seat *out[SHARE_HOMES])
-{
-	uint64_t best = 0;
-	uint64_t second = 0;
-	int i;
-
-	out[0] = NULL;
-	out[1] = NULL;
-	for (i = 0; i < view->n; i++) {
-		const struct share_seat *seat = &view->seats[i];
-		uint64_t score = str_hash_mix(row->hash, seat->hash);
-
-		if (!out[0] || score > best) {
-			out[1] = out[0];
-			second = best;
-			out[0] = seat;
-			best = score;
-		} else if (!out[1] || score > second) {
-			out[1] = seat;
-			second = score;
-		}
-	}
-	return homes_of(view, row);
-}
-
-struct quota share_quota(const struct share_view *view,
-			 const struct share_row *row, uint64_t self)
-{
-	const struct share_seat *rank[SHARE_HOMES];
-	struct quota quota = {0, 0};
-	int n;
-	int i;
-
-	if (!view->has_self)
-		return quota;
-	n = share_rank(view, row, rank);
-	for (i = 0; i < n; i++) {
-		if (rank[i]->hash != self)
-			continue;
-		/* The first home has what does not divide. */
-		quota.slots = (row->limit.slots + n - 1 - i) / n;
-		quota.connections = (row->limit.connections + n - 1 - i) / n;
-	}
-	return quota;
-}
-
 static void check_lapse(struct share *share)
 {
 	struct share_pool *pool;
 
-	if (lease_runs(share))
+	if (share_lease_runs(share))
 		return;
 	for (pool = share->pools; pool; pool = pool->hh.next) {
 		if (pool->fresh)
@@ -318,7 +252,13 @@
 bool share_lease_valid(struct share *share)
 {
 	refresh(share);
-	return lease_runs(share);
+	return share_lease_runs(share);
+}
+
+void share_view_state(struct share *share, const Peer__ViewState *state)
+{
+	refresh(share);
+	share_pool_hear(share, state);
 }
 
 bool share_drained(struct share *share)
--- a/share_pool.c
+++ b/share_pool.c
@@ -4,7 +4,6 @@
 #include <string.h>
 
 #include "clock.h"
-#include "error.h"
 #include "log.h"
 #include "mem.h"
 #include "member.h"
@@ -612,7 +611,7 @@
 		agreed = fleet_agrees(share, pool);
 	}
 	if (!pool->full && pool->settled && tally.settled && agreed &&
-	    share_lease_valid(share))
+	    share_lease_runs(share))
 		take_full(share, pool);
 	tell(share, pool, asked);
 }
@@ -657,13 +656,11 @@
 	peer->answer |= state->reply;
 }
 
-void share_view_state(struct share *share, const Peer__ViewState *state)
+void share_pool_hear(struct share *share, const Peer__ViewState *state)
 {
 	const struct member *member;
 	struct share_pool *pool;
 
-	/* Sees changes of members and the lease first. */
-	share_lease_valid(share);
 	member = sender(share, state);
 	if (!member)
 		return;
--- a/share_private.h
+++ b/share_private.h
@@ -1,9 +1,14 @@
-/* Shared by share.c and share_pool.c only. */
+/* Shared by the files of share only. */
 #ifndef SHARE_PRIVATE_H
 #define SHARE_PRIVATE_H
 
+#include "peer.pb-c.h"
 #include "share.h"
 
+/* share_quota.c: what follows from a view */
+
+bool share_lease_runs(const struct share *share);
+
 /**
  * share_quota() - the part of one instance under one view
  * @self: hash of the instance's name
@@ -19,6 +24,8 @@
 int share_rank(const struct share_view *view, const struct share_row *row,
 	       const struct share_seat *out[SHARE_HOMES]);
 
+/* share_pool.c: one data centre's instances agree on a view */
+
 struct share_pool *share_pool_get(struct share *share, const char *data_centre);
 void share_pool_finish(struct share_pool *pool);
 
@@ -45,6 +52,11 @@
  */
 void share_pool_settle(struct share *share, struct share_pool *pool);
 
+/**
+ * share_pool_hear() - a peer told its state
+ */
+void share_pool_hear(struct share *share, const Peer__ViewState *state);
+
 /**
  * share_row_caps() - recompute a row under all views of its pool
  */
--- a/table_sync_peers.c
+++ b/table_sync_peers.c
@@ -1,11 +1,9 @@
 #define LOG_MODULE "table_sync"
 #include "table_sync_private.h"
 
-#include <stdlib.h>
 #include <string.h>
 
 #include "log.h"
-#include "mem.h"
 
 /* Only a reader knows by itself when the platform is no longer behind. */
 static void confirm_by_peer(struct table_sync *sync, uint32_t age_ms)
@@ -95,7 +93,7 @@
 		       : NULL;
 }
 
-void table_sync_push_to(struct table_sync *sync, const char *peer)
+static void push_to(struct table_sync *sync, const char *peer)
 {
 	const struct table_delta *delta = last_delta(sync);
 
@@ -106,9 +104,8 @@
 		table_sync_send_digest(sync, peer, false);
 }
 
-void table_sync_push_down(struct table_sync *sync,
-			  void (*push)(struct table_sync *sync,
-				       const char *peer))
+static void push_down(struct table_sync *sync,
+		      void (*push)(struct table_sync *sync, const char *peer))
 {
 	int fanout = (int)sync->reader.tunables->table_fanout;
 	int first;
@@ -119,11 +116,50 @@
 		push(sync, sync->peers.own[first + i].instance);
 }
 
-void table_sync_push_digest(struct table_sync *sync, const char *peer)
+static void push_digest(struct table_sync *sync, const char *peer)
 {
 	table_sync_send_digest(sync, peer, false);
 }
 
+void table_sync_put_in_force(struct table_sync *sync, const struct table *newer,
+			     const char *source)
+{
+	table_sync_take(sync, newer, source);
+	push_down(sync, push_to);
+}
+
+static void note_refused(struct table_sync *sync,
+			 const struct table_refusal *refusal)
+{
+	if (table_sync_remember_refused(sync, refusal))
+		push_down(sync, push_digest);
+}
+
+/*
+ * Against a loop in which an invalid table is read again and again: what was
+ * refused is remembered by revision and digest. Another content under the same
+ * revision, or a higher revision, is looked at.
+ */
+void table_sync_refuse(struct table_sync *sync, const char *source,
+		       uint64_t revision, uint64_t digest,
+		       const struct error *err)
+{
+	struct table_refusal refusal = {.revision = revision, .digest = digest};
+
+	refusal.error = *err;
+	sync->refusals[sync->next_refusal] = refusal;
+	sync->next_refusal = (sync->next_refusal + 1) % TABLE_SYNC_REFUSALS;
+	sync->counts.refused++;
+	LOG_ERROR("table_refused", LOG_U64("revision", revision),
+		  LOG_TEXT("error", error_name(err->code)),
+		  LOG_TEXT("subject", err->subject),
+		  LOG_TEXT("value", err->value),
+		  LOG_TEXT("expected", err->expected ? err->expected : ""),
+		  LOG_I64("line", err->line), LOG_TEXT("source", source),
+		  LOG_U64("in_force", table_sync_revision(sync)));
+	note_refused(sync, &refusal);
+}
+
 /*
  * Against a data centre whose readers don't reach the platform: one that does
  * tells the first reader of each other data centre, which pulls the change and
@@ -152,7 +188,7 @@
 		  message->value, NULL);
 	refusal.error.line = (int)message->line;
 	str_copy(refusal.from, sizeof(refusal.from), str_from(peer));
-	table_sync_note_refused(sync, &refusal);
+	note_refused(sync, &refusal);
 }
 
 static void hear_of(struct table_sync *sync, const char *peer)
