relay: leave out records that cannot be in the answer

The answer keeps 20 of all parts together. 11,400 of them came after a flush with too few parts, or one that a failed part had set off: from then on each result went out alone.

Change: the first six parts that a relay tells are the floor; of later ones only records that are not less go out. If the entry does not take one of those six (another server answered for it first), it takes no later part of that relay as whole, and asks again; the message says which parts are measured by. Sends that come later in a request bring the entry's own floor with them, since most parts are in by then. A failed part is told at once and no longer ends the wait for the others.

Ruled out: packing the frames with zlib (results 3 %, requests 18 % shorter: records do not pack); measuring by all parts told (late ones are often those whose hedge was faster, so that the floor would be lost).

--- a/gateway_send.c
+++ b/gateway_send.c
@@ -240,6 +240,7 @@
 	relay->fingerprint = request->fingerprint;
 	relay->deadline = request->dispatch.deadline;
 	relay->records_max = request->route->records_max;
+	relay->taken = &request->dispatch.records;
 	relay->result = on_relayed;
 	relay->hold = hold;
 	relay->release = release;
--- a/peer.pb-c.c
+++ b/peer.pb-c.c
@@ -4934,7 +4934,7 @@
   (ProtobufCMessageInit) peer__part_send__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__part_request__field_descriptors[10] =
+static const ProtobufCFieldDescriptor peer__part_request__field_descriptors[11] =
 {
   {
     "id",
@@ -5056,12 +5056,25 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "floor",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Peer__PartRequest, floor),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__part_request__field_indices_by_name[] = {
   3,   /* field[3] = body */
   8,   /* field[8] = connections_max */
   4,   /* field[4] = deadline_ms */
   7,   /* field[7] = fingerprint */
+  10,   /* field[10] = floor */
   5,   /* field[5] = flush_ms */
   2,   /* field[2] = head */
   0,   /* field[0] = id */
@@ -5072,7 +5085,7 @@
 static const ProtobufCIntRange peer__part_request__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor peer__part_request__descriptor =
 {
@@ -5082,7 +5095,7 @@
   "Peer__PartRequest",
   "peer",
   sizeof(Peer__PartRequest),
-  10,
+  11,
   peer__part_request__field_descriptors,
   peer__part_request__field_indices_by_name,
   1,  peer__part_request__number_ranges,
@@ -5192,7 +5205,7 @@
   (ProtobufCMessageInit) peer__part_done__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__part_result__field_descriptors[4] =
+static const ProtobufCFieldDescriptor peer__part_result__field_descriptors[5] =
 {
   {
     "id",
@@ -5242,8 +5255,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "floor",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Peer__PartResult, floor),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__part_result__field_indices_by_name[] = {
+  4,   /* field[4] = floor */
   0,   /* field[0] = id */
   3,   /* field[3] = origins */
   1,   /* field[1] = parts */
@@ -5252,7 +5278,7 @@
 static const ProtobufCIntRange peer__part_result__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor peer__part_result__descriptor =
 {
@@ -5262,7 +5288,7 @@
   "Peer__PartResult",
   "peer",
   sizeof(Peer__PartResult),
-  4,
+  5,
   peer__part_result__field_descriptors,
   peer__part_result__field_indices_by_name,
   1,  peer__part_result__number_ranges,
--- a/peer.pb-c.h
+++ b/peer.pb-c.h
@@ -826,10 +826,14 @@
   uint32_t connections_max;
   size_t n_sends;
   Peer__PartSend **sends;
+  /*
+   * a record: what is less is not needed
+   */
+  ProtobufCBinaryData floor;
 };
 #define PEER__PART_REQUEST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__part_request__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, {0,NULL}, {0,NULL}, 0, 0, 0, 0, 0, 0,NULL }
+    , 0, (char *)protobuf_c_empty_string, {0,NULL}, {0,NULL}, 0, 0, 0, 0, 0, 0,NULL, {0,NULL} }
 
 
 struct  Peer__PartDone
@@ -870,10 +874,14 @@
    * of each record: which of the parts
    */
   ProtobufCBinaryData origins;
+  /*
+   * what comes later is without records below the least of these
+   */
+  protobuf_c_boolean floor;
 };
 #define PEER__PART_RESULT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__part_result__descriptor) \
-    , 0, 0,NULL, {0,NULL}, {0,NULL} }
+    , 0, 0,NULL, {0,NULL}, {0,NULL}, 0 }
 
 
 /*
--- a/records.c
+++ b/records.c
@@ -61,3 +61,8 @@
 	for (at = 0; at + RECORD_SIZE <= body.len; at += RECORD_SIZE)
 		add(records, body.data + at, tag);
 }
+
+void records_cut(struct records *records, const char *floor)
+{
+	records->n = place_of(records, floor);
+}
--- a/relay_ask.c
+++ b/relay_ask.c
@@ -39,6 +39,7 @@
  * struct relay_batch - sends of one request to one data centre, told together
  * @client: NULL once the request is over
  * @told: it was given to the relay, as job @id
+ * @floor_lost: later parts are measured by one that was not taken
  */
 struct relay_batch {
 	struct relay_ask *relay;
@@ -48,6 +49,7 @@
 	uint64_t id;
 	bool told;
 	bool heard;
+	bool floor_lost;
 	int64_t told_at;
 	int64_t flush_after;
 	struct relay_send **sends;
@@ -264,6 +266,19 @@
 	message->n_sends = (size_t)batch->n_sends;
 }
 
+/* Records that are less than all of a full answer need not come. */
+static void fill_floor(const struct relay_client *client,
+		       Peer__PartRequest *message)
+{
+	const struct records *taken = client->taken;
+
+	if (!taken || !taken->n || taken->n < taken->max)
+		return;
+	message->floor.data =
+		(uint8_t *)taken->bytes + (taken->n - 1) * RECORD_SIZE;
+	message->floor.len = RECORD_SIZE;
+}
+
 static void tell(struct relay_batch *batch)
 {
 	struct relay_ask *relay = batch->relay;
@@ -290,6 +305,7 @@
 	message.records_max = (uint32_t)client->records_max;
 	message.fingerprint = client->fingerprint;
 	message.connections_max = (uint32_t)client->connections_max;
+	fill_floor(client, &message);
 	fill_sends(batch, &message, sends, pointers);
 	batch->id = message.id;
 	batch->told = true;
@@ -428,13 +444,12 @@
  * is not taken, because another server answered for it meanwhile, its records
  * may have displaced some of the others', and these would be missing.
  */
-static bool is_spoilt(const struct relay_batch *batch,
-		      const Peer__PartResult *message)
+static bool has_untaken(const struct relay_batch *batch,
+			const Peer__PartResult *message)
 {
 	size_t i;
 
-	if (!batch->client ||
-	    message->origins.len < (size_t)batch->client->records_max)
+	if (!batch->client)
 		return false;
 	for (i = 0; i < message->n_parts; i++) {
 		const struct relay_send *entry =
@@ -465,13 +480,24 @@
 	return batch;
 }
 
+/* Fewer than the answer's records: none was displaced. */
+static bool displaces(const struct relay_batch *batch,
+		      const Peer__PartResult *message)
+{
+	return message->origins.len >= (size_t)batch->client->records_max;
+}
+
 static void take_parts(struct relay_batch *batch,
 		       const Peer__PartResult *message)
 {
 	char *room = mem_zalloc(message->records.len);
-	bool spoilt = is_spoilt(batch, message);
+	bool untaken = has_untaken(batch, message);
+	bool spoilt =
+		batch->floor_lost || (untaken && displaces(batch, message));
 	size_t i;
 
+	if (message->floor && untaken)
+		batch->floor_lost = true;
 	for (i = 0; i < message->n_parts; i++) {
 		const Peer__PartDone *done = message->parts[i];
 		struct relay_send *entry = entry_of(batch, done);
@@ -487,8 +513,7 @@
 static bool is_from(const struct relay_batch *batch,
 		    const struct peer_link *link)
 {
-	return link->outgoing &&
-	       !strcmp(batch->peer->instance, link->instance);
+	return link->outgoing && !strcmp(batch->peer->instance, link->instance);
 }
 
 static void take_result(struct relay_ask *relay, const struct peer_link *link,
--- a/relay_ask.h
+++ b/relay_ask.h
@@ -17,6 +17,7 @@
 #include "server_score.h"
 #include "upstream.h"
 
+struct records;
 struct relay_ask;
 struct relay_batch;
 
@@ -38,6 +39,7 @@
  * @flush_after: a relay tells what is in by then; 0: each result at once. Set
  *to 0 by relay_ask_flush(): what is sent later is late already
  * @records_max: of the merged answer
+ * @taken: the greatest records of the parts that are in, or NULL
  * @result: a send's result came
  * @hold: results that belong together follow
  * @release: after the last of them; the request may end
@@ -49,6 +51,7 @@
 	int64_t deadline;
 	int64_t flush_after;
 	int64_t records_max;
+	const struct records *taken;
 	int64_t connections_max;
 	void (*result)(struct dispatch_send *send,
 		       const struct dispatch_answer *answer);
--- a/relay_serve.c
+++ b/relay_serve.c
@@ -18,6 +18,11 @@
 #define RECORDS_MAX 4096
 /* Parts of one message: records name theirs by a byte. */
 #define PARTS_MAX 255
+/*
+ * The parts by which later ones are measured. Should the entry not take one of
+ * them, it cannot take later ones: of the first to come it takes nearly all.
+ */
+#define FLOOR_PARTS 6
 /* As at the entry: one that nobody waits for may still end by itself. */
 #define LINGER MSEC(300)
 
@@ -34,7 +39,9 @@
  * @link: to answer on; NULL once it is down
  * @open: sends that have no result yet
  * @done: results that were not told yet
- * @flushed: the first results were told; later ones go out at once
+ * @flushed: the flush time is over; what comes later goes out at once
+ * @told: the greatest records of the first @n_told parts
+ * @floor: if @has_floor: what is less cannot be in the answer
  */
 struct relay_job {
 	struct relay_serve *relay;
@@ -49,6 +56,10 @@
 	int n_done;
 	struct records records;
 	bool flushed;
+	struct records told;
+	int n_told;
+	bool has_floor;
+	char floor[RECORD_SIZE];
 	struct relay_job *prev;
 	struct relay_job *next;
 };
@@ -78,6 +89,7 @@
 	}
 	clear_done(job);
 	records_finish(&job->records);
+	records_finish(&job->told);
 	event_free(job->timer);
 	free(job->sends);
 	free(job->done);
@@ -85,12 +97,44 @@
 	free(job);
 }
 
+static void raise_floor(struct relay_job *job, const char *record)
+{
+	if (job->has_floor && memcmp(record, job->floor, RECORD_SIZE) <= 0)
+		return;
+	job->has_floor = true;
+	memcpy(job->floor, record, RECORD_SIZE);
+}
+
+/*
+ * Most of what goes between data centres are records of late parts. Once the
+ * first parts are told, only greater records than theirs matter.
+ *
+ * Return: whether later parts are measured by those that are told now.
+ */
+static bool extend_floor(struct relay_job *job)
+{
+	struct records *told = &job->told;
+
+	if (!job->n_done || job->n_told >= FLOOR_PARTS)
+		return false;
+	job->n_told += job->n_done;
+	records_add(told,
+		    (struct str){job->records.bytes,
+				 (size_t)job->records.n * RECORD_SIZE},
+		    0);
+	if (told->n && told->n == told->max)
+		raise_floor(job, told->bytes + (told->n - 1) * RECORD_SIZE);
+	return true;
+}
+
 static void flush(struct relay_job *job)
 {
 	Peer__PartResult message = PEER__PART_RESULT__INIT;
 
-	job->flushed = true;
+	if (job->has_floor)
+		records_cut(&job->records, job->floor);
 	message.id = job->id;
+	message.floor = extend_floor(job);
 	message.parts = job->pointers;
 	message.n_parts = (size_t)job->n_done;
 	message.records.data = (uint8_t *)job->records.bytes;
@@ -114,10 +158,13 @@
 
 static void on_timer(evutil_socket_t fd, short what, void *arg)
 {
+	struct relay_job *job = arg;
+
 	(void)fd;
 	(void)what;
+	job->flushed = true;
 	/* Even without results: it shows that this instance lives. */
-	flush(arg);
+	flush(job);
 }
 
 static Peer__PartDone *add_done(struct relay_job *job, uint32_t index, int code,
@@ -230,6 +277,12 @@
 	job->done = mem_zalloc(n * sizeof(*job->done));
 	job->pointers = mem_zalloc(n * sizeof(*job->pointers));
 	records_init(&job->records, (int)message->records_max);
+	records_init(&job->told, (int)message->records_max);
+	/* Later sends of a request: their parts may come from others first. */
+	if (!message->flush_ms)
+		job->n_told = FLOOR_PARTS;
+	if (message->floor.len == RECORD_SIZE)
+		raise_floor(job, (const char *)message->floor.data);
 	job->timer = evtimer_new(relay->base, on_timer, job);
 	DL_APPEND(relay->jobs, job);
 	job->flushed = !message->flush_ms;
--- a/tests/test_records.c
+++ b/tests/test_records.c
@@ -37,6 +37,27 @@
 	records_finish(&records);
 }
 
+/* Those equal to the floor all count. */
+static void test_cut(void)
+{
+	char body[4][RECORD_SIZE] = {{4}, {2}, {3}, {2}};
+	char floor[RECORD_SIZE] = {2};
+	struct records records;
+
+	records_init(&records, 4);
+	records_add(&records, (struct str){body[0], sizeof(body)}, 7);
+	records_cut(&records, floor);
+	CU_ASSERT_EQUAL(records.n, 4);
+	floor[1] = 1;
+	records_cut(&records, floor);
+	CU_ASSERT_EQUAL(records.n, 2);
+	CU_ASSERT_EQUAL(records.bytes[RECORD_SIZE], 3);
+	floor[0] = 5;
+	records_cut(&records, floor);
+	CU_ASSERT_EQUAL(records.n, 0);
+	records_finish(&records);
+}
+
 static void test_rest_is_no_record(void)
 {
 	struct records records;
@@ -55,6 +76,7 @@
 }
 
 static const struct unit_test tests[] = {
+	{"cut", test_cut},
 	{"greatest", test_greatest},
 	{"a rest is no record", test_rest_is_no_record},
 };
