member: ask members of other data centres less often

Change: where members come from seeds, and no lease hangs on an answer, an instance with four neighbours or more asks one of another data centre in one round of four. Once a member there is suspected, the order is made anew and all of that data centre are asked.

The new test failed first, by its share of datagrams.

--- a/member_probe.c
+++ b/member_probe.c
@@ -9,6 +9,10 @@
 
 #define HELPERS 3 /* asked to ping a member that did not answer us */
 #define RANDOM_TRIES 16
+/* Neighbours that together ask each other often enough. */
+#define NEAR_ENOUGH 4
+/* One of another data centre is in one round of so many. */
+#define FAR_EVERY 4
 #define SYNC_RETRY_PERIODS 4
 #define SYNC_START MSEC(120000)
 #define SYNC_MISSING_PART 100
@@ -68,15 +72,56 @@
 	return member->status != MEMBER_GONE || member->listed || table->seeded;
 }
 
+static int count_near(const struct member_table *table)
+{
+	const struct member *member;
+	int n = 0;
+
+	for (member = table->members; member; member = member->hh.next)
+		n += member->status == MEMBER_ALIVE &&
+		     member->dc_hash == table->self.dc_hash;
+	return n;
+}
+
+static bool has_suspect(const struct member_table *table, uint64_t dc_hash)
+{
+	const struct member *member;
+
+	for (member = table->members; member; member = member->hh.next) {
+		if (member->status == MEMBER_SUSPECT &&
+		    member->dc_hash == dc_hash)
+			return true;
+	}
+	return false;
+}
+
+/*
+ * Where members come by news alone and no lease hangs on an answer, one of
+ * another data centre is asked less often: its own neighbours ask it, and bytes
+ * between data centres are dear. Once one is suspected all there are asked, for
+ * they may be cut off or lost together.
+ */
+static bool is_passed_over(const struct member_table *table,
+			   const struct member *member, int n_near)
+{
+	return table->seeded && n_near >= NEAR_ENOUGH &&
+	       member->status == MEMBER_ALIVE &&
+	       member->dc_hash != table->self.dc_hash &&
+	       table->ops->random(table->arg) % FAR_EVERY &&
+	       !has_suspect(table, member->dc_hash);
+}
+
 static void shuffle(struct member_table *table)
 {
+	int n_near = count_near(table);
 	struct member *member;
 	int i;
 
 	table->n_order = 0;
 	table->at_order = 0;
 	for (member = table->members; member; member = member->hh.next) {
-		if (!worth_asking(table, member))
+		if (!worth_asking(table, member) ||
+		    is_passed_over(table, member, n_near))
 			continue;
 		MEM_GROW(table->order, table->n_order, table->cap_order);
 		table->order[table->n_order++] = member;
@@ -160,6 +205,9 @@
 	if (table->health < MEMBER_HEALTH_MAX)
 		table->health++;
 	member_suspect(table, member);
+	/* The order is made anew, with all of that data centre. */
+	if (table->seeded)
+		table->at_order = table->n_order;
 }
 
 static void judge(struct member_table *table, struct member_probe *probe,
--- a/tests/member_sim.c
+++ b/tests/member_sim.c
@@ -112,6 +112,19 @@
 	push(sim, message);
 }
 
+static bool is_far(const struct sim *sim, const struct sim_node *from,
+		   const struct address *to)
+{
+	int i;
+
+	for (i = 0; i < sim->n; i++) {
+		if (address_eq(&sim->nodes[i].peer_address, to))
+			return strcmp(sim->nodes[i].data_centre,
+				      from->data_centre);
+	}
+	return false;
+}
+
 static void send_datagram(void *arg, const struct address *to, const void *data,
 			  size_t len)
 {
@@ -119,6 +132,7 @@
 	struct sim *sim = node->sim;
 
 	sim->datagrams++;
+	sim->far_datagrams += is_far(sim, node, to);
 	sim->datagram_bytes += len;
 	if ((double)(sim_random(sim) % 1000000) < sim->loss * 1e6)
 		return;
--- a/tests/member_sim.h
+++ b/tests/member_sim.h
@@ -97,6 +97,7 @@
 	bool unchecked;
 	uint64_t steps;
 	uint64_t datagrams;
+	uint64_t far_datagrams; /* to another data centre */
 	uint64_t datagram_bytes;
 	uint64_t frames;
 	uint64_t frame_bytes;
--- a/tests/test_member.c
+++ b/tests/test_member.c
@@ -376,10 +376,65 @@
 	sim_finish(&sim);
 }
 
+static bool all_doubt_dc0(struct sim *sim)
+{
+	int i;
+	int j;
+
+	for (i = 0; i < sim->n; i++) {
+		if (sim->nodes[i].paused)
+			continue;
+		for (j = 0; j < sim->n; j += 4) {
+			const struct member *member =
+				member_table_find(&sim->nodes[i].members,
+						  sim->nodes[j].name);
+
+			if (member && member->status == MEMBER_ALIVE)
+				return false;
+		}
+	}
+	return true;
+}
+
+/*
+ * 40 instances in four data centres, known from seeds. Of ten heartbeats eight
+ * would go to other data centres, which costs most. Asked less often there,
+ * a whole data centre that falls silent is noticed as soon as before.
+ */
+static void test_far_asked_less(void)
+{
+	struct sim sim;
+	int64_t took;
+	int i;
+
+	sim_init(&sim, 1, 40, 4, 0, 0, 0, &share_settled);
+	sim_start_all(&sim);
+	sim_run(&sim, MSEC(60000));
+	CU_ASSERT(sim_all_agree(&sim));
+	for (i = 0; i < sim.n; i++)
+		sim.nodes[i].members.seeded = true;
+	sim_run(&sim, MSEC(60000));
+	sim.datagrams = 0;
+	sim.far_datagrams = 0;
+	sim_run(&sim, MSEC(60000));
+	printf("\nto other data centres: %d of %d datagrams\n",
+	       (int)sim.far_datagrams, (int)sim.datagrams);
+	CU_ASSERT(sim.far_datagrams < sim.datagrams / 2);
+	for (i = 0; i < sim.n; i += 4)
+		sim_pause(&sim, i);
+	took = sim_run_until(&sim, all_doubt_dc0, MSEC(60000));
+	printf("a silent data centre is noticed by all in %d ms\n",
+	       (int)(took / 1000));
+	CU_ASSERT(took >= 0);
+	CU_ASSERT(took <= 10 * sim.probe_period);
+	sim_finish(&sim);
+}
+
 static const struct unit_test tests[] = {
 	{"start", test_start},
 	{"crash", test_crash},
 	{"silence", test_silence},
+	{"far ones asked less", test_far_asked_less},
 	{"told that it is gone", test_told_gone},
 	{"two halves hold each other for gone", test_halves_gone},
 	{"restart", test_restart},
