dispatch: servers without a free connection do not use up a part's sends

Cause: a relay answers at once that a server has no connection free, and the part was sent to the other server, and back, without a pause.

Change: a server that was busy is left alone for 5 ms, and its place is used again. What arrived nowhere counts as no send.

The new test failed first: the request ended after 6 sends.

--- a/dispatch.c
+++ b/dispatch.c
@@ -126,17 +126,51 @@
 	int n;
 };
 
+static bool is_free_again(const struct dispatch_send *send, int64_t now)
+{
+	return send->busy_until && now >= send->busy_until;
+}
+
 static void fill_tried(const struct dispatch_part *part, struct tried *tried)
 {
+	int64_t now = clock_now(part->dispatch->clock);
 	int i;
 
 	tried->n = 0;
 	for (i = 0; i < part->n_sends; i++) {
-		if (!part->sends[i].busy)
+		if (!is_free_again(&part->sends[i], now))
 			tried->servers[tried->n++] = part->sends[i].server;
 	}
 }
 
+/* Servers that had no connection free; some time later they may have one. */
+static bool has_busy(const struct dispatch_part *part)
+{
+	int i;
+
+	for (i = 0; i < part->n_sends; i++) {
+		if (part->sends[i].busy_until)
+			return true;
+	}
+	return false;
+}
+
+/*
+ * Room for one more send, or NULL. Where servers have no connection free for
+ * long, those that were not sent must not use up the room.
+ */
+static struct dispatch_send *free_slot(struct dispatch_part *part)
+{
+	int64_t now = clock_now(part->dispatch->clock);
+	int i;
+
+	for (i = 0; i < part->n_sends; i++) {
+		if (is_free_again(&part->sends[i], now))
+			return &part->sends[i];
+	}
+	return part->n_sends < DISPATCH_SENDS_MAX ? &part->sends[i] : NULL;
+}
+
 static struct registry_server *pick(const struct dispatch_part *part,
 				    const struct tried *tried, bool fresh_only)
 {
@@ -149,7 +183,8 @@
 		   const char *why)
 {
 	struct dispatch *dispatch = part->dispatch;
-	struct dispatch_send *send = &part->sends[part->n_sends];
+	struct dispatch_send *send = free_slot(part);
+	const struct dispatch_send before = *send;
 	int64_t now = clock_now(dispatch->clock);
 	int ret;
 
@@ -161,11 +196,15 @@
 	send->why = why;
 	ret = dispatch->ops->send(dispatch->arg, send, dispatch->deadline);
 	if (ret) {
+		*send = before;
 		part->code = ret;
 		return ret;
 	}
 	registry_server_ref(server);
-	part->n_sends++;
+	if (before.server)
+		registry_server_unref(before.server);
+	else
+		part->n_sends++;
 	part->n_run++;
 	part->n_arrived++;
 	dispatch->n_sends++;
@@ -188,7 +227,7 @@
 	int ret = ERR_NO_REPLICA;
 	struct tried tried;
 
-	if (part->n_sends == DISPATCH_SENDS_MAX)
+	if (!free_slot(part))
 		return ERR_NO_REPLICA;
 	fill_tried(part, &tried);
 	while (tried.n < DISPATCH_SENDS_MAX) {
@@ -238,9 +277,10 @@
 	int ret;
 
 	fill_tried(part, &tried);
-	if (part->n_run >= dispatch->route->servers_max ||
-	    part->n_sends == DISPATCH_SENDS_MAX || !pick(part, &tried, hedge))
+	if (part->n_run >= dispatch->route->servers_max || !free_slot(part))
 		return ERR_NO_REPLICA;
+	if (!pick(part, &tried, hedge))
+		return has_busy(part) ? ERR_BUDGET : ERR_NO_REPLICA;
 	if (!take_budget(part, hedge))
 		return ERR_BUDGET;
 	ret = send_part(part, why, hedge);
@@ -419,7 +459,8 @@
 	send->state = SEND_OVER;
 	if (answer->code == ERR_CONNECT || answer->code == ERR_BUDGET)
 		part->n_arrived--;
-	send->busy = answer->code == ERR_BUDGET;
+	if (answer->code == ERR_BUDGET)
+		send->busy_until = clock_now(dispatch->clock) + RETRY_PERIOD;
 	if (answer->not_run)
 		part->n_run--;
 	else
--- a/dispatch.h
+++ b/dispatch.h
@@ -36,8 +36,8 @@
  * @handle: of the owner
  * @watch: of the owner
  * @relayed: of the owner
- * @busy: it was not sent, for want of a connection; the server may be asked
- * again
+ * @busy_until: it was not sent, for want of a connection; the server may be
+ *	asked again from then on, and this be used anew
  * @why: for logs: "first", "hedge", "retry"
  */
 struct dispatch_send {
@@ -48,7 +48,7 @@
 	void *handle;
 	void *watch;
 	bool relayed;
-	bool busy;
+	int64_t busy_until;
 	const char *why;
 };
 
--- a/tests/test_dispatch.c
+++ b/tests/test_dispatch.c
@@ -401,6 +401,33 @@
 	world_finish(&world);
 }
 
+/*
+ * All servers of a service have no connection free for a while, and the relay
+ * says so at once, again and again. The request must live until one has, and
+ * not send more than one message to each in 5 ms.
+ */
+static void test_busy_for_long(void)
+{
+	struct world world;
+	int ended = 0;
+	int ms;
+
+	world_init(&world);
+	start(&world, "/any/");
+	for (ms = 0; ms < 60; ms++) {
+		while (ended < world.n_sent)
+			CU_ASSERT(result(&world, ended++, ERR_BUDGET, true,
+					 "") == DISPATCH_OPEN);
+		pass(&world, 1);
+	}
+	CU_ASSERT(world.n_sent >= 12);
+	CU_ASSERT(world.n_sent <= 26);
+	pass(&world, 5);
+	CU_ASSERT(result(&world, world.n_sent - 1, 0, false, "x") ==
+		  DISPATCH_WHOLE);
+	world_finish(&world);
+}
+
 static void test_retry_gives_up_at_goal(void)
 {
 	struct world world;
@@ -472,6 +499,7 @@
 	{"a retry waits for budget", test_retry_waits_for_budget},
 	{"waits for a connection", test_waits_for_connection},
 	{"a relay has no connection", test_relay_has_no_connection},
+	{"busy for long", test_busy_for_long},
 	{"a retry gives up at the goal", test_retry_gives_up_at_goal},
 	{"no server", test_no_server},
 	{"the same stamp twice", test_same_stamp_twice},
