upstream: a peer's number of connections may be any

Cause: the share of the connections that a server accepts was turned from a double into an int; a relay takes that number from a message, and 4,294,967,295 does not fit, which is undefined.

Found by the fuzz entry for relays after 3,566,596 runs (undefined behaviour sanitizer of clang). Its input is a seed now: with clang it fails before and passes after.

The share stays a double; whole connections are counted as before.

--- a/tests/fuzz/seeds.py
+++ b/tests/fuzz/seeds.py
@@ -211,6 +211,10 @@
     yield frame(PART_RESULT, lost) + frame(HELLO, b"") + frame(
         PART_RESULT, result) + frame(FAILURE, b"")
     yield frame(PART_REQUEST, job) * 2 + frame(FAILURE, b"")
+    # More connections than an int holds.
+    most = wire.encode((1, 1), (2, "r"), (3, head), (5, 50), (9, 0xffffffff),
+                       *near)
+    yield frame(PART_REQUEST, most)
 
 
 def write(out):
--- a/upstream.c
+++ b/upstream.c
@@ -467,13 +467,14 @@
 		     int64_t connections_max)
 {
 	const struct upstream_limits *limits = &upstream->limits;
-	int most;
+	/* A peer may tell any number. */
+	double most;
 
 	/* Rounded up: with one connection, one slow answer blocks a server. */
 	if (server->remote)
-		most = (int)ceil((double)connections_max * limits->share_far);
+		most = ceil((double)connections_max * limits->share_far);
 	else
-		most = (int)((double)connections_max * limits->share_near);
+		most = floor((double)connections_max * limits->share_near);
 	if (!server->remote && most < CONNS_NEAR_LEAST)
 		most = CONNS_NEAR_LEAST;
 	return server->n_conns < most;
