fault matrix: instances start with the table in force; a set keeps a server

An instance that started after the change got the table from before it, and gave a server that leaves new work for more than 3 s; a real one reads the newest. And where server b1 drained while the table took b0 away, its only replica, nobody was left to answer for their records: traced, all six failures of that pair have the drain at b1, the twelve others of it at b0 or b3 pass.

Change: the model's instances start with the table as it is then, and the table takes away b2 when b1 drains. All checks stay, on every cell.

--- a/tests/matrix_world.c
+++ b/tests/matrix_world.c
@@ -924,9 +924,19 @@
 	post_link_lost(world, index);
 }
 
-static void put_table(struct world_instance *instance, uint64_t revision,
-		      const char *state)
+/* Whether the table says that a server is leaving. */
+static const char *state_of(const struct world *world, int index)
 {
+	bool leaves = world->is_table_changed && index == world->table_leaves;
+
+	return leaves ? "leaving" : "on";
+}
+
+/* An instance that starts after a change reads the table as it is then. */
+static void put_table(struct world_instance *instance)
+{
+	const struct world *world = instance->world;
+	uint64_t revision = world->is_table_changed ? 2 : 1;
 	struct table *table = mem_zalloc(sizeof(*table));
 	struct error err = {0};
 	char text[1024];
@@ -941,9 +951,10 @@
 		       "\"rows\":["
 		       "[\"b0\",\"desk\",\"dc\",\"127.0.0.1:10\",\"%s\"],"
 		       "[\"b1\",\"desk\",\"dc\",\"127.0.0.1:11\",\"on\"],"
-		       "[\"b2\",\"desk\",\"dc\",\"127.0.0.1:12\",\"on\"],"
+		       "[\"b2\",\"desk\",\"dc\",\"127.0.0.1:12\",\"%s\"],"
 		       "[\"b3\",\"desk\",\"dc\",\"127.0.0.1:13\",\"on\"]]}}",
-		       WORLD_DEADLINE_MS, state);
+		       WORLD_DEADLINE_MS, state_of(world, 0),
+		       state_of(world, 2));
 	if (table_init(table, text, (size_t)len, revision, &err))
 		abort();
 	blackboard_set_table(&instance->board, table);
@@ -987,7 +998,7 @@
 	searches_init(&instance->searches, &instance->board, &search_ops,
 		      instance, world_random(world, UINT32_MAX) + 1);
 	home_init(&instance->home, &instance->board, &home_ops, instance);
-	put_table(instance, 1, "on");
+	put_table(instance);
 	add_shares(instance);
 	post_tick(world, index);
 }
@@ -1004,11 +1015,15 @@
 {
 	int i;
 
+	/* Its last replica is not taken from a set. */
+	world->table_leaves = world->servers[1].is_draining ? 2 : 0;
+	world->is_table_changed = true;
 	for (i = 0; i < WORLD_INSTANCES; i++) {
 		if (world->instances[i].is_alive)
-			put_table(&world->instances[i], 2, "leaving");
+			put_table(&world->instances[i]);
 	}
-	world->servers[0].leaving_at = clock_now(&world->clock);
+	world->servers[world->table_leaves].leaving_at =
+		clock_now(&world->clock);
 }
 
 void world_leave_instance(struct world *world, int index)
--- a/tests/matrix_world.h
+++ b/tests/matrix_world.h
@@ -129,6 +129,8 @@
 	int above_share;   /* sent by a home without a slot for it */
 	int target_server; /* that the step concerns, -1 if none yet */
 	int target_home;
+	bool is_table_changed;
+	int table_leaves; /* the server that the change takes away */
 };
 
 void world_init(struct world *world, uint64_t seed);
