--- a/dispatch.c
+++ b/dispatch.c
@@ -13,6 +13,15 @@
  */
 #define HEDGE_LEAST MSEC(8)
 #define HEDGE_MOST_OF_GOAL 0.35
+/*
+ * A hedge helps where one server is late among many that are not. If most parts
+ * of a request are late, load is the cause and hedges add to it: under bursts
+ * at twice the usual rate, requests had 10 extra sends each to 20 shards, and
+ * none got an answer sooner. Hedges wait until this share of the parts is in:
+ * mean worth +0.002 over 44 pairs of days (standard error 0.0006), on no kind
+ * of day less. Three quarters: -0.0007.
+ */
+#define HEDGE_PARTS_IN 0.5
 /* Sends end at the deadline too: what they say then is that time is up. */
 #define DEADLINE_SLACK MSEC(2)
 /* A retry without budget left is tried again so much later. */
@@ -491,6 +500,13 @@
 	return dispatch->outcome;
 }
 
+/* Whether it is this part that is late, and not all of them. */
+static bool is_straggler(const struct dispatch *dispatch)
+{
+	return dispatch->n_parts == 1 ||
+	       dispatch->n_in >= dispatch->n_parts * HEDGE_PARTS_IN;
+}
+
 /*
  * The shard's other servers may be stopped as well, or the budget used up: both
  * change within the time that is left.
@@ -502,7 +518,7 @@
 	part->hedge_at = INT64_MAX;
 	if (part->n_run >= part->dispatch->route->servers_max)
 		return;
-	if (send_again(part, "hedge", true))
+	if (!is_straggler(part->dispatch) || send_again(part, "hedge", true))
 		part->hedge_at = now + RETRY_PERIOD;
 }
 
--- a/tests/test_dispatch.c
+++ b/tests/test_dispatch.c
@@ -201,6 +201,31 @@
 	world_finish(&world);
 }
 
+/*
+ * Callers come at twice the usual rate for half a second. All shards' answers
+ * are late, since all servers have queues; with a hedge for each part the
+ * queues would double, and all callers' answers be late. Hedges go out once
+ * half of the parts are in, for then the others are what is late.
+ */
+static void test_no_hedges_while_all_are_late(void)
+{
+	struct world world;
+
+	world_init(&world);
+	start(&world, "/shards/");
+	CU_ASSERT(pass(&world, 50) == DISPATCH_OPEN);
+	CU_ASSERT(world.n_sent == 4);
+	result(&world, 0, 0, false, "a");
+	CU_ASSERT(pass(&world, 5) == DISPATCH_OPEN);
+	CU_ASSERT(world.n_sent == 4);
+	result(&world, 1, 0, false, "b");
+	CU_ASSERT(dispatch_due(&world.dispatch) <=
+		  clock_now(&world.clock) + MSEC(5));
+	CU_ASSERT(pass(&world, 5) == DISPATCH_OPEN);
+	CU_ASSERT(world.n_sent == 6);
+	world_finish(&world);
+}
+
 /*
  * A shard is lost. With enough of the others, the answer goes out shortly
  * before the goal; waiting longer would make it late for all.
@@ -487,6 +512,7 @@
 	{"all parts", test_all_parts},
 	{"hedge", test_hedge},
 	{"hedge when the other is back", test_hedge_when_other_is_back},
+	{"no hedges while all are late", test_no_hedges_while_all_are_late},
 	{"partial at the goal", test_partial_at_goal},
 	{"a late part makes it enough", test_late_part_makes_it_enough},
 	{"hopeless fails at once", test_hopeless_fails_at_once},
