--- a/store.h
+++ b/store.h
@@ -69,7 +69,8 @@
  * struct store_ops - how the platform speaks
  * @target: write the path and query of a call
  * @decode: read an answer; release with @release
- * @server: read the value of a STORE_SERVERS item
+ * @server: read the value of a STORE_SERVERS item. Return: 0; or what is wrong
+ *	with it: it names no server that can be used
  */
 struct store_ops {
 	void (*target)(const struct store_call *call, char *out, size_t size);
--- a/store_sync.c
+++ b/store_sync.c
@@ -200,9 +200,16 @@
 		return;
 	}
 	ret = sync->format->server(item, &entry);
+	/*
+	 * Another writer, or a version of the servers that says what is not
+	 * known here: what was published before does not hold any more. Once
+	 * the server writes again, at most a heartbeat later, it is back.
+	 */
 	if (ret) {
 		LOG_WARN("server_entry_refused", LOG_TEXT("server", item->name),
-			 LOG_TEXT("error", error_name(ret)));
+			 LOG_TEXT("error", error_name(ret)),
+			 LOG_U64("store_revision", item->changed_at));
+		take_removal(sync, item->name, item->changed_at);
 		return;
 	}
 	store_sync_put_server(sync, &entry, item->changed_at);
--- /dev/null
+++ b/tests/fuzz/fuzz_entry.c
@@ -0,0 +1,26 @@
+/* What a backend server, or any other writer, publishes under a server's id. */
+#include "fuzz.h"
+
+#include <stdlib.h>
+
+#include "platform/names.h"
+
+/* An entry that is taken names a server that requests can be sent to. */
+static void check(const struct server_entry *entry)
+{
+	if (!entry->id[0] || !entry->service[0] || !entry->data_centre[0])
+		abort();
+	if (!entry->address.port || entry->slots < 0 || entry->cold_for_ms < 0)
+		abort();
+}
+
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
+{
+	struct store_item item = {.name = "i",
+				  .value = {(const char *)data, size}};
+	struct server_entry entry;
+
+	if (!platform_store.server(&item, &entry))
+		check(&entry);
+	return 0;
+}
--- a/tests/fuzz/seeds.py
+++ b/tests/fuzz/seeds.py
@@ -153,9 +153,19 @@
         yield bytes([kind | 3]) + answer + b"Content-Length: 9\r\n\r\n"
 
 
+ENTRY = {"service": "s", "address": "127.0.0.1:1", "data_centre": "d",
+         "slots": 2, "state": "ready", "cold_for_ms": 5}
+
+
+def entries():
+    yield json.dumps(ENTRY).encode()
+    for key in ENTRY:
+        yield json.dumps({k: v for k, v in ENTRY.items() if k != key}).encode()
+        for other in (None, 0, -1, 1.5, "", "x", [], {}):
+            yield json.dumps({**ENTRY, key: other}).encode()
+
+
 def stores():
-    entry = {"service": "s", "address": "127.0.0.1:1", "data_centre": "d",
-             "slots": 2, "state": "ready", "cold_for_ms": 5}
     routes = {
         "version": 3, "services": [{"name": "a", "connections_max": 4}],
         "limits": {"header_bytes_max": 9},
@@ -168,7 +178,7 @@
              "repeat": "once"}],
     }
     yield json.dumps(routes).encode()
-    for value in (entry, routes):
+    for value in (ENTRY, routes):
         text = base64.b64encode(json.dumps(value).encode()).decode()
         item = {"key": "servers/i", "value": text, "changed_at": 4}
         yield json.dumps({"items": [item], "more": True,
@@ -220,6 +230,7 @@
 def write(out):
     """A directory of inputs for each entry."""
     for name, seeds in (
+        ("entry", entries()),
         ("frame", frames()),
         ("home", homes()),
         ("http", messages()),
--- /dev/null
+++ b/tests/test_server_entry.c
@@ -0,0 +1,121 @@
+#include <stdio.h>
+#include <string.h>
+
+#include "error.h"
+#include "platform/names.h"
+#include "unit.h"
+
+#define GOOD                                                                   \
+	"{\"service\":\"s\",\"address\":\"10.1.0.9:8080\",\"data_centre\":"    \
+	"\"dc\",\"slots\":2,\"state\":\"ready\",\"cold_for_ms\":0}"
+
+static int read_as(const char *name, const char *value,
+		   struct server_entry *entry)
+{
+	struct store_item item = {.value = str_from(value)};
+
+	snprintf(item.name, sizeof(item.name), "%s", name);
+	return platform_store.server(&item, entry);
+}
+
+static int read_value(const char *value)
+{
+	struct server_entry entry;
+
+	return read_as("i-1", value, &entry);
+}
+
+/* @from of the good entry in other words. */
+static int read_with(const char *from, const char *to)
+{
+	const char *at = strstr(GOOD, from);
+	char text[512];
+
+	CU_ASSERT_FATAL(at != NULL);
+	snprintf(text, sizeof(text), "%.*s%s%s", (int)(at - GOOD), GOOD, to,
+		 at + strlen(from));
+	return read_value(text);
+}
+
+static void test_good(void)
+{
+	struct server_entry entry;
+
+	CU_ASSERT(!read_as("i-1", GOOD, &entry));
+	CU_ASSERT(!strcmp(entry.id, "i-1"));
+	CU_ASSERT(!strcmp(entry.service, "s"));
+	CU_ASSERT(!strcmp(entry.data_centre, "dc"));
+	CU_ASSERT(entry.slots == 2);
+	CU_ASSERT(!entry.draining);
+	CU_ASSERT(!read_with("\"ready\"", "\"draining\""));
+	CU_ASSERT(!read_with("{", "{\"more\":[1],"));
+}
+
+/*
+ * Another program writes an entry without some of the fields. Read as zeros and
+ * empty texts it would name a server that callers' requests are sent to.
+ */
+static void test_missing(void)
+{
+	CU_ASSERT(read_with("\"service\"", "\"a\"") == ERR_KEY_MISSING);
+	CU_ASSERT(read_with("\"address\"", "\"a\"") == ERR_KEY_MISSING);
+	CU_ASSERT(read_with("\"data_centre\"", "\"a\"") == ERR_KEY_MISSING);
+	CU_ASSERT(read_with("\"slots\"", "\"a\"") == ERR_KEY_MISSING);
+	CU_ASSERT(read_with("\"state\"", "\"a\"") == ERR_KEY_MISSING);
+	CU_ASSERT(read_with("\"cold_for_ms\"", "\"a\"") == ERR_KEY_MISSING);
+	CU_ASSERT(read_value("{}") == ERR_KEY_MISSING);
+}
+
+static void test_wrong_type(void)
+{
+	CU_ASSERT(read_with("\"s\"", "7") == ERR_TYPE);
+	CU_ASSERT(read_with("\"10.1.0.9:8080\"", "[]") == ERR_TYPE);
+	CU_ASSERT(read_with("\"dc\"", "null") == ERR_TYPE);
+	CU_ASSERT(read_with(":2", ":\"2\"") == ERR_TYPE);
+	CU_ASSERT(read_with(":2", ":2.5") == ERR_TYPE);
+	CU_ASSERT(read_with("\"ready\"", "true") == ERR_TYPE);
+	CU_ASSERT(read_with("_ms\":0", "_ms\":{}") == ERR_TYPE);
+}
+
+/* A state that nobody has heard of is no reason to send requests there. */
+static void test_unknown_state(void)
+{
+	CU_ASSERT(read_with("\"ready\"", "\"stopping\"") == ERR_REFERENCE);
+	CU_ASSERT(read_with("\"ready\"", "\"\"") == ERR_RANGE);
+}
+
+static void test_out_of_bounds(void)
+{
+	char name[STORE_KEY_SIZE];
+	struct server_entry entry;
+
+	CU_ASSERT(read_with("\"s\"", "\"\"") == ERR_RANGE);
+	CU_ASSERT(read_with("\"s\"", "\"s\\u0000t\"") == ERR_RANGE);
+	CU_ASSERT(read_with(":2", ":-2") == ERR_RANGE);
+	CU_ASSERT(read_with("10.1.0.9:8080", "10.1.0.9") == ERR_ADDRESS);
+	CU_ASSERT(read_with("10.1.0.9:8080", "host:80") == ERR_ADDRESS);
+	CU_ASSERT(read_with("10.1.0.9:8080", "10.1.0.9:0") == ERR_ADDRESS);
+	CU_ASSERT(read_as("", GOOD, &entry) == ERR_RANGE);
+	memset(name, 'i', sizeof(name));
+	name[sizeof(name) - 1] = '\0';
+	CU_ASSERT(read_as(name, GOOD, &entry) == ERR_RANGE);
+}
+
+static void test_not_readable(void)
+{
+	CU_ASSERT(read_value("") == ERR_SYNTAX);
+	CU_ASSERT(read_value("[]") == ERR_SYNTAX);
+	CU_ASSERT(read_value("{\"service\":") == ERR_SYNTAX);
+	CU_ASSERT(read_value("\xff\xfe\x01") == ERR_SYNTAX);
+}
+
+static const struct unit_test tests[] = {
+	{"good", test_good},
+	{"missing", test_missing},
+	{"wrong type", test_wrong_type},
+	{"unknown state", test_unknown_state},
+	{"out of bounds", test_out_of_bounds},
+	{"not readable", test_not_readable},
+};
+
+UNIT_MAIN("server entry", tests)
--- a/tests/test_store_sync.c
+++ b/tests/test_store_sync.c
@@ -22,6 +22,8 @@
 		       struct server_entry *entry)
 {
 	memset(entry, 0, sizeof(*entry));
+	if (str_eq(item->value, STR("unreadable")))
+		return ERR_SYNTAX;
 	str_copy(entry->id, sizeof(entry->id), str_from(item->name));
 	snprintf(entry->service, sizeof(entry->service), "s");
 	entry->draining = str_eq(item->value, STR("draining"));
@@ -341,6 +343,28 @@
 	world_finish(&world);
 }
 
+/*
+ * Somebody writes bytes that cannot be read over a server's entry. Callers'
+ * requests must not go by what it said before, and the other servers' entries
+ * hold. A second later the server writes again, and is used again.
+ */
+static void test_unreadable_entry(void)
+{
+	struct world world;
+	struct store_item item = item_of("a", 3, false);
+
+	world_init(&world);
+	list_servers(&world);
+	item.value = STR("unreadable");
+	answer(&world, STORE_SERVERS, 3, &item, 1);
+	CU_ASSERT(!knows(&world, "a"));
+	CU_ASSERT(knows(&world, "b"));
+	item = item_of("a", 4, false);
+	answer(&world, STORE_SERVERS, 4, &item, 1);
+	CU_ASSERT(knows(&world, "a"));
+	world_finish(&world);
+}
+
 static const struct unit_test tests[] = {
 	{"start", test_start},
 	{"pages", test_pages},
@@ -351,6 +375,7 @@
 	{"failures back off", test_failures_back_off},
 	{"patience", test_patience},
 	{"start of all", test_start_of_all},
+	{"unreadable entry", test_unreadable_entry},
 };
 
 UNIT_MAIN("store_sync", tests)
