--- a/dispatch.c
+++ b/dispatch.c
@@ -409,20 +409,51 @@
 		fail_part(part);
 }
 
-enum dispatch_outcome dispatch_start(struct dispatch *dispatch)
+/*
+ * Shards without a live server would hold the request up until its goal, and
+ * the extra sends to them be taken from others.
+ */
+static void leave_out_lost(struct dispatch *dispatch)
 {
-	int64_t now = clock_now(dispatch->clock);
-	int ret;
+	int64_t since;
 	int i;
 
 	for (i = 0; i < dispatch->n_parts; i++) {
 		struct dispatch_part *part = &dispatch->parts[i];
 
-		budget_need(&part->service->budget, &dispatch->limits->budget,
-			    1, now);
-		ret = send_part(part, "first", false);
-		if (ret)
-			wait_or_fail(part, ret);
+		if (!outage_hits(dispatch->limits->outage, part->service,
+				 &since))
+			continue;
+		if (since > dispatch->lost_since)
+			dispatch->lost_since = since;
+		part->code = ERR_NO_REPLICA;
+		dispatch->n_lost++;
+		fail_part(part);
+	}
+}
+
+static void send_first(struct dispatch_part *part)
+{
+	struct dispatch *dispatch = part->dispatch;
+	int ret;
+
+	if (part->state != PART_WAITING)
+		return;
+	budget_need(&part->service->budget, &dispatch->limits->budget, 1,
+		    clock_now(dispatch->clock));
+	ret = send_part(part, "first", false);
+	if (ret)
+		wait_or_fail(part, ret);
+}
+
+enum dispatch_outcome dispatch_start(struct dispatch *dispatch)
+{
+	int i;
+
+	leave_out_lost(dispatch);
+	if (can_be_enough(dispatch)) {
+		for (i = 0; i < dispatch->n_parts; i++)
+			send_first(&dispatch->parts[i]);
 	}
 	review(dispatch);
 	return dispatch->outcome;
@@ -588,6 +619,8 @@
 
 int64_t dispatch_retry_after(const struct dispatch *dispatch)
 {
-	(void)dispatch;
+	if (dispatch->n_lost)
+		return outage_retry_after(dispatch->limits->outage,
+					  dispatch->lost_since);
 	return RETRY_AFTER_MS;
 }
--- a/dispatch.h
+++ b/dispatch.h
@@ -15,6 +15,7 @@
 #include "budget.h"
 #include "clock.h"
 #include "latency.h"
+#include "outage.h"
 #include "records.h"
 #include "registry.h"
 #include "routes.h"
@@ -127,10 +128,12 @@
  * struct dispatch_limits - shared by all requests of an instance
  * @budget: second sends to a service
  * @answer_margin: sharded requests are answered so long before the goal
+ * @outage: services without a live server
  */
 struct dispatch_limits {
 	struct budget_limit budget;
 	int64_t answer_margin;
+	struct outage *outage;
 };
 
 /**
@@ -140,6 +143,8 @@
  * @answer_at: sharded: from then on enough parts make the answer
  * @held: see dispatch_hold()
  * @n_in: parts that are in
+ * @n_lost: parts that no server could be sent when it came
+ * @lost_since: when the last of these was lost
  * @code: why it failed
  */
 struct dispatch {
@@ -156,6 +161,8 @@
 	int n_parts;
 	int n_in;
 	int n_failed;
+	int n_lost;
+	int64_t lost_since;
 	int n_sends;
 	int n_extra;
 	bool ran;
@@ -182,6 +189,9 @@
 /**
  * dispatch_start() - send the first requests
  *
+ * Parts of which no server can be reached are left out at once. If the others
+ * are not enough, nothing is sent and the outcome is DISPATCH_REFUSED.
+ *
  * Return: the outcome, DISPATCH_OPEN while it waits.
  */
 enum dispatch_outcome dispatch_start(struct dispatch *dispatch);
--- a/gateway.c
+++ b/gateway.c
@@ -7,6 +7,7 @@
 #include <event2/event.h>
 
 #include "error.h"
+#include "gateway_outage.h"
 #include "gateway_request.h"
 #include "log.h"
 #include "mem.h"
@@ -244,6 +245,7 @@
 		      on_server_closing, gateway);
 	upstream_init(&gateway->upstream, base, &gateway->clock,
 		      &names->upstream);
+	gateway_outage_init(gateway);
 	gateway->instances = INSTANCES_LEAST;
 	set_limits(gateway, gateway->instances);
 	ret = inbound_init(&gateway->inbound, base, &gateway->clock,
@@ -283,6 +285,7 @@
 	relay_serve_finish(&gateway->relay_serve);
 	relay_ask_finish(&gateway->relay_ask);
 	upstream_finish(&gateway->upstream);
+	gateway_outage_finish(gateway);
 	inbound_finish(&gateway->inbound);
 	gateway_fleet_finish(&gateway->fleet);
 	store_client_finish(&gateway->store);
--- a/gateway.h
+++ b/gateway.h
@@ -18,6 +18,7 @@
 #include "gateway_stats.h"
 #include "inbound.h"
 #include "latency.h"
+#include "outage.h"
 #include "registry.h"
 #include "relay_ask.h"
 #include "relay_serve.h"
@@ -73,6 +74,8 @@
 	struct gateway_fleet fleet;
 	struct relay_ask relay_ask;
 	struct relay_serve relay_serve;
+	struct outage outage;
+	struct wake_timer outage_timer;
 	struct dispatch_limits limits;
 	int instances;
 	struct route_stats *stats;
--- a/gateway_answer.c
+++ b/gateway_answer.c
@@ -126,6 +126,20 @@
 	return true;
 }
 
+/* No server was sent anything: why, and what the caller is told. */
+static void log_lost(const struct gateway_request *request, int64_t retry_after)
+{
+	const struct dispatch *dispatch = &request->dispatch;
+	int64_t lost_for = clock_now(dispatch->clock) - dispatch->lost_since;
+
+	LOG_INFO("shards_lost", LOG_STR("request", request->request.id),
+		 LOG_I64("lost", dispatch->n_lost),
+		 LOG_I64("parts", dispatch->n_parts),
+		 LOG_I64("lost_for_ms",
+			 dispatch->lost_since ? lost_for / USEC_PER_MSEC : 0),
+		 LOG_I64("retry_after_ms", retry_after));
+}
+
 static void answer_failure(struct gateway_request *request, bool ran)
 {
 	int code = request->dispatch.code;
@@ -138,6 +152,10 @@
 		status = HTTP_STATUS_BAD_GATEWAY;
 	else
 		retry_after = dispatch_retry_after(&request->dispatch);
+	if (!request->dispatch.n_sends && request->dispatch.n_lost) {
+		metric_inc(&request->gateway->counters.no_server);
+		log_lost(request, retry_after);
+	}
 	gateway_answer_log(request, status);
 	gateway_answer_error(request->conn, status, retry_after,
 			     error_name(code));
--- /dev/null
+++ b/gateway_outage.c
@@ -0,0 +1,80 @@
+#define LOG_MODULE "outage"
+#include "gateway_outage.h"
+
+#include <stdlib.h>
+
+#include "gateway.h"
+#include "log.h"
+#include "mem.h"
+
+/* A check under way. */
+struct open_check {
+	struct gateway *gateway;
+	struct outage_server *check;
+};
+
+void gateway_outage_arm(struct gateway *gateway)
+{
+	wake_timer_move(&gateway->outage_timer, outage_due(&gateway->outage));
+}
+
+static void on_checked(void *arg, bool listens)
+{
+	struct open_check *open = arg;
+	struct gateway *gateway = open->gateway;
+
+	outage_checked(&gateway->outage, open->check, listens);
+	free(open);
+	gateway_outage_arm(gateway);
+}
+
+static void check(void *arg, struct registry_server *server,
+		  struct outage_server *check)
+{
+	struct gateway *gateway = arg;
+	struct open_check *open = mem_zalloc(sizeof(*open));
+
+	open->gateway = gateway;
+	open->check = check;
+	if (!upstream_check(&gateway->upstream, server, on_checked, open))
+		return;
+	outage_checked(&gateway->outage, check, false);
+	free(open);
+}
+
+static void changed(void *arg, const struct registry_server *server, bool lost,
+		    int64_t lost_for)
+{
+	(void)arg;
+	LOG_INFO("server_reach", LOG_TEXT("server", server->entry.id),
+		 LOG_TEXT("service", server->entry.service),
+		 LOG_I64("lost", lost),
+		 LOG_I64("lost_for_ms", lost_for / USEC_PER_MSEC));
+}
+
+static const struct outage_ops ops = {
+	.check = check,
+	.changed = changed,
+};
+
+static void on_timer(void *arg)
+{
+	struct gateway *gateway = arg;
+
+	outage_tick(&gateway->outage);
+	gateway_outage_arm(gateway);
+}
+
+void gateway_outage_init(struct gateway *gateway)
+{
+	outage_init(&gateway->outage, &gateway->clock, &ops, gateway);
+	wake_timer_init(&gateway->outage_timer, gateway->base, &gateway->clock,
+			on_timer, gateway);
+	gateway->limits.outage = &gateway->outage;
+}
+
+void gateway_outage_finish(struct gateway *gateway)
+{
+	outage_finish(&gateway->outage);
+	wake_timer_finish(&gateway->outage_timer);
+}
--- a/gateway_request.c
+++ b/gateway_request.c
@@ -9,6 +9,7 @@
 #include <event2/event.h>
 #include <utlist.h>
 
+#include "gateway_outage.h"
 #include "gateway_request_private.h"
 #include "log.h"
 #include "mem.h"
@@ -190,6 +191,7 @@
 			      time_left(gateway, route, message));
 	gateway_send_init(request);
 	go_on(request, dispatch_start(&request->dispatch));
+	gateway_outage_arm(gateway);
 }
 
 static void refuse(struct gateway *gateway, struct inbound_conn *conn,
--- a/gateway_stats.h
+++ b/gateway_stats.h
@@ -14,6 +14,8 @@
 	  "answered with enough parts, not all")                               \
 	X(refused, METRIC_COUNTER, "garnetreach_requests_refused_total",       \
 	  "refused, and not run")                                              \
+	X(no_server, METRIC_COUNTER, "garnetreach_requests_no_server_total",   \
+	  "of these, at once: too few shards had a server to send to")         \
 	X(failed, METRIC_COUNTER, "garnetreach_requests_failed_total",         \
 	  "failed, and may have run")                                          \
 	X(left, METRIC_COUNTER, "garnetreach_requests_left_total",             \
--- a/registry.c
+++ b/registry.c
@@ -250,6 +250,7 @@
 		double cost;
 
 		if (server->entry.draining || server->gone ||
+		    server_score_is_lost(&server->score) ||
 		    is_tried(tried, n_tried, server))
 			continue;
 		cost = cost_of(server, now);
--- a/registry.h
+++ b/registry.h
@@ -148,6 +148,9 @@
  * @tried: servers not to be taken
  * @fresh_only: pass over those that are better avoided
  *
+ * One that is lost is not picked: it is found again by checks (see outage.h),
+ * and not at the cost of callers' requests.
+ *
  * Return: NULL if there is none.
  */
 struct registry_server *registry_pick(const struct registry_service *service,
--- a/server_score.c
+++ b/server_score.c
@@ -50,6 +50,11 @@
 #define LINGER_LOADED MSEC(30)
 /* Of what was seen last, before it says nothing more about a queue. */
 #define LOADED_AGE_MOST MSEC(1000)
+/*
+ * One connection that is not made may be a packet that was dropped, or one more
+ * than the server accepts; two in a row without an answer between are not.
+ */
+#define LOST_AFTER 2
 /* Without any answer: left alone for this long, doubled up to the most. */
 #define AVOID_FIRST MSEC(100)
 #define AVOID_MOST MSEC(2000)
@@ -75,10 +80,39 @@
 	score->avoid_until = now + score->avoid_for;
 }
 
+/* What broke on an open connection says nothing about the next one. */
+static void note_reach(struct server_score *score, enum server_result result,
+		       int64_t now)
+{
+	if (result == SERVER_ANSWERED || result == SERVER_REFUSED)
+		score->unreachable = 0;
+	if (result == SERVER_UNREACHABLE)
+		server_score_unreachable(score, now);
+}
+
+void server_score_unreachable(struct server_score *score, int64_t now)
+{
+	if (!score->unreachable++)
+		score->lost_since = now;
+}
+
+bool server_score_is_lost(const struct server_score *score)
+{
+	return score->unreachable >= LOST_AFTER;
+}
+
+void server_score_reached(struct server_score *score)
+{
+	score->unreachable = 0;
+	score->avoid_for = 0;
+	score->avoid_until = 0;
+}
+
 void server_score_result(struct server_score *score, enum server_result result,
 			 int64_t took, int64_t now)
 {
 	score->outstanding--;
+	note_reach(score, result, now);
 	if (result == SERVER_DROPPED ||
 	    (result == SERVER_SILENT && took < SILENCE_LEAST))
 		return;
--- a/server_score.h
+++ b/server_score.h
@@ -20,6 +20,8 @@
  *	if nothing was under way then
  * @avoid_until: after a request that got no answer at all
  * @avoid_for: the last such time, doubled each time
+ * @unreachable: connections in a row that were not made
+ * @lost_since: of the first of them, or of those before
  */
 struct server_score {
 	double latency;
@@ -30,6 +32,8 @@
 	int64_t waiting_since;
 	int64_t avoid_until;
 	int64_t avoid_for;
+	int unreachable;
+	int64_t lost_since;
 };
 
 enum server_result {
@@ -50,6 +54,21 @@
 void server_score_result(struct server_score *score, enum server_result result,
 			 int64_t took, int64_t now);
 
+/**
+ * server_score_is_lost() - no connection can be made to the server
+ */
+bool server_score_is_lost(const struct server_score *score);
+
+/**
+ * server_score_unreachable() - a connection to it was not made
+ */
+void server_score_unreachable(struct server_score *score, int64_t now);
+
+/**
+ * server_score_reached() - a connection was made to a server that was lost
+ */
+void server_score_reached(struct server_score *score);
+
 /**
  * server_result_of() - what the end of a send says of its server
  * @code: as in struct exchange_result
--- a/tests/test_dispatch.c
+++ b/tests/test_dispatch.c
@@ -13,6 +13,9 @@
 	struct registry registry;
 	struct route_set *routes;
 	struct latency latency;
+	struct outage outage;
+	int n_checks;
+	struct outage_server *check;
 	struct dispatch_limits limits;
 	struct dispatch dispatch;
 	struct dispatch_send *sent[SENDS_MAX];
@@ -46,6 +49,18 @@
 	.abandon = on_abandon,
 };
 
+static void on_check(void *arg, struct registry_server *server,
+		     struct outage_server *check)
+{
+	struct world *world = arg;
+
+	(void)server;
+	world->n_checks++;
+	world->check = check;
+}
+
+static const struct outage_ops outage_ops = {.check = on_check};
+
 static void on_closing(void *arg, struct registry_server *server)
 {
 	(void)arg;
@@ -92,11 +107,14 @@
 	latency_init(&world->latency, MSEC(20));
 	world->limits.budget = (struct budget_limit){.ratio = 0.2, .burst = 5};
 	world->limits.answer_margin = MSEC(10);
+	outage_init(&world->outage, &world->clock, &outage_ops, world);
+	world->limits.outage = &world->outage;
 }
 
 static void world_finish(struct world *world)
 {
 	dispatch_finish(&world->dispatch);
+	outage_finish(&world->outage);
 	route_set_unref(world->routes);
 	registry_finish(&world->registry);
 }
@@ -308,6 +326,84 @@
 	world_finish(&world);
 }
 
+/* Connections to a service's servers were refused, several times in a row. */
+static void lose_service(struct world *world, const char *name)
+{
+	struct registry_service *service =
+		registry_service(&world->registry, str_from(name));
+	int64_t now = clock_now(&world->clock);
+	int i;
+	int j;
+
+	for (i = 0; i < service->n; i++) {
+		for (j = 0; j < 3; j++) {
+			server_score_sent(&service->servers[i]->score, now);
+			server_score_result(&service->servers[i]->score,
+					    SERVER_UNREACHABLE, 0, now);
+		}
+	}
+}
+
+/*
+ * All servers of two of four shards crashed 300 ms ago, and the route needs
+ * three. A request that is sent to the others would burden them and fail all
+ * the same: the caller is told at once that nothing ran, and when to come back.
+ */
+static void test_lost_shards_refuse_at_once(void)
+{
+	struct world world;
+
+	world_init(&world);
+	lose_service(&world, "s1");
+	lose_service(&world, "s2");
+	clock_advance(&world.clock, MSEC(300));
+	CU_ASSERT(start(&world, "/shards/") == DISPATCH_REFUSED);
+	CU_ASSERT(world.n_sent == 0);
+	CU_ASSERT(world.dispatch.code == ERR_NO_REPLICA);
+	CU_ASSERT(dispatch_retry_after(&world.dispatch) == 300);
+	world_finish(&world);
+}
+
+/*
+ * One of four shards is lost, and the route can miss one. The answer goes out
+ * once the others are in; the caller does not wait for what cannot come.
+ */
+static void test_lost_shard_holds_nobody_up(void)
+{
+	struct world world;
+
+	world_init(&world);
+	lose_service(&world, "s1");
+	CU_ASSERT(start(&world, "/shards/") == DISPATCH_OPEN);
+	CU_ASSERT(world.n_sent == 3);
+	result(&world, 0, 0, false, "a");
+	result(&world, 1, 0, false, "b");
+	CU_ASSERT(result(&world, 2, 0, false, "c") == DISPATCH_PARTIAL);
+	CU_ASSERT(clock_now(&world.clock) == world.dispatch.start);
+	world_finish(&world);
+}
+
+/*
+ * Two shards were lost and one is back: a check finds a server that listens.
+ * The next request must be sent to it, not refused by what was known before.
+ */
+static void test_shard_is_back(void)
+{
+	struct world world;
+
+	world_init(&world);
+	lose_service(&world, "s1");
+	lose_service(&world, "s2");
+	CU_ASSERT(start(&world, "/shards/") == DISPATCH_REFUSED);
+	dispatch_finish(&world.dispatch);
+	outage_tick(&world.outage);
+	CU_ASSERT(world.n_checks == 4);
+	outage_checked(&world.outage, world.check, true);
+	CU_ASSERT(start(&world, "/shards/") == DISPATCH_OPEN);
+	CU_ASSERT(world.n_sent == 3);
+	world_finish(&world);
+}
+
 /*
  * A request that must not be repeated was sent, and its connection broke. It
  * may have run: no other server may get it, and nobody may be told that it did
@@ -543,6 +639,9 @@
 	{"partial at the goal", test_partial_at_goal},
 	{"a late part makes it enough", test_late_part_makes_it_enough},
 	{"hopeless fails at once", test_hopeless_fails_at_once},
+	{"lost shards refuse at once", test_lost_shards_refuse_at_once},
+	{"lost shard holds nobody up", test_lost_shard_holds_nobody_up},
+	{"shard is back", test_shard_is_back},
 	{"once is not repeated", test_once_is_not_repeated},
 	{"once goes on if not run", test_once_goes_on_if_not_run},
 	{"time-out while under way", test_timeout_under_way},
