--- a/scripts/own-days.sh
+++ b/scripts/own-days.sh
@@ -1,12 +1,12 @@
 #!/bin/sh
-# Plays the days of bench/days on the users' bench, which is not part of this
+# Plays the days of deploy/days on the users' bench, which is not part of this
 # repository, and prints a line a day: worth, shares served, refused and failed,
 # and what rule was broken. usage: own-days.sh BENCH SITE_FILE [JOBS]
 set -eu
 bench=$1
 site=$2
 jobs=${3:-4}
-days=$(dirname "$0")/../bench/days
+days=$(dirname "$0")/../deploy/days
 ls "$days"/*.toml | xargs -P "$jobs" -I{} sh -c '
 	name=$(basename {} .toml)
 	out=$('"$bench"' run '"$site"' {} --why "own day $name" </dev/null 2>&1)
