--- a/dispatch.c
+++ b/dispatch.c
@@ -22,6 +22,8 @@
  * of day less. Three quarters: -0.0007.
  */
 #define HEDGE_PARTS_IN 0.5
+/* With fewer of the live parts in at the goal, load is what kept them out. */
+#define LOAD_PARTS_IN 0.5
 /* Sends end at the deadline too: what they say then is that time is up. */
 #define DEADLINE_SLACK MSEC(2)
 /*
@@ -92,6 +94,62 @@
 		records_init(&dispatch->records, (int)route->records_max);
 }
 
+static struct load_limit *load_of(const struct dispatch *dispatch)
+{
+	return &dispatch->parts[0].service->load;
+}
+
+/*
+ * Only requests to many shards are limited: a server that gets too much refuses
+ * by itself, and a request to one server ends there, but one to many shards has
+ * burdened the others by then.
+ */
+static bool admit(struct dispatch *dispatch)
+{
+	if (!dispatch->route->sharded)
+		return true;
+	dispatch->admitted = load_limit_admit(load_of(dispatch));
+	return dispatch->admitted;
+}
+
+static bool is_mostly_missing(const struct dispatch *dispatch)
+{
+	int live = dispatch->n_parts - dispatch->n_lost;
+
+	return dispatch->n_in < live * LOAD_PARTS_IN;
+}
+
+/* Half the goal later, those that are sent now are over. */
+static void lower_limit(struct dispatch *dispatch, int64_t now)
+{
+	int64_t period = MSEC(dispatch->route->goal_ms) / 2;
+
+	if (load_limit_overloaded(load_of(dispatch), period, now) &&
+	    dispatch->ops->limited)
+		dispatch->ops->limited(dispatch->arg, load_of(dispatch));
+}
+
+/* Once a request: was it served within its goal, or did the load prevent it? */
+static void judge(struct dispatch *dispatch, bool served)
+{
+	int64_t now = clock_now(dispatch->clock);
+
+	if (!dispatch->admitted || dispatch->judged)
+		return;
+	dispatch->judged = true;
+	if (served && now <= dispatch->answer_at)
+		load_limit_served(load_of(dispatch));
+	else if (!served && is_mostly_missing(dispatch))
+		lower_limit(dispatch, now);
+}
+
+static void leave_load(struct dispatch *dispatch)
+{
+	if (dispatch->admitted)
+		load_limit_end(load_of(dispatch));
+	dispatch->admitted = false;
+}
+
 static void abandon_sends(struct dispatch_part *part)
 {
 	int i;
@@ -111,6 +169,8 @@
 	int i;
 	int j;
 
+	leave_load(dispatch);
+
 	for (i = 0; i < dispatch->n_parts; i++) {
 		struct dispatch_part *part = &dispatch->parts[i];
 
@@ -311,6 +371,9 @@
 {
 	int i;
 
+	if (outcome != DISPATCH_CANCELLED)
+		judge(dispatch, outcome < DISPATCH_FAILED);
+	leave_load(dispatch);
 	dispatch->outcome = outcome;
 	dispatch->code = code;
 	for (i = 0; i < dispatch->n_parts; i++)
@@ -383,6 +446,8 @@
 	else if (dispatch->route->sharded && now >= dispatch->answer_at &&
 		 is_enough(dispatch))
 		end(dispatch, DISPATCH_PARTIAL, 0);
+	else if (now >= dispatch->answer_at)
+		judge(dispatch, false);
 }
 
 static void fail_part(struct dispatch_part *part)
@@ -451,10 +516,12 @@
 	int i;
 
 	leave_out_lost(dispatch);
-	if (can_be_enough(dispatch)) {
-		for (i = 0; i < dispatch->n_parts; i++)
-			send_first(&dispatch->parts[i]);
+	if (can_be_enough(dispatch) && !admit(dispatch)) {
+		end(dispatch, DISPATCH_REFUSED, ERR_OVERLOAD);
+		return dispatch->outcome;
 	}
+	for (i = 0; i < dispatch->n_parts && can_be_enough(dispatch); i++)
+		send_first(&dispatch->parts[i]);
 	review(dispatch);
 	return dispatch->outcome;
 }
@@ -617,6 +684,11 @@
 		end(dispatch, DISPATCH_CANCELLED, ERR_CANCELLED);
 }
 
+const struct load_limit *dispatch_load(const struct dispatch *dispatch)
+{
+	return load_of(dispatch);
+}
+
 int64_t dispatch_retry_after(const struct dispatch *dispatch)
 {
 	if (dispatch->n_lost)
--- a/dispatch.h
+++ b/dispatch.h
@@ -117,11 +117,13 @@
  *	nothing was sent
  * @abandon: the answer of a send is not needed any more
  * @decided: a send was decided, for the log; may be NULL
+ * @limited: the limit of requests under way fell, for the log; may be NULL
  */
 struct dispatch_ops {
 	int (*send)(void *arg, struct dispatch_send *send, int64_t deadline);
 	void (*abandon)(void *arg, struct dispatch_send *send);
 	void (*decided)(void *arg, const struct dispatch_send *send);
+	void (*limited)(void *arg, const struct load_limit *load);
 };
 
 /**
@@ -142,6 +144,8 @@
  * @deadline: of the caller and the route
  * @answer_at: sharded: from then on enough parts make the answer
  * @held: see dispatch_hold()
+ * @admitted: it counts in the load of its services
+ * @judged: it was told to the load limit whether it is served in time
  * @n_in: parts that are in
  * @n_lost: parts that no server could be sent when it came
  * @lost_since: when the last of these was lost
@@ -167,6 +171,8 @@
 	int n_extra;
 	bool ran;
 	bool held;
+	bool admitted;
+	bool judged;
 	struct records records;
 	enum dispatch_outcome outcome;
 	int code;
@@ -190,7 +196,8 @@
  * dispatch_start() - send the first requests
  *
  * Parts of which no server can be reached are left out at once. If the others
- * are not enough, nothing is sent and the outcome is DISPATCH_REFUSED.
+ * are not enough, or more requests are under way than can be served, nothing is
+ * sent and the outcome is DISPATCH_REFUSED.
  *
  * Return: the outcome, DISPATCH_OPEN while it waits.
  */
@@ -234,6 +241,11 @@
  */
 void dispatch_cancel(struct dispatch *dispatch);
 
+/**
+ * dispatch_load() - the requests under way that this one counts among
+ */
+const struct load_limit *dispatch_load(const struct dispatch *dispatch);
+
 /**
  * dispatch_retry_after() - when a caller that was refused may come back, ms
  */
--- a/gateway_answer.c
+++ b/gateway_answer.c
@@ -140,6 +140,19 @@
 		 LOG_I64("retry_after_ms", retry_after));
 }
 
+/* More requests are under way than can be served in time. */
+static void log_overload(const struct gateway_request *request,
+			 int64_t retry_after)
+{
+	const struct load_limit *load = dispatch_load(&request->dispatch);
+	int64_t age = clock_now(request->dispatch.clock) - load->lowered_at;
+
+	LOG_INFO("load_refused", LOG_STR("request", request->request.id),
+		 LOG_I64("open", load->open), LOG_F64("limit", load->limit),
+		 LOG_I64("limit_age_ms", age / USEC_PER_MSEC),
+		 LOG_I64("retry_after_ms", retry_after));
+}
+
 static void answer_failure(struct gateway_request *request, bool ran)
 {
 	int code = request->dispatch.code;
@@ -152,7 +165,10 @@
 		status = HTTP_STATUS_BAD_GATEWAY;
 	else
 		retry_after = dispatch_retry_after(&request->dispatch);
-	if (!request->dispatch.n_sends && request->dispatch.n_lost) {
+	if (code == ERR_OVERLOAD) {
+		metric_inc(&request->gateway->counters.overload);
+		log_overload(request, retry_after);
+	} else if (!request->dispatch.n_sends && request->dispatch.n_lost) {
 		metric_inc(&request->gateway->counters.no_server);
 		log_lost(request, retry_after);
 	}
--- a/gateway_send.c
+++ b/gateway_send.c
@@ -219,10 +219,22 @@
 		 LOG_F64("budget", send->part->service->budget.tokens));
 }
 
+static void limited(void *arg, const struct load_limit *load)
+{
+	const struct gateway_request *request = arg;
+
+	LOG_INFO("load_limit_fell", LOG_STR("request", request->request.id),
+		 LOG_TEXT("service", request->dispatch.parts[0].service->name),
+		 LOG_F64("limit", load->limit), LOG_I64("open", load->open),
+		 LOG_I64("parts_in", request->dispatch.n_in),
+		 LOG_I64("parts", request->dispatch.n_parts));
+}
+
 const struct dispatch_ops gateway_send_ops = {
 	.send = send_part,
 	.abandon = abandon,
 	.decided = decided,
+	.limited = limited,
 };
 
 /*
--- a/gateway_stats.h
+++ b/gateway_stats.h
@@ -16,6 +16,8 @@
 	  "refused, and not run")                                              \
 	X(no_server, METRIC_COUNTER, "garnetreach_requests_no_server_total",   \
 	  "of these, at once: too few shards had a server to send to")         \
+	X(overload, METRIC_COUNTER, "garnetreach_requests_overload_total",     \
+	  "of these, at once: more under way than can be served in time")      \
 	X(failed, METRIC_COUNTER, "garnetreach_requests_failed_total",         \
 	  "failed, and may have run")                                          \
 	X(left, METRIC_COUNTER, "garnetreach_requests_left_total",             \
--- a/registry.h
+++ b/registry.h
@@ -12,6 +12,7 @@
 
 #include "address.h"
 #include "budget.h"
+#include "load_limit.h"
 #include "server_score.h"
 #include "str.h"
 
@@ -66,6 +67,7 @@
  * @latency: of its answers, a moving average, microseconds
  * @usual: the same over some minutes, so that slow seconds hardly move it
  * @n_answers: that came
+ * @load: requests under way there, and to shards that it is the first of
  */
 struct registry_service {
 	char name[REGISTRY_NAME_SIZE];
@@ -77,6 +79,7 @@
 	double latency;
 	double usual;
 	uint64_t n_answers;
+	struct load_limit load;
 	UT_hash_handle hh;
 };
 
