--- a/command.h
+++ b/command.h
@@ -22,6 +22,7 @@
 int command_status(int argc, char **argv);
 int command_explain(int argc, char **argv);
 int command_report(int argc, char **argv);
+int command_losses(int argc, char **argv);
 
 /**
  * command_read_file() - read a whole file
--- a/dispatch.c
+++ b/dispatch.c
@@ -134,17 +134,30 @@
 		dispatch->ops->limited(dispatch->arg, load_of(dispatch));
 }
 
-/* Once a request: was it served within its goal, or did the load prevent it? */
-static void judge(struct dispatch *dispatch, bool served)
+/*
+ * Without a live server of a shard a request fails early, with few parts in
+ * as well: that says nothing about the load of the others. Broken connections
+ * do: servers reset them while their queues are long.
+ */
+static bool is_for_load(int code)
+{
+	return code && code != ERR_NO_REPLICA;
+}
+
+/*
+ * Once a request: was it served within its goal, or did the load prevent it?
+ * @code: 0, or why it was not
+ */
+static void judge(struct dispatch *dispatch, int code)
 {
 	int64_t now = clock_now(dispatch->clock);
 
 	if (!dispatch->admitted || dispatch->judged)
 		return;
 	dispatch->judged = true;
-	if (served && now <= dispatch->answer_at)
+	if (!code && now <= dispatch->answer_at)
 		load_limit_served(load_of(dispatch));
-	else if (!served && is_mostly_missing(dispatch))
+	else if (is_for_load(code) && is_mostly_missing(dispatch))
 		lower_limit(dispatch, now);
 }
 
@@ -377,7 +390,7 @@
 	int i;
 
 	if (outcome != DISPATCH_CANCELLED)
-		judge(dispatch, outcome < DISPATCH_FAILED);
+		judge(dispatch, code);
 	leave_load(dispatch);
 	dispatch->outcome = outcome;
 	dispatch->code = code;
@@ -452,7 +465,7 @@
 		 is_enough(dispatch))
 		end(dispatch, DISPATCH_PARTIAL, 0);
 	else if (now >= dispatch->answer_at)
-		judge(dispatch, false);
+		judge(dispatch, ERR_TOO_LATE);
 }
 
 static void fail_part(struct dispatch_part *part)
--- a/gateway_answer.c
+++ b/gateway_answer.c
@@ -39,6 +39,7 @@
 		 LOG_I64("routes_age_ms",
 			 store_sync_routes_age(&gateway->sync) / USEC_PER_MSEC),
 		 LOG_I64("status", status), LOG_I64("took_us", took),
+		 LOG_I64("goal_ms", request->route->goal_ms),
 		 LOG_I64("left_us",
 			 dispatch->deadline - clock_now(&gateway->clock)),
 		 LOG_I64("parts", dispatch->n_parts),
--- a/main.c
+++ b/main.c
@@ -19,6 +19,7 @@
 	{"status", command_status, "show what an instance knows"},
 	{"explain", command_explain, "explain what a request did"},
 	{"report", command_report, "report the fleet's service-level burn"},
+	{"losses", command_losses, "say what callers lost, from logs"},
 };
 
 #define N_COMMANDS (int)(sizeof(commands) / sizeof(*commands))
@@ -32,7 +33,8 @@
 	"  query             ask as a caller does\n"
 	"  status            show what an instance knows\n"
 	"  explain           explain what a request did\n"
-	"  report            report the fleet's service-level burn\n\n"
+	"  report            report the fleet's service-level burn\n"
+	"  losses LOG...     say what callers lost, from logs\n\n"
 	"garnetreach COMMAND --help explains a command. Exit status: 0 done, "
 	"1 failed, 2 wrong usage, 3 file invalid, 4 coverage insufficient, 5 "
 	"no "
--- a/tests/test_load_limit.c
+++ b/tests/test_load_limit.c
@@ -31,6 +31,7 @@
 	int n_jobs;
 	struct dispatch_send *refused[OPEN_MAX];
 	int n_refused;
+	bool crashed; /* connections to it are not made */
 };
 
 /* One instance, all shards behind it, and the callers that it takes. */
@@ -83,7 +84,8 @@
 
 	(void)deadline;
 	server_score_sent(&send->server->score, clock_now(&world->clock));
-	if (server->n_jobs < JOBS_MAX && !is_refusing(world, server))
+	if (server->n_jobs < JOBS_MAX && !server->crashed &&
+	    !is_refusing(world, server))
 		server->jobs[server->n_jobs++] =
 			(struct job){send, work_of(world)};
 	else
@@ -112,6 +114,15 @@
 	.abandon = on_abandon,
 };
 
+/* Never answered: who crashed stays away. */
+static void on_check(void *arg, struct registry_server *server,
+		     struct outage_server *check)
+{
+	(void)arg;
+	(void)server;
+	(void)check;
+}
+
 static void on_closing(void *arg, struct registry_server *server)
 {
 	(void)arg;
@@ -153,7 +164,7 @@
 
 static void world_init(struct world *world)
 {
-	static const struct outage_ops no_checks = {0};
+	static const struct outage_ops no_checks = {.check = on_check};
 	char document[2048];
 	int i;
 
@@ -235,8 +246,7 @@
 
 	snprintf(stamp, sizeof(stamp), "%d", world->n_stamps++);
 	answer.stamp = str_from(stamp);
-	server_score_result(&send->server->score,
-			    code ? SERVER_REFUSED : SERVER_ANSWERED,
+	server_score_result(&send->server->score, server_result_of(code, !code),
 			    answer.took, clock_now(&world->clock));
 	dispatch_result(send->part->dispatch, send, &answer);
 }
@@ -250,7 +260,8 @@
 			server->refused[--server->n_refused];
 
 		if (send)
-			answer(world, send, ERR_SHED);
+			answer(world, send,
+			       server->crashed ? ERR_CONNECT : ERR_SHED);
 	}
 	for (i = 0; i < SLOTS && i < server->n_jobs; i++)
 		server->jobs[i].left_ms--;
@@ -384,6 +395,28 @@
 	world_finish(&world);
 }
 
+/*
+ * All servers of two of eight shards crash, and a route needs seven: its
+ * requests fail at once, with few parts in. The other six have room, and the
+ * callers of the route that can do with them, 50 in a second, are served.
+ */
+static void test_lost_shards_are_no_load(void)
+{
+	struct world world;
+	int i;
+
+	world_init(&world);
+	play(&world, 500, 200);
+	for (i = 0; i < 4; i++)
+		world.servers[i].crashed = true;
+	/* Until this instance knows. */
+	play(&world, 200, 200);
+	clear_counts(&world);
+	play(&world, 1000, 200);
+	CU_ASSERT(world.served[1] >= 47);
+	world_finish(&world);
+}
+
 static void test_limit_moves(void)
 {
 	struct load_limit load = {0};
@@ -419,6 +452,7 @@
 	{"usual load", test_usual_load},
 	{"burst", test_burst},
 	{"one slow shard", test_one_slow_shard},
+	{"lost shards are no load", test_lost_shards_are_no_load},
 };
 
 UNIT_MAIN("load limit", tests)
