--- a/dispatch.c
+++ b/dispatch.c
@@ -117,7 +117,7 @@
 	return dispatch->admitted;
 }
 
-static bool is_mostly_missing(const struct dispatch *dispatch)
+static bool is_far_from_whole(const struct dispatch *dispatch)
 {
 	int live = dispatch->n_parts - dispatch->n_lost;
 
@@ -157,7 +157,7 @@
 	dispatch->judged = true;
 	if (!code && now <= dispatch->answer_at)
 		load_limit_served(load_of(dispatch));
-	else if (is_for_load(code) && is_mostly_missing(dispatch))
+	else if (is_for_load(code) && is_far_from_whole(dispatch))
 		lower_limit(dispatch, now);
 }
 
@@ -709,7 +709,7 @@
 
 int64_t dispatch_retry_after(const struct dispatch *dispatch)
 {
-	if (dispatch->n_lost)
+	if (dispatch->code == ERR_NO_REPLICA && dispatch->n_lost)
 		return outage_retry_after(dispatch->limits->outage,
 					  dispatch->lost_since);
 	return RETRY_AFTER_MS;
--- a/load_limit.h
+++ b/load_limit.h
@@ -1,12 +1,12 @@
 /*
- * How many requests an instance has under way at services of one load: the
- * shards of a route, or one service. Answers the load that servers cannot bear
- * for a while, as a burst with callers who retry at once: if all requests are
- * sent, each gets some of its parts, none gets enough, and all are late. The
- * limit falls when requests end with most of their parts missing and rises
- * while they are served; what is over it is refused before anything is sent.
+ * How many requests an instance has under way at the same shards. Answers the
+ * load that servers cannot bear for a while, as a burst with callers who retry
+ * at once: if all requests are sent, each gets some of its parts, none gets
+ * enough, and all are late. The limit falls when requests lack many of their
+ * parts at their goal and rises while they are served; what is over it is
+ * refused before anything is sent.
  *
- * Few shards that are slow or lost do not lower it: most parts are in then.
+ * A few shards that are slow or lost do not lower it: most parts are in then.
  */
 #ifndef LOAD_LIMIT_H
 #define LOAD_LIMIT_H
@@ -39,7 +39,7 @@
 void load_limit_served(struct load_limit *load);
 
 /**
- * load_limit_overloaded() - most parts of a request were missing at its goal
+ * load_limit_overloaded() - a request lacked many of its parts at its goal
  * @period: the limit falls once in so long, microseconds: requests that were
  *	admitted before it fell are late all the same
  *
--- a/tests/test_dispatch.c
+++ b/tests/test_dispatch.c
@@ -364,6 +364,29 @@
 	world_finish(&world);
 }
 
+/*
+ * A shard is lost, as before, and callers come in a burst. Who is refused for
+ * the load is told to come back when there may be room, not by the outage.
+ */
+static void test_refused_for_load(void)
+{
+	struct world world;
+	struct load_limit *load;
+
+	world_init(&world);
+	lose_service(&world, "s1");
+	clock_advance(&world.clock, MSEC(3000));
+	load = &registry_service(&world.registry, STR("s0"))->load;
+	load->limit = 2;
+	load->open = 2;
+	CU_ASSERT(start(&world, "/shards/") == DISPATCH_REFUSED);
+	CU_ASSERT(world.n_sent == 0);
+	CU_ASSERT(world.dispatch.code == ERR_OVERLOAD);
+	CU_ASSERT(dispatch_retry_after(&world.dispatch) == 100);
+	CU_ASSERT(load->open == 2);
+	world_finish(&world);
+}
+
 /*
  * One of four shards is lost, and the route can miss one. The answer goes out
  * once the others are in; the caller does not wait for what cannot come.
@@ -640,6 +663,7 @@
 	{"a late part makes it enough", test_late_part_makes_it_enough},
 	{"hopeless fails at once", test_hopeless_fails_at_once},
 	{"lost shards refuse at once", test_lost_shards_refuse_at_once},
+	{"refused for load", test_refused_for_load},
 	{"lost shard holds nobody up", test_lost_shard_holds_nobody_up},
 	{"shard is back", test_shard_is_back},
 	{"once is not repeated", test_once_is_not_repeated},
