--- a/registry.c
+++ b/registry.c
@@ -146,7 +146,7 @@
 }
 
 bool registry_put(struct registry *registry, const struct server_entry *entry,
-		  uint64_t changed_at, int64_t now)
+		  uint64_t changed_at)
 {
 	struct registry_server *server =
 		registry_find(registry, str_from(entry->id));
@@ -166,7 +166,6 @@
 	server->entry = *entry;
 	server->gone = false;
 	server->changed_at = changed_at;
-	server->cold_until = now + MSEC(entry->cold_for_ms);
 	if (entry->draining && changed)
 		registry->closing(registry->arg, server);
 	return changed;
@@ -230,7 +229,6 @@
 	const struct server_traits traits = {
 		.slots = server->entry.slots,
 		.usual = server->service->latency,
-		.cold = now < server->cold_until,
 		.remote = server->remote,
 	};
 
--- a/registry.h
+++ b/registry.h
@@ -24,7 +24,6 @@
 /**
  * struct server_entry - what a backend server publishes about itself
  * @id: of this start of the server
- * @cold_for_ms: it stays slow for this long
  * @draining: it takes no new requests and ends soon
  */
 struct server_entry {
@@ -33,7 +32,6 @@
 	char data_centre[REGISTRY_NAME_SIZE];
 	struct address address;
 	int64_t slots;
-	int64_t cold_for_ms;
 	bool draining;
 };
 
@@ -41,7 +39,6 @@
  * struct registry_server - one start of a server
  * @entry: as published last
  * @changed_at: the store's revision of it
- * @cold_until: microseconds
  * @gone: its entry was removed, or another server answers at its address
  * @remote: in another data centre than this instance
  * @conns: open connections, owned by upstream
@@ -50,7 +47,6 @@
 struct registry_server {
 	struct server_entry entry;
 	uint64_t changed_at;
-	int64_t cold_until;
 	bool gone;
 	bool remote;
 	struct server_score score;
@@ -118,7 +114,7 @@
  * Return: whether anything but the revision changed.
  */
 bool registry_put(struct registry *registry, const struct server_entry *entry,
-		  uint64_t changed_at, int64_t now);
+		  uint64_t changed_at);
 
 /**
  * registry_remove() - a server's entry is gone
--- a/server_score.c
+++ b/server_score.c
@@ -22,8 +22,6 @@
  * 4, 12 and 30: 0.804, 0.808, 0.804; no difference on other days.
  */
 #define REFUSAL_PRICE 12.0
-/* A server that has just started needs about 1.6 times as long. */
-#define COLD_PRICE 1.6
 /* Breaks ties for the own data centre. */
 #define REMOTE_PRICE 1.4
 /*
@@ -182,8 +180,6 @@
 			    (double)(traits->slots > 0 ? traits->slots : 1);
 	cost *= 1 + FAILURE_PRICE * score->failures +
 		REFUSAL_PRICE * score->refusals;
-	if (traits->cold)
-		cost *= COLD_PRICE;
 	if (traits->remote)
 		cost *= REMOTE_PRICE;
 	if (is_stopped(score, latency, now))
--- a/server_score.h
+++ b/server_score.h
@@ -80,13 +80,11 @@
  * struct server_traits - what is known of a server besides
  * @slots: requests that it runs at once
  * @usual: latency of its service, microseconds
- * @cold: it has just started and is slow
  * @remote: in another data centre
  */
 struct server_traits {
 	int64_t slots;
 	double usual;
-	bool cold;
 	bool remote;
 };
 
--- a/store_sync.c
+++ b/store_sync.c
@@ -170,8 +170,7 @@
 	if (absent)
 		drop_absent(sync, absent);
 	mark_seen(sync, entry->id);
-	if (!registry_put(sync->registry, entry, changed_at,
-			  clock_now(sync->clock)))
+	if (!registry_put(sync->registry, entry, changed_at))
 		return;
 	/* The first list is told by one line: 9,200 servers would be as many.
 	 */
--- a/tests/fuzz/fuzz_relay.c
+++ b/tests/fuzz/fuzz_relay.c
@@ -101,7 +101,7 @@
 	str_copy(entry.data_centre, sizeof(entry.data_centre),
 		 str_from(data_centre));
 	address_parse(STR("127.0.0.1:1"), &entry.address);
-	registry_put(&world->registry, &entry, 1, 0);
+	registry_put(&world->registry, &entry, 1);
 }
 
 static void ask(struct world *world)
--- a/tests/test_dispatch.c
+++ b/tests/test_dispatch.c
@@ -74,7 +74,7 @@
 	snprintf(entry.id, sizeof(entry.id), "%s-%d", service, i);
 	snprintf(entry.service, sizeof(entry.service), "%s", service);
 	snprintf(entry.data_centre, sizeof(entry.data_centre), "dc%d", i);
-	registry_put(&world->registry, &entry, 1, clock_now(&world->clock));
+	registry_put(&world->registry, &entry, 1);
 }
 
 static const char document[] =
--- a/tests/test_load_limit.c
+++ b/tests/test_load_limit.c
@@ -159,7 +159,7 @@
 	snprintf(entry.service, sizeof(entry.service), "s%d", i / 2);
 	str_copy(world->servers[i].id, sizeof(world->servers[i].id),
 		 str_from(entry.id));
-	registry_put(&world->registry, &entry, 1, START);
+	registry_put(&world->registry, &entry, 1);
 }
 
 static void world_init(struct world *world)
--- a/tests/test_outage.c
+++ b/tests/test_outage.c
@@ -59,7 +59,7 @@
 
 	snprintf(entry.id, sizeof(entry.id), "%s", id);
 	snprintf(entry.service, sizeof(entry.service), "s");
-	registry_put(&world->registry, &entry, 1, clock_now(&world->clock));
+	registry_put(&world->registry, &entry, 1);
 }
 
 static void world_init(struct world *world)
--- a/tests/test_registry.c
+++ b/tests/test_registry.c
@@ -38,7 +38,7 @@
 {
 	struct server_entry entry = entry_of(id, dc);
 
-	registry_put(registry, &entry, changed_at, START);
+	registry_put(registry, &entry, changed_at);
 	return registry_find(registry, str_from(id));
 }
 
@@ -237,12 +237,12 @@
 	init(&registry);
 	put(&registry, "a", "dc1", 1);
 	entry.draining = true;
-	CU_ASSERT(registry_put(&registry, &entry, 2, START));
+	CU_ASSERT(registry_put(&registry, &entry, 2));
 	CU_ASSERT(n_closed == 1);
 	CU_ASSERT(!pick(&registry, NULL, false, START));
 	/* An older word that comes late changes nothing. */
 	entry.draining = false;
-	CU_ASSERT(!registry_put(&registry, &entry, 1, START));
+	CU_ASSERT(!registry_put(&registry, &entry, 1));
 	CU_ASSERT(!pick(&registry, NULL, false, START));
 	registry_finish(&registry);
 }
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -62,7 +62,7 @@
 
 	str_copy(entry.service, sizeof(entry.service), STR("s"));
 	str_copy(entry.data_centre, sizeof(entry.data_centre), STR("there"));
-	registry_put(&world->registry, &entry, 1, 0);
+	registry_put(&world->registry, &entry, 1);
 }
 
 static void ask(struct world *world, void **handles)
--- a/view_share.c
+++ b/view_share.c
@@ -172,12 +172,10 @@
 	return row;
 }
 
-static void add_server(struct update *update, struct registry_server *server,
-		       int64_t now)
+static void add_server(struct update *update, struct registry_server *server)
 {
 	char *address = update->addresses[update->n];
 	Peer__ViewServer *row = add_row(update);
-	int64_t cold = server->cold_until - now;
 
 	address_format(&server->entry.address, address, ADDRESS_TEXT_SIZE);
 	row->id = server->entry.id;
@@ -185,7 +183,6 @@
 	row->data_centre = server->entry.data_centre;
 	row->address = address;
 	row->slots = (uint32_t)server->entry.slots;
-	row->cold_for_ms = cold > 0 ? (uint32_t)(cold / USEC_PER_MSEC) : 0;
 	row->draining = server->entry.draining;
 	row->changed_at = server->changed_at;
 }
@@ -229,7 +226,7 @@
 	Peer__ViewServer *row;
 
 	if (server) {
-		add_server(update, server, clock_now(share->clock));
+		add_server(update, server);
 		return;
 	}
 	row = add_row(update);
@@ -272,13 +269,12 @@
 static void fill_whole(struct view_share *share, struct update *update)
 {
 	struct registry *registry = share->sync->registry;
-	int64_t now = clock_now(share->clock);
 	struct registry_server *server;
 
 	update_init(update, (int)HASH_COUNT(registry->servers));
 	for (server = registry->servers; server && update->n < ROWS_MAX;
 	     server = server->hh.next)
-		add_server(update, server, now);
+		add_server(update, server);
 	update->message.whole = true;
 }
 
@@ -468,7 +464,6 @@
 	str_copy(entry.data_centre, sizeof(entry.data_centre),
 		 str_from(row->data_centre));
 	entry.slots = row->slots;
-	entry.cold_for_ms = row->cold_for_ms;
 	entry.draining = row->draining;
 	if (!address_parse(str_from(row->address), &entry.address))
 		store_sync_put_server(share->sync, &entry, row->changed_at);
