--- a/tests/test_registry.c
+++ b/tests/test_registry.c
@@ -181,6 +181,39 @@
 	registry_finish(&registry);
 }
 
+/*
+ * A server was eleven times slower, and its requests went to the other one. It
+ * has recovered since, which only a request can show: what was seen of it must
+ * not count against it for good, or the other one bears the load of both.
+ */
+static void test_old_slowness_fades(void)
+{
+	struct registry registry;
+	struct registry_server *slow;
+	struct registry_server *other;
+	int64_t now = START;
+	int i;
+
+	init(&registry);
+	slow = put(&registry, "slow", "dc1", 1);
+	other = put(&registry, "other", "dc1", 2);
+	for (i = 0; i < 20; i++) {
+		server_score_sent(&slow->score, now);
+		server_score_result(&slow->score, SERVER_ANSWERED, MSEC(110),
+				    now);
+		server_score_sent(&other->score, now);
+		server_score_result(&other->score, SERVER_ANSWERED, MSEC(10),
+				    now);
+	}
+	server_score_sent(&other->score, now);
+	CU_ASSERT(pick(&registry, NULL, false, now) == other);
+	now += MSEC(8000);
+	server_score_result(&other->score, SERVER_ANSWERED, MSEC(10), now);
+	server_score_sent(&other->score, now);
+	CU_ASSERT(pick(&registry, NULL, false, now) == slow);
+	registry_finish(&registry);
+}
+
 /*
  * One server of a pair refuses six of ten requests for seconds, at once, and
  * the other has a queue of five. Each refused request costs a second send of a
@@ -273,6 +306,7 @@
 	{"dead is worse than late", test_dead_is_worse_than_late},
 	{"a short silence", test_short_silence},
 	{"slow server is not kept busy", test_slow_server_is_not_kept_busy},
+	{"old slowness fades", test_old_slowness_fades},
 	{"refusals turn the choice", test_refusals_turn_the_choice},
 	{"failures turn the choice", test_failures_turn_the_choice},
 	{"draining gets nothing", test_draining_gets_nothing},
