--- a/peer.pb-c.c
+++ b/peer.pb-c.c
@@ -4458,7 +4458,7 @@
   (ProtobufCMessageInit) peer__failure__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__view_server__field_descriptors[9] =
+static const ProtobufCFieldDescriptor peer__view_server__field_descriptors[10] =
 {
   {
     "id",
@@ -4568,9 +4568,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "born",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__ViewServer, born),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__view_server__field_indices_by_name[] = {
   3,   /* field[3] = address */
+  9,   /* field[9] = born */
   8,   /* field[8] = changed_at */
   5,   /* field[5] = cold_for_ms */
   2,   /* field[2] = data_centre */
@@ -4583,7 +4596,7 @@
 static const ProtobufCIntRange peer__view_server__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor peer__view_server__descriptor =
 {
@@ -4593,7 +4606,7 @@
   "Peer__ViewServer",
   "peer",
   sizeof(Peer__ViewServer),
-  9,
+  10,
   peer__view_server__field_descriptors,
   peer__view_server__field_indices_by_name,
   1,  peer__view_server__number_ranges,
@@ -4883,7 +4896,7 @@
   (ProtobufCMessageInit) peer__view_request__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__part_send__field_descriptors[2] =
+static const ProtobufCFieldDescriptor peer__part_send__field_descriptors[3] =
 {
   {
     "index",
@@ -4909,15 +4922,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "born",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__PartSend, born),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__part_send__field_indices_by_name[] = {
+  2,   /* field[2] = born */
   0,   /* field[0] = index */
   1,   /* field[1] = server */
 };
 static const ProtobufCIntRange peer__part_send__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor peer__part_send__descriptor =
 {
@@ -4927,7 +4953,7 @@
   "Peer__PartSend",
   "peer",
   sizeof(Peer__PartSend),
-  2,
+  3,
   peer__part_send__field_descriptors,
   peer__part_send__field_indices_by_name,
   1,  peer__part_send__number_ranges,
--- a/peer.pb-c.h
+++ b/peer.pb-c.h
@@ -688,6 +688,9 @@
   char *data_centre;
   char *address;
   uint32_t slots;
+  /*
+   * not told any more
+   */
   uint32_t cold_for_ms;
   protobuf_c_boolean draining;
   protobuf_c_boolean removed;
@@ -695,10 +698,14 @@
    * the store's revision
    */
   uint64_t changed_at;
+  /*
+   * Unix time in milliseconds; 0: not known
+   */
+  int64_t born;
 };
 #define PEER__VIEW_SERVER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__view_server__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -788,10 +795,14 @@
    */
   uint32_t index;
   char *server;
+  /*
+   * of the server, as in ViewServer
+   */
+  int64_t born;
 };
 #define PEER__PART_SEND__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__part_send__descriptor) \
-    , 0, (char *)protobuf_c_empty_string }
+    , 0, (char *)protobuf_c_empty_string, 0 }
 
 
 struct  Peer__PartRequest
--- a/registry.c
+++ b/registry.c
@@ -1,5 +1,7 @@
 #include "registry.h"
 
+#include <inttypes.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -35,8 +37,12 @@
 
 void registry_server_unref(struct registry_server *server)
 {
-	if (!--server->refs)
+	while (server && !--server->refs) {
+		struct registry_server *earlier = server->earlier;
+
 		free(server);
+		server = earlier;
+	}
 }
 
 struct registry_server *registry_find(const struct registry *registry,
@@ -112,6 +118,24 @@
 	registry_server_unref(server);
 }
 
+/*
+ * The id is the same, all else is not: the process that starts holds nothing,
+ * and what was seen of the one before says nothing of it. A server that hung
+ * and was restarted would go unused for as long as it was avoided.
+ */
+static struct registry_server *restart(struct registry *registry,
+				       struct registry_server *server,
+				       const struct server_entry *entry)
+{
+	struct registry_server *next;
+
+	registry_server_ref(server);
+	remove_server(registry, server);
+	next = add(registry, entry);
+	next->earlier = server;
+	return next;
+}
+
 static bool same(const struct server_entry *a, const struct server_entry *b)
 {
 	return !strcmp(a->service, b->service) &&
@@ -150,20 +174,29 @@
 {
 	struct registry_server *server =
 		registry_find(registry, str_from(entry->id));
+	int64_t born;
 	bool changed;
 
 	if (server && changed_at < server->changed_at)
 		return false;
+	/* The last word of an earlier start came late. */
+	if (server && entry->born && entry->born < server->entry.born)
+		return false;
 	if (!server && was_removed(registry, str_from(entry->id), changed_at))
 		return false;
 	if (server && strcmp(server->entry.service, entry->service)) {
 		remove_server(registry, server);
 		server = NULL;
 	}
-	changed = !server || server->gone || !same(&server->entry, entry);
+	changed = !server || server->gone || !same(&server->entry, entry) ||
+		  entry->born > server->entry.born;
 	if (!server)
 		server = add(registry, entry);
+	else if (entry->born > server->entry.born)
+		server = restart(registry, server, entry);
+	born = server->entry.born;
 	server->entry = *entry;
+	server->entry.born = born;
 	server->gone = false;
 	server->changed_at = changed_at;
 	if (entry->draining && changed)
@@ -183,6 +216,54 @@
 	return true;
 }
 
+struct registry_server *registry_born(struct registry *registry,
+				      struct registry_server *server,
+				      int64_t born)
+{
+	struct server_entry entry = server->entry;
+	uint64_t changed_at = server->changed_at;
+
+	if (born <= entry.born)
+		return server;
+	entry.born = born;
+	server = restart(registry, server, &entry);
+	/* All else of the entry is still to come, and newer than this. */
+	server->changed_at = changed_at;
+	return server;
+}
+
+int registry_conns(struct registry_server *server)
+{
+	struct registry_server **at = &server->earlier;
+	int n = server->n_conns;
+
+	while (*at) {
+		struct registry_server *earlier = *at;
+
+		n += earlier->n_conns;
+		if (earlier->n_conns) {
+			at = &earlier->earlier;
+			continue;
+		}
+		*at = earlier->earlier;
+		earlier->earlier = NULL;
+		registry_server_unref(earlier);
+	}
+	return n;
+}
+
+struct str registry_life(const struct registry_server *server,
+			 char out[REGISTRY_LIFE_SIZE])
+{
+	const struct server_entry *entry = &server->entry;
+
+	str_copy(out, REGISTRY_LIFE_SIZE, str_from(entry->id));
+	if (entry->born)
+		snprintf(out, REGISTRY_LIFE_SIZE, "%s@%" PRId64, entry->id,
+			 entry->born);
+	return str_from(out);
+}
+
 void registry_finish(struct registry *registry)
 {
 	struct registry_service *service;
--- a/registry.h
+++ b/registry.h
@@ -23,7 +23,8 @@
 
 /**
  * struct server_entry - what a backend server publishes about itself
- * @id: of this start of the server
+ * @id: of the server; it may start again under the same one
+ * @born: when it started, Unix time in milliseconds; 0: it did not say
  * @draining: it takes no new requests and ends soon
  */
 struct server_entry {
@@ -32,6 +33,7 @@
 	char data_centre[REGISTRY_NAME_SIZE];
 	struct address address;
 	int64_t slots;
+	int64_t born;
 	bool draining;
 };
 
@@ -42,7 +44,8 @@
  * @gone: its entry was removed, or another server answers at its address
  * @remote: in another data centre than this instance
  * @conns: open connections, owned by upstream
- * @refs: registry and requests
+ * @earlier: an earlier start under the same id with open connections, or NULL
+ * @refs: registry, requests and a later start
  */
 struct registry_server {
 	struct server_entry entry;
@@ -52,6 +55,7 @@
 	struct server_score score;
 	struct upstream_conn *conns;
 	int n_conns;
+	struct registry_server *earlier;
 	int refs;
 	struct registry_service *service;
 	UT_hash_handle hh;
@@ -116,6 +120,37 @@
 bool registry_put(struct registry *registry, const struct server_entry *entry,
 		  uint64_t changed_at);
 
+/**
+ * registry_born() - a peer names a start of a server
+ * @server: as it is known here
+ * @born: as the peer knows it; 0: it does not
+ *
+ * A later start than the one known here ends what is believed of that one. An
+ * earlier one is late news and changes nothing.
+ *
+ * Return: the server as it is known now.
+ */
+struct registry_server *registry_born(struct registry *registry,
+				      struct registry_server *server,
+				      int64_t born);
+
+/**
+ * registry_conns() - connections to a server that are open
+ *
+ * Those of its earlier starts count: whether the server has noticed their end
+ * is not known here, and it accepts so many in all.
+ */
+int registry_conns(struct registry_server *server);
+
+/* Room for the text of registry_life(). */
+#define REGISTRY_LIFE_SIZE (REGISTRY_NAME_SIZE + 24)
+
+/**
+ * registry_life() - a name for this start of a server, the same everywhere
+ */
+struct str registry_life(const struct registry_server *server,
+			 char out[REGISTRY_LIFE_SIZE]);
+
 /**
  * registry_remove() - a server's entry is gone
  * @changed_at: the store's revision of that; an older one than the entry's
--- a/relay_ask.c
+++ b/relay_ask.c
@@ -260,6 +260,7 @@
 		peer__part_send__init(&sends[i]);
 		sends[i].index = (uint32_t)i;
 		sends[i].server = batch->sends[i]->server->entry.id;
+		sends[i].born = batch->sends[i]->server->entry.born;
 		pointers[i] = &sends[i];
 	}
 	message->sends = pointers;
--- a/relay_serve.c
+++ b/relay_serve.c
@@ -208,11 +208,12 @@
 
 static int start_send(struct relay_job *job, struct relay_send *send,
 		      const Peer__PartRequest *message,
-		      const struct upstream_request *request, const char *name)
+		      const struct upstream_request *request,
+		      const Peer__PartSend *part)
 {
 	struct relay_serve *relay = job->relay;
 	struct registry_server *server =
-		registry_find(relay->registry, str_from(name));
+		registry_find(relay->registry, str_from(part->server));
 	int64_t deadline = clock_now(relay->board->clock) +
 			   MSEC((int64_t)message->deadline_ms) -
 			   blackboard_stall(relay->board);
@@ -220,6 +221,7 @@
 
 	if (!server || server->entry.draining || server->gone)
 		return ERR_DRAINING;
+	server = registry_born(relay->registry, server, part->born);
 	send->server = server;
 	send->watch = crash_watch_new(&relay->board->poison, relay->upstream,
 				      server, message->fingerprint);
@@ -251,7 +253,7 @@
 		send->job = job;
 		send->index = message->sends[i]->index;
 		ret = start_send(job, send, message, &request,
-				 message->sends[i]->server);
+				 message->sends[i]);
 		if (!ret)
 			job->open++;
 		else
--- a/store_sync.c
+++ b/store_sync.c
@@ -179,6 +179,7 @@
 			 LOG_TEXT("service", entry->service),
 			 LOG_TEXT("state",
 				  entry->draining ? "draining" : "ready"),
+			 LOG_I64("born", entry->born),
 			 LOG_U64("store_revision", changed_at));
 	sync->ops->server(sync->arg, entry->id, changed_at, false);
 }
--- a/tests/fuzz/seeds.py
+++ b/tests/fuzz/seeds.py
@@ -159,6 +159,8 @@
 
 def entries():
     yield json.dumps(ENTRY).encode()
+    for born in (0, 1796256000123, -1, 1.5, "1796256000123", None):
+        yield json.dumps({**ENTRY, "born": born}).encode()
     for key in ENTRY:
         yield json.dumps({k: v for k, v in ENTRY.items() if k != key}).encode()
         for other in (None, 0, -1, 1.5, "", "x", [], {}):
@@ -189,12 +191,15 @@
 
 def views():
     server = wire.encode((1, "i1"), (2, "s"), (3, "d"), (4, "127.0.0.1:1"),
-                         (5, 2), (9, 4))
+                         (5, 2), (9, 4), (10, 1000))
+    reborn = wire.encode((1, "i1"), (2, "s"), (3, "d"), (4, "127.0.0.1:1"),
+                         (5, 2), (9, 5), (10, 2000))
     gone = wire.encode((1, "i1"), (8, 1), (9, 6))
     routes = b'{"version":3,"routes":[],"services":[]}'
     whole = wire.encode((1, 3), (2, routes), (3, 2), (5, 1), (7, 5),
                         (9, server))
-    change = wire.encode((1, 3), (6, 5), (7, 6), (9, gone), (10, 1))
+    change = wire.encode((1, 3), (6, 5), (7, 6), (9, reborn), (9, gone),
+                         (10, 1))
     ask = wire.encode((1, 2), (2, 5))
     yield b"".join(bytes([len(m)]) + m for m in (whole, change, ask))
     body = wire.encode((1, routes), (2, server))
@@ -206,7 +211,7 @@
 
 def relays():
     head = b"POST /x HTTP/1.1\r\n"
-    near = [(10, wire.encode((1, i), (2, name)))
+    near = [(10, wire.encode((1, i), (2, name), (3, 1000 * i)))
             for i, name in enumerate(("a", "b", "none"))]
     job = wire.encode((1, 1), (2, "r"), (3, head), (4, b"body"), (5, 50),
                       (6, 20), (7, 4), (9, 2), *near)
--- a/tests/test_registry.c
+++ b/tests/test_registry.c
@@ -300,6 +300,142 @@
 	registry_finish(&registry);
 }
 
+static struct registry_server *put_born(struct registry *registry, int64_t born,
+					uint64_t changed_at)
+{
+	struct server_entry entry = entry_of("a", "dc1");
+
+	entry.born = born;
+	registry_put(registry, &entry, changed_at);
+	return registry_find(registry, STR("a"));
+}
+
+/*
+ * A server hung, was avoided, and was started again under its id. It holds
+ * nothing of what it was: requests must go to it at once, on new connections,
+ * and results of what the earlier process was sent say nothing of this one.
+ */
+static void test_restart_is_another_server(void)
+{
+	struct registry registry;
+	struct registry_server *earlier;
+	struct registry_server *server;
+	int64_t now = START;
+
+	init(&registry);
+	earlier = put_born(&registry, 1000, 1);
+	registry_server_ref(earlier);
+	server_score_sent(&earlier->score, now);
+	server_score_sent(&earlier->score, now);
+	server_score_unreachable(&earlier->score, now);
+	server_score_unreachable(&earlier->score, now);
+	CU_ASSERT(!pick(&registry, NULL, false, now));
+	server = put_born(&registry, 2000, 2);
+	CU_ASSERT(server != earlier);
+	CU_ASSERT(earlier->gone);
+	CU_ASSERT(n_closed == 1);
+	CU_ASSERT(pick(&registry, NULL, true, now) == server);
+	server_score_result(&earlier->score, SERVER_SILENT, MSEC(300),
+			    now + MSEC(300));
+	CU_ASSERT(!server->score.outstanding);
+	CU_ASSERT(pick(&registry, NULL, true, now + MSEC(301)) == server);
+	registry_server_unref(earlier);
+	registry_finish(&registry);
+}
+
+/*
+ * The last word of a process reaches the store, or a peer tells of it, after
+ * its successor was heard. Taken for news it would bring back an address where
+ * another service may listen by now.
+ */
+static void test_word_of_an_earlier_start(void)
+{
+	struct registry registry;
+	struct registry_server *server;
+
+	init(&registry);
+	server = put_born(&registry, 2000, 5);
+	CU_ASSERT(put_born(&registry, 1000, 4) == server);
+	CU_ASSERT(put_born(&registry, 1000, 6) == server);
+	CU_ASSERT(server->entry.born == 2000);
+	CU_ASSERT(registry_born(&registry, server, 1000) == server);
+	/* One that does not say when it started is the one that is known. */
+	CU_ASSERT(put_born(&registry, 0, 7) == server);
+	CU_ASSERT(server->entry.born == 2000);
+	CU_ASSERT(registry_born(&registry, server, 0) == server);
+	CU_ASSERT(n_closed == 0);
+	/* Which is the earlier is told by the later one, not by a removal. */
+	CU_ASSERT(registry_remove(&registry, STR("a"), 8));
+	CU_ASSERT(put_born(&registry, 1000, 9) != NULL);
+	registry_finish(&registry);
+}
+
+/* An entry that asks for a send knows of the restart before this instance. */
+static void test_restart_by_a_peer(void)
+{
+	struct registry registry;
+	struct registry_server *earlier;
+	struct registry_server *server;
+
+	init(&registry);
+	earlier = put_born(&registry, 1000, 1);
+	server = registry_born(&registry, earlier, 2000);
+	CU_ASSERT(server != earlier);
+	CU_ASSERT(server->entry.born == 2000);
+	CU_ASSERT(n_closed == 1);
+	CU_ASSERT(registry_find(&registry, STR("a")) == server);
+	/* The store's own word of that start is no other one. */
+	CU_ASSERT(put_born(&registry, 2000, 2) == server);
+	CU_ASSERT(n_closed == 1);
+	registry_finish(&registry);
+}
+
+/*
+ * Each start of a server that restarts again and again finds connections of
+ * the one before still open here. In all they must stay within what the server
+ * accepts from this instance.
+ */
+static void test_connections_outlive_a_start(void)
+{
+	struct registry registry;
+	struct registry_server *first;
+	struct registry_server *second;
+	struct registry_server *third;
+
+	init(&registry);
+	first = registry_server_ref(put_born(&registry, 1000, 1));
+	first->n_conns = 2;
+	second = registry_server_ref(put_born(&registry, 2000, 2));
+	second->n_conns = 1;
+	CU_ASSERT(registry_conns(second) == 3);
+	third = put_born(&registry, 3000, 3);
+	CU_ASSERT(registry_conns(third) == 3);
+	second->n_conns = 0;
+	CU_ASSERT(registry_conns(third) == 2);
+	first->n_conns = 0;
+	CU_ASSERT(registry_conns(third) == 0);
+	CU_ASSERT(!third->earlier);
+	registry_server_unref(first);
+	registry_server_unref(second);
+	registry_finish(&registry);
+}
+
+/* What a request did to a server is told among instances by this name. */
+static void test_name_of_a_start(void)
+{
+	char a[REGISTRY_LIFE_SIZE];
+	char b[REGISTRY_LIFE_SIZE];
+	struct registry registry;
+
+	init(&registry);
+	CU_ASSERT(
+		str_eq(registry_life(put_born(&registry, 0, 1), a), STR("a")));
+	registry_life(put_born(&registry, 1000, 2), a);
+	registry_life(put_born(&registry, 2000, 3), b);
+	CU_ASSERT(strcmp(a, b));
+	registry_finish(&registry);
+}
+
 static const struct unit_test tests[] = {
 	{"own data centre first", test_own_data_centre_first},
 	{"a stopped server is left", test_stopped_server},
@@ -311,6 +447,11 @@
 	{"failures turn the choice", test_failures_turn_the_choice},
 	{"draining gets nothing", test_draining_gets_nothing},
 	{"removed stays removed", test_removed_stays_removed},
+	{"a restart is another server", test_restart_is_another_server},
+	{"word of an earlier start", test_word_of_an_earlier_start},
+	{"a restart told by a peer", test_restart_by_a_peer},
+	{"connections outlive a start", test_connections_outlive_a_start},
+	{"name of a start", test_name_of_a_start},
 };
 
 UNIT_MAIN("registry", tests)
--- a/tests/test_server_entry.c
+++ b/tests/test_server_entry.c
@@ -77,6 +77,29 @@
 	CU_ASSERT(read_with("_ms\":0", "_ms\":{}") == ERR_TYPE);
 }
 
+/*
+ * A server that starts again under its id tells so by when it started. One that
+ * does not tell is taken as before; what cannot be read names no server.
+ */
+static void test_born(void)
+{
+	struct server_entry entry;
+
+	CU_ASSERT(!read_as("i-1", GOOD, &entry));
+	CU_ASSERT(entry.born == 0);
+	CU_ASSERT(!read_as("i-1",
+			   "{\"service\":\"s\",\"address\":\"10.1.0.9:80\","
+			   "\"data_centre\":\"dc\",\"slots\":2,\"state\":"
+			   "\"ready\",\"cold_for_ms\":0,"
+			   "\"born\":1796256000123}",
+			   &entry));
+	CU_ASSERT(entry.born == 1796256000123);
+	CU_ASSERT(read_with("{", "{\"born\":\"1796256000123\",") == ERR_TYPE);
+	CU_ASSERT(read_with("{", "{\"born\":1.5,") == ERR_TYPE);
+	CU_ASSERT(read_with("{", "{\"born\":null,") == ERR_TYPE);
+	CU_ASSERT(read_with("{", "{\"born\":-1,") == ERR_RANGE);
+}
+
 /* A state that nobody has heard of is no reason to send requests there. */
 static void test_unknown_state(void)
 {
@@ -113,6 +136,7 @@
 	{"good", test_good},
 	{"missing", test_missing},
 	{"wrong type", test_wrong_type},
+	{"born", test_born},
 	{"unknown state", test_unknown_state},
 	{"out of bounds", test_out_of_bounds},
 	{"not readable", test_not_readable},
--- a/tests/test_view_share.c
+++ b/tests/test_view_share.c
@@ -604,6 +604,59 @@
 	free(packed);
 }
 
+/* What a peer says of the one server, as a change that came at @revision. */
+static void hear_server(struct node *node, int64_t born, uint64_t revision)
+{
+	Peer__ViewServer row = PEER__VIEW_SERVER__INIT;
+	Peer__ViewServer *rows[] = {&row};
+	Peer__ViewUpdate message = PEER__VIEW_UPDATE__INIT;
+
+	row.id = (char *)"server";
+	row.service = (char *)"s";
+	row.data_centre = (char *)"dc0";
+	row.address = (char *)"127.0.0.1:1";
+	row.changed_at = revision;
+	row.born = born;
+	message.servers = rows;
+	message.n_servers = 1;
+	message.servers_at = revision;
+	message.servers_from = revision - 1;
+	view_share_update(&node->share, "n1", &message);
+}
+
+/*
+ * A server was lost and avoided; it starts again under its id, and one instance
+ * reads so from the store. All others hear of it as of another server, and a
+ * view from before that is still on its way does not bring the earlier back.
+ */
+static void test_restart_is_told(void)
+{
+	struct registry_server *server;
+	struct world world;
+	struct node *node;
+	int64_t now;
+
+	world_init(&world, 2);
+	pass(&world, 5000);
+	node = &world.nodes[0];
+	now = clock_now(&world.clock);
+	hear_server(node, 1000, 6);
+	server = registry_find(&node->registry, STR("server"));
+	server_score_unreachable(&server->score, now);
+	server_score_unreachable(&server->score, now);
+	CU_ASSERT(server_score_is_lost(&server->score));
+	hear_server(node, 2000, 7);
+	server = registry_find(&node->registry, STR("server"));
+	CU_ASSERT(server->entry.born == 2000);
+	CU_ASSERT(!server_score_is_lost(&server->score));
+	hear_server(node, 1000, 6);
+	hear_server(node, 1000, 8);
+	CU_ASSERT(registry_find(&node->registry, STR("server")) == server);
+	CU_ASSERT(server->entry.born == 2000);
+	CU_ASSERT(!server->gone);
+	world_finish(&world);
+}
+
 static const struct unit_test tests[] = {
 	{"calls do not grow with the fleet", test_calls_do_not_grow},
 	{"all hear", test_all_hear},
@@ -616,6 +669,7 @@
 	{"a lost message", test_lost_message},
 	{"packed", test_packed},
 	{"packed badly", test_packed_badly},
+	{"a restart is told", test_restart_is_told},
 };
 
 UNIT_MAIN("view_share", tests)
--- a/upstream.c
+++ b/upstream.c
@@ -463,8 +463,7 @@
 }
 
 static bool may_open(const struct upstream *upstream,
-		     const struct registry_server *server,
-		     int64_t connections_max)
+		     struct registry_server *server, int64_t connections_max)
 {
 	const struct upstream_limits *limits = &upstream->limits;
 	/* A peer may tell any number. */
@@ -477,7 +476,7 @@
 		most = floor((double)connections_max * limits->share_near);
 	if (!server->remote && most < CONNS_NEAR_LEAST)
 		most = CONNS_NEAR_LEAST;
-	return server->n_conns < most;
+	return registry_conns(server) < most;
 }
 
 static struct exchange *new_exchange(struct upstream *upstream,
--- a/view_share.c
+++ b/view_share.c
@@ -185,6 +185,7 @@
 	row->slots = (uint32_t)server->entry.slots;
 	row->draining = server->entry.draining;
 	row->changed_at = server->changed_at;
+	row->born = server->entry.born;
 }
 
 static uint32_t age_ms(const struct view_share *share,
@@ -465,6 +466,7 @@
 		 str_from(row->data_centre));
 	entry.slots = row->slots;
 	entry.draining = row->draining;
+	entry.born = row->born;
 	if (!address_parse(str_from(row->address), &entry.address))
 		store_sync_put_server(share->sync, &entry, row->changed_at);
 }
