--- a/peer.pb-c.c
+++ b/peer.pb-c.c
@@ -4484,7 +4484,7 @@
   (ProtobufCMessageInit) peer__failure__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__view_server__field_descriptors[10] =
+static const ProtobufCFieldDescriptor peer__view_server__field_descriptors[11] =
 {
   {
     "id",
@@ -4606,12 +4606,25 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "created_at",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__ViewServer, created_at),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__view_server__field_indices_by_name[] = {
   3,   /* field[3] = address */
   9,   /* field[9] = born */
   8,   /* field[8] = changed_at */
   5,   /* field[5] = cold_for_ms */
+  10,   /* field[10] = created_at */
   2,   /* field[2] = data_centre */
   6,   /* field[6] = draining */
   0,   /* field[0] = id */
@@ -4622,7 +4635,7 @@
 static const ProtobufCIntRange peer__view_server__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor peer__view_server__descriptor =
 {
@@ -4632,7 +4645,7 @@
   "Peer__ViewServer",
   "peer",
   sizeof(Peer__ViewServer),
-  10,
+  11,
   peer__view_server__field_descriptors,
   peer__view_server__field_indices_by_name,
   1,  peer__view_server__number_ranges,
--- a/peer.pb-c.h
+++ b/peer.pb-c.h
@@ -710,10 +710,14 @@
    * Unix time in milliseconds; 0: not known
    */
   int64_t born;
+  /*
+   * the store's revision; 0: not known
+   */
+  uint64_t created_at;
 };
 #define PEER__VIEW_SERVER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__view_server__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/registry.c
+++ b/registry.c
@@ -136,12 +136,17 @@
 	return next;
 }
 
+/*
+ * An entry that lapsed and came back says what it said before. But others may
+ * have taken the server out meanwhile, and hear of changes only: they would do
+ * without it for good.
+ */
 static bool same(const struct server_entry *a, const struct server_entry *b)
 {
 	return !strcmp(a->service, b->service) &&
 	       !strcmp(a->data_centre, b->data_centre) &&
 	       address_eq(&a->address, &b->address) && a->slots == b->slots &&
-	       a->draining == b->draining;
+	       a->draining == b->draining && a->created_at == b->created_at;
 }
 
 static bool was_removed(const struct registry *registry, struct str id,
--- a/registry.h
+++ b/registry.h
@@ -25,6 +25,8 @@
  * struct server_entry - what a backend server publishes about itself
  * @id: of the server; it may start again under the same one
  * @born: when it started, Unix time in milliseconds; 0: it did not say
+ * @created_at: the store's revision at which its entry was made, 0: not known;
+ *	one that lapsed and came back is made anew
  * @draining: it takes no new requests and ends soon
  */
 struct server_entry {
@@ -34,6 +36,7 @@
 	struct address address;
 	int64_t slots;
 	int64_t born;
+	uint64_t created_at;
 	bool draining;
 };
 
--- a/store.h
+++ b/store.h
@@ -40,11 +40,13 @@
  * @name: of the item within its topic
  * @value: empty if it was removed
  * @changed_at: the store's revision of the change
+ * @created_at: that at which the item was made, 0: the store did not say
  */
 struct store_item {
 	char name[STORE_KEY_SIZE];
 	struct str value;
 	uint64_t changed_at;
+	uint64_t created_at;
 	bool removed;
 };
 
--- a/tests/test_view_share.c
+++ b/tests/test_view_share.c
@@ -44,6 +44,7 @@
 	uint64_t revision;
 	uint64_t drained_at;
 	uint64_t removed_at;
+	uint64_t created_at;
 	uint64_t routes_at;
 	int routes_version;
 	bool away;
@@ -61,6 +62,7 @@
 	snprintf(entry->service, sizeof(entry->service), "s");
 	snprintf(entry->data_centre, sizeof(entry->data_centre), "dc0");
 	address_parse(STR("127.0.0.1:1"), &entry->address);
+	entry->created_at = item->created_at;
 	entry->draining = str_eq(item->value, STR("draining"));
 	return 0;
 }
@@ -269,6 +271,9 @@
 				      .items = &item};
 
 	item.changed_at = world->drained_at ? world->drained_at : 1;
+	if (world->created_at > item.changed_at)
+		item.changed_at = world->created_at;
+	item.created_at = world->created_at;
 	if (world->drained_at)
 		item.value = STR("draining");
 	if (world->removed_at) {
@@ -724,6 +729,30 @@
 	world_finish(&world);
 }
 
+/*
+ * The store takes entries away and turns most instances away. One that it
+ * serves waits for their return, in vain, and leaves the servers. Then they
+ * come back, as they were. Whoever reads that kept them, and sees no change;
+ * told of changes only, the one that left them would do without for good, and
+ * whoever asks it later, too.
+ */
+static void test_lapsed_entry_comes_back(void)
+{
+	struct world world;
+	struct node *other;
+
+	world_init(&world, 2);
+	pass(&world, 5000);
+	other = &world.nodes[1 - reader_of(&world)];
+	store_sync_remove_server(&other->sync, "server", ++world.revision,
+				 "not_back");
+	CU_ASSERT(count_knowing(&world) == 1);
+	world.created_at = ++world.revision;
+	pass(&world, 1500);
+	CU_ASSERT(count_knowing(&world) == 2);
+	world_finish(&world);
+}
+
 /* Alive, and knows the drain and that version of the routes. */
 static int count_current(const struct world *world, uint64_t version)
 {
@@ -847,6 +876,7 @@
 	{"a restart is told", test_restart_is_told},
 	{"spread by hubs", test_spread_by_hubs},
 	{"store away", test_store_away},
+	{"a lapsed entry comes back", test_lapsed_entry_comes_back},
 };
 
 UNIT_MAIN("view_share", tests)
--- a/view_share.c
+++ b/view_share.c
@@ -187,6 +187,7 @@
 	row->draining = server->entry.draining;
 	row->changed_at = server->changed_at;
 	row->born = server->entry.born;
+	row->created_at = server->entry.created_at;
 }
 
 static uint32_t age_ms(const struct view_share *share,
@@ -565,6 +566,7 @@
 	entry.slots = row->slots;
 	entry.draining = row->draining;
 	entry.born = row->born;
+	entry.created_at = row->created_at;
 	if (!address_parse(str_from(row->address), &entry.address))
 		store_sync_put_server(share->sync, &entry, row->changed_at);
 }
