answer_due: answers are due by what the caller has used up

Ruled out: the relays, hedges and the loop, for no answer left later than 47 ms.

Change: an answer is due by the goal, less what the caller used, less the round trip that its connection measured, less 5 ms.

--- a/dispatch.c
+++ b/dispatch.c
@@ -77,7 +77,7 @@
 		   const struct dispatch_limits *limits, void *arg,
 		   struct registry *registry, const struct route *route,
 		   const struct route_service *target, struct latency *latency,
-		   int64_t deadline)
+		   int64_t deadline, int64_t answer_after)
 {
 	int n = route->sharded ? route->n_targets : 1;
 	int i;
@@ -91,8 +91,7 @@
 	dispatch->latency = latency;
 	dispatch->start = clock_now(clock);
 	dispatch->deadline = deadline;
-	dispatch->answer_at =
-		dispatch->start + MSEC(route->goal_ms) - limits->answer_margin;
+	dispatch->answer_at = dispatch->start + answer_after;
 	dispatch->parts = mem_zalloc((size_t)n * sizeof(*dispatch->parts));
 	for (i = 0; i < n; i++)
 		init_part(dispatch, registry,
--- a/dispatch.h
+++ b/dispatch.h
@@ -129,12 +129,10 @@
 /**
  * struct dispatch_limits - shared by all requests of an instance
  * @budget: second sends to a service
- * @answer_margin: sharded requests are answered so long before the goal
  * @outage: services without a live server
  */
 struct dispatch_limits {
 	struct budget_limit budget;
-	int64_t answer_margin;
 	struct outage *outage;
 };
 
@@ -183,13 +181,15 @@
  * @target: where it goes, for a route that is not sharded
  * @latency: of answers to this route's requests
  * @deadline: microseconds
+ * @answer_after: sharded: enough parts make the answer so long after now,
+ *	microseconds
  */
 void dispatch_init(struct dispatch *dispatch, const struct clock *clock,
 		   const struct dispatch_ops *ops,
 		   const struct dispatch_limits *limits, void *arg,
 		   struct registry *registry, const struct route *route,
 		   const struct route_service *target, struct latency *latency,
-		   int64_t deadline);
+		   int64_t deadline, int64_t answer_after);
 void dispatch_finish(struct dispatch *dispatch);
 
 /**
--- a/gateway.c
+++ b/gateway.c
@@ -22,8 +22,6 @@
 /* And so long before, it ends whatever is still open. */
 #define END_BEFORE MSEC(400)
 #define STOP_CHECK MSEC(50)
-/* Sharded requests are answered so long before the goal of their route. */
-#define ANSWER_MARGIN MSEC(14)
 /*
  * Second sends are counted over all instances. Their ratio adds up by itself,
  * kept a little below what is allowed; the slack is divided.
@@ -81,7 +79,6 @@
 	int entries =
 		peak_add(&gateway->entries, now, clock_now(&gateway->clock));
 
-	gateway->limits.answer_margin = ANSWER_MARGIN;
 	budget->ratio = settings->retry_ratio * RETRY_RATIO_KEPT;
 	budget->burst = settings->retry_slack * RETRY_SLACK_KEPT / entries;
 	budget->per_second = 0;
--- a/gateway_request.c
+++ b/gateway_request.c
@@ -9,6 +9,7 @@
 #include <event2/event.h>
 #include <utlist.h>
 
+#include "answer_due.h"
 #include "gateway_outage.h"
 #include "gateway_request_private.h"
 #include "log.h"
@@ -122,19 +123,43 @@
 					     evbuffer_get_length(head)};
 }
 
-/* Counted from when it came, which is earlier if the process was stopped. */
-static int64_t time_left(const struct gateway *gateway,
-			 const struct route *route,
-			 const struct http_message *message)
+/* That the caller will still wait, microseconds; -1: it did not say. */
+static int64_t told_by_caller(const struct gateway *gateway,
+			      const struct route *route,
+			      const struct http_message *message)
 {
-	int64_t stall = blackboard_stall(&gateway->fleet.board);
 	struct str text =
 		http_message_field(message, gateway->names->upstream.deadline);
 	uint64_t ms;
 
-	if (str_parse_u64(text, &ms) || ms > (uint64_t)route->timeout_ms)
+	if (str_parse_u64(text, &ms))
+		return -1;
+	if (ms > (uint64_t)route->timeout_ms)
 		ms = (uint64_t)route->timeout_ms;
-	return MSEC((int64_t)ms) - stall;
+	return MSEC((int64_t)ms);
+}
+
+/* Counted from when it came, which is earlier if the process was stopped. */
+static int64_t time_left(const struct gateway *gateway,
+			 const struct route *route, int64_t told)
+{
+	int64_t left = told < 0 ? MSEC(route->timeout_ms) : told;
+
+	return left - blackboard_stall(&gateway->fleet.board);
+}
+
+static int64_t answer_after(const struct gateway *gateway,
+			    const struct inbound_conn *conn,
+			    const struct route *route, int64_t told)
+{
+	const struct answer_due due = {
+		.goal = MSEC(route->goal_ms),
+		.timeout = MSEC(route->timeout_ms),
+		.told = told,
+		.round_trip = inbound_conn_round_trip(conn),
+	};
+
+	return answer_due_after(&due) - blackboard_stall(&gateway->fleet.board);
 }
 
 static struct str host_of(const struct http_message *message)
@@ -164,6 +189,7 @@
 		  uint64_t fingerprint)
 {
 	struct gateway_request *request = mem_zalloc(sizeof(*request));
+	int64_t told = told_by_caller(gateway, route, message);
 	const struct route_service *target = NULL;
 
 	request->gateway = gateway;
@@ -188,7 +214,8 @@
 		      &gateway->limits, request, &gateway->registry, route,
 		      target, &stats_of(gateway, route)->latency,
 		      clock_now(&gateway->clock) +
-			      time_left(gateway, route, message));
+			      time_left(gateway, route, told),
+		      answer_after(gateway, conn, route, told));
 	gateway_send_init(request);
 	go_on(request, dispatch_start(&request->dispatch));
 	gateway_outage_arm(gateway);
--- a/inbound.c
+++ b/inbound.c
@@ -335,6 +335,17 @@
 	conn->request = request;
 }
 
+int64_t inbound_conn_round_trip(const struct inbound_conn *conn)
+{
+	struct tcp_info info = {.tcpi_rtt = 0};
+	socklen_t len = sizeof(info);
+
+	if (getsockopt(bufferevent_getfd(conn->bev), IPPROTO_TCP, TCP_INFO,
+		       &info, &len))
+		return 0;
+	return info.tcpi_rtt;
+}
+
 const char *inbound_conn_peer(const struct inbound_conn *conn)
 {
 	return conn->ip;
--- a/inbound.h
+++ b/inbound.h
@@ -84,6 +84,13 @@
  */
 void inbound_conn_set(struct inbound_conn *conn, void *request);
 
+/**
+ * inbound_conn_round_trip() - to the caller and back, by its connection
+ *
+ * Return: microseconds; 0 if it is not known.
+ */
+int64_t inbound_conn_round_trip(const struct inbound_conn *conn);
+
 /**
  * inbound_conn_peer() - the caller's IP address
  */
--- a/tests/test_dispatch.c
+++ b/tests/test_dispatch.c
@@ -6,6 +6,7 @@
 #include "unit.h"
 
 #define SENDS_MAX 128
+#define ANSWER_MARGIN MSEC(10)
 
 /* A request that is dispatched, and what became of its sends. */
 struct world {
@@ -106,7 +107,6 @@
 	CU_ASSERT(!route_set_parse(str_from(document), &world->routes, NULL));
 	latency_init(&world->latency, MSEC(20));
 	world->limits.budget = (struct budget_limit){.ratio = 0.2, .burst = 5};
-	world->limits.answer_margin = MSEC(10);
 	outage_init(&world->outage, &world->clock, &outage_ops, world);
 	world->limits.outage = &world->outage;
 }
@@ -127,7 +127,8 @@
 	dispatch_init(&world->dispatch, &world->clock, &ops, &world->limits,
 		      world, &world->registry, route, route->targets[0].service,
 		      &world->latency,
-		      clock_now(&world->clock) + MSEC(route->timeout_ms));
+		      clock_now(&world->clock) + MSEC(route->timeout_ms),
+		      MSEC(route->goal_ms) - ANSWER_MARGIN);
 	return dispatch_start(&world->dispatch);
 }
 
--- a/tests/test_load_limit.c
+++ b/tests/test_load_limit.c
@@ -11,6 +11,7 @@
 
 #define START MSEC(1000000)
 #define SHARDS 8
+#define ANSWER_MARGIN MSEC(10)
 #define SLOTS 2
 #define QUEUE 12
 #define WORK_MS 15
@@ -174,7 +175,6 @@
 	registry_init(&world->registry, STR(""), on_closing, NULL);
 	outage_init(&world->outage, &world->clock, &no_checks, NULL);
 	world->limits.budget = (struct budget_limit){.ratio = 0.2, .burst = 5};
-	world->limits.answer_margin = MSEC(10);
 	world->limits.outage = &world->outage;
 	latency_init(&world->latency, MSEC(GOAL_MS / 4));
 	write_routes(document, sizeof(document));
@@ -228,7 +228,8 @@
 		registry_service(&world->registry, STR("s0"))->load.limit = 0;
 	dispatch_init(dispatch, &world->clock, &ops, &world->limits, world,
 		      &world->registry, route, NULL, &world->latency,
-		      clock_now(&world->clock) + MSEC(route->timeout_ms));
+		      clock_now(&world->clock) + MSEC(route->timeout_ms),
+		      MSEC(route->goal_ms) - ANSWER_MARGIN);
 	world->open[world->n_open++] = dispatch;
 	dispatch_start(dispatch);
 }
