relay: small instances send through hubs; relays tell what they see of a server

Change: an instance that is none of the senders gives all parts of a request to a hub near it. A relay tells with each result what share of all sends to the server failed lately, which the entry takes for its own, and the pace that the server told of its machine (nothing chooses by the pace yet). The load header is read with bounds. A cold server is sent to from its own data centre only: an entry elsewhere that had no relay could have taken itself for the one that may.

--- a/gateway_fleet.c
+++ b/gateway_fleet.c
@@ -179,6 +179,21 @@
 	warmup_set_senders(&fleet->warmup, instances, n);
 }
 
+static bool is_sender(const struct view_share *views,
+		      const struct hub_member *member)
+{
+	return member->hub ||
+	       directory_is_large(member->capacity, views->members[0].capacity);
+}
+
+bool gateway_fleet_is_sender(const struct gateway_fleet *fleet)
+{
+	const struct view_share *views = &fleet->views;
+
+	return !views->n_members ||
+	       is_sender(views, &views->members[views->rank]);
+}
+
 const char *gateway_fleet_cold_sender(const struct gateway_fleet *fleet,
 				      const struct registry_server *server)
 {
@@ -440,17 +455,15 @@
 
 int gateway_fleet_near_senders(const struct gateway_fleet *fleet)
 {
-	const struct hub_member *members = fleet->views.members;
+	const struct view_share *views = &fleet->views;
 	int n = 0;
 	int i;
 
-	for (i = 0; i < fleet->views.n_members; i++) {
-		const struct hub_member *member = &members[i];
+	for (i = 0; i < views->n_members; i++) {
+		const struct hub_member *member = &views->members[i];
 
 		if (!strcmp(member->data_centre, fleet->settings.data_centre))
-			n += member->hub ||
-			     directory_is_large(member->capacity,
-						members[0].capacity);
+			n += is_sender(views, member);
 	}
 	return n > 0 ? n : 1;
 }
--- a/gateway_fleet.h
+++ b/gateway_fleet.h
@@ -126,6 +126,12 @@
  */
 int gateway_fleet_entries(const struct gateway_fleet *fleet);
 
+/**
+ * gateway_fleet_is_sender() - this instance is one of those that connect to
+ * backend servers: hubs, and those that take callers
+ */
+bool gateway_fleet_is_sender(const struct gateway_fleet *fleet);
+
 /**
  * gateway_fleet_cold_sender() - the instance that sends to a server while it is
  * cold, see warmup.h
--- a/gateway_send.c
+++ b/gateway_send.c
@@ -152,24 +152,53 @@
 	return gateway_fleet_cold_sender(&gateway->fleet, server);
 }
 
+/* Where a part is given to a relay, and to which one. */
+struct relay_choice {
+	const char *data_centre; /* NULL: it is sent from here */
+	const char *instance;	 /* NULL: any there */
+};
+
+/*
+ * Parts for servers elsewhere go to a relay there. A cold server is sent to by
+ * one instance only. An instance that is none of the senders gives all its
+ * parts to one near it: hundreds of these, each with a connection or two to a
+ * server, are more than it accepts, and what is over its cap it resets, whoever
+ * sent it.
+ */
+static struct relay_choice choose_relay(struct gateway *gateway,
+					const struct registry_server *server)
+{
+	const char *own = gateway->settings->instance;
+	const char *sender = cold_sender(gateway, server);
+
+	if (!gateway_fleet_is_sender(&gateway->fleet))
+		return (struct relay_choice){
+			.data_centre = gateway->settings->data_centre};
+	if (!server->remote && (!sender || !strcmp(sender, own)))
+		return (struct relay_choice){.data_centre = NULL};
+	return (struct relay_choice){.data_centre = server->entry.data_centre,
+				     .instance = sender};
+}
+
 /*
- * Parts of one data centre share the bytes of the request and of the merged
- * records; an answer of one server is not merged with others.
+ * Parts share the bytes of the request and of the merged records; an answer of
+ * one server is not merged with others.
  */
 static int relay_part(struct gateway_request *request,
 		      struct dispatch_send *send)
 {
 	struct gateway *gateway = request->gateway;
-	const char *sender = cold_sender(gateway, send->server);
+	struct relay_choice choice;
 	int ret;
 
 	if (!request->route->sharded)
 		return ERR_UNAVAILABLE;
-	if (!send->server->remote &&
-	    (!sender || !strcmp(sender, gateway->settings->instance)))
+	choice = choose_relay(gateway, send->server);
+	if (!choice.data_centre)
 		return ERR_UNAVAILABLE;
 	request->relay.connections_max = send->part->target->connections_max;
-	ret = relay_ask_send(&gateway->relay_ask, &request->relay, send, sender,
+	ret = relay_ask_send(&gateway->relay_ask, &request->relay, send,
+			     choice.data_centre, choice.instance,
 			     &send->handle);
 	send->relayed = !ret;
 	return ret;
--- a/gateway_stats.h
+++ b/gateway_stats.h
@@ -59,6 +59,8 @@
 	  "version of the routes in force")                                    \
 	X(routes_age, METRIC_GAUGE, "garnetreach_routes_age_ms",               \
 	  "since they were last known to be the newest")                       \
+	X(bad_loads, METRIC_GAUGE, "garnetreach_server_loads_refused",         \
+	  "loads that servers told and that could not be read, since start")   \
 	X(servers, METRIC_GAUGE, "garnetreach_servers",                        \
 	  "backend servers known")                                             \
 	X(conns, METRIC_GAUGE, "garnetreach_caller_connections",               \
--- a/registry.h
+++ b/registry.h
@@ -15,6 +15,7 @@
 #include "cordon.h"
 #include "load_limit.h"
 #include "regions.h"
+#include "server_load.h"
 #include "server_score.h"
 #include "str.h"
 #include "warmup.h"
@@ -53,6 +54,7 @@
  * @cordoned: its data centre gets no new requests
  * @remote: in another data centre than this instance
  * @region: of its data centre, borrowed; empty if it is not known
+ * @load: that it told last
  * @cold_until: it takes few requests until then, microseconds
  * @cold_sends: those that it was sent from here, or NULL
  * @conns: open connections, owned by upstream
@@ -66,6 +68,7 @@
 	bool cordoned;
 	bool remote;
 	const char *region;
+	struct server_load load;
 	int64_t cold_until;
 	struct warmup_sends *cold_sends;
 	struct server_score score;
--- a/relay_ask.c
+++ b/relay_ask.c
@@ -219,10 +219,9 @@
 }
 
 int relay_ask_send(struct relay_ask *relay, struct relay_client *client,
-		   struct dispatch_send *send, const char *instance,
-		   void **handle)
+		   struct dispatch_send *send, const char *data_centre,
+		   const char *instance, void **handle)
 {
-	const char *data_centre = send->server->entry.data_centre;
 	struct relay_batch *batch = find_batch(client, data_centre, instance);
 	struct relay_send *entry;
 
@@ -449,6 +448,16 @@
 			  clock_now(entry->batch->relay->board->clock));
 }
 
+/* The relay sees more of a server than each of the entries that ask it. */
+static void note_seen(struct relay_send *entry, const Peer__PartDone *done)
+{
+	struct registry_server *server = entry->server;
+
+	server_score_told(&server->score, (double)done->failures / 1000);
+	server_load_told(&server->load, done->pace,
+			 clock_now(entry->batch->relay->board->clock));
+}
+
 static void take_part(struct relay_send *entry, const Peer__PartDone *done,
 		      struct str records, bool spoilt)
 {
@@ -467,6 +476,8 @@
 	if (entry->over)
 		return;
 	end_send(entry, server_result_of(done->code, done->success), took);
+	if (server_result_of(done->code, done->success) != SERVER_DROPPED)
+		note_seen(entry, done);
 	if (done->code == ERR_FOREIGN)
 		entry->server->gone = true;
 	if (done->code == ERR_COLD)
--- a/relay_ask.h
+++ b/relay_ask.h
@@ -89,15 +89,16 @@
 
 /**
  * relay_ask_send() - have a send made by a relay
- * @instance: that shall make it; NULL: the best in the server's data centre
+ * @data_centre: of the relay
+ * @instance: that shall make it; NULL: the best there
  *
  * It goes out with relay_ask_flush().
  *
  * Return: 0; ERR_UNAVAILABLE if there is no relay, and it is not sent.
  */
 int relay_ask_send(struct relay_ask *relay, struct relay_client *client,
-		   struct dispatch_send *send, const char *instance,
-		   void **handle);
+		   struct dispatch_send *send, const char *data_centre,
+		   const char *instance, void **handle);
 void relay_ask_flush(struct relay_ask *relay, struct relay_client *client);
 
 /**
--- /dev/null
+++ b/server_load.c
@@ -0,0 +1,110 @@
+#include "server_load.h"
+
+#include <math.h>
+#include <stdbool.h>
+
+#include "clock.h"
+#include "error.h"
+
+/* Three or four figures, each of at most so many digits. */
+#define FIGURES_LEAST 3
+#define FIGURES_MOST 4
+#define DIGITS_MOST 6
+/* Work a hundred times as long, or a hundredth: no machine's noise. */
+#define PACE_LEAST 1
+#define PACE_MOST 10000
+/* Noise of a machine ends within some hundred milliseconds. */
+#define PACE_FADE_US 250000.0
+#define FACTOR_LEAST 0.2
+#define FACTOR_MOST 10.0
+
+static bool is_space(char c)
+{
+	return c == ' ' || c == '\t';
+}
+
+static struct str trim(struct str text)
+{
+	while (text.len && is_space(text.data[0])) {
+		text.data++;
+		text.len--;
+	}
+	while (text.len && is_space(text.data[text.len - 1]))
+		text.len--;
+	return text;
+}
+
+static int parse_figure(struct str text, int32_t *out)
+{
+	uint64_t n;
+	int ret;
+
+	text = trim(text);
+	if (!text.len || text.len > DIGITS_MOST)
+		return text.len ? ERR_RANGE : ERR_SYNTAX;
+	ret = str_parse_u64(text, &n);
+	*out = (int32_t)n;
+	return ret;
+}
+
+/* Return: how many figures there are, or why they cannot be read. */
+static int parse_figures(struct str text, int32_t figures[FIGURES_MOST])
+{
+	int n = 0;
+	size_t from = 0;
+	size_t i;
+
+	for (i = 0; i <= text.len; i++) {
+		int ret;
+
+		if (i < text.len && text.data[i] != ',')
+			continue;
+		if (n == FIGURES_MOST)
+			return ERR_SYNTAX;
+		ret = parse_figure((struct str){text.data + from, i - from},
+				   &figures[n++]);
+		if (ret)
+			return ret;
+		from = i + 1;
+	}
+	return n;
+}
+
+int server_load_parse(struct str text, struct server_load *out)
+{
+	int32_t figures[FIGURES_MOST] = {0, 0, 0, SERVER_PACE_USUAL};
+	int n = parse_figures(text, figures);
+
+	if (n < 0)
+		return n;
+	if (n < FIGURES_LEAST)
+		return ERR_SYNTAX;
+	if (figures[2] < 1 || figures[3] < PACE_LEAST || figures[3] > PACE_MOST)
+		return ERR_RANGE;
+	out->running = figures[0];
+	out->waiting = figures[1];
+	out->slots = figures[2];
+	out->pace = figures[3];
+	return 0;
+}
+
+void server_load_told(struct server_load *load, uint32_t pace, int64_t now)
+{
+	load->pace = SERVER_PACE_USUAL;
+	if (pace >= PACE_LEAST && pace <= PACE_MOST)
+		load->pace = (int32_t)pace;
+	load->at = now;
+}
+
+double server_load_pace(const struct server_load *load, int64_t now)
+{
+	double fade = exp(-(double)(now - load->at) / PACE_FADE_US);
+	double factor;
+
+	if (!load->at)
+		return 1;
+	factor = 1 + ((double)load->pace / SERVER_PACE_USUAL - 1) * fade;
+	if (factor < FACTOR_LEAST)
+		return FACTOR_LEAST;
+	return factor < FACTOR_MOST ? factor : FACTOR_MOST;
+}
--- a/server_score.c
+++ b/server_score.c
@@ -134,6 +134,11 @@
 	score->latency_at = now;
 }
 
+void server_score_told(struct server_score *score, double failures)
+{
+	score->failures = failures < 1 ? failures : 1;
+}
+
 enum server_result server_result_of(int code, bool success)
 {
 	switch (code) {
--- a/server_score.h
+++ b/server_score.h
@@ -54,6 +54,12 @@
 void server_score_result(struct server_score *score, enum server_result result,
 			 int64_t took, int64_t now);
 
+/**
+ * server_score_told() - another instance says what it saw of the server
+ * @failures: as in struct server_score, of more sends than were seen here
+ */
+void server_score_told(struct server_score *score, double failures);
+
 /**
  * server_score_is_lost() - no connection can be made to the server
  */
--- a/tests/fuzz/fuzz_http.c
+++ b/tests/fuzz/fuzz_http.c
@@ -4,6 +4,7 @@
 #include <event2/buffer.h>
 
 #include "http_message.h"
+#include "server_load.h"
 
 #define PIECE 7
 
@@ -16,12 +17,15 @@
 
 static void look(const struct http_message *message)
 {
+	struct server_load load;
 	int i;
 
 	for (i = 0; i < message->n_fields; i++)
 		http_field_is_hop(message,
 				  http_message_span(message,
 						    message->fields[i].name));
+	server_load_parse(http_message_field(message, STR("x-server-load")),
+			  &load);
 	http_message_field(message, STR("x-request-id"));
 	http_message_target(message);
 	http_message_body(message);
--- a/tests/fuzz/fuzz_relay.c
+++ b/tests/fuzz/fuzz_relay.c
@@ -117,8 +117,8 @@
 		send->server = registry_find(&world->registry, str_from(id));
 		if (!strcmp(send->server->entry.data_centre, "here"))
 			continue;
-		if (relay_ask_send(&world->ask, &world->client, send, NULL,
-				   &send->handle))
+		if (relay_ask_send(&world->ask, &world->client, send, "there",
+				   NULL, &send->handle))
 			send->handle = NULL;
 	}
 	relay_ask_flush(&world->ask, &world->client);
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -712,6 +712,31 @@
         self.assertEqual(sum(len(s.seen) for s in near + far), seen)
 
 
+    def test_small_instances_share_connections(self):
+        """Many small instances get a request now and then. Each had a
+        connection or two of its own to each server, all together more than a
+        server accepts; the servers reset what was over, the others' too."""
+        servers = [self.server(f"s{i}-{i}", f"s{i}",
+                               data_centre=f"dc-{i % 2}") for i in range(4)]
+        for server in servers:
+            server.behave = OpaqueServer.records
+        self.publish()
+        seed = f"127.0.0.10:{self.peer_port}"
+        large = self.ready_gateway(seeds=[seed], cpu_quota=1)
+        small = self.ready_gateway(seeds=[seed], cpu_quota=0.1)
+        caller = self.caller(small)
+        self.wait("relayed", lambda: caller.request(
+            "/shards/w").status == 200 and self.gauge(small, "relay_jobs"))
+        before = self.gauge(small, "server_connections_opened")
+        for i in range(20):
+            got = caller.request("/shards/q", request_id=f"q{i}")
+            self.assertEqual(got.status, 200)
+            self.assertEqual(got.headers["x-missing-parts"], "0")
+        self.assertEqual(self.gauge(small, "server_connections_opened"),
+                         before)
+        self.assertGreater(self.gauge(large, "server_connections_opened"), 0)
+
+
 class Limits(GatewayTest):
     def test_refused_messages(self):
         _, gateway, _ = self.one()
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -77,7 +77,7 @@
 		world->sends[i].handle = world;
 		world->codes[i] = 1;
 		CU_ASSERT_EQUAL(relay_ask_send(&world->ask, &world->client,
-					       &world->sends[i], NULL,
+					       &world->sends[i], "there", NULL,
 					       &handles[i]),
 				0);
 	}
@@ -133,19 +133,16 @@
 	event_base_free(world->base);
 }
 
-/* The relay tells one part with its records. */
-static void tell(struct world *world, uint32_t index, bool floor, int n_records)
+static void tell_done(struct world *world, Peer__PartDone *done, bool floor,
+		      int n_records)
 {
 	Peer__PartResult message = PEER__PART_RESULT__INIT;
-	Peer__PartDone done = PEER__PART_DONE__INIT;
-	Peer__PartDone *parts[] = {&done};
+	Peer__PartDone *parts[] = {done};
 	uint8_t records[RECORDS_MOST * 16] = {0};
 	uint8_t origins[RECORDS_MOST] = {0};
 	struct frame frame = {.type = FRAME_PART_RESULT};
 
-	done.index = index;
-	done.success = true;
-	done.stamp = (char *)"s";
+	done->stamp = (char *)"s";
 	message.id = 1;
 	message.parts = parts;
 	message.n_parts = 1;
@@ -158,6 +155,69 @@
 	world->ask.handler.frame(&world->ask, &world->link, &frame);
 }
 
+/* The relay tells one part with its records. */
+static void tell(struct world *world, uint32_t index, bool floor, int n_records)
+{
+	Peer__PartDone done = PEER__PART_DONE__INIT;
+
+	done.index = index;
+	done.success = true;
+	tell_done(world, &done, floor, n_records);
+}
+
+/*
+ * Half of the servers lose four answers of ten. An entry hears two answers a
+ * second of each and took seconds to leave the unsound ones; a relay hears
+ * those of all entries. What it tells beside a good answer turns the choice at
+ * once.
+ */
+static void test_relay_tells_failures(void)
+{
+	Peer__PartDone done = PEER__PART_DONE__INIT;
+	struct registry_server *unsound;
+	void *handles[SERVERS];
+	struct world world;
+
+	start(&world);
+	unsound = registry_find(&world.registry, STR("a"));
+	ask(&world, handles);
+	done.success = true;
+	done.failures = 400;
+	done.pace = 250;
+	tell_done(&world, &done, false, 1);
+	CU_ASSERT_EQUAL(world.codes[0], 0);
+	CU_ASSERT_DOUBLE_EQUAL(unsound->score.failures, 0.4, 0.001);
+	CU_ASSERT_EQUAL(unsound->load.pace, 250);
+	finish(&world);
+}
+
+/*
+ * A server is cold and the relay has sent it what it bears: the part comes back
+ * unsent, and the entry knows for how long to ask others first.
+ */
+static void test_cold_part_comes_back(void)
+{
+	Peer__PartDone done = PEER__PART_DONE__INIT;
+	struct registry_server *cold;
+	void *handles[SERVERS];
+	struct world world;
+
+	start(&world);
+	cold = registry_find(&world.registry, STR("a"));
+	cold->service->warmup.bound = 14;
+	ask(&world, handles);
+	done.code = ERR_COLD;
+	done.not_run = true;
+	done.cold_for_ms = UINT32_MAX;
+	tell_done(&world, &done, false, 0);
+	CU_ASSERT_EQUAL(world.codes[0], ERR_COLD);
+	CU_ASSERT(registry_is_cold(cold, clock_now(&world.clock)));
+	/* A relay may say any number: a minute is believed at most. */
+	clock_advance(&world.clock, MSEC(60001));
+	CU_ASSERT(!registry_is_cold(cold, clock_now(&world.clock)));
+	finish(&world);
+}
+
 /*
  * Once a relay has told the greatest records, later parts come with those that
  * can still be among them, perhaps none. They count as whole.
@@ -238,6 +298,8 @@
 	{"floor not taken", test_floor_not_taken},
 	{"short floor not taken", test_short_floor_not_taken},
 	{"no floor", test_no_floor},
+	{"relay tells failures", test_relay_tells_failures},
+	{"cold part comes back", test_cold_part_comes_back},
 };
 
 UNIT_MAIN("relay", tests)
--- a/upstream.c
+++ b/upstream.c
@@ -34,6 +34,10 @@
  */
 #define RESTART_SUSPECTED MSEC(2500)
 #define HEAD_MAX 65536
+/* Of loads that cannot be read, the first are logged and all are counted. */
+#define BAD_LOADS_LOGGED 20
+/* A server may say any number; it is cold for some seconds. */
+#define COLD_MS_MOST 600000
 #define BODY_MAX (8 * 1024 * 1024)
 
 enum conn_state {
@@ -199,6 +203,37 @@
 	return limit < IDLE_MOST ? limit : IDLE_MOST;
 }
 
+static void take_load(struct upstream_conn *conn)
+{
+	struct upstream *upstream = conn->upstream;
+	struct str text = header(conn, upstream->names->load);
+	int ret;
+
+	if (!text.len)
+		return;
+	ret = server_load_parse(text, &conn->server->load);
+	if (!ret) {
+		conn->server->load.at = clock_now(upstream->clock);
+		return;
+	}
+	if (upstream->bad_loads++ < BAD_LOADS_LOGGED)
+		LOG_WARN("server_load_refused",
+			 LOG_TEXT("server", conn->server->entry.id),
+			 LOG_TEXT("error", error_name(ret)),
+			 LOG_U64("bytes", text.len));
+}
+
+static void take_cold(struct upstream_conn *conn)
+{
+	struct upstream *upstream = conn->upstream;
+	uint64_t ms;
+
+	if (!str_parse_u64(header(conn, upstream->names->cold), &ms) && ms &&
+	    ms < COLD_MS_MOST)
+		registry_set_cold(conn->server, MSEC((int64_t)ms),
+				  clock_now(upstream->clock));
+}
+
 static void judge(struct upstream_conn *conn, struct exchange_result *result)
 {
 	const struct upstream_names *names = conn->upstream->names;
@@ -206,6 +241,11 @@
 
 	result->message = &conn->message;
 	result->stamp = header(conn, names->stamp);
+	/* Another server's word says nothing of this one. */
+	if (status != STATUS_MISDIRECTED) {
+		take_load(conn);
+		take_cold(conn);
+	}
 	if (status == STATUS_MISDIRECTED) {
 		result->code = ERR_FOREIGN;
 		result->not_run = true;
@@ -351,10 +391,16 @@
 	return true;
 }
 
-/* Return: whether one more request may go to a server that is cold. */
-static bool take_cold(const struct upstream *upstream,
-		      struct registry_server *server)
+/*
+ * Only instances of its own data centre agree on who sends to a cold server.
+ *
+ * Return: whether one more request may go to it.
+ */
+static bool count_cold(const struct upstream *upstream,
+		       struct registry_server *server)
 {
+	if (server->remote)
+		return false;
 	if (!server->cold_sends)
 		server->cold_sends = mem_zalloc(sizeof(*server->cold_sends));
 	return warmup_take(upstream->limits.warmup, str_from(server->entry.id),
@@ -371,7 +417,7 @@
 		return ERR_DRAINING;
 	if (upstream->limits.warmup &&
 	    registry_is_cold(server, clock_now(upstream->clock)) &&
-	    !take_cold(upstream, server))
+	    !count_cold(upstream, server))
 		return ERR_COLD;
 	return 0;
 }
--- a/upstream.h
+++ b/upstream.h
@@ -27,6 +27,8 @@
  * @server_id: which server is meant; any other refuses
  * @stamp: the server's signature of an answer
  * @not_run: the server surely did not run the request
+ * @load: see struct server_load
+ * @cold: for how long the server is cold yet, milliseconds
  */
 struct upstream_names {
 	struct str request_id;
@@ -34,6 +36,8 @@
 	struct str server_id;
 	struct str stamp;
 	struct str not_run;
+	struct str load;
+	struct str cold;
 };
 
 /**
@@ -93,6 +97,7 @@
  * @conns: open connections
  * @opened: connections opened
  * @foreign: answers to other requests that were dropped
+ * @bad_loads: what servers said of their load and could not be read
  */
 struct upstream {
 	struct event_base *base;
@@ -104,6 +109,7 @@
 	uint64_t opened;
 	uint64_t foreign;
 	uint64_t silent;
+	uint64_t bad_loads;
 };
 
 void upstream_init(struct upstream *upstream, struct event_base *base,
