view_update, relay_result, upstream_answer, dispatch_send: split off

What messages say, what relays tell, what an answer says of its server and which server a part goes to are files of their own. The bound on how long a server is held for cold stands once.

--- a/dispatch.c
+++ b/dispatch.c
@@ -1,4 +1,4 @@
-#include "dispatch.h"
+#include "dispatch_private.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -203,206 +203,6 @@
 		records_finish(&dispatch->records);
 }
 
-static bool under_way(const struct dispatch_part *part)
-{
-	int i;
-
-	for (i = 0; i < part->n_sends; i++) {
-		if (part->sends[i].state == SEND_UNDER_WAY)
-			return true;
-	}
-	return false;
-}
-
-/* Servers that a part is not sent to (any more). */
-struct tried {
-	struct registry_server *servers[DISPATCH_SENDS_MAX];
-	int n;
-};
-
-static bool is_free_again(const struct dispatch_send *send, int64_t now)
-{
-	return send->busy_until && now >= send->busy_until;
-}
-
-static void fill_tried(const struct dispatch_part *part, struct tried *tried)
-{
-	int64_t now = clock_now(part->dispatch->clock);
-	int i;
-
-	tried->n = 0;
-	for (i = 0; i < part->n_sends; i++) {
-		if (!is_free_again(&part->sends[i], now))
-			tried->servers[tried->n++] = part->sends[i].server;
-	}
-}
-
-/* Servers that had no connection or slot free; later they may have one. */
-static bool has_busy(const struct dispatch_part *part)
-{
-	int i;
-
-	for (i = 0; i < part->n_sends; i++) {
-		if (part->sends[i].busy_until)
-			return true;
-	}
-	return false;
-}
-
-/*
- * Room for one more send, or NULL. Where servers have no connection free for
- * long, those that were not sent must not use up the room.
- */
-static struct dispatch_send *free_slot(struct dispatch_part *part)
-{
-	int64_t now = clock_now(part->dispatch->clock);
-	int i;
-
-	for (i = 0; i < part->n_sends; i++) {
-		if (is_free_again(&part->sends[i], now))
-			return &part->sends[i];
-	}
-	return part->n_sends < DISPATCH_SENDS_MAX ? &part->sends[i] : NULL;
-}
-
-static struct registry_server *pick(const struct dispatch_part *part,
-				    const struct tried *tried, bool fresh_only)
-{
-	const struct registry_choice choice = {
-		.tried = tried->servers,
-		.n_tried = tried->n,
-		.fresh_only = fresh_only,
-		.regions = &part->dispatch->route->regions,
-	};
-
-	return registry_pick(part->service, &choice,
-			     clock_now(part->dispatch->clock));
-}
-
-/* Return: 0 if it was sent to the server; or why not. */
-static int send_to(struct dispatch_part *part, struct registry_server *server,
-		   const char *why)
-{
-	struct dispatch *dispatch = part->dispatch;
-	struct dispatch_send *send = free_slot(part);
-	const struct dispatch_send before = *send;
-	int64_t now = clock_now(dispatch->clock);
-	int ret;
-
-	memset(send, 0, sizeof(*send));
-	send->part = part;
-	send->server = server;
-	send->state = SEND_UNDER_WAY;
-	send->sent_at = now;
-	send->why = why;
-	ret = dispatch->ops->send(dispatch->arg, send, dispatch->deadline);
-	if (ret) {
-		*send = before;
-		part->code = ret;
-		return ret;
-	}
-	registry_server_ref(server);
-	if (before.server)
-		registry_server_unref(before.server);
-	else
-		part->n_sends++;
-	part->n_run++;
-	part->n_arrived++;
-	dispatch->n_sends++;
-	part->hedge_at = now + dispatch_hedge_delay(dispatch);
-	if (dispatch->ops->decided)
-		dispatch->ops->decided(dispatch->arg, send);
-	return 0;
-}
-
-/*
- * No connection is free, or the server is cold: in a moment it may take the
- * part, which holds nobody up while others are waited for. A request to one
- * server does not wait until it is warm: its caller is told at once.
- */
-static bool is_worth_waiting(const struct dispatch *dispatch, int code)
-{
-	return code == ERR_BUDGET ||
-	       (code == ERR_COLD && dispatch->route->sharded);
-}
-
-/*
- * Sends it to the best server that takes it.
- *
- * Return: 0; ERR_NO_REPLICA if there is none that was not tried; ERR_BUDGET if
- * those that are left have no connection free, or are cold.
- */
-static int send_part(struct dispatch_part *part, const char *why,
-		     bool fresh_only)
-{
-	struct registry_server *server;
-	int ret = ERR_NO_REPLICA;
-	struct tried tried;
-
-	if (!free_slot(part))
-		return ERR_NO_REPLICA;
-	fill_tried(part, &tried);
-	while (tried.n < DISPATCH_SENDS_MAX) {
-		server = pick(part, &tried, fresh_only);
-		if (!server)
-			break;
-		tried.servers[tried.n++] = server;
-		if (!send_to(part, server, why))
-			return 0;
-		if (is_worth_waiting(part->dispatch, part->code))
-			ret = ERR_BUDGET;
-	}
-	if (!part->n_sends && ret == ERR_NO_REPLICA && !part->code)
-		part->code = ERR_NO_REPLICA;
-	return ret;
-}
-
-/*
- * What never reached a server is no second send to its service. Hedges leave
- * half of the budget: they only win time, and without a retry a part is lost.
- */
-static bool take_budget(struct dispatch_part *part, bool hedge)
-{
-	struct dispatch *dispatch = part->dispatch;
-	const struct budget_limit *limit = &dispatch->limits->budget;
-	struct budget *budget = &part->service->budget;
-	int64_t now = clock_now(dispatch->clock);
-
-	if (!part->n_arrived)
-		return true;
-	if (hedge && !budget_is_half_full(budget, limit, now))
-		return false;
-	return budget_take(budget, limit, 1, now);
-}
-
-/*
- * Sends a part once more.
- *
- * Return: 0; ERR_NO_REPLICA if no server or no attempt is left; ERR_BUDGET if
- * the budget of all requests does not allow it now, or no connection is free.
- */
-static int send_again(struct dispatch_part *part, const char *why, bool hedge)
-{
-	struct dispatch *dispatch = part->dispatch;
-	bool arrived = part->n_arrived;
-	struct tried tried;
-	int ret;
-
-	fill_tried(part, &tried);
-	if (part->n_run >= dispatch->route->servers_max || !free_slot(part))
-		return ERR_NO_REPLICA;
-	if (!pick(part, &tried, hedge))
-		return has_busy(part) ? ERR_BUDGET : ERR_NO_REPLICA;
-	if (!take_budget(part, hedge))
-		return ERR_BUDGET;
-	ret = send_part(part, why, hedge);
-	if (!ret)
-		dispatch->n_extra++;
-	else if (arrived)
-		budget_refund(&part->service->budget);
-	return ret;
-}
-
 static void end(struct dispatch *dispatch, enum dispatch_outcome outcome,
 		int code)
 {
@@ -450,7 +250,7 @@
 	int i;
 
 	for (i = 0; i < dispatch->n_parts; i++) {
-		if (under_way(&dispatch->parts[i]))
+		if (dispatch_part_under_way(&dispatch->parts[i]))
 			return true;
 	}
 	return dispatch->ran;
@@ -543,7 +343,7 @@
 		return;
 	budget_need(&part->service->budget, &dispatch->limits->budget, 1,
 		    clock_now(dispatch->clock));
-	ret = send_part(part, "first", false);
+	ret = dispatch_part_send(part, "first", false);
 	if (ret)
 		wait_or_fail(part, ret);
 }
@@ -595,8 +395,8 @@
 
 	part->retry_at = INT64_MAX;
 	if (dispatch->route->repeatable || !part->n_run)
-		ret = send_again(part, "retry", false);
-	if (ret && !under_way(part))
+		ret = dispatch_part_send_again(part, "retry", false);
+	if (ret && !dispatch_part_under_way(part))
 		wait_or_fail(part, ret);
 }
 
@@ -608,7 +408,7 @@
 static bool is_busy(const struct dispatch *dispatch,
 		    const struct dispatch_answer *answer)
 {
-	return is_worth_waiting(dispatch, answer->code) ||
+	return dispatch_is_worth_waiting(dispatch, answer->code) ||
 	       (answer->code == ERR_SHED && dispatch->route->sharded);
 }
 
@@ -680,7 +480,8 @@
 	part->hedge_at = INT64_MAX;
 	if (part->n_run >= part->dispatch->route->servers_max)
 		return;
-	if (!is_straggler(part->dispatch) || send_again(part, "hedge", true))
+	if (!is_straggler(part->dispatch) ||
+	    dispatch_part_send_again(part, "hedge", true))
 		part->hedge_at = now + RETRY_PERIOD;
 }
 
--- /dev/null
+++ b/dispatch_private.h
@@ -0,0 +1,42 @@
+/* Shared by the files that decide about a request. */
+#ifndef DISPATCH_PRIVATE_H
+#define DISPATCH_PRIVATE_H
+
+#include "dispatch.h"
+
+/**
+ * dispatch_part_under_way() - a send of the part has no result yet
+ */
+bool dispatch_part_under_way(const struct dispatch_part *part);
+
+/**
+ * dispatch_is_worth_waiting() - a server may take the part in a moment
+ * @code: why it does not now: no connection is free, or it is cold
+ *
+ * A part of a sharded request holds nobody up while others are waited for. A
+ * request to one server does not wait until it is warm: its caller is told at
+ * once.
+ */
+bool dispatch_is_worth_waiting(const struct dispatch *dispatch, int code);
+
+/**
+ * dispatch_part_send() - send it to the best server that takes it
+ * @why: for logs
+ * @fresh_only: not to one that is better avoided
+ *
+ * Return: 0; ERR_NO_REPLICA if there is none that was not tried; ERR_BUDGET if
+ * those that are left have no connection free, or are cold.
+ */
+int dispatch_part_send(struct dispatch_part *part, const char *why,
+		       bool fresh_only);
+
+/**
+ * dispatch_part_send_again() - send it once more
+ *
+ * Return: 0; ERR_NO_REPLICA if no server or no attempt is left; ERR_BUDGET if
+ * the budget of all requests does not allow it now, or no connection is free.
+ */
+int dispatch_part_send_again(struct dispatch_part *part, const char *why,
+			     bool hedge);
+
+#endif
--- /dev/null
+++ b/dispatch_send.c
@@ -0,0 +1,190 @@
+/* Which server a part is sent to, and whether it may be sent once more. */
+#include "dispatch_private.h"
+
+#include <string.h>
+
+#include "error.h"
+
+bool dispatch_part_under_way(const struct dispatch_part *part)
+{
+	int i;
+
+	for (i = 0; i < part->n_sends; i++) {
+		if (part->sends[i].state == SEND_UNDER_WAY)
+			return true;
+	}
+	return false;
+}
+
+/* Servers that a part is not sent to (any more). */
+struct tried {
+	struct registry_server *servers[DISPATCH_SENDS_MAX];
+	int n;
+};
+
+static bool is_free_again(const struct dispatch_send *send, int64_t now)
+{
+	return send->busy_until && now >= send->busy_until;
+}
+
+static void fill_tried(const struct dispatch_part *part, struct tried *tried)
+{
+	int64_t now = clock_now(part->dispatch->clock);
+	int i;
+
+	tried->n = 0;
+	for (i = 0; i < part->n_sends; i++) {
+		if (!is_free_again(&part->sends[i], now))
+			tried->servers[tried->n++] = part->sends[i].server;
+	}
+}
+
+/* Servers that had no connection or slot free; later they may have one. */
+static bool has_busy(const struct dispatch_part *part)
+{
+	int i;
+
+	for (i = 0; i < part->n_sends; i++) {
+		if (part->sends[i].busy_until)
+			return true;
+	}
+	return false;
+}
+
+/*
+ * Room for one more send, or NULL. Where servers have no connection free for
+ * long, those that were not sent must not use up the room.
+ */
+static struct dispatch_send *free_slot(struct dispatch_part *part)
+{
+	int64_t now = clock_now(part->dispatch->clock);
+	int i;
+
+	for (i = 0; i < part->n_sends; i++) {
+		if (is_free_again(&part->sends[i], now))
+			return &part->sends[i];
+	}
+	return part->n_sends < DISPATCH_SENDS_MAX ? &part->sends[i] : NULL;
+}
+
+static struct registry_server *pick(const struct dispatch_part *part,
+				    const struct tried *tried, bool fresh_only)
+{
+	const struct registry_choice choice = {
+		.tried = tried->servers,
+		.n_tried = tried->n,
+		.fresh_only = fresh_only,
+		.regions = &part->dispatch->route->regions,
+	};
+
+	return registry_pick(part->service, &choice,
+			     clock_now(part->dispatch->clock));
+}
+
+/* Return: 0 if it was sent to the server; or why not. */
+static int send_to(struct dispatch_part *part, struct registry_server *server,
+		   const char *why)
+{
+	struct dispatch *dispatch = part->dispatch;
+	struct dispatch_send *send = free_slot(part);
+	const struct dispatch_send before = *send;
+	int64_t now = clock_now(dispatch->clock);
+	int ret;
+
+	memset(send, 0, sizeof(*send));
+	send->part = part;
+	send->server = server;
+	send->state = SEND_UNDER_WAY;
+	send->sent_at = now;
+	send->why = why;
+	ret = dispatch->ops->send(dispatch->arg, send, dispatch->deadline);
+	if (ret) {
+		*send = before;
+		part->code = ret;
+		return ret;
+	}
+	registry_server_ref(server);
+	if (before.server)
+		registry_server_unref(before.server);
+	else
+		part->n_sends++;
+	part->n_run++;
+	part->n_arrived++;
+	dispatch->n_sends++;
+	part->hedge_at = now + dispatch_hedge_delay(dispatch);
+	if (dispatch->ops->decided)
+		dispatch->ops->decided(dispatch->arg, send);
+	return 0;
+}
+
+bool dispatch_is_worth_waiting(const struct dispatch *dispatch, int code)
+{
+	return code == ERR_BUDGET ||
+	       (code == ERR_COLD && dispatch->route->sharded);
+}
+
+int dispatch_part_send(struct dispatch_part *part, const char *why,
+		       bool fresh_only)
+{
+	struct registry_server *server;
+	int ret = ERR_NO_REPLICA;
+	struct tried tried;
+
+	if (!free_slot(part))
+		return ERR_NO_REPLICA;
+	fill_tried(part, &tried);
+	while (tried.n < DISPATCH_SENDS_MAX) {
+		server = pick(part, &tried, fresh_only);
+		if (!server)
+			break;
+		tried.servers[tried.n++] = server;
+		if (!send_to(part, server, why))
+			return 0;
+		if (dispatch_is_worth_waiting(part->dispatch, part->code))
+			ret = ERR_BUDGET;
+	}
+	if (!part->n_sends && ret == ERR_NO_REPLICA && !part->code)
+		part->code = ERR_NO_REPLICA;
+	return ret;
+}
+
+/*
+ * What never reached a server is no second send to its service. Hedges leave
+ * half of the budget: they only win time, and without a retry a part is lost.
+ */
+static bool take_budget(struct dispatch_part *part, bool hedge)
+{
+	struct dispatch *dispatch = part->dispatch;
+	const struct budget_limit *limit = &dispatch->limits->budget;
+	struct budget *budget = &part->service->budget;
+	int64_t now = clock_now(dispatch->clock);
+
+	if (!part->n_arrived)
+		return true;
+	if (hedge && !budget_is_half_full(budget, limit, now))
+		return false;
+	return budget_take(budget, limit, 1, now);
+}
+
+int dispatch_part_send_again(struct dispatch_part *part, const char *why,
+			     bool hedge)
+{
+	struct dispatch *dispatch = part->dispatch;
+	bool arrived = part->n_arrived;
+	struct tried tried;
+	int ret;
+
+	fill_tried(part, &tried);
+	if (part->n_run >= dispatch->route->servers_max || !free_slot(part))
+		return ERR_NO_REPLICA;
+	if (!pick(part, &tried, hedge))
+		return has_busy(part) ? ERR_BUDGET : ERR_NO_REPLICA;
+	if (!take_budget(part, hedge))
+		return ERR_BUDGET;
+	ret = dispatch_part_send(part, why, hedge);
+	if (!ret)
+		dispatch->n_extra++;
+	else if (arrived)
+		budget_refund(&part->service->budget);
+	return ret;
+}
--- a/registry.c
+++ b/registry.c
@@ -243,7 +243,11 @@
 bool registry_set_cold(struct registry_server *server, int64_t cold_for,
 		       int64_t now)
 {
-	bool news = server->cold_until + COLD_TOLERANCE < now + cold_for;
+	bool news;
+
+	if (cold_for > REGISTRY_COLD_MOST)
+		cold_for = REGISTRY_COLD_MOST;
+	news = server->cold_until + COLD_TOLERANCE < now + cold_for;
 
 	if (now + cold_for > server->cold_until)
 		server->cold_until = now + cold_for;
--- a/registry.h
+++ b/registry.h
@@ -12,6 +12,7 @@
 
 #include "address.h"
 #include "budget.h"
+#include "clock.h"
 #include "cordon.h"
 #include "load_limit.h"
 #include "regions.h"
@@ -162,10 +163,15 @@
  */
 bool registry_is_open(const struct registry_server *server);
 
+/* Servers, peers and writers of entries may say any time; none is cold for so
+ * long. Microseconds.
+ */
+#define REGISTRY_COLD_MOST MSEC(60000)
+
 /**
  * registry_set_cold() - a server takes few requests for a while
- * @cold_for: microseconds; a time that ends sooner than what is known changes
- *	nothing
+ * @cold_for: microseconds, REGISTRY_COLD_MOST at most; a time that ends sooner
+ *	than what is known changes nothing
  *
  * Return: whether that is news.
  */
--- a/relay_ask.c
+++ b/relay_ask.c
@@ -1,5 +1,5 @@
 #define LOG_MODULE "relay_ask"
-#include "relay_ask.h"
+#include "relay_ask_private.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -18,51 +18,10 @@
  * is cut, and parts go another way.
  */
 #define LATE_AFTER MSEC(15)
-/* To a relay of the same region and back: 3 ms, and its work. */
-#define WAY_MOST MSEC(4)
-/* A relay may say any number; servers are cold for some seconds. */
-#define COLD_MOST MSEC(60000)
 /* What a relay costs is judged like a server's latency; nothing is usual. */
 #define RELAY_SLOTS 64
 #define RELAY_USUAL 30000.0
 
-struct relay_batch;
-
-/* One send within a batch. */
-struct relay_send {
-	struct relay_batch *batch;
-	struct dispatch_send *send; /* NULL once it is over or abandoned */
-	struct registry_server *server;
-	int64_t sent_at;
-	bool over;
-};
-
-/**
- * struct relay_batch - sends of one request to one data centre, told together
- * @client: NULL once the request is over
- * @told: it was given to the relay, as job @id
- * @floor_lost: later parts are measured by one that was not taken
- */
-struct relay_batch {
-	struct relay_ask *relay;
-	struct relay_client *client;
-	struct relay_peer *peer;
-	char data_centre[REGISTRY_NAME_SIZE];
-	uint64_t id;
-	bool told;
-	bool heard;
-	bool floor_lost;
-	int64_t told_at;
-	int64_t flush_after;
-	struct relay_send **sends;
-	int n_sends;
-	int cap_sends;
-	int n_open;
-	struct relay_batch *prev; /* of the client */
-	struct relay_batch *next;
-	UT_hash_handle hh; /* of all that were told */
-};
-
 static struct relay_peer *peer_of(struct relay_ask *relay, const char *instance)
 {
 	struct relay_peer *peer;
@@ -243,8 +202,8 @@
 }
 
 /* The server's observations, as if it had been asked directly. */
-static void end_send(struct relay_send *entry, enum server_result result,
-		     int64_t took)
+void relay_send_end(struct relay_send *entry, enum server_result result,
+		    int64_t took)
 {
 	int64_t now = clock_now(entry->batch->relay->board->clock);
 
@@ -257,7 +216,7 @@
 		registry_answered(entry->server->service, took);
 }
 
-static void free_batch(struct relay_batch *batch)
+void relay_batch_free(struct relay_batch *batch)
 {
 	struct relay_ask *relay = batch->relay;
 	int64_t now = clock_now(relay->board->clock);
@@ -275,7 +234,7 @@
 	if (batch->client)
 		DL_DELETE(batch->client->batches, batch);
 	for (i = 0; i < batch->n_sends; i++) {
-		end_send(batch->sends[i], SERVER_DROPPED, 0);
+		relay_send_end(batch->sends[i], SERVER_DROPPED, 0);
 		registry_server_unref(batch->sends[i]->server);
 		free(batch->sends[i]);
 	}
@@ -399,138 +358,11 @@
 		batch->client = NULL;
 		/* Told ones wait for what the servers still answer. */
 		if (!batch->told || !batch->n_open)
-			free_batch(batch);
+			relay_batch_free(batch);
 	}
 }
 
-/* The records of one part among those of a message. */
-static struct str records_of(const Peer__PartResult *message, size_t part,
-			     char *out)
-{
-	size_t n = message->origins.len;
-	size_t len = 0;
-	size_t i;
-
-	if (n > message->records.len / RECORD_SIZE)
-		n = message->records.len / RECORD_SIZE;
-	for (i = 0; i < n; i++) {
-		if (message->origins.data[i] != part)
-			continue;
-		memcpy(out + len, message->records.data + i * RECORD_SIZE,
-		       RECORD_SIZE);
-		len += RECORD_SIZE;
-	}
-	return (struct str){out, len};
-}
-
-/*
- * What the server took and the way there and back, without the time that the
- * relay waited for other parts.
- */
-static int64_t took_of(const struct relay_send *entry,
-		       const Peer__PartDone *done)
-{
-	int64_t now = clock_now(entry->batch->relay->board->clock);
-	int64_t way = now - entry->sent_at - (int64_t)done->took_us;
-
-	if (way > WAY_MOST)
-		way = WAY_MOST;
-	return done->took_us + (way > 0 ? way : 0);
-}
-
-/* Others are asked until it is warm, but where there is no other. */
-static void note_cold(struct relay_send *entry, const Peer__PartDone *done)
-{
-	int64_t cold_for = MSEC((int64_t)done->cold_for_ms);
-
-	registry_set_cold(entry->server,
-			  cold_for < COLD_MOST ? cold_for : COLD_MOST,
-			  clock_now(entry->batch->relay->board->clock));
-}
-
-/* The relay sees more of a server than each of the entries that ask it. */
-static void note_seen(struct relay_send *entry, const Peer__PartDone *done)
-{
-	struct registry_server *server = entry->server;
-
-	server_score_told(&server->score, (double)done->failures / 1000);
-	server_load_told(&server->load, done->pace,
-			 clock_now(entry->batch->relay->board->clock));
-}
-
-static void take_part(struct relay_send *entry, const Peer__PartDone *done,
-		      struct str records, bool spoilt)
-{
-	struct relay_batch *batch = entry->batch;
-	struct dispatch_send *send = entry->send;
-	int64_t took = took_of(entry, done);
-	struct dispatch_answer answer = {
-		.code = done->code,
-		.success = done->success,
-		.not_run = done->not_run,
-		.stamp = str_from(done->stamp),
-		.body = records,
-		.took = took,
-	};
-
-	if (entry->over)
-		return;
-	end_send(entry, server_result_of(done->code, done->success), took);
-	if (server_result_of(done->code, done->success) != SERVER_DROPPED)
-		note_seen(entry, done);
-	if (done->code == ERR_FOREIGN)
-		entry->server->gone = true;
-	if (done->code == ERR_COLD)
-		note_cold(entry, done);
-	if (done->success && spoilt)
-		answer.code = ERR_PROTOCOL;
-	entry->send = NULL;
-	if (send)
-		batch->client->result(send, &answer);
-}
-
-static struct relay_send *entry_of(const struct relay_batch *batch,
-				   const Peer__PartDone *done)
-{
-	if (done->index >= (uint32_t)batch->n_sends)
-		return NULL;
-	return batch->sends[done->index];
-}
-
-/*
- * Only the greatest records of all parts in a message come. If one of the parts
- * is not taken, because another server answered for it meanwhile, its records
- * may have displaced some of the others', and these would be missing.
- */
-static bool has_untaken(const struct relay_batch *batch,
-			const Peer__PartResult *message)
-{
-	size_t i;
-
-	if (!batch->client)
-		return false;
-	for (i = 0; i < message->n_parts; i++) {
-		const struct relay_send *entry =
-			entry_of(batch, message->parts[i]);
-
-		if (message->parts[i]->success && (!entry || !entry->send))
-			return true;
-	}
-	return false;
-}
-
-static void heard(struct relay_batch *batch)
-{
-	int64_t now = clock_now(batch->relay->board->clock);
-
-	if (batch->heard)
-		return;
-	batch->heard = true;
-	server_score_result(&batch->peer->score, SERVER_ANSWERED,
-			    now - batch->told_at, now);
-}
-
-static struct relay_batch *find_job(struct relay_ask *relay, uint64_t id)
+struct relay_batch *relay_ask_job(struct relay_ask *relay, uint64_t id)
 {
 	struct relay_batch *batch;
 
@@ -538,76 +370,18 @@
 	return batch;
 }
 
-/* Fewer than the answer's records: none was displaced. */
-static bool displaces(const struct relay_batch *batch,
-		      const Peer__PartResult *message)
-{
-	return message->origins.len >= (size_t)batch->client->records_max;
-}
-
-static void take_parts(struct relay_batch *batch,
-		       const Peer__PartResult *message)
-{
-	char *room = mem_zalloc(message->records.len);
-	bool untaken = has_untaken(batch, message);
-	bool spoilt =
-		batch->floor_lost || (untaken && displaces(batch, message));
-	size_t i;
-
-	if (message->floor && untaken)
-		batch->floor_lost = true;
-	for (i = 0; i < message->n_parts; i++) {
-		const Peer__PartDone *done = message->parts[i];
-		struct relay_send *entry = entry_of(batch, done);
-
-		if (entry)
-			take_part(entry, done, records_of(message, i, room),
-				  spoilt);
-	}
-	free(room);
-}
-
-/* Only the instance that was asked answers: another's ids say nothing here. */
-static bool is_from(const struct relay_batch *batch,
-		    const struct peer_link *link)
-{
-	return link->outgoing && !strcmp(batch->peer->instance, link->instance);
-}
-
-static void take_result(struct relay_ask *relay, const struct peer_link *link,
-			const Peer__PartResult *message)
-{
-	struct relay_batch *batch = find_job(relay, message->id);
-	struct relay_client *client;
-
-	if (!batch || !is_from(batch, link))
-		return;
-	heard(batch);
-	if (!message->n_parts)
-		return;
-	/* The request does not end between these, so that the batch stays. */
-	client = batch->client;
-	if (client)
-		client->hold(client->arg);
-	take_parts(batch, message);
-	if (!batch->n_open)
-		free_batch(batch);
-	if (client)
-		client->release(client->arg);
-}
-
 static void on_frame(void *arg, struct peer_link *link, struct frame *frame)
 {
 	struct relay_ask *relay = arg;
 
-	take_result(relay, link, (const Peer__PartResult *)frame->message);
+	relay_ask_take(relay, link, (const Peer__PartResult *)frame->message);
 }
 
 static void lose(struct relay_ask *relay, uint64_t id)
 {
 	static const struct dispatch_answer lost = {.code = ERR_LOST,
 						    .stamp = STR("")};
-	struct relay_batch *batch = find_job(relay, id);
+	struct relay_batch *batch = relay_ask_job(relay, id);
 	struct relay_client *client;
 	int i;
 
@@ -621,12 +395,12 @@
 		struct dispatch_send *send = entry->send;
 
 		/* Says nothing of the server. */
-		end_send(entry, SERVER_DROPPED, 0);
+		relay_send_end(entry, SERVER_DROPPED, 0);
 		entry->send = NULL;
 		if (send)
 			client->result(send, &lost);
 	}
-	free_batch(batch);
+	relay_batch_free(batch);
 	if (client)
 		client->release(client->arg);
 }
@@ -680,7 +454,7 @@
 	struct relay_peer *next;
 
 	while (relay->jobs)
-		free_batch(relay->jobs);
+		relay_batch_free(relay->jobs);
 	HASH_ITER (hh, relay->relays, peer, next) {
 		HASH_DEL(relay->relays, peer);
 		free(peer);
--- a/upstream.c
+++ b/upstream.c
@@ -1,5 +1,5 @@
 #define LOG_MODULE "upstream"
-#include "upstream.h"
+#include "upstream_private.h"
 
 #include <math.h>
 #include <stdlib.h>
@@ -15,13 +15,8 @@
 #include "log.h"
 #include "mem.h"
 
-#define STATUS_MISDIRECTED 421
 /* However many instances share what a server accepts, so many are allowed. */
 #define CONNS_NEAR_LEAST 2
-/* Without a Keep-Alive header a connection is not kept idle for longer. */
-#define IDLE_MOST MSEC(4000)
-/* The server counts from its side: this much before its time-out we stop. */
-#define IDLE_MARGIN MSEC(300)
 /* A request that must not be repeated uses none that was idle for longer. */
 #define IDLE_FRESH MSEC(100)
 #define CONNECT_TIMEOUT MSEC(250)
@@ -34,59 +29,8 @@
  */
 #define RESTART_SUSPECTED MSEC(2500)
 #define HEAD_MAX 65536
-/* Of loads that cannot be read, the first are logged and all are counted. */
-#define BAD_LOADS_LOGGED 20
-/* A server may say any number; it is cold for some seconds. */
-#define COLD_MS_MOST 600000
 #define BODY_MAX (8 * 1024 * 1024)
 
-enum conn_state {
-	CONN_CONNECTING,
-	CONN_BUSY,
-	CONN_IDLE,
-};
-
-struct upstream_conn {
-	struct upstream *upstream;
-	struct registry_server *server;
-	struct bufferevent *bev;
-	struct event *timer;
-	struct http_message message;
-	enum conn_state state;
-	struct exchange *exchange;
-	upstream_check_cb check;
-	void *check_arg;
-	int64_t idle_since;
-	int64_t idle_for;
-	bool foreign;
-	struct upstream_conn *prev; /* of the server */
-	struct upstream_conn *next;
-	struct upstream_conn *prev_open; /* of all */
-	struct upstream_conn *next_open;
-};
-
-/**
- * struct exchange - one request on one connection
- * @written: bytes were handed to the socket
- * @abandoned: nobody waits for the answer
- * @counted: among the sends to a cold server
- */
-struct exchange {
-	struct upstream_conn *conn;
-	struct evbuffer *out; /* head and body, until they are written */
-	size_t head_len;
-	char *id;
-	size_t id_len;
-	bool is_head;
-	bool written;
-	bool abandoned;
-	bool counted;
-	int64_t sent_at;
-	int64_t deadline;
-	exchange_cb cb;
-	void *arg;
-};
-
 void upstream_init(struct upstream *upstream, struct event_base *base,
 		   const struct clock *clock,
 		   const struct upstream_names *names)
@@ -170,94 +114,6 @@
 	free_conn(conn);
 }
 
-static struct str header(const struct upstream_conn *conn, struct str name)
-{
-	return http_message_field(&conn->message, name);
-}
-
-static bool is_other_request(const struct upstream_conn *conn)
-{
-	struct str id = header(conn, conn->upstream->names->request_id);
-	struct str own = {conn->exchange->id, conn->exchange->id_len};
-
-	return id.len && !str_eq(id, own);
-}
-
-/* "timeout=5, max=100": seconds that the server leaves it open. */
-static int64_t idle_limit(const struct upstream_conn *conn)
-{
-	static const char key[] = "timeout=";
-	struct str value = header(conn, STR("keep-alive"));
-	const char *at = memmem(value.data, value.len, key, sizeof(key) - 1);
-	int64_t limit = 0;
-
-	if (!at)
-		return IDLE_MOST;
-	for (at += sizeof(key) - 1; at < value.data + value.len && *at >= '0' &&
-				    *at <= '9' && limit < 3600;
-	     at++)
-		limit = limit * 10 + (*at - '0');
-	limit = limit * USEC_PER_SEC - IDLE_MARGIN;
-	if (limit < 0)
-		return 0;
-	return limit < IDLE_MOST ? limit : IDLE_MOST;
-}
-
-static void take_load(struct upstream_conn *conn)
-{
-	struct upstream *upstream = conn->upstream;
-	struct str text = header(conn, upstream->names->load);
-	int ret;
-
-	if (!text.len)
-		return;
-	ret = server_load_parse(text, &conn->server->load);
-	if (!ret) {
-		conn->server->load.at = clock_now(upstream->clock);
-		return;
-	}
-	if (upstream->bad_loads++ < BAD_LOADS_LOGGED)
-		LOG_WARN("server_load_refused",
-			 LOG_TEXT("server", conn->server->entry.id),
-			 LOG_TEXT("error", error_name(ret)),
-			 LOG_U64("bytes", text.len));
-}
-
-static void take_cold(struct upstream_conn *conn)
-{
-	struct upstream *upstream = conn->upstream;
-	uint64_t ms;
-
-	if (!str_parse_u64(header(conn, upstream->names->cold), &ms) && ms &&
-	    ms < COLD_MS_MOST)
-		registry_set_cold(conn->server, MSEC((int64_t)ms),
-				  clock_now(upstream->clock));
-}
-
-static void judge(struct upstream_conn *conn, struct exchange_result *result)
-{
-	const struct upstream_names *names = conn->upstream->names;
-	int status = conn->message.parser.status_code;
-
-	result->message = &conn->message;
-	result->stamp = header(conn, names->stamp);
-	/* Another server's word says nothing of this one. */
-	if (status != STATUS_MISDIRECTED) {
-		take_load(conn);
-		take_cold(conn);
-	}
-	if (status == STATUS_MISDIRECTED) {
-		result->code = ERR_FOREIGN;
-		result->not_run = true;
-	} else if (http_message_has(&conn->message, names->not_run)) {
-		result->code = ERR_SHED;
-		result->not_run = true;
-	} else if (http_message_has(&conn->message, STR("content-encoding")) ||
-		   (status / 100 == 2 && !result->stamp.len)) {
-		result->code = ERR_PROTOCOL;
-	}
-}
-
 static void go_idle(struct upstream_conn *conn)
 {
 	struct evbuffer *in = bufferevent_get_input(conn->bev);
@@ -274,7 +130,7 @@
 		free_conn(conn);
 		return;
 	}
-	conn->idle_for = idle_limit(conn);
+	conn->idle_for = upstream_idle_limit(conn);
 	conn->idle_since = clock_now(conn->upstream->clock);
 	conn->state = CONN_IDLE;
 	http_message_reset(&conn->message);
@@ -302,7 +158,7 @@
 	conn->upstream->foreign++;
 	conn->foreign = true;
 	LOG_INFO("foreign_answer", LOG_TEXT("server", conn->server->entry.id),
-		 LOG_STR("request", header(conn, names->request_id)),
+		 LOG_STR("request", upstream_header(conn, names->request_id)),
 		 LOG_I64("status", conn->message.parser.status_code));
 	if (!conn->message.keep_alive || conn->message.until_close)
 		return ERR_LOST;
@@ -324,9 +180,9 @@
 		await_next(conn);
 		return 0;
 	}
-	if (is_other_request(conn))
+	if (upstream_is_other(conn))
 		return drop_foreign(conn);
-	judge(conn, &result);
+	upstream_judge(conn, &result);
 	if (result.code == ERR_FOREIGN)
 		conn->server->gone = true;
 	event_del(conn->timer);
--- /dev/null
+++ b/upstream_private.h
@@ -0,0 +1,83 @@
+/* Shared by the files that handle connections to backend servers. */
+#ifndef UPSTREAM_PRIVATE_H
+#define UPSTREAM_PRIVATE_H
+
+#include "upstream.h"
+
+struct bufferevent;
+
+enum conn_state {
+	CONN_CONNECTING,
+	CONN_BUSY,
+	CONN_IDLE,
+};
+
+struct upstream_conn {
+	struct upstream *upstream;
+	struct registry_server *server;
+	struct bufferevent *bev;
+	struct event *timer;
+	struct http_message message;
+	enum conn_state state;
+	struct exchange *exchange;
+	upstream_check_cb check;
+	void *check_arg;
+	int64_t idle_since;
+	int64_t idle_for;
+	bool foreign;
+	struct upstream_conn *prev; /* of the server */
+	struct upstream_conn *next;
+	struct upstream_conn *prev_open; /* of all */
+	struct upstream_conn *next_open;
+};
+
+/**
+ * struct exchange - one request on one connection
+ * @written: bytes were handed to the socket
+ * @abandoned: nobody waits for the answer
+ * @counted: among the sends to a cold server
+ */
+struct exchange {
+	struct upstream_conn *conn;
+	struct evbuffer *out; /* head and body, until they are written */
+	size_t head_len;
+	char *id;
+	size_t id_len;
+	bool is_head;
+	bool written;
+	bool abandoned;
+	bool counted;
+	int64_t sent_at;
+	int64_t deadline;
+	exchange_cb cb;
+	void *arg;
+};
+
+/**
+ * upstream_header() - a header of the message that was read
+ *
+ * Return: empty if there is none.
+ */
+struct str upstream_header(const struct upstream_conn *conn, struct str name);
+
+/**
+ * upstream_is_other() - the message answers another request than the one that
+ * waits
+ */
+bool upstream_is_other(const struct upstream_conn *conn);
+
+/**
+ * upstream_idle_limit() - how long the connection may be idle, as the server
+ * says ("timeout=5, max=100": seconds)
+ *
+ * Return: microseconds.
+ */
+int64_t upstream_idle_limit(const struct upstream_conn *conn);
+
+/**
+ * upstream_judge() - fill in what a whole answer says of the request, and take
+ * over what it says of the server
+ */
+void upstream_judge(struct upstream_conn *conn, struct exchange_result *result);
+
+#endif
--- a/view_share.c
+++ b/view_share.c
@@ -8,6 +8,7 @@
 #include "log.h"
 #include "mem.h"
 #include "view_pack.h"
+#include "view_update.h"
 
 /*
  * How old the view may get before the store is read, by rank. What the first
@@ -39,10 +40,6 @@
 /* So many whole views are told in a time: 0.4 MB at 400 servers. */
 #define WHOLE_PERIOD MSEC(100)
 #define WHOLE_MOST 6
-/* Most rows of a message: a row takes about 150 bytes. */
-#define ROWS_MAX 4096
-/* A peer may say any number; servers are cold for some seconds. */
-#define COLD_MS_MOST 600000
 
 void view_share_init(struct view_share *share, const struct clock *clock,
 		     const struct view_share_ops *ops, void *arg,
@@ -134,188 +131,8 @@
 	change->removed = removed;
 }
 
-/* A message and what it points to. */
-struct update {
-	Peer__ViewUpdate message;
-	Peer__ViewCordon cordons[CORDONS_MAX];
-	Peer__ViewCordon *cordon_pointers[CORDONS_MAX];
-	Peer__ViewServer *rows;
-	Peer__ViewServer **pointers;
-	char (*addresses)[ADDRESS_TEXT_SIZE];
-	uint8_t *packed;
-	int n;
-	int max;
-};
-
-static void update_init(struct update *update, int max)
-{
-	size_t n = (size_t)(max > 0 ? max : 1);
-
-	peer__view_update__init(&update->message);
-	update->rows = mem_zalloc(n * sizeof(*update->rows));
-	update->pointers = mem_zalloc(n * sizeof(*update->pointers));
-	update->addresses = mem_zalloc(n * sizeof(*update->addresses));
-	update->packed = NULL;
-	update->n = 0;
-	update->max = max;
-}
-
-static void update_finish(struct update *update)
-{
-	free(update->rows);
-	free(update->pointers);
-	free(update->addresses);
-	free(update->packed);
-}
-
-static Peer__ViewServer *add_row(struct update *update)
-{
-	Peer__ViewServer *row = &update->rows[update->n];
-
-	peer__view_server__init(row);
-	update->pointers[update->n++] = row;
-	return row;
-}
-
-static void add_server(struct update *update, struct registry_server *server,
-		       int64_t now)
-{
-	char *address = update->addresses[update->n];
-	Peer__ViewServer *row = add_row(update);
-
-	address_format(&server->entry.address, address, ADDRESS_TEXT_SIZE);
-	row->id = server->entry.id;
-	row->service = server->entry.service;
-	row->data_centre = server->entry.data_centre;
-	row->address = address;
-	row->slots = (uint32_t)server->entry.slots;
-	row->draining = server->entry.draining;
-	row->changed_at = server->changed_at;
-	row->born = server->entry.born;
-	row->created_at = server->entry.created_at;
-	if (server->cold_until > now)
-		row->cold_for_ms =
-			(uint32_t)((server->cold_until - now) / USEC_PER_MSEC);
-}
-
-static uint32_t age_ms(const struct view_share *share,
-		       const struct store_feed *feed)
-{
-	int64_t age = clock_now(share->clock) - feed->fresh_at;
-
-	return feed->fresh_at < 0 ? UINT32_MAX
-				  : (uint32_t)(age / USEC_PER_MSEC);
-}
-
-/* All that hold, each time: whoever missed some has them with the next. */
-static void add_cordons(const struct cordons *cordons, struct update *update)
-{
-	int i;
-
-	for (i = 0; i < cordons->n; i++) {
-		Peer__ViewCordon *row = &update->cordons[i];
-
-		peer__view_cordon__init(row);
-		row->data_centre = (char *)cordons->list[i].data_centre;
-		row->changed_at = cordons->list[i].changed_at;
-		update->cordon_pointers[i] = row;
-	}
-	update->message.cordons = update->cordon_pointers;
-	update->message.n_cordons = (size_t)cordons->n;
-}
-
-static void fill_ages(const struct view_share *share, struct update *update)
-{
-	const struct store_feed *feeds = share->sync->feeds;
-	Peer__ViewUpdate *message = &update->message;
-
-	message->routes_age_ms = age_ms(share, &feeds[STORE_ROUTES]);
-	message->routes_at = feeds[STORE_ROUTES].at;
-	message->servers_age_ms = age_ms(share, &feeds[STORE_SERVERS]);
-	message->servers_at = feeds[STORE_SERVERS].at;
-	if (share->sync->routes)
-		message->routes_version = share->sync->routes->version;
-	add_cordons(&share->sync->registry->cordons, update);
-}
-
-static void add_state(const struct view_share *share, struct update *update,
-		      bool with_routes)
-{
-	const struct route_set *routes = share->sync->routes;
-	Peer__ViewUpdate *message = &update->message;
-
-	fill_ages(share, update);
-	message->servers = update->pointers;
-	message->n_servers = (size_t)update->n;
-	if (routes && with_routes) {
-		message->routes.data = (uint8_t *)routes->text;
-		message->routes.len = routes->text_len;
-	}
-	update->packed = view_pack(message);
-}
-
-static void add_change(const struct view_share *share, struct update *update,
-		       const struct view_change *change)
-{
-	struct registry_server *server =
-		registry_find(share->sync->registry, str_from(change->id));
-	Peer__ViewServer *row;
-
-	if (server) {
-		add_server(update, server, clock_now(share->clock));
-		return;
-	}
-	row = add_row(update);
-	row->id = (char *)change->id;
-	row->removed = true;
-	row->changed_at = change->changed_at;
-}
-
-/* Return: changes since then, or -1 if some of them are not kept any more. */
-static int count_changes(const struct view_share *share, uint64_t since)
-{
-	uint64_t i = share->n_changes;
-	int n = 0;
-
-	while (i > 0) {
-		const struct view_change *change =
-			&share->changes[(i - 1) % VIEW_CHANGES_MAX];
-
-		if (change->at <= since)
-			return n;
-		if (++n == VIEW_CHANGES_MAX)
-			return -1;
-		i--;
-	}
-	return n;
-}
-
-static void fill_changes(struct view_share *share, struct update *update,
-			 uint64_t since, int n)
-{
-	uint64_t i;
-
-	update_init(update, n);
-	for (i = share->n_changes - (uint64_t)n; i < share->n_changes; i++)
-		add_change(share, update,
-			   &share->changes[i % VIEW_CHANGES_MAX]);
-	update->message.servers_from = since;
-}
-
-static void fill_whole(struct view_share *share, struct update *update)
-{
-	struct registry *registry = share->sync->registry;
-	struct registry_server *server;
-
-	update_init(update, (int)HASH_COUNT(registry->servers));
-	for (server = registry->servers; server && update->n < ROWS_MAX;
-	     server = server->hh.next)
-		add_server(update, server, clock_now(share->clock));
-	update->message.whole = true;
-}
-
 static bool send_update(struct view_share *share, const char *member,
-			struct update *update)
+			struct view_update *update)
 {
 	if (!share->ops->update(share->arg, member, &update->message))
 		return false;
@@ -323,7 +140,7 @@
 	return true;
 }
 
-static void tell_own(struct view_share *share, struct update *update,
+static void tell_own(struct view_share *share, struct view_update *update,
 		     const char *except)
 {
 	int i;
@@ -342,7 +159,7 @@
 }
 
 /* The first hub of a data centre that there is a way to. */
-static void tell_hub(struct view_share *share, struct update *update,
+static void tell_hub(struct view_share *share, struct view_update *update,
 		     const char *data_centre)
 {
 	int i;
@@ -357,7 +174,7 @@
 	}
 }
 
-static void tell_others(struct view_share *share, struct update *update)
+static void tell_others(struct view_share *share, struct view_update *update)
 {
 	int i;
 
@@ -377,7 +194,7 @@
 	return !share->n_members || share->members[share->rank].hub;
 }
 
-static void tell_all(struct view_share *share, struct update *update)
+static void tell_all(struct view_share *share, struct view_update *update)
 {
 	if (is_hub(share)) {
 		tell_own(share, update, NULL);
@@ -404,7 +221,7 @@
 	int64_t now = clock_now(share->clock);
 	const struct cordons *cordons = &share->sync->registry->cordons;
 	bool news = routes && routes->version != share->told_version;
-	struct update update;
+	struct view_update update;
 	bool whole;
 	int n;
 
@@ -430,12 +247,12 @@
 	    now - share->told_time < TELL_PERIOD)
 		return;
 	if (whole)
-		fill_whole(share, &update);
+		view_update_whole(share, &update);
 	else
-		fill_changes(share, &update, share->told_at, n);
-	add_state(share, &update, news);
+		view_update_changes(share, &update, share->told_at, n);
+	view_update_add_state(share, &update, news);
 	tell_all(share, &update);
-	update_finish(&update);
+	view_update_finish(&update);
 	mark_told(share);
 	share->told_time = now;
 }
@@ -464,7 +281,7 @@
 }
 
 /* Takes the packed rows over from @update, to be told again. */
-static void keep_whole(struct view_share *share, struct update *update)
+static void keep_whole(struct view_share *share, struct view_update *update)
 {
 	struct view_whole *kept = &share->kept;
 
@@ -479,11 +296,11 @@
 
 static void tell_kept(struct view_share *share, const char *member)
 {
-	struct update update = {.packed = NULL};
+	struct view_update update = {.packed = NULL};
 
 	peer__view_update__init(&update.message);
 	update.message.whole = true;
-	fill_ages(share, &update);
+	view_update_fill_ages(share, &update);
 	update.message.packed.data = share->kept.packed;
 	update.message.packed.len = share->kept.len;
 	update.message.packed_size = share->kept.size;
@@ -492,7 +309,7 @@
 
 static void tell_whole(struct view_share *share, const char *member)
 {
-	struct update update;
+	struct view_update update;
 
 	if (!share->sync->routes ||
 	    share->sync->feeds[STORE_SERVERS].fresh_at < 0 ||
@@ -502,29 +319,30 @@
 		tell_kept(share, member);
 		return;
 	}
-	fill_whole(share, &update);
-	add_state(share, &update, true);
+	view_update_whole(share, &update);
+	view_update_add_state(share, &update, true);
 	send_update(share, member, &update);
 	keep_whole(share, &update);
-	update_finish(&update);
+	view_update_finish(&update);
 }
 
 void view_share_request(struct view_share *share, const char *member,
 			const Peer__ViewRequest *message)
 {
-	int n = count_changes(share, message->servers_at);
-	struct update update;
+	int n = view_update_count(share, message->servers_at);
+	struct view_update update;
 
 	if (!message->servers_at || n < 0) {
 		tell_whole(share, member);
 		return;
 	}
-	fill_changes(share, &update, message->servers_at, n);
-	add_state(share, &update,
-		  share->sync->routes && share->sync->routes->version >
-						 message->routes_version);
+	view_update_changes(share, &update, message->servers_at, n);
+	view_update_add_state(share, &update,
+			      share->sync->routes &&
+				      share->sync->routes->version >
+					      message->routes_version);
 	send_update(share, member, &update);
-	update_finish(&update);
+	view_update_finish(&update);
 }
 
 /* Return: whether there is a way to it. */
@@ -597,9 +415,7 @@
 	entry.draining = row->draining;
 	entry.born = row->born;
 	entry.created_at = row->created_at;
-	entry.cold_for = MSEC((int64_t)(row->cold_for_ms < COLD_MS_MOST
-						? row->cold_for_ms
-						: COLD_MS_MOST));
+	entry.cold_for = MSEC((int64_t)row->cold_for_ms);
 	if (!address_parse(str_from(row->address), &entry.address))
 		store_sync_put_server(share->sync, &entry, row->changed_at);
 }
@@ -675,7 +491,7 @@
 static void pass_on(struct view_share *share, const char *member,
 		    const Peer__ViewUpdate *message)
 {
-	struct update update = {.message = *message};
+	struct view_update update = {.message = *message};
 	bool spread = message->spread;
 
 	tell_own(share, &update, member);
--- /dev/null
+++ b/view_update.c
@@ -0,0 +1,178 @@
+#include "view_update.h"
+
+#include <stdlib.h>
+
+#include "mem.h"
+#include "view_pack.h"
+
+/* Most rows of a message: a row takes about 150 bytes. */
+#define ROWS_MAX 4096
+
+static void view_update_init(struct view_update *update, int max)
+{
+	size_t n = (size_t)(max > 0 ? max : 1);
+
+	peer__view_update__init(&update->message);
+	update->rows = mem_zalloc(n * sizeof(*update->rows));
+	update->pointers = mem_zalloc(n * sizeof(*update->pointers));
+	update->addresses = mem_zalloc(n * sizeof(*update->addresses));
+	update->packed = NULL;
+	update->n = 0;
+	update->max = max;
+}
+
+void view_update_finish(struct view_update *update)
+{
+	free(update->rows);
+	free(update->pointers);
+	free(update->addresses);
+	free(update->packed);
+}
+
+static Peer__ViewServer *add_row(struct view_update *update)
+{
+	Peer__ViewServer *row = &update->rows[update->n];
+
+	peer__view_server__init(row);
+	update->pointers[update->n++] = row;
+	return row;
+}
+
+static void add_server(struct view_update *update,
+		       struct registry_server *server, int64_t now)
+{
+	char *address = update->addresses[update->n];
+	Peer__ViewServer *row = add_row(update);
+
+	address_format(&server->entry.address, address, ADDRESS_TEXT_SIZE);
+	row->id = server->entry.id;
+	row->service = server->entry.service;
+	row->data_centre = server->entry.data_centre;
+	row->address = address;
+	row->slots = (uint32_t)server->entry.slots;
+	row->draining = server->entry.draining;
+	row->changed_at = server->changed_at;
+	row->born = server->entry.born;
+	row->created_at = server->entry.created_at;
+	if (server->cold_until > now)
+		row->cold_for_ms =
+			(uint32_t)((server->cold_until - now) / USEC_PER_MSEC);
+}
+
+static uint32_t age_ms(const struct view_share *share,
+		       const struct store_feed *feed)
+{
+	int64_t age = clock_now(share->clock) - feed->fresh_at;
+
+	return feed->fresh_at < 0 ? UINT32_MAX
+				  : (uint32_t)(age / USEC_PER_MSEC);
+}
+
+/* All that hold, each time: whoever missed some has them with the next. */
+static void add_cordons(const struct cordons *cordons,
+			struct view_update *update)
+{
+	int i;
+
+	for (i = 0; i < cordons->n; i++) {
+		Peer__ViewCordon *row = &update->cordons[i];
+
+		peer__view_cordon__init(row);
+		row->data_centre = (char *)cordons->list[i].data_centre;
+		row->changed_at = cordons->list[i].changed_at;
+		update->cordon_pointers[i] = row;
+	}
+	update->message.cordons = update->cordon_pointers;
+	update->message.n_cordons = (size_t)cordons->n;
+}
+
+void view_update_fill_ages(const struct view_share *share,
+			   struct view_update *update)
+{
+	const struct store_feed *feeds = share->sync->feeds;
+	Peer__ViewUpdate *message = &update->message;
+
+	message->routes_age_ms = age_ms(share, &feeds[STORE_ROUTES]);
+	message->routes_at = feeds[STORE_ROUTES].at;
+	message->servers_age_ms = age_ms(share, &feeds[STORE_SERVERS]);
+	message->servers_at = feeds[STORE_SERVERS].at;
+	if (share->sync->routes)
+		message->routes_version = share->sync->routes->version;
+	add_cordons(&share->sync->registry->cordons, update);
+}
+
+void view_update_add_state(const struct view_share *share,
+			   struct view_update *update, bool with_routes)
+{
+	const struct route_set *routes = share->sync->routes;
+	Peer__ViewUpdate *message = &update->message;
+
+	view_update_fill_ages(share, update);
+	message->servers = update->pointers;
+	message->n_servers = (size_t)update->n;
+	if (routes && with_routes) {
+		message->routes.data = (uint8_t *)routes->text;
+		message->routes.len = routes->text_len;
+	}
+	update->packed = view_pack(message);
+}
+
+static void add_change(const struct view_share *share,
+		       struct view_update *update,
+		       const struct view_change *change)
+{
+	struct registry_server *server =
+		registry_find(share->sync->registry, str_from(change->id));
+	Peer__ViewServer *row;
+
+	if (server) {
+		add_server(update, server, clock_now(share->clock));
+		return;
+	}
+	row = add_row(update);
+	row->id = (char *)change->id;
+	row->removed = true;
+	row->changed_at = change->changed_at;
+}
+
+int view_update_count(const struct view_share *share, uint64_t since)
+{
+	uint64_t i = share->n_changes;
+	int n = 0;
+
+	while (i > 0) {
+		const struct view_change *change =
+			&share->changes[(i - 1) % VIEW_CHANGES_MAX];
+
+		if (change->at <= since)
+			return n;
+		if (++n == VIEW_CHANGES_MAX)
+			return -1;
+		i--;
+	}
+	return n;
+}
+
+void view_update_changes(struct view_share *share, struct view_update *update,
+			 uint64_t since, int n)
+{
+	uint64_t i;
+
+	view_update_init(update, n);
+	for (i = share->n_changes - (uint64_t)n; i < share->n_changes; i++)
+		add_change(share, update,
+			   &share->changes[i % VIEW_CHANGES_MAX]);
+	update->message.servers_from = since;
+}
+
+void view_update_whole(struct view_share *share, struct view_update *update)
+{
+	struct registry *registry = share->sync->registry;
+	struct registry_server *server;
+
+	view_update_init(update, (int)HASH_COUNT(registry->servers));
+	for (server = registry->servers; server && update->n < ROWS_MAX;
+	     server = server->hh.next)
+		add_server(update, server, clock_now(share->clock));
+	update->message.whole = true;
+}
