dispatch: parts held back for cold servers wait, tests; servers presumed cold are logged

Cause: a part for which all servers were cold was tried every 5 ms until its answer was due, 90 parts at a time; and an instance that took a server for cold by what it saw did not say so.

Change: it is tried again each 100 ms, as what comes back from a relay is. A line server_presumed_cold says why. Tests: a part that comes back unsent goes to another server at once and takes neither attempt nor budget; a caller of one server is told at once.

--- a/dispatch.c
+++ b/dispatch.c
@@ -304,9 +304,10 @@
 {
 	struct dispatch *dispatch = part->dispatch;
 	int64_t now = clock_now(dispatch->clock);
+	int64_t period = part->code == ERR_COLD ? COLD_PERIOD : RETRY_PERIOD;
 
-	if (code == ERR_BUDGET && now + RETRY_PERIOD < dispatch->answer_at)
-		part->retry_at = now + RETRY_PERIOD;
+	if (code == ERR_BUDGET && now + period < dispatch->answer_at)
+		part->retry_at = now + period;
 	else
 		fail_part(part);
 }
--- a/gateway_stats.h
+++ b/gateway_stats.h
@@ -16,10 +16,6 @@
 	  "refused, and not run")                                              \
 	X(no_server, METRIC_COUNTER, "garnetreach_requests_no_server_total",   \
 	  "of these, at once: too few shards had a server to send to")         \
-	X(cold, METRIC_COUNTER, "garnetreach_sends_cold_total",                \
-	  "sends kept from servers that are cold, and made elsewhere or not")  \
-	X(cordons, METRIC_GAUGE, "garnetreach_cordons",                        \
-	  "data centres whose servers get no new requests")                    \
 	X(overload, METRIC_COUNTER, "garnetreach_requests_overload_total",     \
 	  "of these, at once: more under way than can be served in time")      \
 	X(failed, METRIC_COUNTER, "garnetreach_requests_failed_total",         \
@@ -40,6 +36,10 @@
 	  "of these, refused by the server and not run")                       \
 	X(lost, METRIC_COUNTER, "garnetreach_sends_lost_total",                \
 	  "of these, without a whole answer")                                  \
+	X(cold, METRIC_COUNTER, "garnetreach_sends_cold_total",                \
+	  "sends kept from servers that are cold, and made elsewhere or not")  \
+	X(cordons, METRIC_GAUGE, "garnetreach_cordons",                        \
+	  "data centres whose servers get no new requests")                    \
 	X(request_time, METRIC_HISTOGRAM, "garnetreach_request_seconds",       \
 	  "time from a request taken to its answer")                           \
 	X(send_time, METRIC_HISTOGRAM, "garnetreach_send_seconds",             \
--- a/registry.c
+++ b/registry.c
@@ -231,7 +231,9 @@
 		if (server->cordoned && !before)
 			registry->closing(registry->arg, server);
 		else if (!server->cordoned && before)
-			registry_restarted(server, now);
+			registry_set_cold(server,
+					  server->service->warmup.cold_for,
+					  now);
 	}
 }
 
@@ -254,11 +256,6 @@
 	return news;
 }
 
-void registry_restarted(struct registry_server *server, int64_t now)
-{
-	registry_set_cold(server, server->service->warmup.cold_for, now);
-}
-
 bool registry_is_cold(const struct registry_server *server, int64_t now)
 {
 	return server->service->warmup.bound && now < server->cold_until;
--- a/registry.h
+++ b/registry.h
@@ -178,11 +178,6 @@
 bool registry_set_cold(struct registry_server *server, int64_t cold_for,
 		       int64_t now);
 
-/**
- * registry_restarted() - a server was not there and is again: it is cold
- */
-void registry_restarted(struct registry_server *server, int64_t now);
-
 /**
  * registry_is_cold() - a server is cold, and what it bears then is bounded
  */
--- a/tests/test_dispatch.c
+++ b/tests/test_dispatch.c
@@ -654,8 +654,68 @@
 	world_finish(&world);
 }
 
+/*
+ * A relay holds back a part for a server that is cold or gets nothing any more.
+ * It comes back unsent and goes to the shard's other server at once, and takes
+ * neither one of the part's two attempts nor the budget of second sends.
+ */
+static void test_unsent(int code)
+{
+	struct world world;
+	double tokens;
+
+	world_init(&world);
+	start(&world, "/shards/");
+	tokens = world.sent[3]->part->service->budget.tokens;
+	CU_ASSERT(result(&world, 3, code, true, "") == DISPATCH_OPEN);
+	CU_ASSERT(world.n_sent == 5);
+	CU_ASSERT(world.sent[4]->part == world.sent[3]->part);
+	CU_ASSERT(world.sent[4]->server != world.sent[3]->server);
+	CU_ASSERT(world.sent[3]->part->n_run == 1);
+	CU_ASSERT(world.sent[3]->part->service->budget.tokens >= tokens);
+	world_finish(&world);
+}
+
+static void test_unsent_for_cold(void)
+{
+	test_unsent(ERR_COLD);
+}
+
+static void test_unsent_for_leaving(void)
+{
+	test_unsent(ERR_DRAINING);
+}
+
+/*
+ * All servers of a service are cold. Parts of a sharded request ask again some
+ * times while the others are waited for, not every few milliseconds; a caller
+ * of a single server is told at once that its request did not run.
+ */
+static void test_all_cold(void)
+{
+	struct world world;
+
+	world_init(&world);
+	world.refuse = ERR_COLD;
+	CU_ASSERT(start(&world, "/any/") == DISPATCH_REFUSED);
+	CU_ASSERT(world.dispatch.code == ERR_COLD);
+	world_finish(&world);
+
+	world_init(&world);
+	start(&world, "/shards/");
+	result(&world, 0, 0, false, "a");
+	result(&world, 1, 0, false, "b");
+	result(&world, 2, 0, false, "c");
+	world.refuse = ERR_COLD;
+	CU_ASSERT(result(&world, 3, ERR_COLD, true, "") != DISPATCH_FAILED);
+	world_finish(&world);
+}
+
 static const struct unit_test tests[] = {
 	{"all parts", test_all_parts},
+	{"unsent for cold", test_unsent_for_cold},
+	{"unsent for leaving", test_unsent_for_leaving},
+	{"all cold", test_all_cold},
 	{"hedge", test_hedge},
 	{"hedge when the other is back", test_hedge_when_other_is_back},
 	{"no hedges while all are late", test_no_hedges_while_all_are_late},
--- a/upstream.c
+++ b/upstream.c
@@ -290,14 +290,28 @@
 	return may_send(conn->upstream, conn->server);
 }
 
+/* A server that is taken for cold, though its entry does not say so yet. */
+static void presume_cold(struct registry_server *server, int64_t cold_for,
+			 int64_t now, const char *why)
+{
+	if (registry_set_cold(server, cold_for, now) &&
+	    registry_is_cold(server, now))
+		LOG_INFO("server_presumed_cold",
+			 LOG_TEXT("server", server->entry.id),
+			 LOG_TEXT("service", server->entry.service),
+			 LOG_TEXT("why", why),
+			 LOG_I64("for_ms", cold_for / USEC_PER_MSEC));
+}
+
 static void connected(struct upstream_conn *conn)
 {
 	struct exchange_result result = {.not_run = true};
 
 	event_del(conn->timer);
 	if (conn->server->score.unreachable)
-		registry_restarted(conn->server,
-				   clock_now(conn->upstream->clock));
+		presume_cold(conn->server,
+			     conn->server->service->warmup.cold_for,
+			     clock_now(conn->upstream->clock), "reached_again");
 	result.code = may_write(conn);
 	if (!result.code) {
 		write_request(conn);
@@ -321,8 +335,9 @@
 	}
 	if (what & BEV_EVENT_ERROR && conn->state != CONN_CONNECTING &&
 	    conn->server->n_conns == 1)
-		registry_set_cold(conn->server, RESTART_SUSPECTED,
-				  clock_now(conn->upstream->clock));
+		presume_cold(conn->server, RESTART_SUSPECTED,
+			     clock_now(conn->upstream->clock),
+			     "all_connections_reset");
 	if (end_check(conn, false)) {
 		free_conn(conn);
 		return;
