--- a/tests/test_view_share.c
+++ b/tests/test_view_share.c
@@ -47,6 +47,9 @@
 	uint64_t created_at;
 	uint64_t routes_at;
 	int routes_version;
+	uint64_t cordoned_at; /* 0: never */
+	uint64_t lifted_at;
+	bool history_lost; /* watches of the operators' items must list again */
 	bool away;
 	int n_calls;
 	int n_messages;
@@ -247,19 +250,38 @@
 	free(world->nodes);
 }
 
+/* A change if the call is a watch, else the item if it is there. */
+static void add_cordon(const struct world *world, const struct store_call *call,
+		       struct store_answer *answer)
+{
+	struct store_item *item = &answer->items[answer->n_items];
+	bool lifted = world->lifted_at > world->cordoned_at;
+
+	if (!world->cordoned_at || (!call->watch && lifted))
+		return;
+	*item = (struct store_item){.name = "dc1",
+				    .kind = STORE_ITEM_CORDON,
+				    .removed = lifted};
+	item->changed_at = lifted ? world->lifted_at : world->cordoned_at;
+	answer->n_items += !call->watch || call->after < item->changed_at;
+}
+
 static void answer_routes(struct node *node, const struct store_call *call)
 {
 	struct world *world = node->world;
-	struct store_item item = {.changed_at = world->routes_at};
+	struct store_item items[2] = {{.changed_at = world->routes_at}};
 	struct store_answer answer = {.read_at = world->revision,
-				      .items = &item};
+				      .items = items};
 	char text[100];
 
 	snprintf(text, sizeof(text),
 		 "{\"version\":%d,\"routes\":[],\"services\":[]}",
 		 world->routes_version);
-	item.value = str_from(text);
+	items[0].value = str_from(text);
 	answer.n_items = !call->watch || call->after < world->routes_at;
+	if (call->watch && world->history_lost)
+		answer.code = ERR_STALE;
+	add_cordon(world, call, &answer);
 	store_sync_answered(&node->sync, STORE_ROUTES, &answer);
 }
 
@@ -305,8 +327,11 @@
 {
 	int64_t now = clock_now(&node->world->clock);
 	/* A change ends the wait of a watch. */
+	const struct world *world = node->world;
+	uint64_t after = node->calls[topic].after;
 	bool changed = topic == STORE_ROUTES &&
-		       node->calls[topic].after < node->world->routes_at;
+		       (after < world->routes_at ||
+			after < world->cordoned_at || after < world->lifted_at);
 
 	return node->answer_at[topic] &&
 	       (now >= node->answer_at[topic] || changed);
@@ -861,6 +886,94 @@
 	world_finish(&world);
 }
 
+static void cordon(struct world *world)
+{
+	world->cordoned_at = ++world->revision;
+}
+
+static void lift(struct world *world)
+{
+	world->lifted_at = ++world->revision;
+}
+
+static int count_cordoned(const struct world *world)
+{
+	int n = 0;
+	int i;
+
+	for (i = 0; i < world->n_nodes; i++)
+		n += !world->nodes[i].dead &&
+		     cordons_hold(&world->nodes[i].registry.cordons,
+				  STR("dc1"));
+	return n;
+}
+
+/*
+ * Operators take a data centre out among many changes of routes, and the
+ * instance that reads for all is lost at that moment. Nothing may be sent there
+ * 5 s later, from any instance, whoever missed a message.
+ */
+static void cordon_among(int n, int centres, int n_large, int lost)
+{
+	struct world world;
+	int i;
+
+	world_init_hubs(&world, n, centres, n_large);
+	pass(&world, 5000);
+	world.lost = lost;
+	CU_ASSERT(count_cordoned(&world) == 0);
+	world.nodes[reader_of(&world)].dead = true;
+	cordon(&world);
+	for (i = 0; i < 10; i++) {
+		change_routes(&world);
+		pass(&world, 300);
+	}
+	CU_ASSERT(count_cordoned(&world) == n - 1);
+	lift(&world);
+	pass(&world, 3000);
+	CU_ASSERT(count_cordoned(&world) == 0);
+	world_finish(&world);
+}
+
+static void test_cordon(void)
+{
+	cordon_among(8, 4, 2, 0);
+	cordon_among(76, 4, 3, 10);
+	cordon_among(295, 6, 3, 10);
+}
+
+/*
+ * The store refuses most instances while a data centre is taken out, and has
+ * dropped its history when that is taken back. The refused ones hear both from
+ * the others.
+ */
+static void test_cordon_and_store_trouble(void)
+{
+	struct world world;
+	int i;
+
+	world_init_hubs(&world, 66, 4, 2);
+	pass(&world, 5000);
+	for (i = 0; i < 66; i++)
+		world.nodes[i].cut_off = i % 3 != 2;
+	cordon(&world);
+	pass(&world, 4000);
+	CU_ASSERT(count_cordoned(&world) == 66);
+	world.history_lost = true;
+	lift(&world);
+	pass(&world, 4000);
+	CU_ASSERT(count_cordoned(&world) == 0);
+	/* One that was away for all of it, and starts anew. */
+	cordon(&world);
+	pass(&world, 3000);
+	stop_node(&world.nodes[7]);
+	start_node(&world, 7);
+	tell_fleet(&world);
+	pass(&world, 3000);
+	CU_ASSERT(count_cordoned(&world) == 66);
+	world_finish(&world);
+}
+
 static const struct unit_test tests[] = {
 	{"calls do not grow with the fleet", test_calls_do_not_grow},
 	{"all hear", test_all_hear},
@@ -875,6 +988,8 @@
 	{"packed badly", test_packed_badly},
 	{"a restart is told", test_restart_is_told},
 	{"spread by hubs", test_spread_by_hubs},
+	{"cordon", test_cordon},
+	{"cordon and store trouble", test_cordon_and_store_trouble},
 	{"store away", test_store_away},
 	{"a lapsed entry comes back", test_lapsed_entry_comes_back},
 };
