--- a/tests/test_experiment.py
+++ b/tests/test_experiment.py
@@ -1,6 +1,7 @@
 """Experiments start real stand-ins; direct load must find the whole truth."""
 
 import pathlib
+import socket
 import sys
 import tempfile
 import unittest
@@ -88,6 +89,15 @@
         self.assertLess(max(ports), first)
 
 
+    def test_no_port_in_use_at_another_address(self):
+        """Instances listen at several addresses of the loopback range. A port
+        that is taken at one of them looked free at another, and an instance
+        of a test beside ended at its start, status 1, before it was ready."""
+        with socket.socket() as sock:
+            sock.bind(("127.0.0.10", 0))
+            self.assertFalse(experiment.is_free(sock.getsockname()[1]))
+
+
 class Names(unittest.TestCase):
     def test_every_experiment_can_be_read(self):
         for name in experiment.experiment_names():
