server_load: logged with parts that are missing, and told no further

Now it stands in part_missing lines, with its age. What a service says of how long its servers are cold is bounded.

--- a/gateway.c
+++ b/gateway.c
@@ -108,7 +108,9 @@
 					 str_from(from->name));
 
 		service->warmup.cold_for =
-			(int64_t)(from->cold_s * USEC_PER_SEC);
+			from->cold_s * USEC_PER_SEC < REGISTRY_COLD_MOST
+				? (int64_t)(from->cold_s * USEC_PER_SEC)
+				: REGISTRY_COLD_MOST;
 		service->warmup.bound =
 			warmup_bound(from->cold_per_s, settings->cold_overrun,
 				     settings->cold_slack);
--- a/gateway_answer.c
+++ b/gateway_answer.c
@@ -52,6 +52,7 @@
 /* Why a shard is not in an answer: where it was sent, and since when. */
 static void log_missing(const struct gateway_request *request)
 {
+	static const struct server_load unknown;
 	const struct dispatch *dispatch = &request->dispatch;
 	int64_t now = clock_now(&request->gateway->clock);
 	int i;
@@ -60,6 +61,8 @@
 		const struct dispatch_part *part = &dispatch->parts[i];
 		const struct dispatch_send *last =
 			&part->sends[part->n_sends > 0 ? part->n_sends - 1 : 0];
+		const struct server_load *load =
+			last->server ? &last->server->load : &unknown;
 
 		if (part->state == PART_IN)
 			continue;
@@ -73,7 +76,12 @@
 			 LOG_I64("waited_us",
 				 part->n_sends ? now - last->sent_at : 0),
 			 LOG_TEXT("error", error_name(part->code)),
-			 LOG_F64("budget", part->service->budget.tokens));
+			 LOG_F64("budget", part->service->budget.tokens),
+			 LOG_I64("told_waiting", load->waiting),
+			 LOG_I64("told_pace", load->pace),
+			 LOG_I64("told_age_ms",
+				 load->at ? (now - load->at) / USEC_PER_MSEC
+					  : -1));
 	}
 }
 
--- a/peer.pb-c.c
+++ b/peer.pb-c.c
@@ -5289,7 +5289,7 @@
   (ProtobufCMessageInit) peer__part_request__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__part_done__field_descriptors[9] =
+static const ProtobufCFieldDescriptor peer__part_done__field_descriptors[8] =
 {
   {
     "index",
@@ -5387,18 +5387,6 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "pace",
-    9,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Peer__PartDone, pace),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
 };
 static const unsigned peer__part_done__field_indices_by_name[] = {
   1,   /* field[1] = code */
@@ -5406,7 +5394,6 @@
   7,   /* field[7] = failures */
   0,   /* field[0] = index */
   2,   /* field[2] = not_run */
-  8,   /* field[8] = pace */
   4,   /* field[4] = stamp */
   3,   /* field[3] = success */
   5,   /* field[5] = took_us */
@@ -5414,7 +5401,7 @@
 static const ProtobufCIntRange peer__part_done__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor peer__part_done__descriptor =
 {
@@ -5424,7 +5411,7 @@
   "Peer__PartDone",
   "peer",
   sizeof(Peer__PartDone),
-  9,
+  8,
   peer__part_done__field_descriptors,
   peer__part_done__field_indices_by_name,
   1,  peer__part_done__number_ranges,
--- a/peer.pb-c.h
+++ b/peer.pb-c.h
@@ -909,14 +909,10 @@
    * thousandths of the sends that failed lately, all seen
    */
   uint32_t failures;
-  /*
-   * of the server's machine, percent; 0: as usual
-   */
-  uint32_t pace;
 };
 #define PEER__PART_DONE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__part_done__descriptor) \
-    , 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 /*
--- a/registry.h
+++ b/registry.h
@@ -163,7 +163,8 @@
  */
 bool registry_is_open(const struct registry_server *server);
 
-/* Servers, peers and writers of entries may say any time; none is cold for so
+/*
+ * Servers, peers and writers of entries may say any time; none is cold for so
  * long. Microseconds.
  */
 #define REGISTRY_COLD_MOST MSEC(60000)
--- a/relay_result.c
+++ b/relay_result.c
@@ -53,16 +53,6 @@
 			  clock_now(entry->batch->relay->board->clock));
 }
 
-/* The relay sees more of a server than each of the entries that ask it. */
-static void note_seen(struct relay_send *entry, const Peer__PartDone *done)
-{
-	struct registry_server *server = entry->server;
-
-	server_score_told(&server->score, (double)done->failures / 1000);
-	server_load_told(&server->load, done->pace,
-			 clock_now(entry->batch->relay->board->clock));
-}
-
 static void take_part(struct relay_send *entry, const Peer__PartDone *done,
 		      struct str records, bool spoilt)
 {
@@ -82,8 +72,10 @@
 		return;
 	relay_send_end(entry, server_result_of(done->code, done->success),
 		       took);
+	/* It sees more of a server than each entry that asks it. */
 	if (server_result_of(done->code, done->success) != SERVER_DROPPED)
-		note_seen(entry, done);
+		server_score_told(&entry->server->score,
+				  (double)done->failures / 1000);
 	if (done->code == ERR_FOREIGN)
 		entry->server->gone = true;
 	if (done->code == ERR_COLD)
--- a/relay_serve.c
+++ b/relay_serve.c
@@ -185,14 +185,6 @@
 	return done;
 }
 
-/* Most machines are as usual: that takes no byte. */
-static uint32_t told_pace(const struct registry_server *server)
-{
-	return server->load.at && server->load.pace != SERVER_PACE_USUAL
-		       ? (uint32_t)server->load.pace
-		       : 0;
-}
-
 static void on_result(void *arg, const struct exchange_result *result)
 {
 	struct relay_send *send = arg;
@@ -206,7 +198,6 @@
 	done->stamp = mem_dup_len(result->stamp.data, result->stamp.len);
 	done->took_us = (uint32_t)result->took;
 	done->failures = (uint32_t)(send->server->score.failures * 1000);
-	done->pace = told_pace(send->server);
 	if (!result->code)
 		done->success = result->message->parser.status_code / 100 == 2;
 	if (done->success)
--- a/routes.c
+++ b/routes.c
@@ -93,6 +93,8 @@
 		service->connections_max = number_or(row, "connections_max",
 						     DEFAULT_CONNECTIONS_MAX);
 		service->cold_s = real_or(row, "cold_s", DEFAULT_COLD_S);
+		if (!(service->cold_s >= 0))
+			service->cold_s = 0;
 		service->cold_per_s = real_or(row, "cold_per_s", 0);
 	}
 	return 0;
--- a/server_load.c
+++ b/server_load.c
@@ -1,9 +1,7 @@
 #include "server_load.h"
 
-#include <math.h>
 #include <stdbool.h>
 
-#include "clock.h"
 #include "error.h"
 
 /* Three or four figures, each of at most so many digits. */
@@ -13,10 +11,6 @@
 /* Work a hundred times as long, or a hundredth: no machine's noise. */
 #define PACE_LEAST 1
 #define PACE_MOST 10000
-/* Noise of a machine ends within some hundred milliseconds. */
-#define PACE_FADE_US 250000.0
-#define FACTOR_LEAST 0.2
-#define FACTOR_MOST 10.0
 
 static bool is_space(char c)
 {
@@ -87,24 +81,3 @@
 	out->pace = figures[3];
 	return 0;
 }
-
-void server_load_told(struct server_load *load, uint32_t pace, int64_t now)
-{
-	load->pace = SERVER_PACE_USUAL;
-	if (pace >= PACE_LEAST && pace <= PACE_MOST)
-		load->pace = (int32_t)pace;
-	load->at = now;
-}
-
-double server_load_pace(const struct server_load *load, int64_t now)
-{
-	double fade = exp(-(double)(now - load->at) / PACE_FADE_US);
-	double factor;
-
-	if (!load->at)
-		return 1;
-	factor = 1 + ((double)load->pace / SERVER_PACE_USUAL - 1) * fade;
-	if (factor < FACTOR_LEAST)
-		return FACTOR_LEAST;
-	return factor < FACTOR_MOST ? factor : FACTOR_MOST;
-}
--- a/server_load.h
+++ b/server_load.h
@@ -35,17 +35,4 @@
  */
 int server_load_parse(struct str text, struct server_load *out);
 
-/**
- * server_load_told() - another instance says what pace a server told it
- * @pace: 0: as usual
- */
-void server_load_told(struct server_load *load, uint32_t pace, int64_t now);
-
-/**
- * server_load_pace() - how long work takes there now
- *
- * Return: times what is usual, 0.2 to 10; 1 if what it said is too old.
- */
-double server_load_pace(const struct server_load *load, int64_t now);
-
 #endif
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -183,11 +183,9 @@
 	ask(&world, handles);
 	done.success = true;
 	done.failures = 400;
-	done.pace = 250;
 	tell_done(&world, &done, false, 1);
 	CU_ASSERT_EQUAL(world.codes[0], 0);
 	CU_ASSERT_DOUBLE_EQUAL(unsound->score.failures, 0.4, 0.001);
-	CU_ASSERT_EQUAL(unsound->load.pace, 250);
 	finish(&world);
 }
 
--- a/tests/test_server_load.c
+++ b/tests/test_server_load.c
@@ -58,27 +58,9 @@
 	}
 }
 
-/* A machine's noise is over within some hundred milliseconds. */
-static void test_pace_fades(void)
-{
-	struct server_load load = {.at = 0};
-
-	CU_ASSERT(server_load_pace(&load, NOW) == 1);
-	CU_ASSERT(!parse("1,0,2,400", &load));
-	load.at = NOW;
-	CU_ASSERT_DOUBLE_EQUAL(server_load_pace(&load, NOW), 4, 0.01);
-	CU_ASSERT(server_load_pace(&load, NOW + MSEC(100)) < 3.5);
-	CU_ASSERT(server_load_pace(&load, NOW + MSEC(2000)) < 1.01);
-	server_load_told(&load, 0, NOW);
-	CU_ASSERT(server_load_pace(&load, NOW) == 1);
-	server_load_told(&load, 4000000000u, NOW);
-	CU_ASSERT(server_load_pace(&load, NOW) == 1);
-}
-
 static const struct unit_test tests[] = {
 	{"figures", test_figures},
 	{"nonsense", test_nonsense},
-	{"pace fades", test_pace_fades},
 };
 
 UNIT_MAIN("server_load", tests)
