--- a/gateway_pages.c
+++ b/gateway_pages.c
@@ -112,8 +112,7 @@
 	metric_set(&counters->routes_age, age / USEC_PER_MSEC);
 	metric_set(&counters->servers,
 		   (int64_t)HASH_COUNT(gateway->registry.servers));
-	metric_set(&counters->bad_loads,
-		   (int64_t)gateway->upstream.bad_loads);
+	metric_set(&counters->bad_loads, (int64_t)gateway->upstream.bad_loads);
 	metric_set(&counters->cordons, gateway->registry.cordons.n);
 	metric_set(&counters->conns, gateway->inbound.n);
 	metric_set(&counters->log_dropped, (int64_t)log_dropped());
