load control: settings, messages and what servers are expected to do

Gateways decide nothing by what is short: routes' priorities are read and not used, a refused caller is told a constant, and parts are sent where they cannot be answered in time. This lays down what the parts that follow share: the setting load_control (nothing on by default), the fields by which relays tell entries how much work waits before a server and how long it takes (server_outlook), the message by which entries tell each other of room and promises, and the queue before a server as an interface.

No decision changes yet.

--- a/dispatch.h
+++ b/dispatch.h
@@ -23,6 +23,7 @@
 
 struct dispatch;
 struct dispatch_part;
+struct load_control;
 
 /* Sends of one part, refused ones included. */
 #define DISPATCH_SENDS_MAX 6
@@ -130,10 +131,12 @@
  * struct dispatch_limits - shared by all requests of an instance
  * @budget: second sends to a service
  * @outage: services without a live server
+ * @control: what is done where servers are short; NULL: nothing
  */
 struct dispatch_limits {
 	struct budget_limit budget;
 	struct outage *outage;
+	const struct load_control *control;
 };
 
 /**
@@ -144,6 +147,10 @@
  * @held: see dispatch_hold()
  * @admitted: it counts in the load of its services
  * @judged: it was told to the load limit whether it is served in time
+ * @promised: it was refused before and told to come now; set by the owner
+ *	between dispatch_init() and dispatch_start()
+ * @room_in: with ERR_OVERLOAD: there is room after so long, microseconds; 0:
+ *	not known
  * @n_in: parts that are in
  * @n_lost: parts that no server could be sent when it came
  * @lost_since: when the last of these was lost
@@ -171,6 +178,8 @@
 	bool held;
 	bool admitted;
 	bool judged;
+	bool promised;
+	int64_t room_in;
 	struct records records;
 	enum dispatch_outcome outcome;
 	int code;
--- a/frame.h
+++ b/frame.h
@@ -41,7 +41,8 @@
 	X(FRAME_VIEW_REQUEST, 20, peer__view_request)                          \
 	X(FRAME_PART_REQUEST, 21, peer__part_request)                          \
 	X(FRAME_PART_RESULT, 22, peer__part_result)                            \
-	X(FRAME_PART_CANCEL, 23, peer__part_cancel)
+	X(FRAME_PART_CANCEL, 23, peer__part_cancel)                            \
+	X(FRAME_LOAD_SHARE, 24, peer__load_share)
 
 #define FRAME_ENUM(symbol, number, descriptor) symbol = number,
 enum frame_type {
--- a/gateway.c
+++ b/gateway.c
@@ -302,6 +302,7 @@
 	upstream_init(&gateway->upstream, base, &gateway->clock,
 		      &names->upstream);
 	gateway_outage_init(gateway);
+	gateway->limits.control = &settings->load_control;
 	peak_init(&gateway->entries, ENTRIES_SPAN, ENTRIES_LEAST,
 		  clock_now(&gateway->clock));
 	set_limits(gateway);
--- a/gateway_send.c
+++ b/gateway_send.c
@@ -312,6 +312,8 @@
 	relay->request = &request->request;
 	relay->fingerprint = request->fingerprint;
 	relay->deadline = request->dispatch.deadline;
+	relay->goal_at = request->dispatch.answer_at;
+	relay->priority = request->route->priority;
 	relay->records_max = request->route->records_max;
 	relay->taken = &request->dispatch.records;
 	relay->result = on_relayed;
--- a/gateway_settings.c
+++ b/gateway_settings.c
@@ -187,6 +187,44 @@
 	return 0;
 }
 
+static int read_load_control(struct gateway_settings *settings,
+			     struct json_object *list, struct error *err)
+{
+	struct load_control *control = &settings->load_control;
+	const struct {
+		const char *name;
+		bool *value;
+	} words[] = {
+		{"priorities", &control->priorities},
+		{"returns", &control->returns},
+		{"turns", &control->turns},
+		{"left_out", &control->left_out},
+		{"pace", &control->pace},
+	};
+	size_t n_words = sizeof(words) / sizeof(words[0]);
+	size_t i;
+	size_t j;
+
+	if (!json_object_is_type(list, json_type_array))
+		return error_set(err, ERR_TYPE, "load_control", NULL,
+				 "[MECHANISM, ...]");
+	for (i = 0; i < json_object_array_length(list); i++) {
+		const char *word = json_object_get_string(
+			json_object_array_get_idx(list, i));
+
+		for (j = 0; j < n_words; j++) {
+			if (word && !strcmp(word, words[j].name))
+				break;
+		}
+		if (j == n_words)
+			return error_set(err, ERR_RANGE, "load_control", word,
+					 "priorities, returns, turns, left_out "
+					 "or pace");
+		*words[j].value = true;
+	}
+	return 0;
+}
+
 static int read_key(struct gateway_settings *settings, const char *key,
 		    struct json_object *value, struct error *err)
 {
@@ -198,6 +236,8 @@
 		return read_ports(settings, value, err);
 	if (!strcmp(key, "regions"))
 		return read_regions(settings, value, err);
+	if (!strcmp(key, "load_control"))
+		return read_load_control(settings, value, err);
 	i = option_find(options, n_options, key);
 	if (i < 0)
 		return error_set(err, ERR_KEY_UNKNOWN, key, NULL,
@@ -268,6 +308,7 @@
 	settings->address_lifetime_max_s = from->address_lifetime_max_s;
 	settings->cold_overrun = from->cold_overrun;
 	settings->cold_slack = from->cold_slack;
+	settings->load_control = from->load_control;
 }
 
 void gateway_settings_finish(struct gateway_settings *settings)
--- a/gateway_settings.h
+++ b/gateway_settings.h
@@ -10,6 +10,22 @@
 
 #define GATEWAY_SEEDS_MAX 8
 
+/**
+ * struct load_control - mechanisms that an operator may switch on
+ * @priorities: requests are admitted by their routes' priorities
+ * @returns: refused callers are told when there is room, and find it
+ * @turns: requests wait here for their turn at a server, and not in its queue
+ * @left_out: parts that cannot come in time are not sent
+ * @pace: servers are chosen by what all senders see of them
+ */
+struct load_control {
+	bool priorities;
+	bool returns;
+	bool turns;
+	bool left_out;
+	bool pace;
+};
+
 /**
  * struct gateway_settings - a read settings file
  * @caller_address: requests of callers
@@ -32,6 +48,7 @@
  *	bears, from all instances
  * @cold_slack: and so many requests more
  * @regions: of all data centres
+ * @load_control: what is done where servers are short
  */
 struct gateway_settings {
 	char *instance;
@@ -56,6 +73,7 @@
 	double cold_overrun;
 	double cold_slack;
 	struct regions regions;
+	struct load_control load_control;
 	int log_level;
 };
 
--- a/peer.pb-c.c
+++ b/peer.pb-c.c
@@ -1717,6 +1717,141 @@
   assert(message->base.descriptor == &peer__part_result__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   peer__return__init
+                     (Peer__Return         *message)
+{
+  static const Peer__Return init_value = PEER__RETURN__INIT;
+  *message = init_value;
+}
+size_t peer__return__get_packed_size
+                     (const Peer__Return *message)
+{
+  assert(message->base.descriptor == &peer__return__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer__return__pack
+                     (const Peer__Return *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer__return__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer__return__pack_to_buffer
+                     (const Peer__Return *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__return__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__Return *
+       peer__return__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__Return *)
+     protobuf_c_message_unpack (&peer__return__descriptor,
+                                allocator, len, data);
+}
+void   peer__return__free_unpacked
+                     (Peer__Return *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__return__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   peer__service_load__init
+                     (Peer__ServiceLoad         *message)
+{
+  static const Peer__ServiceLoad init_value = PEER__SERVICE_LOAD__INIT;
+  *message = init_value;
+}
+size_t peer__service_load__get_packed_size
+                     (const Peer__ServiceLoad *message)
+{
+  assert(message->base.descriptor == &peer__service_load__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer__service_load__pack
+                     (const Peer__ServiceLoad *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer__service_load__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer__service_load__pack_to_buffer
+                     (const Peer__ServiceLoad *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__service_load__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__ServiceLoad *
+       peer__service_load__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__ServiceLoad *)
+     protobuf_c_message_unpack (&peer__service_load__descriptor,
+                                allocator, len, data);
+}
+void   peer__service_load__free_unpacked
+                     (Peer__ServiceLoad *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__service_load__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   peer__load_share__init
+                     (Peer__LoadShare         *message)
+{
+  static const Peer__LoadShare init_value = PEER__LOAD_SHARE__INIT;
+  *message = init_value;
+}
+size_t peer__load_share__get_packed_size
+                     (const Peer__LoadShare *message)
+{
+  assert(message->base.descriptor == &peer__load_share__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer__load_share__pack
+                     (const Peer__LoadShare *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer__load_share__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer__load_share__pack_to_buffer
+                     (const Peer__LoadShare *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__load_share__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__LoadShare *
+       peer__load_share__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__LoadShare *)
+     protobuf_c_message_unpack (&peer__load_share__descriptor,
+                                allocator, len, data);
+}
+void   peer__load_share__free_unpacked
+                     (Peer__LoadShare *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__load_share__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   peer__part_cancel__init
                      (Peer__PartCancel         *message)
 {
@@ -4697,7 +4832,7 @@
   (ProtobufCMessageInit) peer__view_server__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__view_update__field_descriptors[14] =
+static const ProtobufCFieldDescriptor peer__view_update__field_descriptors[15] =
 {
   {
     "routes_version",
@@ -4867,6 +5002,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "store_era",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__ViewUpdate, store_era),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__view_update__field_indices_by_name[] = {
   13,   /* field[13] = cordons */
@@ -4882,12 +5029,13 @@
   6,   /* field[6] = servers_at */
   5,   /* field[5] = servers_from */
   12,   /* field[12] = spread */
+  14,   /* field[14] = store_era */
   4,   /* field[4] = whole */
 };
 static const ProtobufCIntRange peer__view_update__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 14 }
+  { 0, 15 }
 };
 const ProtobufCMessageDescriptor peer__view_update__descriptor =
 {
@@ -4897,7 +5045,7 @@
   "Peer__ViewUpdate",
   "peer",
   sizeof(Peer__ViewUpdate),
-  14,
+  15,
   peer__view_update__field_descriptors,
   peer__view_update__field_indices_by_name,
   1,  peer__view_update__number_ranges,
@@ -5006,7 +5154,7 @@
   (ProtobufCMessageInit) peer__view_body__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__view_request__field_descriptors[2] =
+static const ProtobufCFieldDescriptor peer__view_request__field_descriptors[3] =
 {
   {
     "routes_version",
@@ -5032,15 +5180,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "store_era",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__ViewRequest, store_era),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__view_request__field_indices_by_name[] = {
   0,   /* field[0] = routes_version */
   1,   /* field[1] = servers_at */
+  2,   /* field[2] = store_era */
 };
 static const ProtobufCIntRange peer__view_request__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor peer__view_request__descriptor =
 {
@@ -5050,7 +5211,7 @@
   "Peer__ViewRequest",
   "peer",
   sizeof(Peer__ViewRequest),
-  2,
+  3,
   peer__view_request__field_descriptors,
   peer__view_request__field_indices_by_name,
   1,  peer__view_request__number_ranges,
@@ -5121,7 +5282,7 @@
   (ProtobufCMessageInit) peer__part_send__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__part_request__field_descriptors[11] =
+static const ProtobufCFieldDescriptor peer__part_request__field_descriptors[13] =
 {
   {
     "id",
@@ -5255,6 +5416,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "priority",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__PartRequest, priority),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "goal_ms",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__PartRequest, goal_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__part_request__field_indices_by_name[] = {
   3,   /* field[3] = body */
@@ -5263,8 +5448,10 @@
   7,   /* field[7] = fingerprint */
   10,   /* field[10] = floor */
   5,   /* field[5] = flush_ms */
+  12,   /* field[12] = goal_ms */
   2,   /* field[2] = head */
   0,   /* field[0] = id */
+  11,   /* field[11] = priority */
   6,   /* field[6] = records_max */
   1,   /* field[1] = request_id */
   9,   /* field[9] = sends */
@@ -5272,7 +5459,7 @@
 static const ProtobufCIntRange peer__part_request__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor peer__part_request__descriptor =
 {
@@ -5282,14 +5469,14 @@
   "Peer__PartRequest",
   "peer",
   sizeof(Peer__PartRequest),
-  11,
+  13,
   peer__part_request__field_descriptors,
   peer__part_request__field_indices_by_name,
   1,  peer__part_request__number_ranges,
   (ProtobufCMessageInit) peer__part_request__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__part_done__field_descriptors[8] =
+static const ProtobufCFieldDescriptor peer__part_done__field_descriptors[11] =
 {
   {
     "index",
@@ -5387,21 +5574,60 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "wait_us",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__PartDone, wait_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ahead_us",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__PartDone, ahead_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "pace_us",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__PartDone, pace_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__part_done__field_indices_by_name[] = {
+  9,   /* field[9] = ahead_us */
   1,   /* field[1] = code */
   6,   /* field[6] = cold_for_ms */
   7,   /* field[7] = failures */
   0,   /* field[0] = index */
   2,   /* field[2] = not_run */
+  10,   /* field[10] = pace_us */
   4,   /* field[4] = stamp */
   3,   /* field[3] = success */
   5,   /* field[5] = took_us */
+  8,   /* field[8] = wait_us */
 };
 static const ProtobufCIntRange peer__part_done__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor peer__part_done__descriptor =
 {
@@ -5411,7 +5637,7 @@
   "Peer__PartDone",
   "peer",
   sizeof(Peer__PartDone),
-  8,
+  11,
   peer__part_done__field_descriptors,
   peer__part_done__field_indices_by_name,
   1,  peer__part_done__number_ranges,
@@ -5508,6 +5734,237 @@
   (ProtobufCMessageInit) peer__part_result__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor peer__return__field_descriptors[5] =
+{
+  {
+    "fingerprint",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Return, fingerprint),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "service",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Return, service),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "due_in_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_SINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Return, due_in_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cost_us",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Return, cost_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "taken",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Return, taken),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer__return__field_indices_by_name[] = {
+  3,   /* field[3] = cost_us */
+  2,   /* field[2] = due_in_ms */
+  0,   /* field[0] = fingerprint */
+  1,   /* field[1] = service */
+  4,   /* field[4] = taken */
+};
+static const ProtobufCIntRange peer__return__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor peer__return__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.Return",
+  "Return",
+  "Peer__Return",
+  "peer",
+  sizeof(Peer__Return),
+  5,
+  peer__return__field_descriptors,
+  peer__return__field_indices_by_name,
+  1,  peer__return__number_ranges,
+  (ProtobufCMessageInit) peer__return__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__service_load__field_descriptors[5] =
+{
+  {
+    "service",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__ServiceLoad, service),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "limit_us",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__ServiceLoad, limit_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "open_us",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__ServiceLoad, open_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__ServiceLoad, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "asked_us",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Peer__ServiceLoad, n_asked_us),
+    offsetof(Peer__ServiceLoad, asked_us),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer__service_load__field_indices_by_name[] = {
+  3,   /* field[3] = age_ms */
+  4,   /* field[4] = asked_us */
+  1,   /* field[1] = limit_us */
+  2,   /* field[2] = open_us */
+  0,   /* field[0] = service */
+};
+static const ProtobufCIntRange peer__service_load__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor peer__service_load__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.ServiceLoad",
+  "ServiceLoad",
+  "Peer__ServiceLoad",
+  "peer",
+  sizeof(Peer__ServiceLoad),
+  5,
+  peer__service_load__field_descriptors,
+  peer__service_load__field_indices_by_name,
+  1,  peer__service_load__number_ranges,
+  (ProtobufCMessageInit) peer__service_load__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__load_share__field_descriptors[2] =
+{
+  {
+    "services",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__LoadShare, n_services),
+    offsetof(Peer__LoadShare, services),
+    &peer__service_load__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "returns",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__LoadShare, n_returns),
+    offsetof(Peer__LoadShare, returns),
+    &peer__return__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer__load_share__field_indices_by_name[] = {
+  1,   /* field[1] = returns */
+  0,   /* field[0] = services */
+};
+static const ProtobufCIntRange peer__load_share__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor peer__load_share__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.LoadShare",
+  "LoadShare",
+  "Peer__LoadShare",
+  "peer",
+  sizeof(Peer__LoadShare),
+  2,
+  peer__load_share__field_descriptors,
+  peer__load_share__field_indices_by_name,
+  1,  peer__load_share__number_ranges,
+  (ProtobufCMessageInit) peer__load_share__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor peer__part_cancel__field_descriptors[1] =
 {
   {
--- a/peer.pb-c.h
+++ b/peer.pb-c.h
@@ -54,6 +54,9 @@
 typedef struct Peer__PartRequest Peer__PartRequest;
 typedef struct Peer__PartDone Peer__PartDone;
 typedef struct Peer__PartResult Peer__PartResult;
+typedef struct Peer__Return Peer__Return;
+typedef struct Peer__ServiceLoad Peer__ServiceLoad;
+typedef struct Peer__LoadShare Peer__LoadShare;
 typedef struct Peer__PartCancel Peer__PartCancel;
 
 
@@ -773,10 +776,14 @@
    */
   size_t n_cordons;
   Peer__ViewCordon **cordons;
+  /*
+   * that all revisions here are of; 0: not known
+   */
+  uint64_t store_era;
 };
 #define PEER__VIEW_UPDATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__view_update__descriptor) \
-    , 0, {0,NULL}, 0, 0, 0, 0, 0, 0, 0,NULL, 0, {0,NULL}, 0, 0, 0,NULL }
+    , 0, {0,NULL}, 0, 0, 0, 0, 0, 0, 0,NULL, 0, {0,NULL}, 0, 0, 0,NULL, 0 }
 
 
 /*
@@ -816,10 +823,14 @@
   ProtobufCMessage base;
   uint64_t routes_version;
   uint64_t servers_at;
+  /*
+   * that servers_at is of; 0: not known
+   */
+  uint64_t store_era;
 };
 #define PEER__VIEW_REQUEST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__view_request__descriptor) \
-    , 0, 0 }
+    , 0, 0, 0 }
 
 
 /*
@@ -880,10 +891,18 @@
    * a record: what is less is not needed
    */
   ProtobufCBinaryData floor;
+  /*
+   * of the route, 0 is the most urgent
+   */
+  uint32_t priority;
+  /*
+   * left until the request is to be answered
+   */
+  uint32_t goal_ms;
 };
 #define PEER__PART_REQUEST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__part_request__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, {0,NULL}, {0,NULL}, 0, 0, 0, 0, 0, 0,NULL, {0,NULL} }
+    , 0, (char *)protobuf_c_empty_string, {0,NULL}, {0,NULL}, 0, 0, 0, 0, 0, 0,NULL, {0,NULL}, 0, 0 }
 
 
 struct  Peer__PartDone
@@ -909,10 +928,22 @@
    * thousandths of the sends that failed lately, all seen
    */
   uint32_t failures;
+  /*
+   * it waited at the relay for its turn
+   */
+  uint32_t wait_us;
+  /*
+   * work that goes before one more such part there
+   */
+  uint32_t ahead_us;
+  /*
+   * what the server takes lately; 0: not known
+   */
+  uint32_t pace_us;
 };
 #define PEER__PART_DONE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__part_done__descriptor) \
-    , 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -942,6 +973,87 @@
     , 0, 0,NULL, {0,NULL}, {0,NULL}, 0 }
 
 
+/*
+ * A caller that was refused and told when there will be room for it.
+ */
+struct  Peer__Return
+{
+  ProtobufCMessage base;
+  /*
+   * of the request: same caller, target and body
+   */
+  uint64_t fingerprint;
+  /*
+   * hash of the service that is short
+   */
+  uint64_t service;
+  /*
+   * from when this is sent; below 0: since
+   */
+  int32_t due_in_ms;
+  /*
+   * of the room that is kept
+   */
+  uint32_t cost_us;
+  /*
+   * it came back, and the room is used
+   */
+  protobuf_c_boolean taken;
+};
+#define PEER__RETURN__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__return__descriptor) \
+    , 0, 0, 0, 0, 0 }
+
+
+/*
+ * What an instance that takes callers has of a service that is short.
+ */
+struct  Peer__ServiceLoad
+{
+  ProtobufCMessage base;
+  /*
+   * hash of its name; of shards that of the first
+   */
+  uint64_t service;
+  /*
+   * work that may be under way; 0: no limit
+   */
+  uint32_t limit_us;
+  /*
+   * work that is
+   */
+  uint32_t open_us;
+  /*
+   * since the limit fell
+   */
+  uint32_t age_ms;
+  /*
+   * work that callers asked for lately, a second,
+   */
+  size_t n_asked_us;
+  uint32_t *asked_us;
+};
+#define PEER__SERVICE_LOAD__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__service_load__descriptor) \
+    , 0, 0, 0, 0, 0,NULL }
+
+
+/*
+ * To the other instances that take callers.
+ */
+struct  Peer__LoadShare
+{
+  ProtobufCMessage base;
+  size_t n_services;
+  Peer__ServiceLoad **services;
+  size_t n_returns;
+  Peer__Return **returns;
+};
+#define PEER__LOAD_SHARE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__load_share__descriptor) \
+    , 0,NULL, 0,NULL }
+
+
 /*
  * The request is over: what is not in soon is given up.
  */
@@ -1677,6 +1789,63 @@
 void   peer__part_result__free_unpacked
                      (Peer__PartResult *message,
                       ProtobufCAllocator *allocator);
+/* Peer__Return methods */
+void   peer__return__init
+                     (Peer__Return         *message);
+size_t peer__return__get_packed_size
+                     (const Peer__Return   *message);
+size_t peer__return__pack
+                     (const Peer__Return   *message,
+                      uint8_t             *out);
+size_t peer__return__pack_to_buffer
+                     (const Peer__Return   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__Return *
+       peer__return__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__return__free_unpacked
+                     (Peer__Return *message,
+                      ProtobufCAllocator *allocator);
+/* Peer__ServiceLoad methods */
+void   peer__service_load__init
+                     (Peer__ServiceLoad         *message);
+size_t peer__service_load__get_packed_size
+                     (const Peer__ServiceLoad   *message);
+size_t peer__service_load__pack
+                     (const Peer__ServiceLoad   *message,
+                      uint8_t             *out);
+size_t peer__service_load__pack_to_buffer
+                     (const Peer__ServiceLoad   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__ServiceLoad *
+       peer__service_load__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__service_load__free_unpacked
+                     (Peer__ServiceLoad *message,
+                      ProtobufCAllocator *allocator);
+/* Peer__LoadShare methods */
+void   peer__load_share__init
+                     (Peer__LoadShare         *message);
+size_t peer__load_share__get_packed_size
+                     (const Peer__LoadShare   *message);
+size_t peer__load_share__pack
+                     (const Peer__LoadShare   *message,
+                      uint8_t             *out);
+size_t peer__load_share__pack_to_buffer
+                     (const Peer__LoadShare   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__LoadShare *
+       peer__load_share__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__load_share__free_unpacked
+                     (Peer__LoadShare *message,
+                      ProtobufCAllocator *allocator);
 /* Peer__PartCancel methods */
 void   peer__part_cancel__init
                      (Peer__PartCancel         *message);
@@ -1812,6 +1981,15 @@
 typedef void (*Peer__PartResult_Closure)
                  (const Peer__PartResult *message,
                   void *closure_data);
+typedef void (*Peer__Return_Closure)
+                 (const Peer__Return *message,
+                  void *closure_data);
+typedef void (*Peer__ServiceLoad_Closure)
+                 (const Peer__ServiceLoad *message,
+                  void *closure_data);
+typedef void (*Peer__LoadShare_Closure)
+                 (const Peer__LoadShare *message,
+                  void *closure_data);
 typedef void (*Peer__PartCancel_Closure)
                  (const Peer__PartCancel *message,
                   void *closure_data);
@@ -1860,6 +2038,9 @@
 extern const ProtobufCMessageDescriptor peer__part_request__descriptor;
 extern const ProtobufCMessageDescriptor peer__part_done__descriptor;
 extern const ProtobufCMessageDescriptor peer__part_result__descriptor;
+extern const ProtobufCMessageDescriptor peer__return__descriptor;
+extern const ProtobufCMessageDescriptor peer__service_load__descriptor;
+extern const ProtobufCMessageDescriptor peer__load_share__descriptor;
 extern const ProtobufCMessageDescriptor peer__part_cancel__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/registry.h
+++ b/registry.h
@@ -17,10 +17,12 @@
 #include "load_limit.h"
 #include "regions.h"
 #include "server_load.h"
+#include "server_outlook.h"
 #include "server_score.h"
 #include "str.h"
 #include "warmup.h"
 
+struct server_queue;
 struct upstream_conn;
 struct registry_service;
 
@@ -56,6 +58,9 @@
  * @remote: in another data centre than this instance
  * @region: of its data centre, borrowed; empty if it is not known
  * @load: that it told last
+ * @outlook: what one more request would meet there
+ * @queue: requests of this instance that wait for their turn, or NULL; owned by
+ *	server_queue
  * @cold_until: it takes few requests until then, microseconds
  * @cold_sends: those that it was sent from here, or NULL
  * @conns: open connections, owned by upstream
@@ -70,6 +75,8 @@
 	bool remote;
 	const char *region;
 	struct server_load load;
+	struct server_outlook outlook;
+	struct server_queue *queue;
 	int64_t cold_until;
 	struct warmup_sends *cold_sends;
 	struct server_score score;
--- a/relay_ask.c
+++ b/relay_ask.c
@@ -298,6 +298,10 @@
 	message.records_max = (uint32_t)client->records_max;
 	message.fingerprint = client->fingerprint;
 	message.connections_max = (uint32_t)client->connections_max;
+	message.priority = (uint32_t)client->priority;
+	if (client->goal_at > now)
+		message.goal_ms =
+			(uint32_t)((client->goal_at - now) / USEC_PER_MSEC);
 	fill_floor(client, &message);
 	fill_sends(batch, &message, sends, pointers);
 	batch->id = message.id;
--- a/relay_ask.h
+++ b/relay_ask.h
@@ -38,6 +38,8 @@
  * @request: as sent to each server
  * @flush_after: a relay tells what is in by then; 0: each result at once. Set
  *to 0 by relay_ask_flush(): what is sent later is late already
+ * @goal_at: the request is to be answered by then, microseconds
+ * @priority: of the route, 0 is the most urgent
  * @records_max: of the merged answer
  * @taken: the greatest records of the parts that are in, or NULL
  * @result: a send's result came
@@ -50,6 +52,8 @@
 	uint64_t fingerprint;
 	int64_t deadline;
 	int64_t flush_after;
+	int64_t goal_at;
+	int64_t priority;
 	int64_t records_max;
 	const struct records *taken;
 	int64_t connections_max;
--- /dev/null
+++ b/server_outlook.h
@@ -0,0 +1,69 @@
+/*
+ * What one more request to a backend server would meet there: how much work
+ * goes before it, and how long the server takes. Who sends to a server knows
+ * it, and tells those that send through it, so that all choose and refuse by
+ * one view. Decides without sockets.
+ */
+#ifndef SERVER_OUTLOOK_H
+#define SERVER_OUTLOOK_H
+
+#include <stdint.h>
+
+/* Levels of urgency that are told apart; the last holds all that follow. */
+#define OUTLOOK_LEVELS 4
+
+/**
+ * struct server_outlook - all zero: nothing is known, and nothing goes before
+ * @levels: by urgency: until a slot is free for a request of that level, as it
+ *	was at @at; microseconds
+ * @pace: time that a request takes once it has a slot, microseconds
+ * @pace_at: when that was told, 0: never
+ */
+struct server_outlook {
+	struct {
+		int64_t ahead;
+		int64_t at;
+	} levels[OUTLOOK_LEVELS];
+	double pace;
+	int64_t pace_at;
+};
+
+/**
+ * server_outlook_level() - the level of a route's priority
+ */
+int server_outlook_level(int64_t priority);
+
+/**
+ * server_outlook_told() - a request of a level would wait so long now
+ * @ahead: microseconds
+ */
+void server_outlook_told(struct server_outlook *outlook, int level,
+			 int64_t ahead, int64_t now);
+
+/**
+ * server_outlook_paced() - a request takes so long there lately, microseconds
+ */
+void server_outlook_paced(struct server_outlook *outlook, double pace,
+			  int64_t now);
+
+/**
+ * server_outlook_ahead() - how long a request of a level would wait
+ *
+ * The work that was told is done as time passes.
+ *
+ * Return: microseconds.
+ */
+int64_t server_outlook_ahead(const struct server_outlook *outlook, int level,
+			     int64_t now);
+
+/**
+ * server_outlook_pace() - how long a request takes once it has a slot
+ * @usual: of the service, microseconds: what is believed where nothing was told
+ *	for long
+ *
+ * Return: microseconds.
+ */
+double server_outlook_pace(const struct server_outlook *outlook, double usual,
+			   int64_t now);
+
+#endif
--- a/tests/test_gateway_settings.c
+++ b/tests/test_gateway_settings.c
@@ -55,6 +55,30 @@
 	check("{\"instance\": \"i\"}", ERR_KEY_MISSING, "data_centre");
 }
 
+static void test_load_control(void)
+{
+	struct gateway_settings settings;
+
+	CU_ASSERT(
+		!read_text(HEAD ", \"peer_ports\": [7, 9]}", &settings, NULL));
+	CU_ASSERT(!settings.load_control.priorities &&
+		  !settings.load_control.turns);
+	gateway_settings_finish(&settings);
+	CU_ASSERT(!read_text(HEAD ", \"peer_ports\": [7, 9], "
+				  "\"load_control\": [\"priorities\", "
+				  "\"left_out\"]}",
+			     &settings, NULL));
+	CU_ASSERT(settings.load_control.priorities);
+	CU_ASSERT(settings.load_control.left_out);
+	CU_ASSERT(!settings.load_control.returns &&
+		  !settings.load_control.turns && !settings.load_control.pace);
+	gateway_settings_finish(&settings);
+	check(HEAD ", \"peer_ports\": [7, 9], \"load_control\": true}",
+	      ERR_TYPE, "load_control");
+	check(HEAD ", \"peer_ports\": [7, 9], \"load_control\": [\"turn\"]}",
+	      ERR_RANGE, "load_control");
+}
+
 /* Names and addresses are in use; the rest may change while it runs. */
 static void test_update(void)
 {
@@ -81,6 +105,7 @@
 	{"read", test_read},
 	{"refused", test_refused},
 	{"update", test_update},
+	{"load control", test_load_control},
 };
 
 UNIT_MAIN("gateway_settings", tests)
--- a/upstream.h
+++ b/upstream.h
@@ -66,6 +66,7 @@
  * @message: with code 0 and ERR_SHED: the answer, borrowed for the call
  * @stamp: of the answer, empty if there is none
  * @took: microseconds since it was sent
+ * @waited: microseconds that it waited here before that, for its turn
  */
 struct exchange_result {
 	int code;
@@ -73,6 +74,7 @@
 	const struct http_message *message;
 	struct str stamp;
 	int64_t took;
+	int64_t waited;
 };
 
 typedef void (*exchange_cb)(void *arg, const struct exchange_result *result);
