--- a/answer_due.c
+++ b/answer_due.c
@@ -5,8 +5,6 @@
 /*
  * Between the moment an answer is due and its last byte on the wire: a timer
  * that fires late, other requests' work before it, and the caller's own work.
- * Mean worth of five days with trouble at 3, 5 and 8 ms: 0.806, 0.814, 0.814;
- * of rhh-search at 5 and 8 ms 0.815 and 0.810.
  */
 #define SLACK MSEC(5)
 /* Without a measured round trip. */
@@ -24,9 +22,7 @@
 
 /*
  * Callers of a route wait equally long, and say how much of that is left. The
- * route's timeout may be another time than theirs. On a calm day a third of the
- * callers had used 7, 14 or 21 ms for new connections, and of 592 requests with
- * a goal of 60 ms the 54 late ones were all theirs.
+ * route's timeout may be another time than theirs.
  */
 static int64_t used_of(const struct answer_due *due)
 {
--- a/gateway.c
+++ b/gateway.c
@@ -261,8 +261,8 @@
 /*
  * Where many start at once, small instances wait a little for what the others
  * tell: callers are sent to the larger ones, and seeds are asked by all, so
- * that these read the store at once. Waiting costs whoever takes callers: 0.01
- * of the worth of a day of 6 or 8 equal instances, killed one by one.
+ * that these read the store at once. Who takes callers does not wait: they
+ * would be refused meanwhile.
  */
 static void join_fleet(struct gateway *gateway)
 {
--- a/gateway_fleet.c
+++ b/gateway_fleet.c
@@ -83,8 +83,8 @@
 /*
  * A new instance needs not wait for the store: it asks whom it meets first.
  * Who is met is asked for a heartbeat too: it tells whether callers and relayed
- * requests can go there. By their turn alone, one a period, heartbeats reach a
- * hub among 295 members only after 16 s or so (reckoned).
+ * requests can go there. By its turn alone, one a period, a hub among hundreds
+ * would be asked only after many seconds.
  */
 static void on_up(void *arg, struct peer_link *link)
 {
@@ -142,8 +142,8 @@
 
 /*
  * Who starts among hundreds and knows ten of them takes these for hubs, and
- * itself for one: 40 connections an instance, closed again soon. So seeds are
- * asked for all members first.
+ * itself for one, and would open connections that are closed again soon. So
+ * seeds are asked for all members first.
  */
 static void plan_links(struct gateway_fleet *fleet)
 {
--- a/hubs.h
+++ b/hubs.h
@@ -3,8 +3,7 @@
  * instances and to the hubs of the other data centres, relay to its backend
  * servers, and pass on what one instance read for all. Every instance connects
  * to a few hubs only, so that connections grow with the fleet and not with its
- * square: 295 instances held 590 links each, both ways
- * counted, and hold 9 on average. Decides without sockets.
+ * square. Decides without sockets.
  */
 #ifndef HUBS_H
 #define HUBS_H
