server_view: no word that is older keeps a server that left

Found on the way, each with a test that failed before:

- a peer's word dropped a held-back removal without comparing revisions;
- a page of a list that was given up for a peer's view moved the revision up to which the view is complete, past removals that it does not name;
- a removal that came while removals are held back, of a server that is not known here, was not remembered, and an older word brought the server in;
- a peer's word in the middle of a list counted as if the list had named the server; and a server that is newer than one list was never ended by the next;
- a peer's whole view ended what it lacks with this instance's revision, not the view's own, and lost against newer entries without a line;
- 512 removals were remembered, and a replaced generation of servers is more.

Besides, read and mended: more changes than are kept were told as if they were all; the revision of changes kept for peers could fall; and who holds removals back told others that it is complete.

What is dropped as older and says something else is logged now.

--- a/registry.c
+++ b/registry.c
@@ -142,6 +142,7 @@
 	remove_server(registry, server);
 	next = add(registry, entry);
 	next->earlier = server;
+	next->list = server->list;
 	return next;
 }
 
@@ -158,31 +159,79 @@
 	       a->draining == b->draining && a->created_at == b->created_at;
 }
 
-static bool was_removed(const struct registry *registry, struct str id,
-			uint64_t changed_at)
+static struct registry_removed *find_removed(const struct registry *registry,
+					     struct str id)
 {
+	uint64_t n = registry->n_removed < REGISTRY_REMOVED_MAX
+			     ? registry->n_removed
+			     : REGISTRY_REMOVED_MAX;
 	uint64_t hash = str_hash(id);
-	int i;
+	uint64_t i;
 
-	for (i = 0; i < REGISTRY_REMOVED_MAX; i++) {
-		if (registry->removed[i].id == hash &&
-		    registry->removed[i].changed_at >= changed_at)
-			return true;
+	for (i = 0; i < n; i++) {
+		if (registry->removed[i].id == hash)
+			return (struct registry_removed *)&registry->removed[i];
 	}
-	return false;
+	return NULL;
+}
+
+static bool was_removed(const struct registry *registry, struct str id,
+			uint64_t changed_at)
+{
+	const struct registry_removed *removed = find_removed(registry, id);
+
+	return removed && removed->changed_at >= changed_at;
 }
 
 static void remember_removal(struct registry *registry, struct str id,
 			     uint64_t changed_at)
 {
-	struct registry_removed *removed =
-		&registry->removed[registry->n_removed++ %
-				   REGISTRY_REMOVED_MAX];
+	struct registry_removed *removed = find_removed(registry, id);
 
+	if (removed) {
+		if (changed_at > removed->changed_at)
+			removed->changed_at = changed_at;
+		return;
+	}
+	removed = &registry->removed[registry->n_removed++ %
+				     REGISTRY_REMOVED_MAX];
 	removed->id = str_hash(id);
 	removed->changed_at = changed_at;
 }
 
+const char *registry_word_name(enum registry_word word)
+{
+	static const char *const names[] = {
+		[REGISTRY_NEWER] = "newer",
+		[REGISTRY_REPEATED] = "repeated",
+		[REGISTRY_OLDER] = "older",
+		[REGISTRY_EARLIER_START] = "earlier_start",
+		[REGISTRY_REMOVED] = "removed",
+	};
+
+	return names[word];
+}
+
+enum registry_word registry_compare(const struct registry *registry,
+				    const struct server_entry *entry,
+				    uint64_t changed_at)
+{
+	const struct registry_server *server =
+		registry_find(registry, str_from(entry->id));
+
+	if (!server)
+		return was_removed(registry, str_from(entry->id), changed_at)
+			       ? REGISTRY_REMOVED
+			       : REGISTRY_NEWER;
+	if (changed_at < server->changed_at)
+		return same(&server->entry, entry) ? REGISTRY_REPEATED
+						   : REGISTRY_OLDER;
+	/* The last word of an earlier start came late. */
+	if (entry->born && entry->born < server->entry.born)
+		return REGISTRY_EARLIER_START;
+	return REGISTRY_NEWER;
+}
+
 bool registry_put(struct registry *registry, const struct server_entry *entry,
 		  uint64_t changed_at)
 {
@@ -191,12 +240,7 @@
 	int64_t born;
 	bool changed;
 
-	if (server && changed_at < server->changed_at)
-		return false;
-	/* The last word of an earlier start came late. */
-	if (server && entry->born && entry->born < server->entry.born)
-		return false;
-	if (!server && was_removed(registry, str_from(entry->id), changed_at))
+	if (registry_compare(registry, entry, changed_at) != REGISTRY_NEWER)
 		return false;
 	if (server && strcmp(server->entry.service, entry->service)) {
 		remove_server(registry, server);
--- a/registry.h
+++ b/registry.h
@@ -53,6 +53,7 @@
  * struct registry_server - one start of a server
  * @entry: as published last
  * @changed_at: the store's revision of it
+ * @list: the last one that named it, see server_view.h
  * @gone: its entry was removed, or another server answers at its address
  * @cordoned: its data centre gets no new requests
  * @remote: in another data centre than this instance
@@ -70,6 +71,7 @@
 struct registry_server {
 	struct server_entry entry;
 	uint64_t changed_at;
+	uint64_t list;
 	bool gone;
 	bool cordoned;
 	bool remote;
@@ -112,8 +114,11 @@
 	UT_hash_handle hh;
 };
 
-/* Entries that were removed, so that an older word does not bring them back. */
-#define REGISTRY_REMOVED_MAX 512
+/*
+ * Servers that were removed, so that an older word does not bring them back.
+ * More than a deployment replaces at once.
+ */
+#define REGISTRY_REMOVED_MAX 4096
 
 struct registry_removed {
 	uint64_t id; /* hash */
@@ -148,6 +153,28 @@
 		   void *arg);
 void registry_finish(struct registry *registry);
 
+/* What an entry that came is, beside what is known. */
+enum registry_word {
+	REGISTRY_NEWER,
+	REGISTRY_REPEATED,	/* older, and says the same */
+	REGISTRY_OLDER,		/* and says something else */
+	REGISTRY_EARLIER_START, /* of the process that had the id before */
+	REGISTRY_REMOVED,	/* older than the end of its entry */
+};
+
+/**
+ * registry_word_name() - for the log
+ */
+const char *registry_word_name(enum registry_word word);
+
+/**
+ * registry_compare() - a server's entry came
+ * @changed_at: the store's revision
+ */
+enum registry_word registry_compare(const struct registry *registry,
+				    const struct server_entry *entry,
+				    uint64_t changed_at);
+
 /**
  * registry_put() - a server's entry came
  * @changed_at: the store's revision; an older one changes nothing
@@ -225,7 +252,7 @@
 /**
  * registry_remove() - a server's entry is gone
  * @changed_at: the store's revision of that; an older one than the entry's
- *	changes nothing
+ *	changes nothing. Remembered also if the server is not known.
  *
  * Return: whether it was there.
  */
--- a/server_view.c
+++ b/server_view.c
@@ -4,7 +4,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include <uthash.h>
 #include <utlist.h>
 
 #include "log.h"
@@ -22,13 +21,6 @@
 	struct server_absence *next;
 };
 
-/* A server that a list or a change named: in which list it was seen last. */
-struct server_listed {
-	char id[STORE_KEY_SIZE];
-	uint64_t round;
-	UT_hash_handle hh;
-};
-
 void server_view_init(struct server_view *view, const struct clock *clock,
 		      struct registry *registry,
 		      const struct server_view_ops *ops, void *arg)
@@ -48,21 +40,10 @@
 	free(absence);
 }
 
-static void forget_listed(struct server_view *view, struct server_listed *entry)
-{
-	HASH_DEL(view->listed, entry);
-	free(entry);
-}
-
 void server_view_finish(struct server_view *view)
 {
-	struct server_listed *entry;
-	struct server_listed *next;
-
 	while (view->absent)
 		drop_absence(view, view->absent);
-	HASH_ITER (hh, view->listed, entry, next)
-		forget_listed(view, entry);
 }
 
 void server_view_returned(struct server_view *view)
@@ -82,9 +63,29 @@
 	return NULL;
 }
 
+static void log_word(const char *id, const char *word, const char *why,
+		     uint64_t changed_at, uint64_t known_at)
+{
+	LOG_INFO("server_word_dropped", LOG_TEXT("server", id),
+		 LOG_TEXT("word", word), LOG_TEXT("why", why),
+		 LOG_U64("store_revision", changed_at),
+		 LOG_U64("known_revision", known_at));
+}
+
+static const char *state_of(const struct server_entry *entry)
+{
+	return entry->draining ? "draining" : "ready";
+}
+
 void server_view_remove(struct server_view *view, const char *id,
 			uint64_t changed_at, const char *why)
 {
+	const struct registry_server *server =
+		registry_find(view->registry, str_from(id));
+
+	if (server && changed_at < server->changed_at)
+		log_word(id, "removal", "older", changed_at,
+			 server->changed_at);
 	if (!registry_remove(view->registry, str_from(id), changed_at))
 		return;
 	LOG_INFO("server_gone", LOG_TEXT("server", id), LOG_TEXT("why", why),
@@ -101,15 +102,20 @@
 			  uint64_t changed_at)
 {
 	int64_t until = view->returned_at + RETURN_GRACE;
-	struct server_absence *absence;
+	struct server_absence *absence = find_absence(view, id);
+	const struct registry_server *server =
+		registry_find(view->registry, str_from(id));
 
-	if (clock_now(view->clock) >= until) {
+	if (!server || changed_at < server->changed_at ||
+	    clock_now(view->clock) >= until) {
 		server_view_remove(view, id, changed_at, "removed");
 		return;
 	}
-	if (find_absence(view, id) ||
-	    !registry_find(view->registry, str_from(id)))
+	if (absence) {
+		if (changed_at > absence->changed_at)
+			absence->changed_at = changed_at;
 		return;
+	}
 	absence = mem_zalloc(sizeof(*absence));
 	str_copy(absence->id, sizeof(absence->id), str_from(id));
 	absence->until = until;
@@ -149,19 +155,6 @@
 	return view->absent;
 }
 
-static void mark_listed(struct server_view *view, const char *id)
-{
-	struct server_listed *entry;
-
-	HASH_FIND_STR(view->listed, id, entry);
-	if (!entry) {
-		entry = mem_zalloc(sizeof(*entry));
-		str_copy(entry->id, sizeof(entry->id), str_from(id));
-		HASH_ADD_STR(view->listed, id, entry);
-	}
-	entry->round = view->round;
-}
-
 /* Return: whether it is news that the server is cold. */
 static bool take_cold(const struct server_view *view,
 		      const struct server_entry *entry)
@@ -174,15 +167,47 @@
 				 clock_now(view->clock));
 }
 
+/* What is dropped says why: an entry that is wrong for long is traced by it. */
+static bool is_taken(const struct server_view *view,
+		     const struct server_entry *entry, uint64_t changed_at)
+{
+	enum registry_word word =
+		registry_compare(view->registry, entry, changed_at);
+	const struct registry_server *server;
+
+	if (word == REGISTRY_NEWER || word == REGISTRY_REPEATED)
+		return true;
+	server = registry_find(view->registry, str_from(entry->id));
+	log_word(entry->id, state_of(entry), registry_word_name(word),
+		 changed_at, server ? server->changed_at : 0);
+	return false;
+}
+
+/* A peer that has not heard of the end of an entry may still tell of it. */
+static bool ends_absence(struct server_view *view,
+			 const struct server_entry *entry, uint64_t changed_at)
+{
+	struct server_absence *absence = find_absence(view, entry->id);
+
+	if (!absence)
+		return true;
+	if (changed_at <= absence->changed_at) {
+		log_word(entry->id, state_of(entry), "vanished", changed_at,
+			 absence->changed_at);
+		return false;
+	}
+	drop_absence(view, absence);
+	return true;
+}
+
 void server_view_put(struct server_view *view, const struct server_entry *entry,
 		     uint64_t changed_at)
 {
-	struct server_absence *absence = find_absence(view, entry->id);
 	bool news;
 
-	if (absence)
-		drop_absence(view, absence);
-	mark_listed(view, entry->id);
+	if (!is_taken(view, entry, changed_at) ||
+	    !ends_absence(view, entry, changed_at))
+		return;
 	news = registry_put(view->registry, entry, changed_at);
 	news |= take_cold(view, entry);
 	if (!news)
@@ -192,8 +217,7 @@
 	if (view->known)
 		LOG_INFO("server_changed", LOG_TEXT("server", entry->id),
 			 LOG_TEXT("service", entry->service),
-			 LOG_TEXT("state",
-				  entry->draining ? "draining" : "ready"),
+			 LOG_TEXT("state", state_of(entry)),
 			 LOG_I64("born", entry->born),
 			 LOG_I64("cold_for_ms",
 				 entry->cold_for / USEC_PER_MSEC),
@@ -201,20 +225,33 @@
 	view->ops->changed(view->arg, entry->id, changed_at, false);
 }
 
+void server_view_list(struct server_view *view,
+		      const struct server_entry *entry, uint64_t changed_at)
+{
+	struct registry_server *server;
+
+	server_view_put(view, entry, changed_at);
+	server = registry_find(view->registry, str_from(entry->id));
+	if (server)
+		server->list = view->list;
+}
+
 void server_view_begin_list(struct server_view *view)
 {
-	view->round++;
+	view->list++;
 }
 
 void server_view_end_list(struct server_view *view, uint64_t at)
 {
-	struct server_listed *entry;
-	struct server_listed *next;
+	struct registry_server *server;
+	struct registry_server *next;
+	char id[REGISTRY_NAME_SIZE];
 
-	HASH_ITER (hh, view->listed, entry, next) {
-		if (entry->round == view->round)
+	HASH_ITER (hh, view->registry->servers, server, next) {
+		if (server->list == view->list || server->changed_at > at)
 			continue;
-		server_view_vanished(view, entry->id, at);
-		forget_listed(view, entry);
+		/* The server, and its id with it, may be freed. */
+		str_copy(id, sizeof(id), str_from(server->entry.id));
+		server_view_vanished(view, id, at);
 	}
 }
--- a/server_view.h
+++ b/server_view.h
@@ -14,7 +14,6 @@
 #include "store.h"
 
 struct server_absence;
-struct server_listed;
 
 /**
  * struct server_view_ops - what the module wants done
@@ -30,8 +29,7 @@
  * @known: the view was complete once
  * @absent: servers whose entries vanished while or just after the store was
  *	away: those that live are back within two seconds of its return
- * @listed: servers in the view, and in which list each was named last
- * @round: counts the lists
+ * @list: counts the lists that were begun
  * @returned_at: when the store last answered after it was away, or may have
  *	been
  */
@@ -42,8 +40,7 @@
 	void *arg;
 	bool known;
 	struct server_absence *absent;
-	struct server_listed *listed;
-	uint64_t round;
+	uint64_t list;
 	int64_t returned_at;
 };
 
@@ -66,6 +63,12 @@
 void server_view_put(struct server_view *view, const struct server_entry *entry,
 		     uint64_t changed_at);
 
+/**
+ * server_view_list() - the list that was begun last names a server
+ */
+void server_view_list(struct server_view *view,
+		      const struct server_entry *entry, uint64_t changed_at);
+
 /**
  * server_view_vanished() - the store has a server's entry no more
  */
@@ -85,7 +88,7 @@
 
 /**
  * server_view_end_list() - what the list did not name has vanished
- * @at: the store's revision as of which it is complete
+ * @at: the store's revision as of which it is complete; what is newer stays
  */
 void server_view_end_list(struct server_view *view, uint64_t at);
 
--- a/store_sync.c
+++ b/store_sync.c
@@ -92,7 +92,8 @@
 	route_set_unref(sync->routes);
 }
 
-static void take_server(struct store_sync *sync, const struct store_item *item)
+static void take_server(struct store_sync *sync, const struct store_item *item,
+			bool listing)
 {
 	struct server_entry entry;
 	int ret;
@@ -116,7 +117,10 @@
 				     item->changed_at);
 		return;
 	}
-	server_view_put(&sync->servers, &entry, item->changed_at);
+	if (listing)
+		server_view_list(&sync->servers, &entry, item->changed_at);
+	else
+		server_view_put(&sync->servers, &entry, item->changed_at);
 }
 
 int store_sync_take_routes(struct store_sync *sync, struct str text,
@@ -149,7 +153,7 @@
 		      const struct store_item *item)
 {
 	if (feed->topic == STORE_SERVERS)
-		take_server(sync, item);
+		take_server(sync, item, feed->listing);
 	else if (item->kind == STORE_ITEM_CORDON)
 		cordon_sync_item(&sync->cordons, item);
 	else if (item->kind == STORE_ITEM_PLAIN && !item->removed)
@@ -170,13 +174,13 @@
  * The peer may have just started while entries had lapsed, and know fewer
  * servers than live: those it does not name are left only after a while.
  */
-void store_sync_end_whole(struct store_sync *sync)
+void store_sync_end_whole(struct store_sync *sync, uint64_t at)
 {
 	struct store_feed *feed = &sync->feeds[STORE_SERVERS];
 
 	if (feed->fresh_at >= 0)
 		server_view_returned(&sync->servers);
-	server_view_end_list(&sync->servers, feed->at);
+	server_view_end_list(&sync->servers, at);
 	feed->listed = true;
 }
 
@@ -377,6 +381,26 @@
 	return at > feed->asked_at ? at : feed->asked_at;
 }
 
+/*
+ * What this instance holds is now complete up to a revision. A page of a list
+ * that was given up for a peer's view must not come here: its revision covers
+ * what the page names, and no removals.
+ */
+static void take_progress(struct store_sync *sync, struct store_feed *feed,
+			  const struct store_answer *answer)
+{
+	if (feed->listing)
+		listed_page(sync, feed, answer);
+	else if (answer->read_at > feed->at)
+		feed->at = answer->read_at;
+	if (!feed->listed)
+		return;
+	if (feed->topic == STORE_ROUTES)
+		cordon_sync_confirm(&sync->cordons, feed->at);
+	feed->fresh_at = known_at(sync, feed);
+	set_known(sync, feed);
+}
+
 void store_sync_answered(struct store_sync *sync, enum store_topic topic,
 			 const struct store_answer *answer)
 {
@@ -400,15 +424,9 @@
 	feed->next_at = feed->asked_at + period;
 	for (i = 0; i < answer->n_items; i++)
 		take_item(sync, feed, &answer->items[i]);
-	if (feed->listing)
-		listed_page(sync, feed, answer);
-	else if (answer->read_at > feed->at)
-		feed->at = answer->read_at;
-	if (topic == STORE_ROUTES && feed->listed)
-		cordon_sync_confirm(&sync->cordons, feed->at);
-	if (feed->listed)
-		feed->fresh_at = known_at(sync, feed);
-	set_known(sync, feed);
+	if (!feed->watching && !feed->listing)
+		return;
+	take_progress(sync, feed, answer);
 }
 
 static void call(struct store_sync *sync, struct store_feed *feed)
@@ -427,6 +445,7 @@
 				       : SERVERS_WAIT_MS;
 	memcpy(call.from, feed->from, sizeof(call.from));
 	feed->busy = true;
+	feed->watching = call.watch;
 	feed->asked_at = clock_now(sync->clock);
 	sync->ops->call(sync->arg, &call, MSEC(call.wait_ms) + CALL_TIMEOUT);
 }
--- a/store_sync.h
+++ b/store_sync.h
@@ -32,6 +32,7 @@
 /**
  * struct store_feed - one topic
  * @busy: a call is under way
+ * @watching: it, or the last one, asks for changes and not for a list
  * @listed: the list was read as a whole; changes are watched since
  * @listing: pages are being read, the next from @from on
  * @lost: the last call failed
@@ -45,6 +46,7 @@
 struct store_feed {
 	enum store_topic topic;
 	bool busy;
+	bool watching;
 	bool listed;
 	bool listing;
 	bool lost;
@@ -132,8 +134,9 @@
 
 /**
  * store_sync_end_whole() - what it did not name is gone
+ * @at: the store's revision as of which the peer's view is complete
  */
-void store_sync_end_whole(struct store_sync *sync);
+void store_sync_end_whole(struct store_sync *sync, uint64_t at);
 
 /**
  * store_sync_confirm() - a peer's view of a topic is now this one's
--- a/tests/test_store_sync.c
+++ b/tests/test_store_sync.c
@@ -445,7 +445,190 @@
 	world_finish(&world);
 }
 
+static void hear(struct world *world, const char *id, uint64_t changed_at)
+{
+	struct store_item item = item_of(id, changed_at, false);
+	struct server_entry entry;
+
+	read_server(&item, &entry);
+	server_view_put(&world->sync.servers, &entry, changed_at);
+}
+
+static void hear_listed(struct world *world, const char *id,
+			uint64_t changed_at)
+{
+	struct store_item item = item_of(id, changed_at, false);
+	struct server_entry entry;
+
+	read_server(&item, &entry);
+	server_view_list(&world->sync.servers, &entry, changed_at);
+}
+
+static void confirm(struct world *world, enum store_topic topic, uint64_t at)
+{
+	store_sync_confirm(&world->sync, topic, at, clock_now(&world->clock));
+}
+
+static void lose_history(struct world *world, enum store_topic topic)
+{
+	pass(world, 900);
+	fail(world, topic, ERR_STALE);
+	pass(world, 1);
+	CU_ASSERT(!world->calls[topic].watch);
+}
+
+/* A page of a list that was given up hides the removals before it. */
+static void test_page_of_given_up_list(void)
+{
+	struct store_item items[] = {item_of("a", 1, false),
+				     item_of("b", 2, false)};
+	struct store_item gone[] = {item_of("a", 15, true)};
+	struct world world;
+
+	world_init(&world);
+	give_routes(&world, 1);
+	list_servers(&world);
+	lose_history(&world, STORE_SERVERS);
+	confirm(&world, STORE_SERVERS, 10);
+	answer(&world, STORE_SERVERS, 20, items, 2);
+	pass(&world, 900);
+	CU_ASSERT(world.calls[STORE_SERVERS].watch);
+	CU_ASSERT_EQUAL(world.calls[STORE_SERVERS].after, 10);
+	answer(&world, STORE_SERVERS, 21, gone, 1);
+	CU_ASSERT(!knows(&world, "a"));
+	world_finish(&world);
+}
+
+/* A peer's older word keeps a server whose removal is held back. */
+static void test_older_word_while_held_back(const char *state)
+{
+	struct store_item said = item_of("a", 3, false);
+	struct store_item gone = item_of("a", 5, true);
+	struct world world;
+
+	world_init(&world);
+	list_servers(&world);
+	said.value = str_from(state);
+	pass(&world, 900);
+	answer(&world, STORE_SERVERS, 3, &said, 1);
+	pass(&world, 900);
+	fail(&world, STORE_SERVERS, ERR_UNAVAILABLE);
+	pass(&world, 900);
+	answer(&world, STORE_SERVERS, 5, &gone, 1);
+	CU_ASSERT(knows(&world, "a"));
+	hear(&world, "a", 3);
+	hear(&world, "a", 2);
+	pass(&world, 2400);
+	CU_ASSERT(!knows(&world, "a"));
+	world_finish(&world);
+}
+
+static void test_older_word_of_ready(void)
+{
+	test_older_word_while_held_back("ready");
+}
+
+static void test_older_word_of_draining(void)
+{
+	test_older_word_while_held_back("draining");
+}
+
+/* A removal of what is not known here is forgotten, and an older word comes. */
+static void test_removal_of_unknown(void)
+{
+	struct store_item gone = item_of("c", 5, true);
+	struct world world;
+
+	world_init(&world);
+	list_servers(&world);
+	pass(&world, 900);
+	fail(&world, STORE_SERVERS, ERR_UNAVAILABLE);
+	pass(&world, 900);
+	answer(&world, STORE_SERVERS, 5, &gone, 1);
+	hear(&world, "c", 4);
+	CU_ASSERT(!knows(&world, "c"));
+	hear(&world, "c", 6);
+	CU_ASSERT(knows(&world, "c"));
+	world_finish(&world);
+}
+
+/* A peer's word during a list counts as if the list had named the server. */
+static void test_heard_while_listing(void)
+{
+	struct store_item items[] = {item_of("a", 1, false),
+				     item_of("b", 2, false)};
+	struct world world;
+
+	world_init(&world);
+	list_servers(&world);
+	lose_history(&world, STORE_SERVERS);
+	hear(&world, "old", 3);
+	hear(&world, "new", 31);
+	answer(&world, STORE_SERVERS, 30, items, 2);
+	CU_ASSERT(!knows(&world, "old"));
+	CU_ASSERT(knows(&world, "new") && knows(&world, "a"));
+	/* What is newer than one list is ended by the next. */
+	lose_history(&world, STORE_SERVERS);
+	answer(&world, STORE_SERVERS, 40, items, 2);
+	CU_ASSERT(!knows(&world, "new"));
+	CU_ASSERT(knows(&world, "a") && knows(&world, "b"));
+	world_finish(&world);
+}
+
+/* A peer's whole view lacks a server that is newer than this one's view. */
+static void test_whole_view_lacks_a_newer_one(void)
+{
+	struct world world;
+
+	world_init(&world);
+	list_servers(&world);
+	hear(&world, "c", 10);
+	store_sync_begin_whole(&world.sync);
+	hear_listed(&world, "a", 1);
+	hear_listed(&world, "b", 2);
+	store_sync_end_whole(&world.sync, 20);
+	confirm(&world, STORE_SERVERS, 20);
+	pass(&world, 2400);
+	CU_ASSERT(!knows(&world, "c"));
+	CU_ASSERT(knows(&world, "a") && knows(&world, "b"));
+	world_finish(&world);
+}
+
+/* Removals of a whole generation of servers push each other out of memory. */
+static void test_many_removals(void)
+{
+	enum {
+		MANY = 1400
+	};
+	struct world world;
+	char id[16];
+	int n = 0;
+	int i;
+
+	world_init(&world);
+	list_servers(&world);
+	for (i = 0; i < MANY; i++) {
+		snprintf(id, sizeof(id), "s%d", i);
+		hear(&world, id, 10);
+		server_view_remove(&world.sync.servers, id, 20, "peer");
+	}
+	for (i = 0; i < MANY; i++) {
+		snprintf(id, sizeof(id), "s%d", i);
+		hear(&world, id, 15);
+		n += knows(&world, id);
+	}
+	CU_ASSERT_EQUAL(n, 0);
+	world_finish(&world);
+}
+
 static const struct unit_test tests[] = {
+	{"a page of a list that was given up", test_page_of_given_up_list},
+	{"an older word, held back", test_older_word_of_ready},
+	{"an older word, held back, draining", test_older_word_of_draining},
+	{"removal of what is not known", test_removal_of_unknown},
+	{"heard while listing", test_heard_while_listing},
+	{"a whole view lacks a newer one", test_whole_view_lacks_a_newer_one},
+	{"many removals", test_many_removals},
 	{"joins", test_joins},
 	{"start", test_start},
 	{"pages", test_pages},
--- a/view_share.c
+++ b/view_share.c
@@ -117,6 +117,11 @@
 			 LOG_I64("alive", share->n_members));
 }
 
+static uint64_t max(uint64_t a, uint64_t b)
+{
+	return a > b ? a : b;
+}
+
 void view_share_changed(struct view_share *share, const char *id,
 			uint64_t changed_at, bool removed)
 {
@@ -126,7 +131,8 @@
 
 	str_copy(change->id, sizeof(change->id), str_from(id));
 	/* One that was held back comes later than its revision. */
-	change->at = changed_at > at ? changed_at : at + 1;
+	share->last_change = max(max(changed_at, at + 1), share->last_change);
+	change->at = share->last_change;
 	change->changed_at = changed_at;
 	change->removed = removed;
 }
@@ -214,6 +220,17 @@
 	share->told_cordons = share->sync->registry->cordons.n_changes;
 }
 
+/*
+ * Which revision a message of the last @n changes builds on. If more than are
+ * kept came since the last message, it has none, and all who lack some ask.
+ */
+static uint64_t told_from(const struct view_share *share, int n)
+{
+	if ((uint64_t)n < share->n_changes - share->told_changes)
+		return share->sync->feeds[STORE_SERVERS].at;
+	return share->told_at;
+}
+
 void view_share_read(struct view_share *share)
 {
 	const struct store_feed *feed = &share->sync->feeds[STORE_SERVERS];
@@ -242,15 +259,15 @@
 		news = false;
 	}
 	n = (int)(share->n_changes - share->told_changes);
-	if (n > VIEW_CHANGES_MAX)
-		n = VIEW_CHANGES_MAX;
 	if (!news && !n && cordons->n_changes == share->told_cordons &&
 	    now - share->told_time < TELL_PERIOD)
 		return;
+	if (n > VIEW_CHANGES_MAX)
+		n = 0;
 	if (whole)
 		view_update_whole(share, &update);
 	else
-		view_update_changes(share, &update, share->told_at, n);
+		view_update_changes(share, &update, told_from(share, n), n);
 	view_update_add_state(share, &update, news);
 	tell_all(share, &update);
 	view_update_finish(&update);
@@ -398,7 +415,8 @@
 	}
 }
 
-static void take_row(struct view_share *share, const Peer__ViewServer *row)
+static void take_row(struct view_share *share, const Peer__ViewServer *row,
+		     bool listing)
 {
 	struct server_entry entry;
 
@@ -417,7 +435,12 @@
 	entry.born = row->born;
 	entry.created_at = row->created_at;
 	entry.cold_for = MSEC((int64_t)row->cold_for_ms);
-	if (!address_parse(str_from(row->address), &entry.address))
+	if (address_parse(str_from(row->address), &entry.address))
+		return;
+	if (listing)
+		server_view_list(&share->sync->servers, &entry,
+				 row->changed_at);
+	else
 		server_view_put(&share->sync->servers, &entry, row->changed_at);
 }
 
@@ -479,9 +502,9 @@
 	if (message->whole)
 		store_sync_begin_whole(share->sync);
 	for (i = 0; i < n; i++)
-		take_row(share, servers[i]);
+		take_row(share, servers[i], message->whole);
 	if (message->whole)
-		store_sync_end_whole(share->sync);
+		store_sync_end_whole(share->sync, message->servers_at);
 	else if (feed->fresh_at < 0 || feed->at < message->servers_from)
 		return ERR_VERSION;
 	store_sync_confirm(share->sync, STORE_SERVERS, message->servers_at,
--- a/view_share.h
+++ b/view_share.h
@@ -74,6 +74,7 @@
  * @asked_next: index of the one to ask next
  * @n_whole: whole views told since @whole_since
  * @changes: a ring; @n_changes since the start
+ * @last_change: revision that the last of them came with; it only rises
  */
 struct view_share {
 	const struct clock *clock;
@@ -98,6 +99,7 @@
 	struct view_whole kept;
 	struct view_change changes[VIEW_CHANGES_MAX];
 	uint64_t n_changes;
+	uint64_t last_change;
 	uint64_t updates_in;
 	uint64_t updates_out;
 };
--- a/view_update.c
+++ b/view_update.c
@@ -95,7 +95,12 @@
 	message->routes_age_ms = age_ms(share, &feeds[STORE_ROUTES]);
 	message->routes_at = feeds[STORE_ROUTES].at;
 	message->servers_age_ms = age_ms(share, &feeds[STORE_SERVERS]);
-	message->servers_at = feeds[STORE_SERVERS].at;
+	/*
+	 * Whoever hears of entries that are kept here for a while must still
+	 * hear of their end, from another one if this instance is lost.
+	 */
+	if (!server_view_holds_back(&share->sync->servers))
+		message->servers_at = feeds[STORE_SERVERS].at;
 	if (share->sync->routes)
 		message->routes_version = share->sync->routes->version;
 	add_cordons(&share->sync->registry->cordons, update);
