store_sync: a store that went back gives revisions out again

The store may be restored from a copy that is some seconds old; revisions go back, and Store-Era in its answers rises. Read at the adapter, it is the era of an answer and of what peers tell. All revisions that an instance holds are of one era: a later one is entered in one place (store_sync_enter_era), which orders all that is known before any word that comes, lists both topics anew and leaves out answers to calls made before. Words of an earlier era are left out, but for routes, which go by version.

What the copy lacks is kept for the grace that entries have after an outage already; so are cordons, and the list is read once more after it. Until then a server known to drain drains whatever the copy says, and one that left is not taken from a list, only once it writes.

--- a/cordon_sync.c
+++ b/cordon_sync.c
@@ -38,11 +38,34 @@
 	registry_apply_cordons(sync->registry, clock_now(sync->clock));
 }
 
+static void add_missing(struct cordon_sync *sync, struct cordons *set)
+{
+	const struct cordons *known = &sync->registry->cordons;
+	int i;
+
+	for (i = 0; i < known->n; i++) {
+		const struct cordon *cordon = &known->list[i];
+
+		sync->kept |= cordons_put(set, str_from(cordon->data_centre),
+					  cordon->changed_at);
+	}
+}
+
+static void replace(struct cordon_sync *sync, const struct cordons *from,
+		    const char *why)
+{
+	struct cordons set = *from;
+
+	if (clock_now(sync->clock) < sync->keep_until)
+		add_missing(sync, &set);
+	if (cordons_replace(&sync->registry->cordons, &set))
+		apply(sync, why);
+}
+
 void cordon_sync_end_list(struct cordon_sync *sync, uint64_t at)
 {
 	sync->listed.at = at;
-	if (cordons_replace(&sync->registry->cordons, &sync->listed))
-		apply(sync, "list");
+	replace(sync, &sync->listed, "list");
 }
 
 void cordon_sync_item(struct cordon_sync *sync, const struct store_item *item)
@@ -72,6 +95,26 @@
 
 void cordon_sync_take(struct cordon_sync *sync, const struct cordons *from)
 {
-	if (cordons_replace(&sync->registry->cordons, from))
-		apply(sync, "peer");
+	replace(sync, from, "peer");
+}
+
+void cordon_sync_enter_era(struct cordon_sync *sync, int64_t until)
+{
+	struct cordons *cordons = &sync->registry->cordons;
+	int i;
+
+	cordons->at = 0;
+	for (i = 0; i < cordons->n; i++)
+		cordons->list[i].changed_at = 0;
+	sync->listed.n = 0;
+	sync->keep_until = until;
+	sync->kept = false;
+}
+
+bool cordon_sync_wants_list(struct cordon_sync *sync)
+{
+	bool wants = sync->kept && clock_now(sync->clock) >= sync->keep_until;
+
+	sync->kept &= !wants;
+	return wants;
 }
--- a/cordon_sync.h
+++ b/cordon_sync.h
@@ -14,11 +14,15 @@
 /**
  * struct cordon_sync - the state of one instance
  * @listed: what the pages of a list named so far
+ * @keep_until: until then, what is not named holds on, see
+ *	cordon_sync_enter_era(); @kept: that was so
  */
 struct cordon_sync {
 	const struct clock *clock;
 	struct registry *registry;
 	struct cordons listed;
+	int64_t keep_until;
+	bool kept;
 };
 
 void cordon_sync_init(struct cordon_sync *sync, const struct clock *clock,
@@ -50,4 +54,17 @@
  */
 void cordon_sync_take(struct cordon_sync *sync, const struct cordons *from);
 
+/**
+ * cordon_sync_enter_era() - the store gives revisions out again
+ * @until: the operators' word may be missing in its copy until then
+ */
+void cordon_sync_enter_era(struct cordon_sync *sync, int64_t until);
+
+/**
+ * cordon_sync_wants_list() - what was kept may hold no more
+ *
+ * Return: true once, when a list is to be read again.
+ */
+bool cordon_sync_wants_list(struct cordon_sync *sync);
+
 #endif
--- a/registry.c
+++ b/registry.c
@@ -317,6 +317,24 @@
 	return true;
 }
 
+void registry_enter_era(struct registry *registry)
+{
+	struct registry_server *server;
+	int i;
+
+	for (i = 0; i < REGISTRY_REMOVED_MAX; i++)
+		registry->removed[i].changed_at = 0;
+	for (server = registry->servers; server; server = server->hh.next)
+		server->changed_at = 0;
+}
+
+bool registry_left_before(const struct registry *registry, struct str id)
+{
+	const struct registry_removed *removed = find_removed(registry, id);
+
+	return removed && !removed->changed_at && !registry_find(registry, id);
+}
+
 struct registry_server *registry_born(struct registry *registry,
 				      struct registry_server *server,
 				      int64_t born)
--- a/registry.h
+++ b/registry.h
@@ -120,8 +120,13 @@
  */
 #define REGISTRY_REMOVED_MAX 4096
 
+/**
+ * struct registry_removed - the end of a server's entry
+ * @id: hash of the server's
+ * @changed_at: the store's revision; 0: in an earlier era
+ */
 struct registry_removed {
-	uint64_t id; /* hash */
+	uint64_t id;
 	uint64_t changed_at;
 };
 
@@ -259,6 +264,19 @@
 bool registry_remove(struct registry *registry, struct str id,
 		     uint64_t changed_at);
 
+/**
+ * registry_enter_era() - revisions are given out again
+ *
+ * What is known stays, older than any word that comes.
+ */
+void registry_enter_era(struct registry *registry);
+
+/**
+ * registry_left_before() - a server's entry ended in an earlier era, and it was
+ * not heard of in this one
+ */
+bool registry_left_before(const struct registry *registry, struct str id);
+
 struct registry_server *registry_find(const struct registry *registry,
 				      struct str id);
 struct registry_service *registry_service(struct registry *registry,
--- a/server_view.c
+++ b/server_view.c
@@ -31,6 +31,7 @@
 	view->ops = ops;
 	view->arg = arg;
 	view->returned_at = INT64_MIN / 2;
+	view->era_until = INT64_MIN / 2;
 }
 
 static void drop_absence(struct server_view *view,
@@ -51,6 +52,22 @@
 	view->returned_at = clock_now(view->clock);
 }
 
+int64_t server_view_enter_era(struct server_view *view)
+{
+	while (view->absent)
+		drop_absence(view, view->absent);
+	registry_enter_era(view->registry);
+	server_view_returned(view);
+	view->era_until = view->returned_at + RETURN_GRACE;
+	view->passed_over = false;
+	return view->era_until;
+}
+
+bool server_view_wants_whole(const struct server_view *view)
+{
+	return view->passed_over && clock_now(view->clock) >= view->era_until;
+}
+
 static struct server_absence *find_absence(const struct server_view *view,
 					   const char *id)
 {
@@ -200,8 +217,25 @@
 	return true;
 }
 
-void server_view_put(struct server_view *view, const struct server_entry *entry,
-		     uint64_t changed_at)
+static bool is_era_new(const struct server_view *view)
+{
+	return clock_now(view->clock) < view->era_until;
+}
+
+/* The copy may be from before the server said that it drains. */
+static bool drained_before(const struct server_view *view,
+			   const struct server_entry *entry)
+{
+	const struct registry_server *server =
+		registry_find(view->registry, str_from(entry->id));
+
+	return is_era_new(view) && server && server->entry.draining &&
+	       !entry->draining && server->entry.born == entry->born &&
+	       address_eq(&server->entry.address, &entry->address);
+}
+
+static void put(struct server_view *view, const struct server_entry *entry,
+		uint64_t changed_at)
 {
 	bool news;
 
@@ -225,11 +259,31 @@
 	view->ops->changed(view->arg, entry->id, changed_at, false);
 }
 
+void server_view_put(struct server_view *view, const struct server_entry *entry,
+		     uint64_t changed_at)
+{
+	struct server_entry kept = *entry;
+
+	if (drained_before(view, entry)) {
+		log_word(entry->id, state_of(entry), "drained_before",
+			 changed_at, 0);
+		kept.draining = true;
+	}
+	put(view, &kept, changed_at);
+}
+
 void server_view_list(struct server_view *view,
 		      const struct server_entry *entry, uint64_t changed_at)
 {
 	struct registry_server *server;
 
+	if (is_era_new(view) &&
+	    registry_left_before(view->registry, str_from(entry->id))) {
+		log_word(entry->id, state_of(entry), "left_before", changed_at,
+			 0);
+		view->passed_over = true;
+		return;
+	}
 	server_view_put(view, entry, changed_at);
 	server = registry_find(view->registry, str_from(entry->id));
 	if (server)
@@ -239,6 +293,8 @@
 void server_view_begin_list(struct server_view *view)
 {
 	view->list++;
+	if (server_view_wants_whole(view))
+		view->passed_over = false;
 }
 
 void server_view_end_list(struct server_view *view, uint64_t at)
--- a/server_view.h
+++ b/server_view.h
@@ -32,6 +32,9 @@
  * @list: counts the lists that were begun
  * @returned_at: when the store last answered after it was away, or may have
  *	been
+ * @era_until: until then, what the store has may be from before what was known
+ *	here, see server_view_enter_era()
+ * @passed_over: a list named a server that was not taken for that reason
  */
 struct server_view {
 	const struct clock *clock;
@@ -42,6 +45,8 @@
 	struct server_absence *absent;
 	uint64_t list;
 	int64_t returned_at;
+	int64_t era_until;
+	bool passed_over;
 };
 
 void server_view_init(struct server_view *view, const struct clock *clock,
@@ -56,6 +61,23 @@
  */
 void server_view_returned(struct server_view *view);
 
+/**
+ * server_view_enter_era() - the store went back to a copy
+ *
+ * Servers that the copy lacks are kept until those that live had time to write
+ * again; until then, too, one that is known to drain does so whatever the copy
+ * says, and one that left is not back before it writes.
+ *
+ * Return: when that ends, microseconds.
+ */
+int64_t server_view_enter_era(struct server_view *view);
+
+/**
+ * server_view_wants_whole() - a list named servers that were not taken, as they
+ * had left, and they had time to write again
+ */
+bool server_view_wants_whole(const struct server_view *view);
+
 /**
  * server_view_put() - a server's entry, from the store or a peer
  * @changed_at: the store's revision of it
--- a/store.h
+++ b/store.h
@@ -62,12 +62,15 @@
  * struct store_answer - a decoded answer
  * @code: 0; ERR_STALE if the history asked for is gone; ERR_BUDGET for too
  *	many calls; ERR_UNAVAILABLE; ERR_PROTOCOL
+ * @era: how often the store went back to a copy so far, told also with a
+ *	failure; 0: it did not say
  * @read_at: the store's revision
  * @more: the list goes on behind @last_key
  * @items: borrowed
  */
 struct store_answer {
 	int code;
+	uint64_t era;
 	uint64_t read_at;
 	bool more;
 	char last_key[STORE_KEY_SIZE];
@@ -75,16 +78,28 @@
 	int n_items;
 };
 
+/**
+ * struct store_reply - an answer as it came
+ * @era: value of the header that struct store_ops names, or empty
+ */
+struct store_reply {
+	int status;
+	struct str era;
+	struct str body;
+};
+
 /**
  * struct store_ops - how the platform speaks
+ * @era_header: that tells which era an answer is of; NUL-terminated
  * @target: write the path and query of a call
  * @decode: read an answer; release with @release
  * @server: read the value of a STORE_SERVERS item. Return: 0; or what is wrong
  *	with it: it names no server that can be used
  */
 struct store_ops {
+	struct str era_header;
 	void (*target)(const struct store_call *call, char *out, size_t size);
-	void (*decode)(enum store_topic topic, int status, struct str body,
+	void (*decode)(enum store_topic topic, const struct store_reply *reply,
 		       struct store_answer *answer);
 	void (*release)(struct store_answer *answer);
 	int (*server)(const struct store_item *item,
--- a/store_client.c
+++ b/store_client.c
@@ -57,13 +57,29 @@
 				  &answer);
 }
 
+/* What it points to is the request's. */
+static void read_reply(const struct store_client *client,
+		       struct evhttp_request *request,
+		       struct store_reply *reply)
+{
+	struct evbuffer *body = evhttp_request_get_input_buffer(request);
+	size_t len = evbuffer_get_length(body);
+	const char *era =
+		evhttp_find_header(evhttp_request_get_input_headers(request),
+				   client->ops->era_header.data);
+
+	reply->status = evhttp_request_get_response_code(request);
+	reply->era = era ? str_from(era) : STR("");
+	reply->body = len ? (struct str){(char *)evbuffer_pullup(body, -1), len}
+			  : STR("");
+}
+
 static void on_answer(struct evhttp_request *request, void *arg)
 {
 	struct store_channel *channel = arg;
 	struct store_client *client = channel->client;
 	struct store_answer answer = {.code = 0};
-	struct evbuffer *body;
-	size_t len;
+	struct store_reply reply;
 
 	if (!channel->busy)
 		return;
@@ -71,12 +87,8 @@
 		fail(channel);
 		return;
 	}
-	body = evhttp_request_get_input_buffer(request);
-	len = evbuffer_get_length(body);
-	client->ops->decode(
-		channel->topic, evhttp_request_get_response_code(request),
-		(struct str){len ? (char *)evbuffer_pullup(body, -1) : "", len},
-		&answer);
+	read_reply(client, request, &reply);
+	client->ops->decode(channel->topic, &reply, &answer);
 	channel->busy = false;
 	client->answered(client->arg, channel->topic, &answer);
 	client->ops->release(&answer);
--- a/store_sync.c
+++ b/store_sync.c
@@ -160,6 +160,53 @@
 		store_sync_take_routes(sync, item->value, "store");
 }
 
+static bool is_empty(const struct store_sync *sync)
+{
+	return !sync->registry->servers && !sync->feeds[STORE_ROUTES].at &&
+	       !sync->feeds[STORE_SERVERS].at;
+}
+
+/* What is on its way was asked for by a revision of the earlier era. */
+static void start_anew(struct store_sync *sync, struct store_feed *feed)
+{
+	feed->at = 0;
+	feed->listed = false;
+	feed->listing = false;
+	feed->from[0] = '\0';
+	feed->outdated = feed->busy;
+	feed->next_at = clock_now(sync->clock);
+}
+
+int store_sync_enter_era(struct store_sync *sync, uint64_t era, uint64_t at,
+			 const char *from)
+{
+	int64_t until;
+	int i;
+
+	if (era == sync->era)
+		return 0;
+	if (era < sync->era) {
+		LOG_INFO("store_era_earlier", LOG_TEXT("from", from),
+			 LOG_U64("era", era), LOG_U64("known_era", sync->era),
+			 LOG_U64("store_revision", at));
+		return ERR_STALE;
+	}
+	if (is_empty(sync)) {
+		sync->era = era;
+		return 0;
+	}
+	LOG_WARN("store_era_changed", LOG_TEXT("from", from),
+		 LOG_U64("era", era), LOG_U64("era_before", sync->era),
+		 LOG_U64("store_revision", at),
+		 LOG_U64("revision_before", sync->feeds[STORE_SERVERS].at));
+	sync->era = era;
+	until = server_view_enter_era(&sync->servers);
+	cordon_sync_enter_era(&sync->cordons, until);
+	for (i = 0; i < STORE_TOPICS; i++)
+		start_anew(sync, &sync->feeds[i]);
+	return 0;
+}
+
 void store_sync_begin_whole(struct store_sync *sync)
 {
 	struct store_feed *feed = &sync->feeds[STORE_SERVERS];
@@ -181,7 +228,6 @@
 	if (feed->fresh_at >= 0)
 		server_view_returned(&sync->servers);
 	server_view_end_list(&sync->servers, at);
-	feed->listed = true;
 }
 
 static void set_known(struct store_sync *sync, const struct store_feed *feed)
@@ -199,9 +245,12 @@
 		feed->at = at;
 	if (fresh_at > feed->fresh_at)
 		feed->fresh_at = fresh_at;
+	set_known(sync, feed);
+	/* Changes can be asked for only from a revision on. */
+	if (!feed->at)
+		return;
 	feed->listed = true;
 	feed->listing = false;
-	set_known(sync, feed);
 }
 
 void store_sync_set_patience(struct store_sync *sync, int64_t patience,
@@ -401,44 +450,66 @@
 	set_known(sync, feed);
 }
 
-void store_sync_answered(struct store_sync *sync, enum store_topic topic,
-			 const struct store_answer *answer)
+static void history_gone(struct store_sync *sync, struct store_feed *feed)
+{
+	LOG_INFO("store_history_gone", LOG_I64("topic", feed->topic),
+		 LOG_U64("after", feed->at));
+	start_list(sync, feed);
+}
+
+static void take_answer(struct store_sync *sync, struct store_feed *feed,
+			const struct store_answer *answer)
 {
-	struct store_feed *feed = &sync->feeds[topic];
 	int64_t period =
-		topic == STORE_SERVERS ? SERVERS_PERIOD : ROUTES_PERIOD;
+		feed->topic == STORE_SERVERS ? SERVERS_PERIOD : ROUTES_PERIOD;
 	int i;
 
-	feed->busy = false;
-	if (answer->code == ERR_STALE) {
-		LOG_INFO("store_history_gone", LOG_I64("topic", topic),
-			 LOG_U64("after", feed->at));
-		start_list(sync, feed);
-		return;
-	}
-	if (answer->code) {
-		call_failed(sync, feed, answer->code);
-		return;
-	}
 	set_reachable(sync, feed);
 	feed->next_at = feed->asked_at + period;
 	for (i = 0; i < answer->n_items; i++)
 		take_item(sync, feed, &answer->items[i]);
-	if (!feed->watching && !feed->listing)
+	if (feed->watching || feed->listing)
+		take_progress(sync, feed, answer);
+}
+
+/* A failure may come from something before the store, and tells no era. */
+static int code_of(struct store_sync *sync, const struct store_answer *answer)
+{
+	if (answer->era &&
+	    store_sync_enter_era(sync, answer->era, answer->read_at, "store"))
+		return ERR_VERSION;
+	return answer->code;
+}
+
+void store_sync_answered(struct store_sync *sync, enum store_topic topic,
+			 const struct store_answer *answer)
+{
+	struct store_feed *feed = &sync->feeds[topic];
+	int code = code_of(sync, answer);
+	bool outdated = feed->outdated;
+
+	feed->busy = false;
+	feed->outdated = false;
+	if (code && code != ERR_STALE)
+		call_failed(sync, feed, code);
+	else if (outdated)
 		return;
-	take_progress(sync, feed, answer);
+	else if (code)
+		history_gone(sync, feed);
+	else
+		take_answer(sync, feed, answer);
 }
 
 static void call(struct store_sync *sync, struct store_feed *feed)
 {
-	struct store_call call = {
-		.topic = feed->topic,
-		.watch = feed->listed,
-		.after = feed->at,
-	};
+	struct store_call call = {.topic = feed->topic, .after = feed->at};
 
+	if (feed->topic == STORE_ROUTES &&
+	    cordon_sync_wants_list(&sync->cordons))
+		feed->listed = false;
 	if (!feed->listed && !feed->listing)
 		start_list(sync, feed);
+	call.watch = feed->listed;
 	if (call.watch)
 		call.wait_ms = feed->topic == STORE_ROUTES && !is_behind(sync)
 				       ? ROUTES_WAIT_MS
--- a/store_sync.h
+++ b/store_sync.h
@@ -32,6 +32,7 @@
 /**
  * struct store_feed - one topic
  * @busy: a call is under way
+ * @outdated: it was made in an earlier era, its answer says nothing
  * @watching: it, or the last one, asks for changes and not for a list
  * @listed: the list was read as a whole; changes are watched since
  * @listing: pages are being read, the next from @from on
@@ -46,6 +47,7 @@
 struct store_feed {
 	enum store_topic topic;
 	bool busy;
+	bool outdated;
 	bool watching;
 	bool listed;
 	bool listing;
@@ -62,6 +64,8 @@
 /**
  * struct store_sync - the state of one instance
  * @routes: in force, NULL before the first
+ * @era: that all revisions here are of: how often the store went back to a
+ *copy, as far as is known; 0: it never said
  * @cordons: data centres that get no new requests
  * @patience: how old the view may get before the store is called, microseconds;
  *	0: it is called regularly
@@ -76,6 +80,7 @@
 	void *arg;
 	struct registry *registry;
 	struct route_set *routes;
+	uint64_t era;
 	struct cordon_sync cordons;
 	struct server_view servers;
 	struct store_feed feeds[STORE_TOPICS];
@@ -104,6 +109,21 @@
 void store_sync_answered(struct store_sync *sync, enum store_topic topic,
 			 const struct store_answer *answer);
 
+/**
+ * store_sync_enter_era() - a word came, of the store or a peer; to be asked
+ * before anything with a revision is taken from it
+ * @era: that its revisions are of, 0: not known
+ * @at: the revision up to which it is complete, for the log
+ *
+ * A later era is entered: what is known here stays, any word of that era wins
+ * over it, and the store is listed anew.
+ *
+ * Return: 0 if its revisions can be compared with those here; ERR_STALE if they
+ * are of an earlier era.
+ */
+int store_sync_enter_era(struct store_sync *sync, uint64_t era, uint64_t at,
+			 const char *from);
+
 /**
  * store_sync_take_routes() - a document came, from the store or a peer
  *
--- a/tests/fuzz/fuzz_store.c
+++ b/tests/fuzz/fuzz_store.c
@@ -6,13 +6,16 @@
 
 static void take(enum store_topic topic, int status, struct str body)
 {
+	const struct store_reply reply = {.status = status,
+					  .era = body,
+					  .body = body};
 	struct store_answer answer;
 	struct server_entry entry;
 	struct route_set *set;
 	struct error err;
 	int i;
 
-	platform_store.decode(topic, status, body, &answer);
+	platform_store.decode(topic, &reply, &answer);
 	for (i = 0; i < answer.n_items; i++) {
 		if (answer.items[i].removed)
 			continue;
--- a/tests/test_store_sync.c
+++ b/tests/test_store_sync.c
@@ -16,6 +16,7 @@
 	struct store_sync sync;
 	struct store_call calls[STORE_TOPICS];
 	int n_calls[STORE_TOPICS];
+	uint64_t era; /* that the store tells; 0: none */
 };
 
 static int read_server(const struct store_item *item,
@@ -27,6 +28,7 @@
 	str_copy(entry->id, sizeof(entry->id), str_from(item->name));
 	snprintf(entry->service, sizeof(entry->service), "s");
 	entry->draining = str_eq(item->value, STR("draining"));
+	entry->born = 1;
 	return 0;
 }
 
@@ -105,7 +107,8 @@
 static void answer(struct world *world, enum store_topic topic,
 		   uint64_t read_at, struct store_item *items, int n)
 {
-	struct store_answer answer = {.read_at = read_at,
+	struct store_answer answer = {.era = world->era,
+				      .read_at = read_at,
 				      .items = items,
 				      .n_items = n};
 
@@ -114,7 +117,7 @@
 
 static void fail(struct world *world, enum store_topic topic, int code)
 {
-	struct store_answer answer = {.code = code};
+	struct store_answer answer = {.code = code, .era = world->era};
 
 	store_sync_answered(&world->sync, topic, &answer);
 }
@@ -621,7 +624,261 @@
 	world_finish(&world);
 }
 
+static void start_in_era(struct world *world, uint64_t era)
+{
+	world_init(world);
+	world->era = era;
+	give_routes(world, 3);
+	list_servers(world);
+	confirm(world, STORE_SERVERS, 50);
+	pass(world, 900);
+	CU_ASSERT(world->calls[STORE_SERVERS].watch);
+}
+
+/* The store went back: the call under way is answered in the next era. */
+static void go_back(struct world *world, uint64_t read_at)
+{
+	world->era++;
+	answer(world, STORE_SERVERS, read_at, NULL, 0);
+	answer(world, STORE_ROUTES, read_at, NULL, 0);
+	pass(world, 1);
+	CU_ASSERT(!world->calls[STORE_SERVERS].watch);
+	CU_ASSERT(!world->calls[STORE_ROUTES].watch);
+}
+
+static bool drains(const struct world *world, const char *id)
+{
+	const struct registry_server *server =
+		registry_find(&world->registry, str_from(id));
+
+	return server && server->entry.draining;
+}
+
+/* A watch from a revision of before goes on in what was written since. */
+static void test_era_lists_anew(void)
+{
+	struct store_item copied[] = {item_of("a", 1, false),
+				      item_of("b", 2, false)};
+	struct store_item said[] = {item_of("a", 32, false)};
+	struct world world;
+
+	start_in_era(&world, 4);
+	said[0].value = STR("draining");
+	world.era = 5;
+	answer(&world, STORE_SERVERS, 60, said, 1);
+	CU_ASSERT(!drains(&world, "a"));
+	pass(&world, 1);
+	CU_ASSERT(!world.calls[STORE_SERVERS].watch);
+	/* The other topic's call is from before, too. */
+	answer(&world, STORE_ROUTES, 61, NULL, 0);
+	pass(&world, 1);
+	CU_ASSERT(!world.calls[STORE_ROUTES].watch);
+	answer(&world, STORE_SERVERS, 30, copied, 2);
+	give_routes(&world, 3);
+	pass(&world, 900);
+	CU_ASSERT(world.calls[STORE_SERVERS].watch);
+	CU_ASSERT_EQUAL(world.calls[STORE_SERVERS].after, 30);
+	answer(&world, STORE_SERVERS, 32, said, 1);
+	CU_ASSERT(drains(&world, "a"));
+	world_finish(&world);
+}
+
+/* Servers that started after the copy was made are lost until they write. */
+static void test_era_copy_lacks_servers(void)
+{
+	struct store_item copied = item_of("a", 1, false);
+	struct store_item back = item_of("c", 31, false);
+	struct world world;
+
+	start_in_era(&world, 1);
+	hear(&world, "c", 40);
+	go_back(&world, 20);
+	answer(&world, STORE_SERVERS, 20, &copied, 1);
+	CU_ASSERT(knows(&world, "b") && knows(&world, "c"));
+	pass(&world, 1500);
+	answer(&world, STORE_SERVERS, 31, &back, 1);
+	pass(&world, 700);
+	CU_ASSERT(knows(&world, "b"));
+	pass(&world, 200);
+	CU_ASSERT(!knows(&world, "b"));
+	CU_ASSERT(knows(&world, "a") && knows(&world, "c"));
+	world_finish(&world);
+}
+
+/* The copy calls ready what drains, and names what has left. */
+static void test_era_copy_is_older(void)
+{
+	struct store_item copied[] = {item_of("a", 1, false),
+				      item_of("b", 2, false),
+				      item_of("left", 3, false)};
+	struct store_item said = item_of("a", 45, false);
+	struct store_item back = item_of("left", 21, false);
+	struct world world;
+
+	start_in_era(&world, 1);
+	said.value = STR("draining");
+	answer(&world, STORE_SERVERS, 51, &said, 1);
+	hear(&world, "left", 46);
+	server_view_remove(&world.sync.servers, "left", 47, "peer");
+	pass(&world, 900);
+	go_back(&world, 20);
+	answer(&world, STORE_SERVERS, 20, copied, 3);
+	CU_ASSERT(drains(&world, "a") && !drains(&world, "b"));
+	CU_ASSERT(!knows(&world, "left"));
+	/* It lives after all, and writes. */
+	pass(&world, 900);
+	answer(&world, STORE_SERVERS, 21, &back, 1);
+	CU_ASSERT(knows(&world, "left"));
+	world_finish(&world);
+}
+
+/* The first sign is a refusal: by failure, and by a history that is gone. */
+static void test_era_told_by_refusal(int code)
+{
+	struct store_item copied[] = {item_of("a", 1, false),
+				      item_of("b", 2, false)};
+	struct world world;
+
+	start_in_era(&world, 1);
+	world.era = 2;
+	fail(&world, STORE_SERVERS, code);
+	fail(&world, STORE_ROUTES, code);
+	pass(&world, 1000);
+	CU_ASSERT(!world.calls[STORE_SERVERS].watch);
+	CU_ASSERT(!world.calls[STORE_ROUTES].watch);
+	answer(&world, STORE_SERVERS, 10, copied, 2);
+	pass(&world, 900);
+	CU_ASSERT(world.calls[STORE_SERVERS].watch);
+	CU_ASSERT_EQUAL(world.calls[STORE_SERVERS].after, 10);
+	world_finish(&world);
+}
+
+static void test_era_told_by_failure(void)
+{
+	test_era_told_by_refusal(ERR_UNAVAILABLE);
+}
+
+static void test_era_told_by_history_gone(void)
+{
+	test_era_told_by_refusal(ERR_STALE);
+}
+
+/* The store goes back again while it is listed. */
+static void test_era_after_era(void)
+{
+	struct store_item items[] = {item_of("a", 1, false),
+				     item_of("b", 2, false)};
+	struct store_answer page = {.era = 2,
+				    .read_at = 30,
+				    .more = true,
+				    .items = items};
+	struct world world;
+
+	start_in_era(&world, 1);
+	go_back(&world, 30);
+	page.n_items = 1;
+	snprintf(page.last_key, sizeof(page.last_key), "servers/a");
+	store_sync_answered(&world.sync, STORE_SERVERS, &page);
+	pass(&world, 1);
+	CU_ASSERT_STRING_EQUAL(world.calls[STORE_SERVERS].from, "servers/a");
+	go_back(&world, 12);
+	CU_ASSERT_STRING_EQUAL(world.calls[STORE_SERVERS].from, "");
+	answer(&world, STORE_SERVERS, 12, items, 2);
+	pass(&world, 900);
+	go_back(&world, 9);
+	answer(&world, STORE_SERVERS, 9, items, 2);
+	pass(&world, 2400);
+	CU_ASSERT(world.calls[STORE_SERVERS].watch);
+	CU_ASSERT_EQUAL(world.calls[STORE_SERVERS].after, 9);
+	CU_ASSERT(knows(&world, "a") && knows(&world, "b"));
+	CU_ASSERT_EQUAL(world.sync.era, 4);
+	world_finish(&world);
+}
+
+/* An answer of the earlier era was under way for long. */
+static void test_era_late_answer(void)
+{
+	struct store_item items[] = {item_of("a", 1, false),
+				     item_of("b", 2, false)};
+	struct store_item late[] = {item_of("b", 49, true)};
+	struct world world;
+
+	start_in_era(&world, 1);
+	go_back(&world, 30);
+	answer(&world, STORE_SERVERS, 30, items, 2);
+	pass(&world, 900);
+	world.era = 1;
+	answer(&world, STORE_SERVERS, 52, late, 1);
+	CU_ASSERT(knows(&world, "b"));
+	CU_ASSERT_EQUAL(world.sync.feeds[STORE_SERVERS].at, 30);
+	world.era = 2;
+	pass(&world, 1000);
+	CU_ASSERT(world.calls[STORE_SERVERS].watch);
+	answer(&world, STORE_SERVERS, 33, NULL, 0);
+	CU_ASSERT_EQUAL(world.sync.feeds[STORE_SERVERS].at, 33);
+	world_finish(&world);
+}
+
+/* The copy has routes from before, and no cordon. */
+static void test_era_keeps_operators_word(void)
+{
+	struct store_item cordon = item_of("dc2", 40, false);
+	struct cordons *cordons;
+	struct world world;
+
+	start_in_era(&world, 1);
+	cordons = &world.registry.cordons;
+	cordon.kind = STORE_ITEM_CORDON;
+	answer(&world, STORE_ROUTES, 40, &cordon, 1);
+	pass(&world, 100);
+	go_back(&world, 20);
+	give_routes(&world, 2);
+	CU_ASSERT_EQUAL(world.sync.routes->version, 3);
+	CU_ASSERT(cordons_hold(cordons, STR("dc2")));
+	/* Once the operators had time to write it again, the list counts. */
+	pass(&world, 2200);
+	CU_ASSERT(world.calls[STORE_ROUTES].watch);
+	answer(&world, STORE_ROUTES, 25, NULL, 0);
+	CU_ASSERT(cordons_hold(cordons, STR("dc2")));
+	pass(&world, 200);
+	CU_ASSERT(!world.calls[STORE_ROUTES].watch);
+	answer(&world, STORE_ROUTES, 26, NULL, 0);
+	CU_ASSERT(!cordons_hold(cordons, STR("dc2")));
+	CU_ASSERT_EQUAL(world.sync.routes->version, 3);
+	world_finish(&world);
+}
+
+/* Another deployment's store tells no era, or stops to. */
+static void test_no_era(void)
+{
+	struct world world;
+
+	start_in_era(&world, 0);
+	answer(&world, STORE_SERVERS, 51, NULL, 0);
+	pass(&world, 900);
+	CU_ASSERT(world.calls[STORE_SERVERS].watch);
+	world_finish(&world);
+
+	start_in_era(&world, 3);
+	world.era = 0;
+	answer(&world, STORE_SERVERS, 51, NULL, 0);
+	pass(&world, 900);
+	CU_ASSERT(world.calls[STORE_SERVERS].watch);
+	CU_ASSERT_EQUAL(world.calls[STORE_SERVERS].after, 51);
+	CU_ASSERT_EQUAL(world.sync.era, 3);
+	world_finish(&world);
+}
+
 static const struct unit_test tests[] = {
+	{"era: listed anew", test_era_lists_anew},
+	{"era: the copy lacks servers", test_era_copy_lacks_servers},
+	{"era: the copy is older", test_era_copy_is_older},
+	{"era: told by a failure", test_era_told_by_failure},
+	{"era: told by a history gone", test_era_told_by_history_gone},
+	{"era after era", test_era_after_era},
+	{"era: a late answer", test_era_late_answer},
+	{"era: operators' word is kept", test_era_keeps_operators_word},
+	{"no era", test_no_era},
 	{"a page of a list that was given up", test_page_of_given_up_list},
 	{"an older word, held back", test_older_word_of_ready},
 	{"an older word, held back, draining", test_older_word_of_draining},
--- a/tests/test_view_share.c
+++ b/tests/test_view_share.c
@@ -41,7 +41,9 @@
 	int n_large; /* of each data centre; 0: all are linked to each other */
 	int lost;    /* of a hundred messages */
 	uint64_t draws;
+	uint64_t era; /* 0: the store tells none */
 	uint64_t revision;
+	uint64_t compacted; /* watches from before it are refused */
 	uint64_t drained_at;
 	uint64_t removed_at;
 	uint64_t created_at;
@@ -266,11 +268,17 @@
 	answer->n_items += !call->watch || call->after < item->changed_at;
 }
 
+static bool is_gone(const struct world *world, const struct store_call *call)
+{
+	return call->after < world->compacted || call->after > world->revision;
+}
+
 static void answer_routes(struct node *node, const struct store_call *call)
 {
 	struct world *world = node->world;
 	struct store_item items[2] = {{.changed_at = world->routes_at}};
-	struct store_answer answer = {.read_at = world->revision,
+	struct store_answer answer = {.era = world->era,
+				      .read_at = world->revision,
 				      .items = items};
 	char text[100];
 
@@ -279,7 +287,7 @@
 		 world->routes_version);
 	items[0].value = str_from(text);
 	answer.n_items = !call->watch || call->after < world->routes_at;
-	if (call->watch && world->history_lost)
+	if (call->watch && (world->history_lost || is_gone(world, call)))
 		answer.code = ERR_STALE;
 	add_cordon(world, call, &answer);
 	store_sync_answered(&node->sync, STORE_ROUTES, &answer);
@@ -289,7 +297,8 @@
 {
 	struct world *world = node->world;
 	struct store_item item = {.name = "server", .value = STR("ready")};
-	struct store_answer answer = {.read_at = world->revision,
+	struct store_answer answer = {.era = world->era,
+				      .read_at = world->revision,
 				      .items = &item};
 
 	item.changed_at = world->drained_at ? world->drained_at : 1;
@@ -304,6 +313,8 @@
 	}
 	answer.n_items =
 		call->watch ? call->after < item.changed_at : !item.removed;
+	if (call->watch && is_gone(world, call))
+		answer.code = ERR_STALE;
 	store_sync_answered(&node->sync, STORE_SERVERS, &answer);
 }
 
@@ -702,7 +713,8 @@
 }
 
 /* What a peer says of the one server, as a change that came at @revision. */
-static void hear_server(struct node *node, int64_t born, uint64_t revision)
+static void hear_server_of(struct node *node, uint64_t era, int64_t born,
+			   uint64_t revision)
 {
 	Peer__ViewServer row = PEER__VIEW_SERVER__INIT;
 	Peer__ViewServer *rows[] = {&row};
@@ -718,9 +730,15 @@
 	message.n_servers = 1;
 	message.servers_at = revision;
 	message.servers_from = revision - 1;
+	message.store_era = era;
 	view_share_update(&node->share, "n1", &message);
 }
 
+static void hear_server(struct node *node, int64_t born, uint64_t revision)
+{
+	hear_server_of(node, 0, born, revision);
+}
+
 /*
  * A server was lost and avoided; it starts again under its id, and one instance
  * reads so from the store. All others hear of it as of another server, and a
@@ -974,7 +992,255 @@
 	world_finish(&world);
 }
 
+/* Half of the instances in a data centre are cut off from the store. */
+static void cut_half(struct world *world, bool cut)
+{
+	int i;
+
+	for (i = 0; i < world->n_nodes; i++)
+		world->nodes[i].cut_off = cut && i / world->centres % 2;
+}
+
+/*
+ * A server leaves while the store is silent for some and messages are lost; the
+ * first reader's view is told on by others while it holds the removal back.
+ */
+static void leave_in_silence(uint64_t seed, bool drains)
+{
+	struct world world;
+
+	world_init_hubs(&world, 36, 3, 2);
+	world.draws = seed;
+	pass(&world, 4000);
+	world.lost = 20;
+	cut_half(&world, true);
+	world.nodes[reader_of(&world)].cut_off = true;
+	pass(&world, 500 + (int64_t)seed * 170);
+	if (drains)
+		drain(&world);
+	pass(&world, 700);
+	world.removed_at = ++world.revision;
+	if (seed % 2)
+		world.compacted = world.revision;
+	pass(&world, (int64_t)seed * 90);
+	cut_half(&world, false);
+	world.nodes[reader_of(&world)].cut_off = false;
+	pass(&world, 8000);
+	CU_ASSERT_EQUAL(count_knowing(&world), 0);
+	world_finish(&world);
+}
+
+static void test_leaves_while_store_is_silent(void)
+{
+	uint64_t seed;
+
+	for (seed = 1; seed <= 24; seed++)
+		leave_in_silence(seed, seed % 3 == 0);
+}
+
+static void put_servers(struct node *node, int n, uint64_t changed_at)
+{
+	struct server_entry entry = {.service = "s", .slots = 1};
+	int i;
+
+	address_parse(STR("127.0.0.1:1"), &entry.address);
+	for (i = 0; i < n; i++) {
+		snprintf(entry.id, sizeof(entry.id), "many-%d", i);
+		server_view_put(&node->sync.servers, &entry, changed_at);
+	}
+}
+
+/* More servers change at once than changes are kept for those that ask. */
+static void test_many_changes(void)
+{
+	enum {
+		MANY = VIEW_CHANGES_MAX + 400
+	};
+	struct world world;
+	struct node *reader;
+	struct node *other;
+
+	world_init(&world, 2);
+	pass(&world, 5000);
+	reader = &world.nodes[reader_of(&world)];
+	other = &world.nodes[1 - reader_of(&world)];
+	world.revision += MANY;
+	put_servers(reader, MANY, world.revision);
+	pass(&world, 2000);
+	CU_ASSERT_EQUAL(HASH_COUNT(other->registry.servers), MANY + 1);
+	world_finish(&world);
+}
+
+/* Who asks an instance that holds a removal back must still hear of it. */
+static void test_asked_while_holding_back(void)
+{
+	Peer__ViewRequest request = PEER__VIEW_REQUEST__INIT;
+	struct store_feed *feed;
+	struct world world;
+	struct node *reader;
+	struct node *other;
+	uint64_t at;
+
+	world_init(&world, 2);
+	pass(&world, 5000);
+	reader = &world.nodes[reader_of(&world)];
+	other = &world.nodes[1 - reader_of(&world)];
+	feed = &other->sync.feeds[STORE_SERVERS];
+	at = feed->at;
+	server_view_returned(&reader->sync.servers);
+	server_view_vanished(&reader->sync.servers, "server", ++world.revision);
+	reader->sync.feeds[STORE_SERVERS].at = world.revision;
+	request.servers_at = at;
+	view_share_request(&reader->share, other->name, &request);
+	CU_ASSERT_EQUAL(feed->at, at);
+	request.servers_at = 0;
+	view_share_request(&reader->share, other->name, &request);
+	CU_ASSERT_EQUAL(feed->at, at);
+	world_finish(&world);
+}
+
+static int count_era(const struct world *world)
+{
+	int n = 0;
+	int i;
+
+	for (i = 0; i < world->n_nodes; i++)
+		n += world->nodes[i].sync.era == world->era;
+	return n;
+}
+
+/* The store goes back by some revisions, and what was lost is written again. */
+static void go_back(struct world *world, uint64_t revisions)
+{
+	world->era++;
+	world->revision -= revisions;
+	if (world->drained_at > world->revision)
+		world->drained_at = 0;
+	if (world->routes_at > world->revision) {
+		world->routes_at = world->revision;
+		world->routes_version--;
+	}
+}
+
+/* Passes time; no instance may lose a server or routes on the way. */
+static void pass_served(struct world *world, int64_t ms, uint64_t version)
+{
+	int64_t t;
+	int i;
+
+	for (t = 0; t < ms; t += 100) {
+		pass(world, 100);
+		if (count_knowing(world) < world->n_nodes)
+			CU_FAIL("a server is lost");
+		for (i = 0; i < world->n_nodes; i++) {
+			if (world->nodes[i].sync.routes->version < version)
+				CU_FAIL("routes went back");
+		}
+	}
+}
+
+/*
+ * All know of a revision that the store gives out again. What is written then
+ * must reach all, though its revision is lower.
+ */
+static void store_goes_back(int n, int centres, int n_large, int lost,
+			    bool some_first)
+{
+	struct world world;
+
+	world_init_hubs(&world, n, centres, n_large);
+	world.era = 1;
+	world.revision = 500;
+	world.lost = lost;
+	pass(&world, 4000);
+	change_routes(&world);
+	pass(&world, 2500);
+	CU_ASSERT_EQUAL(count_version(&world, 2), n);
+	world.revision += 100;
+	pass(&world, 2500);
+	cut_half(&world, some_first);
+	go_back(&world, 300);
+	pass_served(&world, 1500, 2);
+	drain(&world);
+	CU_ASSERT(world.drained_at < 500);
+	change_routes(&world);
+	pass_served(&world, 4500, 2);
+	cut_half(&world, false);
+	CU_ASSERT_EQUAL(count_drained(&world), n);
+	change_routes(&world);
+	pass_served(&world, 4000, 2);
+	CU_ASSERT_EQUAL(count_version(&world, 3), n);
+	CU_ASSERT_EQUAL(count_era(&world), n);
+	world_finish(&world);
+}
+
+static void test_store_goes_back(void)
+{
+	store_goes_back(8, 4, 2, 0, false);
+	store_goes_back(76, 4, 3, 10, false);
+	store_goes_back(76, 4, 3, 0, true);
+	store_goes_back(295, 6, 3, 10, true);
+}
+
+/* Several times in a row, also while all of it is still under way. */
+static void test_store_goes_back_often(void)
+{
+	struct world world;
+	int i;
+
+	world_init_hubs(&world, 36, 3, 2);
+	world.era = 1;
+	world.revision = 900;
+	pass(&world, 4000);
+	world.lost = 10;
+	world.n_calls = 0;
+	for (i = 0; i < 6; i++) {
+		world.revision += 20;
+		go_back(&world, 100);
+		pass_served(&world, 300 * (i + 1), 1);
+	}
+	drain(&world);
+	change_routes(&world);
+	pass_served(&world, 5000, 1);
+	CU_ASSERT_EQUAL(count_drained(&world), 36);
+	CU_ASSERT_EQUAL(count_version(&world, 2), 36);
+	printf("\n%d calls of 36 instances in 11 s", world.n_calls);
+	world_finish(&world);
+}
+
+/* A peer that has not heard of the new era tells what it knows. */
+static void test_peer_of_earlier_era(void)
+{
+	struct registry_server *server;
+	struct world world;
+	struct node *node;
+
+	world_init(&world, 2);
+	world.era = 2;
+	world.revision = 50;
+	pass(&world, 5000);
+	node = &world.nodes[0];
+	hear_server_of(node, 1, 1000, 70);
+	server = registry_find(&node->registry, STR("server"));
+	CU_ASSERT(!server->entry.born);
+	CU_ASSERT(node->sync.feeds[STORE_SERVERS].at < 70);
+	hear_server_of(node, 0, 1000, 70);
+	CU_ASSERT(!server->entry.born);
+	/* One of a later era is believed, whatever its revision. */
+	hear_server_of(node, 3, 1000, 7);
+	server = registry_find(&node->registry, STR("server"));
+	CU_ASSERT_EQUAL(server->entry.born, 1000);
+	CU_ASSERT_EQUAL(node->sync.era, 3);
+	world_finish(&world);
+}
+
 static const struct unit_test tests[] = {
+	{"leaves while the store is silent", test_leaves_while_store_is_silent},
+	{"many changes", test_many_changes},
+	{"asked while holding back", test_asked_while_holding_back},
+	{"the store goes back", test_store_goes_back},
+	{"the store goes back often", test_store_goes_back_often},
+	{"a peer of an earlier era", test_peer_of_earlier_era},
 	{"calls do not grow with the fleet", test_calls_do_not_grow},
 	{"all hear", test_all_hear},
 	{"all start at once", test_all_start},
--- a/view_share.c
+++ b/view_share.c
@@ -117,6 +117,28 @@
 			 LOG_I64("alive", share->n_members));
 }
 
+/*
+ * Changes that were kept, and what was told of them, are of the earlier era. In
+ * the new one, what this instance knew already is no change here, and may be
+ * one for others: they must begin with a whole view.
+ */
+static void follow_era(struct view_share *share)
+{
+	const struct store_feed *feed = &share->sync->feeds[STORE_SERVERS];
+
+	if (share->era != share->sync->era) {
+		share->era = share->sync->era;
+		share->complete_at = UINT64_MAX;
+		share->told_at = 0;
+		share->told_changes = share->n_changes;
+		share->last_change = 0;
+		free(share->kept.packed);
+		share->kept.packed = NULL;
+	}
+	if (share->complete_at == UINT64_MAX && feed->listed)
+		share->complete_at = feed->at;
+}
+
 static uint64_t max(uint64_t a, uint64_t b)
 {
 	return a > b ? a : b;
@@ -129,6 +151,7 @@
 		&share->changes[share->n_changes++ % VIEW_CHANGES_MAX];
 	uint64_t at = share->sync->feeds[STORE_SERVERS].at;
 
+	follow_era(share);
 	str_copy(change->id, sizeof(change->id), str_from(id));
 	/* One that was held back comes later than its revision. */
 	share->last_change = max(max(changed_at, at + 1), share->last_change);
@@ -227,7 +250,8 @@
 static uint64_t told_from(const struct view_share *share, int n)
 {
 	if ((uint64_t)n < share->n_changes - share->told_changes)
-		return share->sync->feeds[STORE_SERVERS].at;
+		return max(share->sync->feeds[STORE_SERVERS].at,
+			   share->last_change);
 	return share->told_at;
 }
 
@@ -246,7 +270,8 @@
 	 * A view that holds back removals is not the store's: those that took
 	 * it for fresh would not read, and not leave servers that left.
 	 */
-	if (!routes || feed->fresh_at < 0 ||
+	follow_era(share);
+	if (!routes || feed->fresh_at < 0 || !feed->at ||
 	    server_view_holds_back(&share->sync->servers))
 		return;
 	/*
@@ -347,10 +372,20 @@
 void view_share_request(struct view_share *share, const char *member,
 			const Peer__ViewRequest *message)
 {
-	int n = view_update_count(share, message->servers_at);
+	const struct store_feed *feed = &share->sync->feeds[STORE_SERVERS];
 	struct view_update update;
+	int n;
 
-	if (!message->servers_at || n < 0) {
+	if (message->store_era)
+		store_sync_enter_era(share->sync, message->store_era,
+				     message->servers_at, member);
+	follow_era(share);
+	/* Who has a view has no use for one that is of no revision. */
+	if (message->servers_at && !feed->at)
+		return;
+	n = view_update_count(share, message->servers_at);
+	if (!message->servers_at || message->store_era != share->sync->era ||
+	    n < 0) {
 		tell_whole(share, member);
 		return;
 	}
@@ -364,13 +399,15 @@
 }
 
 /* Return: whether there is a way to it. */
-static bool ask(struct view_share *share, const char *member)
+static bool ask(struct view_share *share, const char *member, bool whole)
 {
 	Peer__ViewRequest request = PEER__VIEW_REQUEST__INIT;
 	const struct route_set *routes = share->sync->routes;
 
 	request.routes_version = routes ? routes->version : 0;
-	request.servers_at = share->sync->feeds[STORE_SERVERS].at;
+	request.store_era = share->sync->era;
+	if (!whole)
+		request.servers_at = share->sync->feeds[STORE_SERVERS].at;
 	share->asked_at = clock_now(share->clock);
 	return share->ops->request(share->arg, member, &request);
 }
@@ -385,7 +422,7 @@
 void view_share_met(struct view_share *share, const char *member)
 {
 	if (!store_sync_ready(share->sync) && may_ask(share))
-		ask(share, member);
+		ask(share, member, false);
 }
 
 static bool is_old(const struct view_share *share)
@@ -401,7 +438,9 @@
 {
 	int i;
 
-	if (!store_sync_ready(share->sync) || !is_old(share))
+	bool whole = server_view_wants_whole(&share->sync->servers);
+
+	if (!store_sync_ready(share->sync) || (!is_old(share) && !whole))
 		return;
 	/* Another one each time: whom it asked may not be reached. */
 	for (i = 0; i < share->n_members; i++) {
@@ -410,7 +449,7 @@
 					(unsigned int)share->n_members];
 
 		if (member->hub && strcmp(member->instance, share->instance) &&
-		    ask(share, member->instance))
+		    ask(share, member->instance, whole))
 			return;
 	}
 }
@@ -420,6 +459,9 @@
 {
 	struct server_entry entry;
 
+	/* Of an earlier era, kept by the peer until it has a list. */
+	if (!row->changed_at && share->sync->feeds[STORE_SERVERS].at)
+		return;
 	if (row->removed) {
 		server_view_remove(&share->sync->servers, row->id,
 				   row->changed_at, "peer");
@@ -465,21 +507,27 @@
 	cordon_sync_take(&share->sync->cordons, &cordons);
 }
 
+static int take_document(struct view_share *share,
+			 const ProtobufCBinaryData *text)
+{
+	const struct str document = {(char *)text->data, text->len};
+	int ret;
+
+	if (!text->len)
+		return 0;
+	ret = store_sync_take_routes(share->sync, document, "peer");
+	return ret == ERR_STALE ? 0 : ret;
+}
+
 static int take_routes(struct view_share *share,
 		       const Peer__ViewUpdate *message,
 		       const ProtobufCBinaryData *text)
 {
 	struct store_sync *sync = share->sync;
-	int ret;
+	int ret = take_document(share, text);
 
-	if (text->len) {
-		ret = store_sync_take_routes(sync,
-					     (struct str){(char *)text->data,
-							  text->len},
-					     "peer");
-		if (ret && ret != ERR_STALE)
-			return ret;
-	}
+	if (ret)
+		return ret;
 	if (!sync->routes || sync->routes->version < message->routes_version)
 		return ERR_VERSION;
 	/* A lower version is old, whatever its age is said to be. */
@@ -524,15 +572,23 @@
 }
 
 /* Servers are taken also if the routes are not. */
-static int take(struct view_share *share, const Peer__ViewUpdate *message,
-		const Peer__ViewBody *body)
+static int take(struct view_share *share, const char *member,
+		const Peer__ViewUpdate *message, const Peer__ViewBody *body)
 {
+	const ProtobufCBinaryData *routes =
+		body ? &body->routes : &message->routes;
 	int servers_ret;
 	int ret;
 
+	/* Routes have an order of their own; all else there is outdated. */
+	if (store_sync_enter_era(share->sync, message->store_era,
+				 message->servers_at, member)) {
+		take_document(share, routes);
+		return ERR_STALE;
+	}
+	follow_era(share);
 	take_cordons(share, message);
-	ret = take_routes(share, message,
-			  body ? &body->routes : &message->routes);
+	ret = take_routes(share, message, routes);
 	servers_ret = take_servers(share, message,
 				   body ? body->servers : message->servers,
 				   body ? body->n_servers : message->n_servers);
@@ -543,6 +599,7 @@
 		      const Peer__ViewUpdate *message)
 {
 	bool was_ready = store_sync_ready(share->sync);
+	uint64_t era = share->sync->era;
 	Peer__ViewBody *body;
 	int ret = view_unpack(message, &body);
 
@@ -552,16 +609,17 @@
 		return ret;
 	}
 	share->updates_in++;
-	ret = take(share, message, body);
+	ret = take(share, member, message, body);
 	if (body)
 		peer__view_body__free_unpacked(body, NULL);
 	/* A whole view that is no news here is none in this data centre. */
-	if (message->forward && !(message->whole && was_ready))
+	if (message->forward &&
+	    !(message->whole && was_ready && era == share->sync->era))
 		pass_on(share, member, message);
 	/* What it has from others, the others need not be told. */
 	if (!share->told_at && store_sync_ready(share->sync))
 		mark_told(share);
 	if (ret == ERR_VERSION && may_ask(share))
-		ask(share, member);
+		ask(share, member, false);
 	return ret;
 }
--- a/view_share.h
+++ b/view_share.h
@@ -66,6 +66,9 @@
  * struct view_share - the state of one instance
  * @members: alive, this one included; by rank, the largest first
  * @rank: of this instance among them
+ * @era: of the store, that what follows is of
+ * @complete_at: changes before this revision are not among @changes;
+ *	UINT64_MAX: none is in this era yet
  * @told_version: of the routes told last
  * @told_at: revision of the servers told last
  * @told_changes: changes that were told
@@ -87,6 +90,8 @@
 	int n_members;
 	int cap_members;
 	int rank;
+	uint64_t era;
+	uint64_t complete_at;
 	uint64_t told_version;
 	uint64_t told_at;
 	uint64_t told_changes;
--- a/view_update.c
+++ b/view_update.c
@@ -92,6 +92,7 @@
 	const struct store_feed *feeds = share->sync->feeds;
 	Peer__ViewUpdate *message = &update->message;
 
+	message->store_era = share->sync->era;
 	message->routes_age_ms = age_ms(share, &feeds[STORE_ROUTES]);
 	message->routes_at = feeds[STORE_ROUTES].at;
 	message->servers_age_ms = age_ms(share, &feeds[STORE_SERVERS]);
@@ -145,6 +146,8 @@
 	uint64_t i = share->n_changes;
 	int n = 0;
 
+	if (since < share->complete_at)
+		return -1;
 	while (i > 0) {
 		const struct view_change *change =
 			&share->changes[(i - 1) % VIEW_CHANGES_MAX];
--- a/view_update.h
+++ b/view_update.h
@@ -24,7 +24,7 @@
 /**
  * view_update_count() - changes since a revision of the store
  *
- * Return: how many; -1 if some of them are not kept any more.
+ * Return: how many; -1 if some of them are not kept.
  */
 int view_update_count(const struct view_share *share, uint64_t since);
 
