store_sync, view_share: split by what they decide

store_schedule says when the store is called and by which instance; view_take puts a peer's message into the view; view_tell says whom a view is told. No change of behaviour, but that the first change of an era is told with those that follow (view_share_changed() took its place among the changes before it noticed the era).

--- a/gateway.c
+++ b/gateway.c
@@ -12,6 +12,7 @@
 #include "gateway_request.h"
 #include "log.h"
 #include "mem.h"
+#include "store_schedule.h"
 
 /*
  * Told to stop, an instance is out of the directory at once and still serves
@@ -280,7 +281,7 @@
 	if (!settings->n_seeds)
 		return;
 	evutil_secure_rng_get_bytes(&draw, sizeof(draw));
-	store_sync_joins(&gateway->sync, (double)draw / UINT16_MAX);
+	store_schedule_joins(&gateway->sync, (double)draw / UINT16_MAX);
 }
 
 int gateway_init(struct gateway *gateway, struct event_base *base,
--- a/store_sync.c
+++ b/store_sync.c
@@ -6,45 +6,14 @@
 
 #include "error.h"
 #include "log.h"
+#include "store_schedule.h"
 
-/*
- * Servers write about every 1.2 s, so a watch on all of them answers at once.
- * It is asked again no sooner than this: a server that drains must be left
- * within 3 s of its word, and this leaves room for two lost answers.
- */
-#define SERVERS_PERIOD MSEC(900)
-#define SERVERS_WAIT_MS 100
-/*
- * The routes change rarely, so that a call waits. A connection that went
- * silent is noticed only by the time-out, so that the wait must be well below
- * the 3 s within which routes must be in force.
- */
-#define ROUTES_WAIT_MS 1000
-#define ROUTES_PERIOD MSEC(50)
 /* Above the wait: an answer takes 4 ms, and up to 60 times that when slow. */
 #define CALL_TIMEOUT MSEC(600)
 /* An answer is on its way no longer than this, unless the call fails. */
 #define TRANSIT_MOST MSEC(300)
 /* A peer may tell all before the store is asked, page by page. */
 #define START_DELAY MSEC(40)
-/*
- * An instance that starts waits so long for a peer's view, and up to the second
- * figure more, so that hundreds that start at once do not all read page after
- * page: the seeds read first, 28 pages of 4 ms and the way, and tell the
- * others. One whose seeds are all down reads after this.
- */
-#define JOIN_WAIT MSEC(400)
-#define JOIN_SPREAD MSEC(800)
-/* Without any view, patience is this share of what it is with one. */
-#define START_PATIENCE 0.15
-/* And each rank behind these so much longer: the last of 295 for 3 s. */
-#define START_RANKS 8
-#define START_STEP MSEC(10)
-#define FAILURE_PAUSE MSEC(200)
-#define FAILURE_PAUSE_MOST MSEC(1000)
-/* The pause grows by itself with each so many ranks, up to this. */
-#define RANKS_TRYING 4
-#define RANKED_PAUSE_MOST MSEC(8000)
 /*
  * Views are told each 0.9 s, and the next in rank reads at 2.2 s: one that is
  * older is no sign of a reader that is lost. An entry lapses after three
@@ -260,45 +229,6 @@
 	sync->rank = rank;
 }
 
-void store_sync_joins(struct store_sync *sync, double draw)
-{
-	sync->start_wait = JOIN_WAIT + (int64_t)(draw * (double)JOIN_SPREAD);
-}
-
-/*
- * Where all start at once, the first reads for all; only if it does not, the
- * others do, in their order.
- */
-static int64_t start_wait(const struct store_sync *sync,
-			  const struct store_feed *feed)
-{
-	int behind = sync->rank > START_RANKS ? sync->rank - START_RANKS : 0;
-	int64_t wait = (int64_t)((double)sync->patience * START_PATIENCE) +
-		       behind * START_STEP;
-
-	if (feed->failures)
-		return 0;
-	return wait > sync->start_wait ? wait : sync->start_wait;
-}
-
-/*
- * Peers that read tell what they know, so that this instance need not call
- * before its view is older than its patience.
- */
-static int64_t due_at(const struct store_sync *sync,
-		      const struct store_feed *feed)
-{
-	int64_t due = feed->fresh_at + sync->patience;
-
-	if (feed->listing)
-		return feed->next_at;
-	if (feed->fresh_at < 0)
-		return feed->next_at + start_wait(sync, feed);
-	if (!sync->patience)
-		return feed->next_at;
-	return due > feed->next_at ? due : feed->next_at;
-}
-
 static void listed_page(struct store_sync *sync, struct store_feed *feed,
 			const struct store_answer *answer)
 {
@@ -333,9 +263,8 @@
 }
 
 /*
- * The store answered. Whichever topic's call had failed, it was away for both:
- * of 66 instances the three that had only called for the routes meanwhile took
- * 276 removals for true, and 45 of 90 shards had no server.
+ * The store answered. Whichever topic's call had failed, it was away for both,
+ * and entries of servers that live may have lapsed.
  */
 static void set_reachable(struct store_sync *sync, struct store_feed *feed)
 {
@@ -351,59 +280,16 @@
 			 LOG_I64("failures", feed->failures));
 	if (lost || is_view_old(sync))
 		server_view_returned(&sync->servers);
-	feed->failures = 0;
-}
-
-/*
- * While the store is away all views grow old, and hundreds would call it again
- * and again: 295 instances made 4,990 calls on a day with such a time. The
- * first in rank try as often as they would alone and tell the others; those
- * behind them try the less often, 404 calls of 295
- * instances in 5 s, as modelled. If the first cannot reach it and others can,
- * these had no failure and no such pause.
- */
-static int64_t pause_of(const struct store_sync *sync,
-			const struct store_feed *feed)
-{
-	int64_t pause = FAILURE_PAUSE * (1 + feed->failures);
-
-	if (pause > FAILURE_PAUSE_MOST)
-		pause = FAILURE_PAUSE_MOST;
-	pause += pause * sync->rank / RANKS_TRYING;
-	return pause < RANKED_PAUSE_MOST ? pause : RANKED_PAUSE_MOST;
-}
-
-/* Far back in rank: it calls only where all before it did not succeed. */
-static bool is_behind(const struct store_sync *sync)
-{
-	return sync->rank >= RANKS_TRYING;
-}
-
-/* What one topic's call showed, the other's need not show again. */
-static void postpone_others(struct store_sync *sync,
-			    const struct store_feed *failed)
-{
-	int i;
-
-	for (i = 0; i < STORE_TOPICS; i++) {
-		if (sync->feeds[i].next_at < failed->next_at)
-			sync->feeds[i].next_at = failed->next_at;
-	}
 }
 
 static void call_failed(struct store_sync *sync, struct store_feed *feed,
 			int code)
 {
-	int64_t pause = pause_of(sync, feed);
-
-	feed->failures++;
 	if (!feed->lost)
 		LOG_WARN("store_lost", LOG_I64("topic", feed->topic),
 			 LOG_TEXT("error", error_name(code)));
 	feed->lost = true;
-	feed->next_at = clock_now(sync->clock) + pause;
-	if (is_behind(sync))
-		postpone_others(sync, feed);
+	store_schedule_failed(sync, feed);
 }
 
 static void start_list(struct store_sync *sync, struct store_feed *feed)
@@ -460,12 +346,10 @@
 static void take_answer(struct store_sync *sync, struct store_feed *feed,
 			const struct store_answer *answer)
 {
-	int64_t period =
-		feed->topic == STORE_SERVERS ? SERVERS_PERIOD : ROUTES_PERIOD;
 	int i;
 
 	set_reachable(sync, feed);
-	feed->next_at = feed->asked_at + period;
+	store_schedule_answered(feed);
 	for (i = 0; i < answer->n_items; i++)
 		take_item(sync, feed, &answer->items[i]);
 	if (feed->watching || feed->listing)
@@ -511,9 +395,7 @@
 		start_list(sync, feed);
 	call.watch = feed->listed;
 	if (call.watch)
-		call.wait_ms = feed->topic == STORE_ROUTES && !is_behind(sync)
-				       ? ROUTES_WAIT_MS
-				       : SERVERS_WAIT_MS;
+		call.wait_ms = store_schedule_wait_ms(sync, feed);
 	memcpy(call.from, feed->from, sizeof(call.from));
 	feed->busy = true;
 	feed->watching = call.watch;
@@ -521,20 +403,6 @@
 	sync->ops->call(sync->arg, &call, MSEC(call.wait_ms) + CALL_TIMEOUT);
 }
 
-/*
- * An instance that is behind mostly finds the store away, as all before it did:
- * one call at a time shows that as well as two.
- */
-static bool waits_for_other(const struct store_sync *sync,
-			    const struct store_feed *feed)
-{
-	const struct store_feed *other =
-		&sync->feeds[feed->topic == STORE_ROUTES ? STORE_SERVERS
-							 : STORE_ROUTES];
-
-	return is_behind(sync) && other->busy;
-}
-
 static void call_due(struct store_sync *sync, int64_t now)
 {
 	int i;
@@ -542,8 +410,7 @@
 	for (i = 0; i < STORE_TOPICS; i++) {
 		struct store_feed *feed = &sync->feeds[i];
 
-		if (!feed->busy && now >= due_at(sync, feed) &&
-		    !waits_for_other(sync, feed))
+		if (now >= store_schedule_due(sync, feed))
 			call(sync, feed);
 	}
 }
@@ -560,11 +427,10 @@
 	int i;
 
 	for (i = 0; i < STORE_TOPICS; i++) {
-		const struct store_feed *feed = &sync->feeds[i];
+		int64_t at = store_schedule_due(sync, &sync->feeds[i]);
 
-		if (!feed->busy && !waits_for_other(sync, feed) &&
-		    due_at(sync, feed) < due)
-			due = due_at(sync, feed);
+		if (at < due)
+			due = at;
 	}
 	return due;
 }
--- a/store_sync.h
+++ b/store_sync.h
@@ -1,7 +1,7 @@
 /*
- * When the platform's store is called, and what its answers change: the routes
- * in force and the list of backend servers. The highest version of the routes
- * wins for the life of the process. Decides without sockets.
+ * Calls on the platform's store, and what its answers change: the routes in
+ * force and the list of backend servers. The highest version of the routes wins
+ * for the life of the process. Decides without sockets.
  */
 #ifndef STORE_SYNC_H
 #define STORE_SYNC_H
@@ -139,14 +139,6 @@
 void store_sync_set_patience(struct store_sync *sync, int64_t patience,
 			     int rank);
 
-/**
- * store_sync_joins() - this instance starts among others that it does not know
- * @draw: 0 to 1, another one at each instance
- *
- * To be called before the first store_sync_tick().
- */
-void store_sync_joins(struct store_sync *sync, double draw);
-
 /**
  * store_sync_begin_whole() - a peer's whole view follows, entry by entry
  */
--- a/tests/test_store_sync.c
+++ b/tests/test_store_sync.c
@@ -4,6 +4,7 @@
 
 #include "error.h"
 #include "mem.h"
+#include "store_schedule.h"
 #include "store_sync.h"
 #include "unit.h"
 
@@ -417,7 +418,7 @@
 	store_sync_finish(&world.sync);
 	store_sync_init(&world.sync, &world.clock, &format, &ops, &world,
 			&world.registry);
-	store_sync_joins(&world.sync, 0.5);
+	store_schedule_joins(&world.sync, 0.5);
 	world.n_calls[STORE_SERVERS] = 0;
 	pass(&world, 800);
 	CU_ASSERT(world.n_calls[STORE_SERVERS] == 0);
--- a/tests/test_view_share.c
+++ b/tests/test_view_share.c
@@ -1016,6 +1016,8 @@
 	cut_half(&world, true);
 	world.nodes[reader_of(&world)].cut_off = true;
 	pass(&world, 500 + (int64_t)seed * 170);
+	world.created_at = ++world.revision;
+	pass(&world, 900);
 	if (drains)
 		drain(&world);
 	pass(&world, 700);
--- a/view_share.c
+++ b/view_share.c
@@ -8,6 +8,8 @@
 #include "log.h"
 #include "mem.h"
 #include "view_pack.h"
+#include "view_take.h"
+#include "view_tell.h"
 #include "view_update.h"
 
 /*
@@ -118,11 +120,10 @@
 }
 
 /*
- * Changes that were kept, and what was told of them, are of the earlier era. In
- * the new one, what this instance knew already is no change here, and may be
+ * In a new era, what this instance knew already is no change here, and may be
  * one for others: they must begin with a whole view.
  */
-static void follow_era(struct view_share *share)
+void view_share_follow_era(struct view_share *share)
 {
 	const struct store_feed *feed = &share->sync->feeds[STORE_SERVERS];
 
@@ -147,11 +148,11 @@
 void view_share_changed(struct view_share *share, const char *id,
 			uint64_t changed_at, bool removed)
 {
-	struct view_change *change =
-		&share->changes[share->n_changes++ % VIEW_CHANGES_MAX];
 	uint64_t at = share->sync->feeds[STORE_SERVERS].at;
+	struct view_change *change;
 
-	follow_era(share);
+	view_share_follow_era(share);
+	change = &share->changes[share->n_changes++ % VIEW_CHANGES_MAX];
 	str_copy(change->id, sizeof(change->id), str_from(id));
 	/* One that was held back comes later than its revision. */
 	share->last_change = max(max(changed_at, at + 1), share->last_change);
@@ -160,81 +161,6 @@
 	change->removed = removed;
 }
 
-static bool send_update(struct view_share *share, const char *member,
-			struct view_update *update)
-{
-	if (!share->ops->update(share->arg, member, &update->message))
-		return false;
-	share->updates_out++;
-	return true;
-}
-
-static void tell_own(struct view_share *share, struct view_update *update,
-		     const char *except)
-{
-	int i;
-
-	update->message.forward = false;
-	update->message.spread = false;
-	for (i = 0; i < share->n_members; i++) {
-		const struct hub_member *member = &share->members[i];
-
-		if (strcmp(member->data_centre, share->data_centre) ||
-		    !strcmp(member->instance, share->instance) ||
-		    (except && !strcmp(member->instance, except)))
-			continue;
-		send_update(share, member->instance, update);
-	}
-}
-
-/* The first hub of a data centre that there is a way to. */
-static void tell_hub(struct view_share *share, struct view_update *update,
-		     const char *data_centre)
-{
-	int i;
-
-	for (i = 0; i < share->n_members; i++) {
-		const struct hub_member *member = &share->members[i];
-
-		if (member->hub && strcmp(member->instance, share->instance) &&
-		    !strcmp(member->data_centre, data_centre) &&
-		    send_update(share, member->instance, update))
-			return;
-	}
-}
-
-static void tell_others(struct view_share *share, struct view_update *update)
-{
-	int i;
-
-	update->message.forward = true;
-	update->message.spread = false;
-	for (i = 0; i < share->n_members; i++) {
-		const struct hub_member *member = &share->members[i];
-
-		if (!member->place &&
-		    strcmp(member->data_centre, share->data_centre))
-			tell_hub(share, update, member->data_centre);
-	}
-}
-
-static bool is_hub(const struct view_share *share)
-{
-	return !share->n_members || share->members[share->rank].hub;
-}
-
-static void tell_all(struct view_share *share, struct view_update *update)
-{
-	if (is_hub(share)) {
-		tell_own(share, update, NULL);
-		tell_others(share, update);
-		return;
-	}
-	update->message.forward = true;
-	update->message.spread = true;
-	tell_hub(share, update, share->data_centre);
-}
-
 static void mark_told(struct view_share *share)
 {
 	share->told_version = share->sync->routes->version;
@@ -270,7 +196,7 @@
 	 * A view that holds back removals is not the store's: those that took
 	 * it for fresh would not read, and not leave servers that left.
 	 */
-	follow_era(share);
+	view_share_follow_era(share);
 	if (!routes || feed->fresh_at < 0 || !feed->at ||
 	    server_view_holds_back(&share->sync->servers))
 		return;
@@ -294,7 +220,7 @@
 	else
 		view_update_changes(share, &update, told_from(share, n), n);
 	view_update_add_state(share, &update, news);
-	tell_all(share, &update);
+	view_tell_all(share, &update);
 	view_update_finish(&update);
 	mark_told(share);
 	share->told_time = now;
@@ -347,7 +273,7 @@
 	update.message.packed.data = share->kept.packed;
 	update.message.packed.len = share->kept.len;
 	update.message.packed_size = share->kept.size;
-	send_update(share, member, &update);
+	view_tell(share, member, &update);
 }
 
 static void tell_whole(struct view_share *share, const char *member)
@@ -364,7 +290,7 @@
 	}
 	view_update_whole(share, &update);
 	view_update_add_state(share, &update, true);
-	send_update(share, member, &update);
+	view_tell(share, member, &update);
 	keep_whole(share, &update);
 	view_update_finish(&update);
 }
@@ -379,7 +305,7 @@
 	if (message->store_era)
 		store_sync_enter_era(share->sync, message->store_era,
 				     message->servers_at, member);
-	follow_era(share);
+	view_share_follow_era(share);
 	/* Who has a view has no use for one that is of no revision. */
 	if (message->servers_at && !feed->at)
 		return;
@@ -394,7 +320,7 @@
 			      share->sync->routes &&
 				      share->sync->routes->version >
 					      message->routes_version);
-	send_update(share, member, &update);
+	view_tell(share, member, &update);
 	view_update_finish(&update);
 }
 
@@ -454,145 +380,15 @@
 	}
 }
 
-static void take_row(struct view_share *share, const Peer__ViewServer *row,
-		     bool listing)
-{
-	struct server_entry entry;
-
-	/* Of an earlier era, kept by the peer until it has a list. */
-	if (!row->changed_at && share->sync->feeds[STORE_SERVERS].at)
-		return;
-	if (row->removed) {
-		server_view_remove(&share->sync->servers, row->id,
-				   row->changed_at, "peer");
-		return;
-	}
-	memset(&entry, 0, sizeof(entry));
-	str_copy(entry.id, sizeof(entry.id), str_from(row->id));
-	str_copy(entry.service, sizeof(entry.service), str_from(row->service));
-	str_copy(entry.data_centre, sizeof(entry.data_centre),
-		 str_from(row->data_centre));
-	entry.slots = row->slots;
-	entry.draining = row->draining;
-	entry.born = row->born;
-	entry.created_at = row->created_at;
-	entry.cold_for = MSEC((int64_t)row->cold_for_ms);
-	if (address_parse(str_from(row->address), &entry.address))
-		return;
-	if (listing)
-		server_view_list(&share->sync->servers, &entry,
-				 row->changed_at);
-	else
-		server_view_put(&share->sync->servers, &entry, row->changed_at);
-}
-
-static int64_t confirmed_at(const struct view_share *share, uint32_t age)
-{
-	return clock_now(share->clock) - MSEC((int64_t)age);
-}
-
-/* Taken whether or not the routes are: they need none of them. */
-static void take_cordons(struct view_share *share,
-			 const Peer__ViewUpdate *message)
-{
-	struct cordons cordons = {.at = message->routes_at};
-	size_t i;
-
-	if (message->routes_age_ms == UINT32_MAX)
-		return;
-	for (i = 0; i < message->n_cordons && i < CORDONS_MAX; i++)
-		cordons_put(&cordons,
-			    str_from(message->cordons[i]->data_centre),
-			    message->cordons[i]->changed_at);
-	cordon_sync_take(&share->sync->cordons, &cordons);
-}
-
-static int take_document(struct view_share *share,
-			 const ProtobufCBinaryData *text)
-{
-	const struct str document = {(char *)text->data, text->len};
-	int ret;
-
-	if (!text->len)
-		return 0;
-	ret = store_sync_take_routes(share->sync, document, "peer");
-	return ret == ERR_STALE ? 0 : ret;
-}
-
-static int take_routes(struct view_share *share,
-		       const Peer__ViewUpdate *message,
-		       const ProtobufCBinaryData *text)
-{
-	struct store_sync *sync = share->sync;
-	int ret = take_document(share, text);
-
-	if (ret)
-		return ret;
-	if (!sync->routes || sync->routes->version < message->routes_version)
-		return ERR_VERSION;
-	/* A lower version is old, whatever its age is said to be. */
-	if (sync->routes->version == message->routes_version &&
-	    message->routes_age_ms != UINT32_MAX)
-		store_sync_confirm(sync, STORE_ROUTES, message->routes_at,
-				   confirmed_at(share, message->routes_age_ms));
-	return 0;
-}
-
-static int take_servers(struct view_share *share,
-			const Peer__ViewUpdate *message,
-			Peer__ViewServer *const *servers, size_t n)
-{
-	struct store_feed *feed = &share->sync->feeds[STORE_SERVERS];
-	size_t i;
-
-	if (message->servers_age_ms == UINT32_MAX)
-		return 0;
-	if (message->whole)
-		store_sync_begin_whole(share->sync);
-	for (i = 0; i < n; i++)
-		take_row(share, servers[i], message->whole);
-	if (message->whole)
-		store_sync_end_whole(share->sync, message->servers_at);
-	else if (feed->fresh_at < 0 || feed->at < message->servers_from)
-		return ERR_VERSION;
-	store_sync_confirm(share->sync, STORE_SERVERS, message->servers_at,
-			   confirmed_at(share, message->servers_age_ms));
-	return 0;
-}
-
 static void pass_on(struct view_share *share, const char *member,
 		    const Peer__ViewUpdate *message)
 {
 	struct view_update update = {.message = *message};
 	bool spread = message->spread;
 
-	tell_own(share, &update, member);
+	view_tell_own(share, &update, member);
 	if (spread)
-		tell_others(share, &update);
-}
-
-/* Servers are taken also if the routes are not. */
-static int take(struct view_share *share, const char *member,
-		const Peer__ViewUpdate *message, const Peer__ViewBody *body)
-{
-	const ProtobufCBinaryData *routes =
-		body ? &body->routes : &message->routes;
-	int servers_ret;
-	int ret;
-
-	/* Routes have an order of their own; all else there is outdated. */
-	if (store_sync_enter_era(share->sync, message->store_era,
-				 message->servers_at, member)) {
-		take_document(share, routes);
-		return ERR_STALE;
-	}
-	follow_era(share);
-	take_cordons(share, message);
-	ret = take_routes(share, message, routes);
-	servers_ret = take_servers(share, message,
-				   body ? body->servers : message->servers,
-				   body ? body->n_servers : message->n_servers);
-	return ret ? ret : servers_ret;
+		view_tell_others(share, &update);
 }
 
 int view_share_update(struct view_share *share, const char *member,
@@ -609,7 +405,7 @@
 		return ret;
 	}
 	share->updates_in++;
-	ret = take(share, member, message, body);
+	ret = view_take(share, member, message, body);
 	if (body)
 		peer__view_body__free_unpacked(body, NULL);
 	/* A whole view that is no news here is none in this data centre. */
--- a/view_share.h
+++ b/view_share.h
@@ -138,6 +138,12 @@
  */
 void view_share_read(struct view_share *share);
 
+/**
+ * view_share_follow_era() - the store may be in a later era: what was kept and
+ * told is of the earlier one
+ */
+void view_share_follow_era(struct view_share *share);
+
 /**
  * view_share_met() - a member can be reached
  *
--- /dev/null
+++ b/view_take.c
@@ -0,0 +1,135 @@
+#include "view_take.h"
+
+#include <string.h>
+
+#include "error.h"
+
+static void take_row(struct view_share *share, const Peer__ViewServer *row,
+		     bool listing)
+{
+	struct server_entry entry;
+
+	/* Of an earlier era, kept by the peer until it has a list. */
+	if (!row->changed_at && share->sync->feeds[STORE_SERVERS].at)
+		return;
+	if (row->removed) {
+		server_view_remove(&share->sync->servers, row->id,
+				   row->changed_at, "peer");
+		return;
+	}
+	memset(&entry, 0, sizeof(entry));
+	str_copy(entry.id, sizeof(entry.id), str_from(row->id));
+	str_copy(entry.service, sizeof(entry.service), str_from(row->service));
+	str_copy(entry.data_centre, sizeof(entry.data_centre),
+		 str_from(row->data_centre));
+	entry.slots = row->slots;
+	entry.draining = row->draining;
+	entry.born = row->born;
+	entry.created_at = row->created_at;
+	entry.cold_for = MSEC((int64_t)row->cold_for_ms);
+	if (address_parse(str_from(row->address), &entry.address))
+		return;
+	if (listing)
+		server_view_list(&share->sync->servers, &entry,
+				 row->changed_at);
+	else
+		server_view_put(&share->sync->servers, &entry, row->changed_at);
+}
+
+static int64_t confirmed_at(const struct view_share *share, uint32_t age)
+{
+	return clock_now(share->clock) - MSEC((int64_t)age);
+}
+
+/* Taken whether or not the routes are: they need none of them. */
+static void take_cordons(struct view_share *share,
+			 const Peer__ViewUpdate *message)
+{
+	struct cordons cordons = {.at = message->routes_at};
+	size_t i;
+
+	if (message->routes_age_ms == UINT32_MAX)
+		return;
+	for (i = 0; i < message->n_cordons && i < CORDONS_MAX; i++)
+		cordons_put(&cordons,
+			    str_from(message->cordons[i]->data_centre),
+			    message->cordons[i]->changed_at);
+	cordon_sync_take(&share->sync->cordons, &cordons);
+}
+
+static int take_document(struct view_share *share,
+			 const ProtobufCBinaryData *text)
+{
+	const struct str document = {(char *)text->data, text->len};
+	int ret;
+
+	if (!text->len)
+		return 0;
+	ret = store_sync_take_routes(share->sync, document, "peer");
+	return ret == ERR_STALE ? 0 : ret;
+}
+
+static int take_routes(struct view_share *share,
+		       const Peer__ViewUpdate *message,
+		       const ProtobufCBinaryData *text)
+{
+	struct store_sync *sync = share->sync;
+	int ret = take_document(share, text);
+
+	if (ret)
+		return ret;
+	if (!sync->routes || sync->routes->version < message->routes_version)
+		return ERR_VERSION;
+	/* A lower version is old, whatever its age is said to be. */
+	if (sync->routes->version == message->routes_version &&
+	    message->routes_age_ms != UINT32_MAX)
+		store_sync_confirm(sync, STORE_ROUTES, message->routes_at,
+				   confirmed_at(share, message->routes_age_ms));
+	return 0;
+}
+
+static int take_servers(struct view_share *share,
+			const Peer__ViewUpdate *message,
+			Peer__ViewServer *const *servers, size_t n)
+{
+	struct store_feed *feed = &share->sync->feeds[STORE_SERVERS];
+	size_t i;
+
+	if (message->servers_age_ms == UINT32_MAX)
+		return 0;
+	if (message->whole)
+		store_sync_begin_whole(share->sync);
+	for (i = 0; i < n; i++)
+		take_row(share, servers[i], message->whole);
+	if (message->whole)
+		store_sync_end_whole(share->sync, message->servers_at);
+	else if (feed->fresh_at < 0 || feed->at < message->servers_from)
+		return ERR_VERSION;
+	store_sync_confirm(share->sync, STORE_SERVERS, message->servers_at,
+			   confirmed_at(share, message->servers_age_ms));
+	return 0;
+}
+
+/* Servers are taken also if the routes are not. */
+int view_take(struct view_share *share, const char *member,
+	      const Peer__ViewUpdate *message, const Peer__ViewBody *body)
+{
+	const ProtobufCBinaryData *routes =
+		body ? &body->routes : &message->routes;
+	int servers_ret;
+	int ret;
+
+	/* Routes have an order of their own; all else there is outdated. */
+	if (store_sync_enter_era(share->sync, message->store_era,
+				 message->servers_at, member)) {
+		take_document(share, routes);
+		return ERR_STALE;
+	}
+	view_share_follow_era(share);
+	take_cordons(share, message);
+	ret = take_routes(share, message, routes);
+	servers_ret = take_servers(share, message,
+				   body ? body->servers : message->servers,
+				   body ? body->n_servers : message->n_servers);
+	return ret ? ret : servers_ret;
+}
