--- a/tests/opaque_world.py
+++ b/tests/opaque_world.py
@@ -145,6 +145,7 @@
         super().__init__(("127.0.0.1", 0), StoreHandler)
         self.cond = threading.Condition()
         self.revision = 1
+        self.era = None
         self.items = {}
         self.changes = []
         self.calls = 0
@@ -187,6 +188,20 @@
             self.changes = []
             self.cond.notify_all()
 
+    def copy(self):
+        with self.cond:
+            return self.revision, dict(self.items), list(self.changes)
+
+    def go_back(self, copy):
+        """What was written since the copy is gone, its revisions are given
+        out again."""
+        with self.cond:
+            self.revision, items, changes = copy
+            self.items = dict(items)
+            self.changes = list(changes)
+            self.era += 1
+            self.cond.notify_all()
+
     def range(self, prefix, after):
         with self.cond:
             keys = sorted(
@@ -207,11 +222,15 @@
 
     def watch(self, prefix, after, wait_s):
         with self.cond:
-            if after < self.compacted:
+            era = self.era
+            if after < self.compacted or after > self.revision:
                 return None
             self.cond.wait_for(
-                lambda: self.away or self.events(prefix, after), wait_s
+                lambda: self.away or self.era != era
+                or self.events(prefix, after), wait_s
             )
+            if self.era != era:
+                return None
             return {
                 "events": self.events(prefix, after),
                 "read_at": self.revision,
@@ -229,6 +248,8 @@
         try:
             self.send_response(status)
             self.send_header("Content-Length", str(len(body)))
+            if self.server.era is not None:
+                self.send_header("Store-Era", str(self.server.era))
             self.end_headers()
             self.wfile.write(body)
         except OSError:
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -974,6 +974,40 @@
                     line["version"] == 2 and line["from"] == "peer"]
         self.assertEqual(len(by_peers), 1)
 
+    def test_store_goes_back(self):
+        """Changes that the store gives out again under lower revisions are not
+        taken for old ones; nothing that was in force is lost meanwhile."""
+        self.store.era = 1
+        gateways = self.fleet(2)
+        callers = [self.caller(gateway) for gateway in gateways]
+        copy = self.store.copy()
+        second = self.server("one-2", "one")
+        for version in range(2, 30):
+            self.publish(version, ROUTES + [route("/new/", service="one")])
+        for caller in callers:
+            self.wait("served", lambda c=caller:
+                      c.request("/new/x").status == 200)
+        for _ in range(2):
+            before = self.store.era
+            self.store.go_back(copy)
+            for gateway in gateways:
+                self.wait("in the new era", lambda g=gateway: any(
+                    line["event"] == "store_era_changed"
+                    and line["era_before"] == before for line in g.log()))
+            for caller in callers:
+                self.assertEqual(caller.request("/new/x").status, 200)
+            second.publish()
+            self.publish(29, ROUTES + [route("/new/", service="one")])
+        self.store.remove("servers/one-1")
+        for caller in callers:
+            self.wait("left", lambda c=caller: c.request(
+                "/any/x").body.startswith(b"one-2"))
+        n = len(self.servers[0].ran)
+        for caller in callers:
+            for _ in range(5):
+                self.assertEqual(caller.request("/new/y").status, 200)
+        self.assertEqual(len(self.servers[0].ran), n)
+
     def test_settings_change(self):
         """New seeds come without a signal, and a broken file changes
         nothing."""
--- a/tests/test_server_entry.c
+++ b/tests/test_server_entry.c
@@ -132,7 +132,35 @@
 	CU_ASSERT(read_value("\xff\xfe\x01") == ERR_SYNTAX);
 }
 
+static uint64_t era_of(int status, const char *header)
+{
+	const struct store_reply reply = {
+		.status = status,
+		.era = str_from(header),
+		.body = STR("{\"read_at\":3,\"items\":[]}")};
+	struct store_answer answer;
+	uint64_t era;
+
+	platform_store.decode(STORE_SERVERS, &reply, &answer);
+	era = answer.era;
+	platform_store.release(&answer);
+	return era;
+}
+
+/* A header that is no number must not move the fleet to another era. */
+static void test_era(void)
+{
+	CU_ASSERT_EQUAL(era_of(200, "7"), 7);
+	CU_ASSERT_EQUAL(era_of(410, "8"), 8);
+	CU_ASSERT_EQUAL(era_of(503, "18446744073709551615"), UINT64_MAX);
+	CU_ASSERT_EQUAL(era_of(200, ""), 0);
+	CU_ASSERT_EQUAL(era_of(200, "7x"), 0);
+	CU_ASSERT_EQUAL(era_of(200, "-1"), 0);
+	CU_ASSERT_EQUAL(era_of(200, "18446744073709551616"), 0);
+}
+
 static const struct unit_test tests[] = {
+	{"era", test_era},
 	{"good", test_good},
 	{"missing", test_missing},
 	{"wrong type", test_wrong_type},
