--- a/dispatch.c
+++ b/dispatch.c
@@ -256,9 +256,28 @@
 	return dispatch->ran;
 }
 
+/* What has not left this instance does not run any more. */
+static void take_back_waiting(struct dispatch *dispatch)
+{
+	int i;
+
+	for (i = 0; i < dispatch->n_parts; i++) {
+		struct dispatch_part *part = &dispatch->parts[i];
+		struct dispatch_send *send;
+
+		while ((send = dispatch_part_waiting(part))) {
+			send->state = SEND_OVER;
+			dispatch->ops->abandon(dispatch->arg, send);
+		}
+	}
+}
+
 static void fail_all(struct dispatch *dispatch, int code)
 {
-	bool ran = may_have_run(dispatch);
+	bool ran;
+
+	take_back_waiting(dispatch);
+	ran = may_have_run(dispatch);
 
 	end(dispatch, ran ? DISPATCH_FAILED : DISPATCH_REFUSED, code);
 }
@@ -417,7 +436,8 @@
 static bool is_unsent(int code)
 {
 	return code == ERR_CONNECT || code == ERR_BUDGET ||
-	       code == ERR_DRAINING || code == ERR_COLD;
+	       code == ERR_DRAINING || code == ERR_COLD ||
+	       code == ERR_OVERLOAD || code == ERR_BANNED;
 }
 
 enum dispatch_outcome dispatch_result(struct dispatch *dispatch,
@@ -470,19 +490,33 @@
 	       dispatch->n_in >= dispatch->n_parts * HEDGE_PARTS_IN;
 }
 
+/* What has not left this instance is moved, and runs once at most. */
+static bool may_hedge(const struct dispatch_part *part)
+{
+	return part->dispatch->route->repeatable || dispatch_part_waiting(part);
+}
+
 /*
  * The shard's other servers may be stopped as well, or the budget used up: both
  * change within the time that is left.
  */
 static void hedge_part(struct dispatch_part *part, int64_t now)
 {
+	struct dispatch_send *waiting;
+	int ret;
+
 	if (part->state != PART_WAITING || now < part->hedge_at)
 		return;
 	part->hedge_at = INT64_MAX;
-	if (part->n_run >= part->dispatch->route->servers_max)
+	waiting = dispatch_part_waiting(part);
+	if (!waiting && part->n_run >= part->dispatch->route->servers_max)
 		return;
-	if (!is_straggler(part->dispatch) ||
-	    dispatch_part_send_again(part, "hedge", true))
+	ret = ERR_BUDGET;
+	if (waiting)
+		ret = dispatch_part_move(part, waiting);
+	else if (is_straggler(part->dispatch))
+		ret = dispatch_part_send_again(part, "hedge", true);
+	if (ret)
 		part->hedge_at = now + RETRY_PERIOD;
 }
 
@@ -497,7 +531,7 @@
 
 		if (part->state == PART_WAITING && now >= part->retry_at)
 			try_again(part);
-		else if (dispatch->route->repeatable)
+		else if (may_hedge(part))
 			hedge_part(part, now);
 	}
 	review(dispatch);
@@ -520,7 +554,7 @@
 			continue;
 		if (part->retry_at < due)
 			due = part->retry_at;
-		if (part->hedge_at < due && dispatch->route->repeatable)
+		if (part->hedge_at < due && may_hedge(part))
 			due = part->hedge_at;
 	}
 	return due;
--- a/dispatch.h
+++ b/dispatch.h
@@ -36,11 +36,10 @@
 /**
  * struct dispatch_send - one send of a part to a server
  * @handle: of the owner
- * @watch: of the owner
  * @relayed: of the owner
  * @busy_until: it did not run, for want of a connection or a slot; the server
  *	may be asked again from then on, and this be used anew
- * @why: for logs: "first", "hedge", "retry"
+ * @why: for logs: "first", "hedge", "retry", "moved"
  */
 struct dispatch_send {
 	struct dispatch_part *part;
@@ -48,7 +47,6 @@
 	enum dispatch_send_state state;
 	int64_t sent_at;
 	void *handle;
-	void *watch;
 	bool relayed;
 	int64_t busy_until;
 	const char *why;
@@ -117,12 +115,15 @@
  * @send: send a part to a server. Return: 0 with @send->handle set; or why
  *	nothing was sent
  * @abandon: the answer of a send is not needed any more
+ * @waits: a send has not left this instance, and surely has not run; may be
+ *	NULL: none waits
  * @decided: a send was decided, for the log; may be NULL
  * @limited: the limit of requests under way fell, for the log; may be NULL
  */
 struct dispatch_ops {
 	int (*send)(void *arg, struct dispatch_send *send, int64_t deadline);
 	void (*abandon)(void *arg, struct dispatch_send *send);
+	bool (*waits)(void *arg, const struct dispatch_send *send);
 	void (*decided)(void *arg, const struct dispatch_send *send);
 	void (*limited)(void *arg, const struct load_limit *load);
 };
--- a/dispatch_private.h
+++ b/dispatch_private.h
@@ -11,14 +11,29 @@
 
 /**
  * dispatch_is_worth_waiting() - a server may take the part in a moment
- * @code: why it does not now: no connection is free, or it is cold
+ * @code: why it does not now: no connection is free, it is cold, or more
+ *	urgent ones wait for it than it can serve in time
  *
- * A part of a sharded request holds nobody up while others are waited for. A
- * request to one server does not wait until it is warm: its caller is told at
- * once.
+ * A part of a sharded request holds nobody up while others are waited for. The
+ * caller of a single server that is cold or overloaded is told at once.
  */
 bool dispatch_is_worth_waiting(const struct dispatch *dispatch, int code);
 
+/**
+ * dispatch_part_waiting() - a send of the part that has not left this instance
+ *
+ * Return: NULL if there is none.
+ */
+struct dispatch_send *dispatch_part_waiting(const struct dispatch_part *part);
+
+/**
+ * dispatch_part_move() - send what waits here to another server instead
+ *
+ * Return: 0; or as dispatch_part_send_again(), and it waits on.
+ */
+int dispatch_part_move(struct dispatch_part *part,
+		       struct dispatch_send *waiting);
+
 /**
  * dispatch_part_send() - send it to the best server that takes it
  * @why: for logs
--- a/dispatch_send.c
+++ b/dispatch_send.c
@@ -16,6 +16,23 @@
 	return false;
 }
 
+struct dispatch_send *dispatch_part_waiting(const struct dispatch_part *part)
+{
+	const struct dispatch *dispatch = part->dispatch;
+	int i;
+
+	if (!dispatch->ops->waits)
+		return NULL;
+	for (i = 0; i < part->n_sends; i++) {
+		const struct dispatch_send *send = &part->sends[i];
+
+		if (send->state == SEND_UNDER_WAY &&
+		    dispatch->ops->waits(dispatch->arg, send))
+			return (struct dispatch_send *)send;
+	}
+	return NULL;
+}
+
 /* Servers that a part is not sent to (any more). */
 struct tried {
 	struct registry_server *servers[DISPATCH_SENDS_MAX];
@@ -119,8 +136,9 @@
 
 bool dispatch_is_worth_waiting(const struct dispatch *dispatch, int code)
 {
-	return code == ERR_BUDGET ||
-	       (code == ERR_COLD && dispatch->route->sharded);
+	if (code == ERR_COLD || code == ERR_OVERLOAD)
+		return dispatch->route->sharded;
+	return code == ERR_BUDGET;
 }
 
 int dispatch_part_send(struct dispatch_part *part, const char *why,
@@ -188,3 +206,24 @@
 		budget_refund(&part->service->budget);
 	return ret;
 }
+
+int dispatch_part_move(struct dispatch_part *part,
+		       struct dispatch_send *waiting)
+{
+	struct dispatch *dispatch = part->dispatch;
+	int ret;
+
+	/* It has not run: the other send is in place of it. */
+	part->n_run--;
+	part->n_arrived--;
+	ret = dispatch_part_send_again(part, "moved", true);
+	if (ret) {
+		part->n_run++;
+		part->n_arrived++;
+		return ret;
+	}
+	dispatch->n_extra--;
+	waiting->state = SEND_OVER;
+	dispatch->ops->abandon(dispatch->arg, waiting);
+	return 0;
+}
--- a/gateway.c
+++ b/gateway.c
@@ -84,6 +84,9 @@
 	budget->per_second = 0;
 	gateway->upstream.limits.share_near =
 		CONNECTIONS_NEAR / gateway_fleet_near_senders(&gateway->fleet);
+	gateway->turns.queues.senders =
+		gateway_fleet_near_senders(&gateway->fleet);
+	gateway->turns.queues.enabled = settings->load_control.turns;
 	gateway->upstream.limits.share_far = CONNECTIONS_FAR / entries;
 }
 
@@ -186,8 +189,10 @@
 
 static void on_server_closing(void *arg, struct registry_server *server)
 {
-	(void)arg;
+	struct gateway *gateway = arg;
+
 	upstream_close_idle(server);
+	server_queue_close(&gateway->turns.queues, server);
 }
 
 /* Stopping. */
@@ -301,6 +306,8 @@
 	gateway->registry.regions = &settings->regions;
 	upstream_init(&gateway->upstream, base, &gateway->clock,
 		      &names->upstream);
+	server_queue_net_init(&gateway->turns, base, &gateway->upstream,
+			      &gateway->fleet.board.poison, &gateway->counters);
 	gateway_outage_init(gateway);
 	gateway->limits.control = &settings->load_control;
 	peak_init(&gateway->entries, ENTRIES_SPAN, ENTRIES_LEAST,
@@ -331,7 +338,7 @@
 		       gateway);
 	relay_serve_init(&gateway->relay_serve, &gateway->fleet.board,
 			 &gateway->fleet.peers, &gateway->registry,
-			 &gateway->upstream);
+			 &gateway->turns.queues);
 	on_store_timer(gateway);
 	return 0;
 }
@@ -353,6 +360,7 @@
 	wake_timer_finish(&gateway->store_timer);
 	event_free(gateway->stop_timer);
 	registry_finish(&gateway->registry);
+	server_queue_net_finish(&gateway->turns);
 	HASH_ITER (hh, gateway->stats, stats, next) {
 		HASH_DEL(gateway->stats, stats);
 		free(stats);
--- a/gateway.h
+++ b/gateway.h
@@ -23,6 +23,7 @@
 #include "registry.h"
 #include "relay_ask.h"
 #include "relay_serve.h"
+#include "server_queue_net.h"
 #include "store_client.h"
 #include "store_sync.h"
 #include "upstream.h"
@@ -73,6 +74,7 @@
 	const struct gateway_names *names;
 	struct registry registry;
 	struct upstream upstream;
+	struct server_queue_net turns;
 	struct inbound inbound;
 	struct store_client store;
 	struct store_sync sync;
--- a/gateway_send.c
+++ b/gateway_send.c
@@ -7,7 +7,6 @@
 
 #include <event2/buffer.h>
 
-#include "crash_watch.h"
 #include "error.h"
 #include "log.h"
 #include "mem.h"
@@ -95,7 +94,6 @@
 	};
 	int status;
 
-	crash_watch_end(send->watch, result->code == ERR_LOST);
 	count_result(request->gateway, result);
 	log_bad_result(send, result);
 	if (!result->code) {
@@ -224,23 +222,21 @@
 {
 	struct gateway_request *request = arg;
 	struct gateway *gateway = request->gateway;
-	struct exchange *exchange;
+	const struct server_rank rank = {
+		.priority = request->route->priority,
+		.goal_at = request->dispatch.answer_at,
+	};
+	struct server_turn *turn;
 	int ret;
 
 	if (!relay_part(request, send))
 		return 0;
-	send->watch = crash_watch_new(&gateway->fleet.board.poison,
-				      &gateway->upstream, send->server,
-				      request->fingerprint);
-	if (!send->watch)
-		return ERR_BANNED;
-	ret = upstream_send(&gateway->upstream, send->server, &request->request,
-			    deadline, send->part->target->connections_max,
-			    on_result, send, &exchange);
-	if (ret)
-		crash_watch_end(send->watch, false);
-	else
-		send->handle = exchange;
+	ret = server_queue_send(&gateway->turns.queues, send->server,
+				&request->request, &rank, deadline,
+				send->part->target->connections_max, on_result,
+				send, &turn);
+	if (!ret)
+		send->handle = turn;
 	if (ret == ERR_COLD)
 		metric_inc(&gateway->counters.cold);
 	return ret;
@@ -256,11 +252,16 @@
 		relay_ask_abandon(send->handle);
 		return;
 	}
-	crash_watch_end(send->watch, false);
 	/* Cut off, nobody would know whether it ran. */
 	if (!request->route->repeatable)
 		linger = request->dispatch.deadline - now;
-	exchange_abandon(send->handle, linger > 0 ? linger : 0);
+	server_turn_abandon(send->handle, linger > 0 ? linger : 0);
+}
+
+static bool waits(void *arg, const struct dispatch_send *send)
+{
+	(void)arg;
+	return !send->relayed && server_turn_waits(send->handle);
 }
 
 static void decided(void *arg, const struct dispatch_send *send)
@@ -272,7 +273,8 @@
 	metric_inc(&counters->sends);
 	if (!strcmp(send->why, "first"))
 		return;
-	metric_inc(hedge ? &counters->hedges : &counters->retries);
+	if (strcmp(send->why, "moved"))
+		metric_inc(hedge ? &counters->hedges : &counters->retries);
 	LOG_INFO("sent_again", LOG_STR("request", request->request.id),
 		 LOG_TEXT("why", send->why),
 		 LOG_TEXT("service", send->part->service->name),
@@ -296,6 +298,7 @@
 const struct dispatch_ops gateway_send_ops = {
 	.send = send_part,
 	.abandon = abandon,
+	.waits = waits,
 	.decided = decided,
 	.limited = limited,
 };
@@ -309,6 +312,7 @@
 	struct relay_client *relay = &request->relay;
 	int64_t delay = dispatch_hedge_delay(&request->dispatch);
 
+	request->request.fingerprint = request->fingerprint;
 	relay->request = &request->request;
 	relay->fingerprint = request->fingerprint;
 	relay->deadline = request->dispatch.deadline;
--- a/gateway_stats.h
+++ b/gateway_stats.h
@@ -38,6 +38,17 @@
 	  "of these, without a whole answer")                                  \
 	X(cold, METRIC_COUNTER, "garnetreach_sends_cold_total",                \
 	  "sends kept from servers that are cold, and made elsewhere or not")  \
+	X(turns_waited, METRIC_COUNTER, "garnetreach_turns_waited_total",      \
+	  "sends that waited here for their turn at a server")                 \
+	X(turns_dropped, METRIC_COUNTER, "garnetreach_turns_dropped_total",    \
+	  "of these, given back unsent: out of time, or the server left")      \
+	X(turns_late, METRIC_COUNTER, "garnetreach_turns_late_total",          \
+	  "of these, sent too late for the goal of their request")             \
+	X(turns_forgotten, METRIC_COUNTER,                                     \
+	  "garnetreach_turns_forgotten_total",                                 \
+	  "of these, not needed any more before they were sent")               \
+	X(turn_wait, METRIC_HISTOGRAM, "garnetreach_turn_wait_seconds",        \
+	  "time that those waited that were sent")                             \
 	X(cordons, METRIC_GAUGE, "garnetreach_cordons",                        \
 	  "data centres whose servers get no new requests")                    \
 	X(request_time, METRIC_HISTOGRAM, "garnetreach_request_seconds",       \
--- a/home.c
+++ b/home.c
@@ -131,6 +131,7 @@
 				    : (size_t)tunables->server_queue_max;
 	server->queue.slots = (int)server->slots;
 	job->item.priority = (int)job->query->message->priority;
+	job->item.goal = job->query->deadline_at;
 	job->item.deadline = job->query->deadline_at;
 	ret = slot_queue_push(&server->queue, &job->item, on_drop, home);
 	if (ret)
--- a/relay_serve.c
+++ b/relay_serve.c
@@ -7,7 +7,6 @@
 #include <event2/event.h>
 #include <utlist.h>
 
-#include "crash_watch.h"
 #include "error.h"
 #include "log.h"
 #include "mem.h"
@@ -24,17 +23,20 @@
  */
 #define FLOOR_PARTS 6
 
+/* @turn: NULL once it is over */
 struct relay_send {
 	struct relay_job *job;
 	struct registry_server *server;
-	struct exchange *exchange;
-	struct crash_watch *watch;
+	struct server_turn *turn;
 	uint32_t index;
 };
 
 /**
  * struct relay_job - one message of an entry
  * @link: to answer on; NULL once it is down
+ * @request: as it is sent to each server; its bytes are owned
+ * @rank: among those that wait for the same server
+ * @deadline: microseconds
  * @open: sends that have no result yet
  * @done: results that were not told yet
  * @flushed: the flush time is over; what comes later goes out at once
@@ -45,6 +47,10 @@
 	struct relay_serve *relay;
 	struct peer_link *link;
 	uint64_t id;
+	struct upstream_request request;
+	struct server_rank rank;
+	int64_t deadline;
+	int64_t connections_max;
 	struct event *timer;
 	struct relay_send *sends;
 	int n_sends;
@@ -86,15 +92,16 @@
 	for (i = 0; i < job->n_sends; i++) {
 		struct relay_send *send = &job->sends[i];
 
-		if (!send->exchange)
-			continue;
-		crash_watch_end(send->watch, false);
-		exchange_abandon(send->exchange, linger_of(send));
+		if (send->turn)
+			server_turn_abandon(send->turn, linger_of(send));
 	}
 	clear_done(job);
 	records_finish(&job->records);
 	records_finish(&job->told);
 	event_free(job->timer);
+	free((char *)job->request.head.data);
+	free((char *)job->request.body.data);
+	free((char *)job->request.id.data);
 	free(job->sends);
 	free(job->done);
 	free(job->pointers);
@@ -185,19 +192,37 @@
 	return done;
 }
 
+/* What one more such part would meet at the server. */
+static void add_outlook(const struct relay_send *send, Peer__PartDone *done)
+{
+	const struct relay_job *job = send->job;
+	const struct registry_server *server = send->server;
+	int level = server_outlook_level(job->rank.priority);
+	int64_t now = clock_now(job->relay->board->clock);
+
+	done->failures = (uint32_t)(server->score.failures * 1000);
+	if (!job->relay->queues->enabled)
+		return;
+	done->ahead_us =
+		(uint32_t)server_outlook_ahead(&server->outlook, level, now);
+	done->pace_us =
+		(uint32_t)server_outlook_pace(&server->outlook,
+					      server->service->latency, now);
+}
+
 static void on_result(void *arg, const struct exchange_result *result)
 {
 	struct relay_send *send = arg;
 	struct relay_job *job = send->job;
 	Peer__PartDone *done;
 
-	crash_watch_end(send->watch, result->code == ERR_LOST);
-	send->exchange = NULL;
+	send->turn = NULL;
 	job->open--;
 	done = add_done(job, send->index, result->code, result->not_run);
 	done->stamp = mem_dup_len(result->stamp.data, result->stamp.len);
 	done->took_us = (uint32_t)result->took;
-	done->failures = (uint32_t)(send->server->score.failures * 1000);
+	done->wait_us = (uint32_t)result->waited;
+	add_outlook(send, done);
 	if (!result->code)
 		done->success = result->message->parser.status_code / 100 == 2;
 	if (done->success)
@@ -208,34 +233,20 @@
 }
 
 static int start_send(struct relay_job *job, struct relay_send *send,
-		      const Peer__PartRequest *message,
-		      const struct upstream_request *request,
 		      const Peer__PartSend *part)
 {
 	struct relay_serve *relay = job->relay;
 	struct registry_server *server =
 		registry_find(relay->registry, str_from(part->server));
-	int64_t deadline = clock_now(relay->board->clock) +
-			   MSEC((int64_t)message->deadline_ms) -
-			   blackboard_stall(relay->board);
-	int ret;
 
 	if (!server || !registry_is_open(server))
 		return ERR_DRAINING;
 	server = registry_born(relay->registry, server, part->born);
 	send->server = server;
-	send->watch = crash_watch_new(&relay->board->poison, relay->upstream,
-				      server, message->fingerprint);
-	if (!send->watch)
-		return ERR_BANNED;
-	ret = upstream_send(relay->upstream, server, request, deadline,
-			    message->connections_max, on_result, send,
-			    &send->exchange);
-	if (ret) {
-		crash_watch_end(send->watch, false);
-		send->exchange = NULL;
-	}
-	return ret;
+	return server_queue_send(relay->queues, server, &job->request,
+				 &job->rank, job->deadline,
+				 job->connections_max, on_result, send,
+				 &send->turn);
 }
 
 /* Why a send did not go out. */
@@ -246,6 +257,8 @@
 	int64_t now = clock_now(job->relay->board->clock);
 
 	done->stamp = mem_dup("");
+	if (send->server)
+		add_outlook(send, done);
 	if (code == ERR_COLD)
 		done->cold_for_ms =
 			(uint32_t)((send->server->cold_until - now) /
@@ -254,11 +267,6 @@
 
 static void start_sends(struct relay_job *job, const Peer__PartRequest *message)
 {
-	const struct upstream_request request = {
-		.head = {(char *)message->head.data, message->head.len},
-		.body = {(char *)message->body.data, message->body.len},
-		.id = str_from(message->request_id),
-	};
 	int ret;
 	int i;
 
@@ -267,8 +275,7 @@
 
 		send->job = job;
 		send->index = message->sends[i]->index;
-		ret = start_send(job, send, message, &request,
-				 message->sends[i]);
+		ret = start_send(job, send, message->sends[i]);
 		if (!ret)
 			job->open++;
 		else
@@ -276,6 +283,26 @@
 	}
 }
 
+/* The message is gone when a part that waits has its turn. */
+static void keep_request(struct relay_job *job,
+			 const Peer__PartRequest *message)
+{
+	struct upstream_request *request = &job->request;
+	int64_t now = clock_now(job->relay->board->clock);
+	int64_t stall = blackboard_stall(job->relay->board);
+
+	request->head.len = message->head.len;
+	request->head.data = mem_dup_len(message->head.data, message->head.len);
+	request->body.len = message->body.len;
+	request->body.data = mem_dup_len(message->body.data, message->body.len);
+	request->id = str_from(mem_dup(message->request_id));
+	request->fingerprint = message->fingerprint;
+	job->rank.priority = message->priority;
+	job->rank.goal_at = now + MSEC((int64_t)message->goal_ms) - stall;
+	job->deadline = now + MSEC((int64_t)message->deadline_ms) - stall;
+	job->connections_max = message->connections_max;
+}
+
 static void take_request(struct relay_serve *relay, struct peer_link *link,
 			 const Peer__PartRequest *message)
 {
@@ -307,6 +334,7 @@
 	job->timer = evtimer_new(relay->base, on_timer, job);
 	DL_APPEND(relay->jobs, job);
 	job->flushed = !message->flush_ms;
+	keep_request(job, message);
 	start_sends(job, message);
 	if (review(job, true) && message->flush_ms)
 		evtimer_add(job->timer, &tv);
@@ -321,9 +349,9 @@
 	int i;
 
 	for (i = 0; i < job->n_sends; i++) {
-		if (job->sends[i].exchange)
-			exchange_hurry(job->sends[i].exchange,
-				       linger_of(&job->sends[i]));
+		if (job->sends[i].turn)
+			server_turn_hurry(job->sends[i].turn,
+					  linger_of(&job->sends[i]));
 	}
 }
 
@@ -367,14 +395,14 @@
 
 void relay_serve_init(struct relay_serve *relay, struct blackboard *board,
 		      struct peers *peers, struct registry *registry,
-		      struct upstream *upstream)
+		      struct server_queues *queues)
 {
 	memset(relay, 0, sizeof(*relay));
 	relay->base = board->base;
 	relay->board = board;
 	relay->peers = peers;
 	relay->registry = registry;
-	relay->upstream = upstream;
+	relay->queues = queues;
 	relay->handler.frame = on_frame;
 	relay->handler.down = on_down;
 	relay->handler.types =
--- a/relay_serve.h
+++ b/relay_serve.h
@@ -13,7 +13,7 @@
 #include "blackboard.h"
 #include "peer.h"
 #include "registry.h"
-#include "upstream.h"
+#include "server_queue.h"
 
 struct relay_job;
 
@@ -25,14 +25,14 @@
 	struct blackboard *board;
 	struct peers *peers;
 	struct registry *registry;
-	struct upstream *upstream;
+	struct server_queues *queues;
 	struct peer_handler handler;
 	struct relay_job *jobs;
 };
 
 void relay_serve_init(struct relay_serve *relay, struct blackboard *board,
 		      struct peers *peers, struct registry *registry,
-		      struct upstream *upstream);
+		      struct server_queues *queues);
 void relay_serve_finish(struct relay_serve *relay);
 
 #endif
--- /dev/null
+++ b/server_queue.c
@@ -0,0 +1,455 @@
+#define LOG_MODULE "server_queue"
+#include "server_queue.h"
+
+#include <limits.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <utlist.h>
+
+#include "error.h"
+#include "log.h"
+#include "mem.h"
+
+/* Requests that wait for one server here. */
+#define WAITING_MOST 128
+/* Each so-many-th turn is for the least urgent. */
+#define FLOOR_TURNS 8
+/* To a server elsewhere, asked directly, are under way at least so many. */
+#define FAR_LEAST 2
+/* A server that refuses more than this share has others' work in it. */
+#define REFUSALS_MOST 0.1
+/* How often what waits is looked through for what cannot be served in time. */
+#define TICK MSEC(20)
+
+/**
+ * struct server_queue - of one server, while something waits
+ */
+struct server_queue {
+	struct registry_server *server;
+	struct slot_queue items;
+	struct server_queue *prev;
+	struct server_queue *next;
+};
+
+void server_queues_init(struct server_queues *queues, const struct clock *clock,
+			const struct server_queue_ops *ops, void *arg,
+			struct gateway_stats *stats)
+{
+	memset(queues, 0, sizeof(*queues));
+	queues->clock = clock;
+	queues->ops = ops;
+	queues->arg = arg;
+	queues->stats = stats;
+	queues->senders = 1;
+}
+
+static int64_t now_of(const struct server_queues *queues)
+{
+	return clock_now(queues->clock);
+}
+
+static struct server_turn *turn_of(struct slot_item *item)
+{
+	return (struct server_turn *)((char *)item -
+				      offsetof(struct server_turn, item));
+}
+
+/* What keeps this instance's share of the slots busy. */
+static int most_under_way(const struct server_queues *queues,
+			  const struct registry_server *server)
+{
+	int64_t share = server->entry.slots / queues->senders;
+
+	if (share < 1)
+		share = 1;
+	if (share > WAITING_MOST)
+		share = WAITING_MOST;
+	if (server->remote)
+		return share > FAR_LEAST ? (int)share : FAR_LEAST;
+	/* One more, so that a slot does not wait for the way. */
+	return (int)share + (server->score.refusals <= REFUSALS_MOST);
+}
+
+static bool has_room(const struct server_queues *queues,
+		     const struct registry_server *server)
+{
+	return queues->ops->under_way(queues->arg, server) <
+	       most_under_way(queues, server);
+}
+
+static double pace_of(const struct server_queues *queues,
+		      const struct registry_server *server)
+{
+	return server_outlook_pace(&server->outlook, server->service->latency,
+				   now_of(queues));
+}
+
+/*
+ * Until the next of those under way ends. With n of them, one ends every n-th
+ * of the time that each takes, whoever else uses the slots.
+ *
+ * Return: 0 if one more may be sent at once.
+ */
+static double until_next(const struct server_queues *queues,
+			 const struct registry_server *server)
+{
+	if (!server->queue && has_room(queues, server))
+		return 0;
+	return pace_of(queues, server) / most_under_way(queues, server);
+}
+
+static int64_t ahead_of(const struct registry_server *server, int priority,
+			double until_next)
+{
+	size_t n = 1;
+
+	if (server->queue)
+		n += slot_queue_before(&server->queue->items, priority);
+	return (int64_t)((double)n * until_next);
+}
+
+static void tell_outlook(const struct server_queues *queues,
+			 struct registry_server *server)
+{
+	int64_t now = now_of(queues);
+	double next;
+	int level;
+
+	if (!queues->enabled)
+		return;
+	next = until_next(queues, server);
+	for (level = 0; level < OUTLOOK_LEVELS; level++) {
+		int priority = level < OUTLOOK_LEVELS - 1 ? level : INT_MAX;
+
+		server_outlook_told(&server->outlook, level,
+				    ahead_of(server, priority, next), now);
+	}
+}
+
+static void free_turn(struct server_turn *turn)
+{
+	registry_server_unref(turn->server);
+	free(turn);
+}
+
+/* Reported later: whoever has to hear of it may be at work on its requests. */
+static void end_unsent(struct server_turn *turn, int code)
+{
+	struct server_queues *queues = turn->queues;
+
+	turn->state = TURN_ENDED;
+	turn->code = code;
+	DL_APPEND(queues->ended, turn);
+	queues->ops->wake(queues->arg, now_of(queues));
+}
+
+static void log_turn_dropped(const struct server_turn *turn, int code)
+{
+	const struct server_queues *queues = turn->queues;
+	int64_t now = now_of(queues);
+
+	LOG_INFO("turn_dropped", LOG_STR("request", turn->request->id),
+		 LOG_TEXT("server", turn->server->entry.id),
+		 LOG_TEXT("error", error_name(code)),
+		 LOG_I64("priority", turn->item.priority),
+		 LOG_I64("waited_us", now - turn->queued_at),
+		 LOG_I64("left_us", turn->deadline - now),
+		 LOG_I64("ahead_us",
+			 ahead_of(turn->server, turn->item.priority,
+				  until_next(queues, turn->server))),
+		 LOG_F64("pace_us", pace_of(queues, turn->server)));
+}
+
+static void drop(struct server_turn *turn, int code)
+{
+	metric_inc(&turn->queues->stats->turns_dropped);
+	log_turn_dropped(turn, code);
+	end_unsent(turn, code);
+}
+
+/* It would not have been answered in time, or the queue is full. */
+static void on_drop(void *ctx, struct slot_item *item, int code)
+{
+	(void)ctx;
+	(void)code;
+	drop(turn_of(item), ERR_OVERLOAD);
+}
+
+static struct server_queue *queue_of(struct server_queues *queues,
+				     struct registry_server *server)
+{
+	struct server_queue *queue = server->queue;
+
+	if (!queue) {
+		queue = mem_zalloc(sizeof(*queue));
+		queue->server = server;
+		slot_queue_init(&queue->items, queues->clock, WAITING_MOST);
+		queue->items.floor = FLOOR_TURNS;
+		DL_APPEND(queues->waiting, queue);
+		server->queue = queue;
+		queues->ops->wake(queues->arg, now_of(queues) + TICK);
+	}
+	queue->items.slots = most_under_way(queues, server);
+	queue->items.usual = pace_of(queues, server);
+	queue->items.mean = queue->items.usual;
+	return queue;
+}
+
+/* The queue ends with the last that waits. */
+static void review(struct server_queues *queues, struct registry_server *server)
+{
+	struct server_queue *queue = server->queue;
+
+	if (queue && !queue->items.n) {
+		DL_DELETE(queues->waiting, queue);
+		slot_queue_finish(&queue->items);
+		free(queue);
+		server->queue = NULL;
+	}
+	tell_outlook(queues, server);
+}
+
+static int send_now(struct server_turn *turn)
+{
+	struct server_queues *queues = turn->queues;
+
+	turn->state = TURN_SENT;
+	turn->sent_at = now_of(queues);
+	return queues->ops->send(queues->arg, turn);
+}
+
+static void note_wait(const struct server_turn *turn)
+{
+	struct server_queues *queues = turn->queues;
+	int64_t now = now_of(queues);
+	int64_t waited = now - turn->queued_at;
+
+	metric_histogram_add(&queues->stats->turn_wait.histogram, waited);
+	if (!turn->item.late)
+		return;
+	metric_inc(&queues->stats->turns_late);
+	LOG_INFO("turn_late", LOG_STR("request", turn->request->id),
+		 LOG_TEXT("server", turn->server->entry.id),
+		 LOG_I64("priority", turn->item.priority),
+		 LOG_I64("waited_us", waited),
+		 LOG_I64("goal_in_us", turn->item.goal - now),
+		 LOG_F64("pace_us", pace_of(queues, turn->server)));
+}
+
+/* Why nothing that waits can be sent any more; 0: it can. */
+static int reason_to_close(const struct registry_server *server)
+{
+	if (!registry_is_open(server))
+		return ERR_DRAINING;
+	return server_score_is_lost(&server->score) ? ERR_CONNECT : 0;
+}
+
+static void return_all(struct server_queue *queue, int code)
+{
+	while (queue->items.n) {
+		struct server_turn *turn = turn_of(queue->items.items[0]);
+
+		slot_queue_remove(&queue->items, &turn->item);
+		drop(turn, code);
+	}
+}
+
+/* Send what may go out. */
+static void go_on(struct server_queues *queues, struct registry_server *server)
+{
+	int code = reason_to_close(server);
+	struct server_queue *queue;
+	struct slot_item *item;
+	int ret;
+
+	if (!server->queue)
+		return;
+	queue = queue_of(queues, server);
+	if (code)
+		return_all(queue, code);
+	while (queue->items.n &&
+	       (!queues->enabled || has_room(queues, server))) {
+		item = slot_queue_pop(&queue->items, on_drop, queues);
+		if (!item)
+			break;
+		note_wait(turn_of(item));
+		ret = send_now(turn_of(item));
+		if (ret)
+			end_unsent(turn_of(item), ret);
+	}
+}
+
+static int enqueue(struct server_turn *turn)
+{
+	struct server_queues *queues = turn->queues;
+	struct registry_server *server = turn->server;
+	struct server_queue *queue;
+	int ret = reason_to_close(server);
+
+	if (ret)
+		return ret;
+	queue = queue_of(queues, server);
+	ret = slot_queue_push(&queue->items, &turn->item, on_drop, queues);
+	if (ret) {
+		metric_inc(&queues->stats->turns_dropped);
+		log_turn_dropped(turn, ERR_OVERLOAD);
+		return ERR_OVERLOAD;
+	}
+	metric_inc(&queues->stats->turns_waited);
+	go_on(queues, server);
+	return 0;
+}
+
+static bool must_wait(const struct server_queues *queues,
+		      const struct registry_server *server)
+{
+	return queues->enabled && (server->queue || !has_room(queues, server));
+}
+
+static struct server_turn *new_turn(struct server_queues *queues,
+				    struct registry_server *server,
+				    const struct server_rank *rank,
+				    int64_t deadline)
+{
+	struct server_turn *turn = mem_zalloc(sizeof(*turn));
+
+	turn->queues = queues;
+	turn->server = registry_server_ref(server);
+	turn->deadline = deadline;
+	turn->queued_at = now_of(queues);
+	turn->item.priority =
+		rank->priority < INT_MAX ? (int)rank->priority : INT_MAX;
+	turn->item.goal = rank->goal_at < deadline ? rank->goal_at : deadline;
+	turn->item.deadline = deadline;
+	return turn;
+}
+
+int server_queue_send(struct server_queues *queues,
+		      struct registry_server *server,
+		      const struct upstream_request *request,
+		      const struct server_rank *rank, int64_t deadline,
+		      int64_t connections_max, exchange_cb cb, void *arg,
+		      struct server_turn **out)
+{
+	struct server_turn *turn = new_turn(queues, server, rank, deadline);
+	int ret;
+
+	turn->request = request;
+	turn->connections_max = connections_max;
+	turn->cb = cb;
+	turn->arg = arg;
+	ret = must_wait(queues, server) ? enqueue(turn) : send_now(turn);
+	review(queues, server);
+	if (ret)
+		free_turn(turn);
+	else
+		*out = turn;
+	return ret;
+}
+
+bool server_turn_waits(const struct server_turn *turn)
+{
+	return turn->state != TURN_SENT;
+}
+
+static void leave_queue(struct server_turn *turn)
+{
+	slot_queue_remove(&turn->server->queue->items, &turn->item);
+	metric_inc(&turn->queues->stats->turns_forgotten);
+	review(turn->queues, turn->server);
+}
+
+void server_turn_abandon(struct server_turn *turn, int64_t linger)
+{
+	struct server_queues *queues = turn->queues;
+
+	if (turn->state == TURN_WAITING)
+		leave_queue(turn);
+	else if (turn->state == TURN_ENDED)
+		DL_DELETE(queues->ended, turn);
+	else
+		queues->ops->abandon(queues->arg, turn, linger);
+	free_turn(turn);
+}
+
+void server_turn_hurry(struct server_turn *turn, int64_t linger)
+{
+	struct server_queues *queues = turn->queues;
+
+	if (turn->state == TURN_SENT)
+		queues->ops->hurry(queues->arg, turn, linger);
+	if (turn->state != TURN_WAITING)
+		return;
+	leave_queue(turn);
+	end_unsent(turn, ERR_CANCELLED);
+}
+
+static void report(struct server_turn *turn,
+		   const struct exchange_result *result)
+{
+	exchange_cb cb = turn->cb;
+	void *arg = turn->arg;
+
+	free_turn(turn);
+	cb(arg, result);
+}
+
+void server_turn_over(struct server_turn *turn,
+		      const struct exchange_result *result)
+{
+	struct exchange_result told = *result;
+	struct registry_server *server = turn->server;
+
+	told.waited = turn->sent_at - turn->queued_at;
+	if (!result->code && turn->queues->enabled)
+		server_outlook_paced(&server->outlook, server->score.latency,
+				     now_of(turn->queues));
+	report(turn, &told);
+}
+
+void server_queue_freed(struct server_queues *queues,
+			struct registry_server *server)
+{
+	go_on(queues, server);
+	review(queues, server);
+}
+
+void server_queue_close(struct server_queues *queues,
+			struct registry_server *server)
+{
+	server_queue_freed(queues, server);
+}
+
+static void look_through(struct server_queues *queues)
+{
+	struct server_queue *queue;
+	struct server_queue *next;
+
+	DL_FOREACH_SAFE (queues->waiting, queue, next) {
+		struct registry_server *server = queue->server;
+
+		slot_queue_expire(&queue->items, on_drop, queues);
+		go_on(queues, server);
+		review(queues, server);
+	}
+	if (queues->waiting)
+		queues->ops->wake(queues->arg, now_of(queues) + TICK);
+}
+
+void server_queue_tick(struct server_queues *queues)
+{
+	look_through(queues);
+	while (queues->ended) {
+		struct server_turn *turn = queues->ended;
+		const struct exchange_result result = {
+			.code = turn->code,
+			.not_run = true,
+			.stamp = STR(""),
+			.waited = now_of(queues) - turn->queued_at,
+		};
+
+		DL_DELETE(queues->ended, turn);
+		report(turn, &result);
+	}
+}
--- a/server_queue.h
+++ b/server_queue.h
@@ -4,6 +4,10 @@
  * the load that servers cannot bear: what stands in a server's own queue cannot
  * be overtaken or taken back, so that few are sent to it at a time. What cannot
  * be served in time goes back to who gave it, unsent.
+ *
+ * Decides without sockets: sends go out through struct server_queue_ops, their
+ * ends come in by server_turn_over() and server_queue_freed(), and time by
+ * server_queue_tick(). See docs/design/turns.md.
  */
 #ifndef SERVER_QUEUE_H
 #define SERVER_QUEUE_H
@@ -12,10 +16,12 @@
 #include <stdint.h>
 
 #include "clock.h"
+#include "gateway_stats.h"
 #include "registry.h"
+#include "slot_queue.h"
 #include "upstream.h"
 
-struct server_turn;
+struct server_queues;
 
 /**
  * struct server_rank - the place of a request among those that wait
@@ -27,21 +33,77 @@
 	int64_t goal_at;
 };
 
+enum server_turn_state {
+	TURN_WAITING,
+	TURN_SENT,
+	TURN_ENDED, /* unsent; that is yet to be reported */
+};
+
+/**
+ * struct server_turn - one request
+ * @server: held
+ * @handle: of the owner of the operations, while it is sent
+ * @watch: the same
+ * @code: why it ended unsent
+ */
+struct server_turn {
+	struct server_queues *queues;
+	struct registry_server *server;
+	const struct upstream_request *request;
+	int64_t deadline;
+	int64_t connections_max;
+	exchange_cb cb;
+	void *arg;
+	void *handle;
+	void *watch;
+	enum server_turn_state state;
+	int64_t queued_at;
+	int64_t sent_at;
+	int code;
+	struct slot_item item;
+	struct server_turn *prev; /* of those that ended */
+	struct server_turn *next;
+};
+
+/**
+ * struct server_queue_ops - what the module wants done
+ * @send: send a request now. Return: 0 with @turn->handle set, as the owner
+ *	likes; or why not, as upstream_send()
+ * @abandon: see server_turn_abandon()
+ * @hurry: see server_turn_hurry()
+ * @under_way: requests of this instance that a server has not ended
+ * @wake: call server_queue_tick() at the latest at a time
+ */
+struct server_queue_ops {
+	int (*send)(void *arg, struct server_turn *turn);
+	void (*abandon)(void *arg, struct server_turn *turn, int64_t linger);
+	void (*hurry)(void *arg, struct server_turn *turn, int64_t linger);
+	int (*under_way)(void *arg, const struct registry_server *server);
+	void (*wake)(void *arg, int64_t at);
+};
+
 /**
  * struct server_queues - what the queues of all servers share
  * @senders: instances that send to the servers of this data centre, whose slots
  *	they share; at least 1
  * @enabled: else all is sent at once
+ * @waiting: servers for which requests wait
+ * @ended: turns that ended unsent, not reported yet
  */
 struct server_queues {
 	const struct clock *clock;
-	struct upstream *upstream;
+	const struct server_queue_ops *ops;
+	void *arg;
+	struct gateway_stats *stats;
 	int senders;
 	bool enabled;
+	struct server_queue *waiting;
+	struct server_turn *ended;
 };
 
 void server_queues_init(struct server_queues *queues, const struct clock *clock,
-			struct upstream *upstream);
+			const struct server_queue_ops *ops, void *arg,
+			struct gateway_stats *stats);
 
 /**
  * server_queue_send() - send a request, now or when its turn comes
@@ -50,7 +112,8 @@
  *	not have been answered in time
  * @out: valid until @cb is called or it is abandoned
  *
- * Return: 0, or as upstream_send().
+ * Return: 0; ERR_OVERLOAD if it would not be answered by its deadline; or as
+ * upstream_send().
  */
 int server_queue_send(struct server_queues *queues,
 		      struct registry_server *server,
@@ -59,6 +122,11 @@
 		      int64_t connections_max, exchange_cb cb, void *arg,
 		      struct server_turn **out);
 
+/**
+ * server_turn_waits() - it was not sent, and surely has not run
+ */
+bool server_turn_waits(const struct server_turn *turn);
+
 /**
  * server_turn_abandon() - the answer is not needed any more
  * @linger: as of exchange_abandon(); what was not sent is forgotten
@@ -70,4 +138,28 @@
  */
 void server_turn_hurry(struct server_turn *turn, int64_t linger);
 
+/**
+ * server_turn_over() - a send ended that was not abandoned
+ */
+void server_turn_over(struct server_turn *turn,
+		      const struct exchange_result *result);
+
+/**
+ * server_queue_freed() - a request to a server ended, and its connection can be
+ * used
+ */
+void server_queue_freed(struct server_queues *queues,
+			struct registry_server *server);
+
+/**
+ * server_queue_close() - a server gets no new requests: what waits goes back
+ */
+void server_queue_close(struct server_queues *queues,
+			struct registry_server *server);
+
+/**
+ * server_queue_tick() - time passed, or something ended unsent
+ */
+void server_queue_tick(struct server_queues *queues);
+
 #endif
--- /dev/null
+++ b/server_queue_net.c
@@ -0,0 +1,99 @@
+#include "server_queue_net.h"
+
+#include "crash_watch.h"
+#include "error.h"
+
+static void on_result(void *arg, const struct exchange_result *result)
+{
+	struct server_turn *turn = arg;
+
+	crash_watch_end(turn->watch, result->code == ERR_LOST);
+	server_turn_over(turn, result);
+}
+
+/* What waits is not watched: it cannot crash the server. */
+static int send_turn(void *arg, struct server_turn *turn)
+{
+	struct server_queue_net *net = arg;
+	struct exchange *exchange;
+	int ret;
+
+	turn->watch = crash_watch_new(net->poison, net->upstream, turn->server,
+				      turn->request->fingerprint);
+	if (!turn->watch)
+		return ERR_BANNED;
+	ret = upstream_send(net->upstream, turn->server, turn->request,
+			    turn->deadline, turn->connections_max, on_result,
+			    turn, &exchange);
+	if (ret)
+		crash_watch_end(turn->watch, false);
+	else
+		turn->handle = exchange;
+	return ret;
+}
+
+static void abandon(void *arg, struct server_turn *turn, int64_t linger)
+{
+	(void)arg;
+	crash_watch_end(turn->watch, false);
+	exchange_abandon(turn->handle, linger);
+}
+
+static void hurry(void *arg, struct server_turn *turn, int64_t linger)
+{
+	(void)arg;
+	exchange_hurry(turn->handle, linger);
+}
+
+static int under_way(void *arg, const struct registry_server *server)
+{
+	(void)arg;
+	return upstream_under_way(server);
+}
+
+static void wake(void *arg, int64_t at)
+{
+	struct server_queue_net *net = arg;
+
+	wake_timer_arm(&net->timer, at);
+}
+
+static const struct server_queue_ops ops = {
+	.send = send_turn,
+	.abandon = abandon,
+	.hurry = hurry,
+	.under_way = under_way,
+	.wake = wake,
+};
+
+static void on_freed(void *arg, struct registry_server *server)
+{
+	struct server_queue_net *net = arg;
+
+	server_queue_freed(&net->queues, server);
+}
+
+static void on_timer(void *arg)
+{
+	struct server_queue_net *net = arg;
+
+	server_queue_tick(&net->queues);
+}
+
+void server_queue_net_init(struct server_queue_net *net,
+			   struct event_base *base, struct upstream *upstream,
+			   struct poison *poison, struct gateway_stats *stats)
+{
+	net->upstream = upstream;
+	net->poison = poison;
+	server_queues_init(&net->queues, upstream->clock, &ops, net, stats);
+	wake_timer_init(&net->timer, base, upstream->clock, on_timer, net);
+	upstream->freed = on_freed;
+	upstream->freed_arg = net;
+}
+
+void server_queue_net_finish(struct server_queue_net *net)
+{
+	net->upstream->freed = NULL;
+	wake_timer_finish(&net->timer);
+}
--- a/slot_queue.c
+++ b/slot_queue.c
@@ -14,10 +14,12 @@
 /* Whether @a goes before @b. */
 static bool before(const struct slot_item *a, const struct slot_item *b)
 {
+	if (a->late != b->late)
+		return b->late;
 	if (a->priority != b->priority)
 		return a->priority < b->priority;
-	if (a->deadline != b->deadline)
-		return a->deadline < b->deadline;
+	if (a->goal != b->goal)
+		return a->goal < b->goal;
 	return a->order < b->order;
 }
 
@@ -79,18 +81,27 @@
  * that it is quick again: at most half of what an item came with is asked of
  * it.
  */
-static int64_t need_of(const struct slot_queue *queue,
-		       const struct slot_item *item)
+static bool misses(const struct slot_queue *queue, const struct slot_item *item,
+		   int64_t end, int64_t now)
 {
-	int64_t usual = queue->plain ? 0 : (int64_t)queue->usual;
+	int64_t need = queue->plain ? 0 : (int64_t)queue->usual;
+	int64_t most = (end - item->pushed) / 2;
 
-	return usual < item->need_max ? usual : item->need_max;
+	if (need > most)
+		need = most;
+	return now + need >= end;
 }
 
 static bool is_late(const struct slot_queue *queue,
 		    const struct slot_item *item, int64_t now)
 {
-	return now + need_of(queue, item) >= item->deadline;
+	return misses(queue, item, item->deadline, now);
+}
+
+static bool misses_goal(const struct slot_queue *queue,
+			const struct slot_item *item, int64_t now)
+{
+	return item->late || misses(queue, item, item->goal, now);
 }
 
 static int64_t wait_behind(const struct slot_queue *queue, size_t n)
@@ -134,7 +145,7 @@
 	if (!queue->n)
 		return ERR_OVERLOAD;
 	last = find_last(queue);
-	if (last->priority <= item->priority)
+	if (!last->late && last->priority <= item->priority)
 		return ERR_OVERLOAD;
 	take_out(queue, last->place - 1);
 	drop(ctx, last, ERR_OVERLOAD);
@@ -166,7 +177,7 @@
 	item->place = 0;
 	item->pushed = now;
 	item->order = ++queue->pushes;
-	item->need_max = (item->deadline - now) / 2;
+	item->late = false;
 	wait = wait_behind(queue, count_before(queue, item));
 	if (item->deadline <= now || is_late(queue, item, now + wait))
 		return ERR_TOO_LATE;
@@ -178,22 +189,78 @@
 	return 0;
 }
 
+/* Whoever would miss its goal goes behind all that would not. */
+static struct slot_item *find_first(struct slot_queue *queue, int64_t now)
+{
+	struct slot_item *first = queue->items[0];
+
+	while (!first->late && misses_goal(queue, first, now) &&
+	       !is_late(queue, first, now)) {
+		first->late = true;
+		move_down(queue, 0);
+		first = queue->items[0];
+	}
+	return first;
+}
+
+/* Of the least urgent that can be in time, the first. */
+static struct slot_item *find_least(const struct slot_queue *queue, int64_t now)
+{
+	struct slot_item *least = NULL;
+	size_t i;
+
+	for (i = 0; i < queue->n; i++) {
+		struct slot_item *item = queue->items[i];
+
+		if (misses_goal(queue, item, now))
+			continue;
+		if (!least || item->priority > least->priority ||
+		    (item->priority == least->priority && before(item, least)))
+			least = item;
+	}
+	return least;
+}
+
+static struct slot_item *find_next(struct slot_queue *queue, int64_t now)
+{
+	struct slot_item *least = NULL;
+
+	if (queue->floor && !(++queue->pops % (uint64_t)queue->floor))
+		least = find_least(queue, now);
+	return least ? least : find_first(queue, now);
+}
+
 struct slot_item *slot_queue_pop(struct slot_queue *queue, slot_drop_fn drop,
 				 void *ctx)
 {
 	int64_t now = clock_now(queue->clock);
 
 	while (queue->n) {
-		struct slot_item *first = queue->items[0];
+		struct slot_item *next = find_next(queue, now);
 
-		take_out(queue, 0);
-		if (!is_late(queue, first, now))
-			return first;
-		drop(ctx, first, ERR_TOO_LATE);
+		take_out(queue, next->place - 1);
+		if (!is_late(queue, next, now))
+			return next;
+		drop(ctx, next, ERR_TOO_LATE);
 	}
 	return NULL;
 }
 
+size_t slot_queue_before(const struct slot_queue *queue, int priority)
+{
+	int64_t now = clock_now(queue->clock);
+	size_t n = 0;
+	size_t i;
+
+	for (i = 0; i < queue->n; i++) {
+		const struct slot_item *item = queue->items[i];
+
+		n += item->priority <= priority &&
+		     !misses_goal(queue, item, now);
+	}
+	return n;
+}
+
 void slot_queue_remove(struct slot_queue *queue, struct slot_item *item)
 {
 	if (item->place)
--- a/slot_queue.h
+++ b/slot_queue.h
@@ -1,7 +1,8 @@
 /*
- * The queue for the slots of one backend server at one of its homes: the most
- * urgent priority first, then the earliest deadline. What can't be answered in
- * time is dropped before it takes a slot, and so provably did not run.
+ * The queue for the slots of one backend server: the most urgent priority
+ * first, then the earliest goal. What would miss its goal goes last, and what
+ * would miss its deadline is dropped before it takes a slot, and so provably
+ * did not run.
  */
 #ifndef SLOT_QUEUE_H
 #define SLOT_QUEUE_H
@@ -16,15 +17,18 @@
  * struct slot_item - a request that waits; owned by the caller until it is
  * popped, removed or dropped
  * @priority: 0 is the most urgent
+ * @goal: an answer later than this is worth little; @deadline where there is no
+ *	such time, microseconds
  * @deadline: on the clock, microseconds
  * @pushed: when it was queued, microseconds
  */
 struct slot_item {
 	int priority;
+	int64_t goal;
 	int64_t deadline;
 	int64_t pushed;
 	/* Of the module. */
-	int64_t need_max;
+	bool late; /* it was found that it misses its goal */
 	uint64_t order;
 	size_t place; /* in the heap, from 1; 0: not queued */
 };
@@ -34,7 +38,8 @@
  * @items: a heap
  * @max: most items
  * @plain: drop at the deadline only, as a baseline of experiments
- * @slots: this home's share, for the estimate of waits
+ * @floor: each so-many-th turn is for the least urgent, 0: none is
+ * @slots: of them this instance's share, for the estimate of waits
  * @usual: nearly all take less with a slot, microseconds; 0: not known
  * @mean: time with a slot, microseconds
  */
@@ -45,10 +50,12 @@
 	size_t cap;
 	size_t max;
 	bool plain;
+	int floor;
 	int slots;
 	double usual;
 	double mean;
 	uint64_t pushes;
+	uint64_t pops;
 };
 
 /* Told of an item that left the queue without a slot; @code as slot_queue_push.
@@ -92,6 +99,13 @@
  */
 void slot_queue_expire(struct slot_queue *queue, slot_drop_fn drop, void *ctx);
 
+/**
+ * slot_queue_before() - how many would be served before a new item that is in
+ * time
+ * @priority: of the new one
+ */
+size_t slot_queue_before(const struct slot_queue *queue, int priority);
+
 /**
  * slot_queue_served() - learn how long a request had a slot
  */
--- a/tests/fuzz/fuzz_relay.c
+++ b/tests/fuzz/fuzz_relay.c
@@ -26,6 +26,8 @@
 	struct blackboard board;
 	struct registry registry;
 	struct upstream upstream;
+	struct gateway_stats stats;
+	struct server_queue_net turns;
 	struct peers peers;
 	struct peer_link in;
 	struct peer_link out;
@@ -146,8 +148,12 @@
 	add_link(world, &world->in, false, "far");
 	add_link(world, &world->out, true, "far");
 	add_link(world, &world->other, true, "other");
+	gateway_stats_init(&world->stats);
+	server_queue_net_init(&world->turns, base, &world->upstream,
+			      &world->board.poison, &world->stats);
+	world->turns.queues.enabled = true;
 	relay_serve_init(&world->serve, &world->board, &world->peers,
-			 &world->registry, &world->upstream);
+			 &world->registry, &world->turns.queues);
 	relay_ask_init(&world->ask, &world->board, &world->peers,
 		       &world->registry, on_usable, world);
 	world->request.head = STR("GET / HTTP/1.1\r\n");
@@ -173,6 +179,7 @@
 	relay_serve_finish(&world->serve);
 	upstream_finish(&world->upstream);
 	registry_finish(&world->registry);
+	server_queue_net_finish(&world->turns);
 	blackboard_finish(&world->board);
 	bufferevent_free(world->in.bev);
 	bufferevent_free(world->out.bev);
--- a/tests/test_admission.c
+++ b/tests/test_admission.c
@@ -490,6 +490,7 @@
 
 	job->waits = false;
 	job->item.priority = job->base.priority;
+	job->item.goal = job->base.deadline;
 	job->item.deadline = job->base.deadline;
 	if (model->plain) {
 		job->item.pushed = clock_now(&model->clock);
--- a/upstream.c
+++ b/upstream.c
@@ -28,6 +28,8 @@
  * there, within 1.2 s, and the view is told within as much.
  */
 #define RESTART_SUSPECTED MSEC(2500)
+/* An answer that later ones overtake by so many times the usual is lost. */
+#define OVERTAKEN_TIMES 3
 #define HEAD_MAX 65536
 #define BODY_MAX (8 * 1024 * 1024)
 
@@ -102,9 +104,20 @@
 	free_exchange(exchange);
 }
 
+/* @server: held for this */
+static void tell_freed(struct upstream *upstream,
+		       struct registry_server *server)
+{
+	if (upstream->freed)
+		upstream->freed(upstream->freed_arg, server);
+	registry_server_unref(server);
+}
+
 static void fail(struct upstream_conn *conn, int code)
 {
+	struct registry_server *server = registry_server_ref(conn->server);
 	struct exchange_result result = {.code = code};
+	struct upstream *upstream = conn->upstream;
 
 	if (conn->exchange && !conn->exchange->written) {
 		result.code = code == ERR_TOO_LATE ? code : ERR_CONNECT;
@@ -112,6 +125,7 @@
 	}
 	end(conn, &result);
 	free_conn(conn);
+	tell_freed(upstream, server);
 }
 
 static void go_idle(struct upstream_conn *conn)
@@ -175,6 +189,8 @@
 static int take_message(struct upstream_conn *conn)
 {
 	struct exchange_result result = {.code = 0};
+	struct upstream *upstream = conn->upstream;
+	struct registry_server *server;
 
 	if (conn->message.parser.status_code / 100 == 1) {
 		await_next(conn);
@@ -186,8 +202,10 @@
 	if (result.code == ERR_FOREIGN)
 		conn->server->gone = true;
 	event_del(conn->timer);
+	server = registry_server_ref(conn->server);
 	end(conn, &result);
 	go_idle(conn);
+	tell_freed(upstream, server);
 	return 1;
 }
 
@@ -306,6 +324,8 @@
 static void connected(struct upstream_conn *conn)
 {
 	struct exchange_result result = {.not_run = true};
+	struct upstream *upstream = conn->upstream;
+	struct registry_server *server;
 
 	event_del(conn->timer);
 	if (conn->server->score.unreachable)
@@ -318,10 +338,12 @@
 		return;
 	}
 	/* Nothing is sent, the connection stays. */
+	server = registry_server_ref(conn->server);
 	end(conn, &result);
 	end_check(conn, true);
 	conn->message.keep_alive = true;
 	go_idle(conn);
+	tell_freed(upstream, server);
 }
 
 static void on_event(struct bufferevent *bev, short what, void *arg)
@@ -543,6 +565,27 @@
 		arm(exchange->conn, linger);
 }
 
+/* Its answer is lost: the server has answered since for longer than it takes.
+ */
+static bool is_overtaken(const struct exchange *exchange,
+			 const struct server_score *score)
+{
+	return exchange->abandoned && exchange->written &&
+	       (double)(score->waiting_since - exchange->sent_at) >
+		       score->latency * OVERTAKEN_TIMES;
+}
+
+int upstream_under_way(const struct registry_server *server)
+{
+	const struct upstream_conn *conn;
+	int n = 0;
+
+	DL_FOREACH (server->conns, conn)
+		n += conn->exchange &&
+		     !is_overtaken(conn->exchange, &server->score);
+	return n;
+}
+
 void upstream_close_idle(struct registry_server *server)
 {
 	struct upstream_conn *conn;
--- a/upstream.h
+++ b/upstream.h
@@ -47,11 +47,13 @@
  * @id: of the request
  * @is_head: the method is HEAD, so that the answer has no body
  * @fresh: do not use a connection that may just be closed by the server
+ * @fingerprint: for requests that crash servers
  */
 struct upstream_request {
 	struct str head;
 	struct str body;
 	struct str id;
+	uint64_t fingerprint;
 	bool is_head;
 	bool fresh;
 };
@@ -97,6 +99,8 @@
 /**
  * struct upstream - all connections to backend servers
  * @conns: open connections
+ * @freed: a request to a server ended, and its connection can be used or is
+ *	closed; may be NULL, set by the owner
  * @opened: connections opened
  * @foreign: answers to other requests that were dropped
  * @bad_loads: what servers said of their load and could not be read
@@ -108,6 +112,8 @@
 	struct upstream_limits limits;
 	struct http_limits answer_limits;
 	struct upstream_conn *conns;
+	void (*freed)(void *arg, struct registry_server *server);
+	void *freed_arg;
 	uint64_t opened;
 	uint64_t foreign;
 	uint64_t silent;
@@ -155,6 +161,14 @@
  */
 void exchange_hurry(struct exchange *exchange, int64_t linger);
 
+/**
+ * upstream_under_way() - requests that a server was sent and has not ended
+ *
+ * One that nobody waits for counts while it may run: not once the server has
+ * answered much later ones.
+ */
+int upstream_under_way(const struct registry_server *server);
+
 typedef void (*upstream_check_cb)(void *arg, bool listens);
 
 /**
