--- a/server_queue.c
+++ b/server_queue.c
@@ -13,12 +13,16 @@
 
 /* Requests that wait for one server here. */
 #define WAITING_MOST 128
-/* Each so-many-th turn is for the least urgent. */
+/* So many turns go before the least urgent has one. */
 #define FLOOR_TURNS 8
 /* To a server elsewhere, asked directly, are under way at least so many. */
 #define FAR_LEAST 2
 /* A server that refuses more than this share has others' work in it. */
 #define REFUSALS_MOST 0.1
+/* Weight of the newest answer in what the requests of a level cost. */
+#define COST_WEIGHT 0.02
+#define COST_LEAST 0.1
+#define COST_MOST 10.0
 /* How often what waits is looked through for what cannot be served in time. */
 #define TICK MSEC(20)
 
@@ -102,11 +106,11 @@
 static int64_t ahead_of(const struct registry_server *server, int priority,
 			double until_next)
 {
-	size_t n = 1;
+	double n = 1;
 
 	if (server->queue)
 		n += slot_queue_before(&server->queue->items, priority);
-	return (int64_t)((double)n * until_next);
+	return (int64_t)(n * until_next);
 }
 
 static void tell_outlook(const struct server_queues *queues,
@@ -210,10 +214,37 @@
 	tell_outlook(queues, server);
 }
 
+static double *cost_of(struct server_queues *queues, int64_t priority)
+{
+	return &queues->costs[server_outlook_level(priority)];
+}
+
+/* Behind others, it would show the time of these as well. */
+static void learn_cost(const struct server_turn *turn, int64_t took)
+{
+	double *cost = cost_of(turn->queues, turn->item.priority);
+	double sample;
+
+	if (turn->pace <= 0)
+		return;
+	sample = (double)took / turn->pace;
+	if (sample < COST_LEAST)
+		sample = COST_LEAST;
+	if (sample > COST_MOST)
+		sample = COST_MOST;
+	if (*cost > 0)
+		*cost += (sample - *cost) * COST_WEIGHT;
+	else
+		*cost = sample;
+}
+
 static int send_now(struct server_turn *turn)
 {
 	struct server_queues *queues = turn->queues;
+	bool alone = queues->enabled &&
+		     !queues->ops->under_way(queues->arg, turn->server);
 
+	turn->pace = alone ? pace_of(queues, turn->server) : 0;
 	turn->state = TURN_SENT;
 	turn->sent_at = now_of(queues);
 	return queues->ops->send(queues->arg, turn);
@@ -322,6 +353,9 @@
 		rank->priority < INT_MAX ? (int)rank->priority : INT_MAX;
 	turn->item.goal = rank->goal_at < deadline ? rank->goal_at : deadline;
 	turn->item.deadline = deadline;
+	turn->item.cost = *cost_of(queues, rank->priority);
+	if (turn->item.cost <= 0)
+		turn->item.cost = 1;
 	return turn;
 }
 
@@ -402,9 +436,11 @@
 	struct registry_server *server = turn->server;
 
 	told.waited = turn->sent_at - turn->queued_at;
-	if (!result->code && turn->queues->enabled)
+	if (!result->code && turn->queues->enabled) {
+		learn_cost(turn, result->took);
 		server_outlook_paced(&server->outlook, server->score.latency,
 				     now_of(turn->queues));
+	}
 	report(turn, &told);
 }
 
--- a/server_queue.h
+++ b/server_queue.h
@@ -59,6 +59,7 @@
 	enum server_turn_state state;
 	int64_t queued_at;
 	int64_t sent_at;
+	double pace; /* of the server when it was sent alone; else 0 */
 	int code;
 	struct slot_item item;
 	struct server_turn *prev; /* of those that ended */
@@ -87,6 +88,7 @@
  * @senders: instances that send to the servers of this data centre, whose slots
  *	they share; at least 1
  * @enabled: else all is sent at once
+ * @costs: of requests by level of urgency, compared to the mean; 0: not known
  * @waiting: servers for which requests wait
  * @ended: turns that ended unsent, not reported yet
  */
@@ -97,6 +99,7 @@
 	struct gateway_stats *stats;
 	int senders;
 	bool enabled;
+	double costs[OUTLOOK_LEVELS];
 	struct server_queue *waiting;
 	struct server_turn *ended;
 };
--- a/slot_queue.c
+++ b/slot_queue.c
@@ -11,7 +11,11 @@
 #define QUANTILE_STEP 0.1
 #define SMOOTHING 0.05
 
-/* Whether @a goes before @b. */
+/*
+ * Whether @a goes before @b. Of those that missed their goals the last to do so
+ * is first: the others have waited in vain the longest, and would all be served
+ * just at their deadlines.
+ */
 static bool before(const struct slot_item *a, const struct slot_item *b)
 {
 	if (a->late != b->late)
@@ -19,7 +23,7 @@
 	if (a->priority != b->priority)
 		return a->priority < b->priority;
 	if (a->goal != b->goal)
-		return a->goal < b->goal;
+		return a->late ? a->goal > b->goal : a->goal < b->goal;
 	return a->order < b->order;
 }
 
@@ -84,7 +88,7 @@
 static bool misses(const struct slot_queue *queue, const struct slot_item *item,
 		   int64_t end, int64_t now)
 {
-	int64_t need = queue->plain ? 0 : (int64_t)queue->usual;
+	int64_t need = queue->plain ? 0 : (int64_t)(queue->usual * item->cost);
 	int64_t most = (end - item->pushed) / 2;
 
 	if (need > most)
@@ -223,11 +227,17 @@
 
 static struct slot_item *find_next(struct slot_queue *queue, int64_t now)
 {
+	struct slot_item *first = find_first(queue, now);
 	struct slot_item *least = NULL;
 
-	if (queue->floor && !(++queue->pops % (uint64_t)queue->floor))
+	if (queue->floor)
 		least = find_least(queue, now);
-	return least ? least : find_first(queue, now);
+	if (!least || least->priority <= first->priority)
+		least = first;
+	else if (++queue->passed < queue->floor)
+		return first;
+	queue->passed = 0;
+	return least;
 }
 
 struct slot_item *slot_queue_pop(struct slot_queue *queue, slot_drop_fn drop,
@@ -246,19 +256,20 @@
 	return NULL;
 }
 
-size_t slot_queue_before(const struct slot_queue *queue, int priority)
+double slot_queue_before(const struct slot_queue *queue, int priority)
 {
 	int64_t now = clock_now(queue->clock);
-	size_t n = 0;
+	double cost = 0;
 	size_t i;
 
 	for (i = 0; i < queue->n; i++) {
 		const struct slot_item *item = queue->items[i];
 
-		n += item->priority <= priority &&
-		     !misses_goal(queue, item, now);
+		if (item->priority <= priority &&
+		    !misses_goal(queue, item, now))
+			cost += item->cost;
 	}
-	return n;
+	return cost;
 }
 
 void slot_queue_remove(struct slot_queue *queue, struct slot_item *item)
--- a/slot_queue.h
+++ b/slot_queue.h
@@ -20,12 +20,14 @@
  * @goal: an answer later than this is worth little; @deadline where there is no
  *	such time, microseconds
  * @deadline: on the clock, microseconds
+ * @cost: it takes so many times the usual, 1 where nothing is known
  * @pushed: when it was queued, microseconds
  */
 struct slot_item {
 	int priority;
 	int64_t goal;
 	int64_t deadline;
+	double cost;
 	int64_t pushed;
 	/* Of the module. */
 	bool late; /* it was found that it misses its goal */
@@ -38,7 +40,8 @@
  * @items: a heap
  * @max: most items
  * @plain: drop at the deadline only, as a baseline of experiments
- * @floor: each so-many-th turn is for the least urgent, 0: none is
+ * @floor: the least urgent is passed over for fewer turns in a row than these;
+ *	0: for any number
  * @slots: of them this instance's share, for the estimate of waits
  * @usual: nearly all take less with a slot, microseconds; 0: not known
  * @mean: time with a slot, microseconds
@@ -55,7 +58,7 @@
 	double usual;
 	double mean;
 	uint64_t pushes;
-	uint64_t pops;
+	int passed; /* turns in a row that went before the least urgent */
 };
 
 /* Told of an item that left the queue without a slot; @code as slot_queue_push.
@@ -100,11 +103,12 @@
 void slot_queue_expire(struct slot_queue *queue, slot_drop_fn drop, void *ctx);
 
 /**
- * slot_queue_before() - how many would be served before a new item that is in
- * time
+ * slot_queue_before() - what would be served before a new item that is in time
  * @priority: of the new one
+ *
+ * Return: the sum of their costs.
  */
-size_t slot_queue_before(const struct slot_queue *queue, int priority);
+double slot_queue_before(const struct slot_queue *queue, int priority);
 
 /**
  * slot_queue_served() - learn how long a request had a slot
--- a/tests/test_admission.c
+++ b/tests/test_admission.c
@@ -492,6 +492,7 @@
 	job->item.priority = job->base.priority;
 	job->item.goal = job->base.deadline;
 	job->item.deadline = job->base.deadline;
+	job->item.cost = 1;
 	if (model->plain) {
 		job->item.pushed = clock_now(&model->clock);
 		DL_APPEND(pool->plain, job);
