--- a/relay_serve.c
+++ b/relay_serve.c
@@ -210,6 +210,16 @@
 					      server->service->latency, now);
 }
 
+/* Others are to be asked for so long. */
+static void add_cold(const struct relay_send *send, Peer__PartDone *done)
+{
+	int64_t left = send->server->cold_until -
+		       clock_now(send->job->relay->board->clock);
+
+	if (done->code == ERR_COLD && left > 0)
+		done->cold_for_ms = (uint32_t)(left / USEC_PER_MSEC);
+}
+
 static void on_result(void *arg, const struct exchange_result *result)
 {
 	struct relay_send *send = arg;
@@ -223,6 +233,7 @@
 	done->took_us = (uint32_t)result->took;
 	done->wait_us = (uint32_t)result->waited;
 	add_outlook(send, done);
+	add_cold(send, done);
 	if (!result->code)
 		done->success = result->message->parser.status_code / 100 == 2;
 	if (done->success)
@@ -254,15 +265,12 @@
 		       int code)
 {
 	Peer__PartDone *done = add_done(job, send->index, code, true);
-	int64_t now = clock_now(job->relay->board->clock);
 
 	done->stamp = mem_dup("");
-	if (send->server)
-		add_outlook(send, done);
-	if (code == ERR_COLD)
-		done->cold_for_ms =
-			(uint32_t)((send->server->cold_until - now) /
-				   USEC_PER_MSEC);
+	if (!send->server)
+		return;
+	add_outlook(send, done);
+	add_cold(send, done);
 }
 
 static void start_sends(struct relay_job *job, const Peer__PartRequest *message)
--- a/tests/test_dispatch.c
+++ b/tests/test_dispatch.c
@@ -23,6 +23,7 @@
 	int n_sent;
 	int n_abandoned;
 	int refuse; /* what ops->send returns */
+	struct dispatch_send *waits;
 };
 
 static int on_send(void *arg, struct dispatch_send *send, int64_t deadline)
@@ -45,9 +46,17 @@
 	world->n_abandoned++;
 }
 
+static bool on_waits(void *arg, const struct dispatch_send *send)
+{
+	const struct world *world = arg;
+
+	return send == world->waits;
+}
+
 static const struct dispatch_ops ops = {
 	.send = on_send,
 	.abandon = on_abandon,
+	.waits = on_waits,
 };
 
 static void on_check(void *arg, struct registry_server *server,
@@ -711,7 +720,89 @@
 	world_finish(&world);
 }
 
+/* A part waits here for its turn: when a hedge is due it is moved, for free. */
+static void test_waiting_part_is_moved(void)
+{
+	struct budget *budget;
+	struct world world;
+	double before;
+
+	world_init(&world);
+	start(&world, "/shards/");
+	world.waits = world.sent[3];
+	budget = &world.sent[3]->part->service->budget;
+	before = budget->tokens;
+	CU_ASSERT(pass(&world, 25) == DISPATCH_OPEN);
+	CU_ASSERT(world.n_sent == 5);
+	CU_ASSERT(world.n_abandoned == 1);
+	CU_ASSERT(world.sent[4]->server != world.sent[3]->server);
+	CU_ASSERT(world.sent[4]->part->n_run == 1);
+	CU_ASSERT(budget->tokens >= before);
+	CU_ASSERT(world.dispatch.n_extra == 0);
+	world_finish(&world);
+}
+
+/* What must not be repeated is moved while it surely has not run, not after. */
+static void test_only_waiting_is_moved_once(void)
+{
+	struct world world;
+
+	world_init(&world);
+	start(&world, "/once/");
+	world.waits = world.sent[0];
+	CU_ASSERT(dispatch_due(&world.dispatch) <=
+		  clock_now(&world.clock) + MSEC(20));
+	CU_ASSERT(pass(&world, 25) == DISPATCH_OPEN);
+	CU_ASSERT(world.n_sent == 2);
+	world.waits = NULL;
+	CU_ASSERT(pass(&world, 50) == DISPATCH_OPEN);
+	CU_ASSERT(world.n_sent == 2);
+	world_finish(&world);
+}
+
+/* A deadline passes while all waits here: the caller is told it has not run. */
+static void test_waiting_to_the_end_has_not_run(void)
+{
+	struct world world;
+
+	world_init(&world);
+	start(&world, "/once/");
+	world.waits = world.sent[0];
+	world.refuse = ERR_DRAINING;
+	CU_ASSERT(pass(&world, 1000) == DISPATCH_REFUSED);
+	CU_ASSERT(world.n_abandoned == 1);
+	world_finish(&world);
+}
+
+/* A part that did not fit comes back unsent: no attempt and no budget is gone.
+ */
+static void test_unfit_part_goes_elsewhere(void)
+{
+	struct dispatch_part *part;
+	struct world world;
+	double before;
+
+	world_init(&world);
+	start(&world, "/shards/");
+	part = world.sent[3]->part;
+	before = part->service->budget.tokens;
+	CU_ASSERT(result(&world, 3, ERR_OVERLOAD, true, "") == DISPATCH_OPEN);
+	CU_ASSERT(world.n_sent == 5);
+	CU_ASSERT(world.sent[4]->part == part);
+	CU_ASSERT(result(&world, 4, ERR_OVERLOAD, true, "") == DISPATCH_OPEN);
+	/* Both servers are asked again in a moment. */
+	CU_ASSERT(pass(&world, 5) == DISPATCH_OPEN);
+	CU_ASSERT(world.n_sent == 6);
+	CU_ASSERT(part->n_run == 1);
+	CU_ASSERT(part->service->budget.tokens >= before);
+	world_finish(&world);
+}
+
 static const struct unit_test tests[] = {
+	{"waiting part is moved", test_waiting_part_is_moved},
+	{"only waiting is moved once", test_only_waiting_is_moved_once},
+	{"waiting to the end has not run", test_waiting_to_the_end_has_not_run},
+	{"unfit part goes elsewhere", test_unfit_part_goes_elsewhere},
 	{"all parts", test_all_parts},
 	{"unsent for cold", test_unsent_for_cold},
 	{"unsent for leaving", test_unsent_for_leaving},
