--- a/relay_ask.c
+++ b/relay_ask.c
@@ -6,140 +6,11 @@
 
 #include <utlist.h>
 
-#include "directory.h"
 #include "error.h"
 #include "log.h"
 #include "mem.h"
 #include "records.h"
 
-/*
- * A relay tells what is in at the flush time, even if that is nothing. One
- * that has not done so this long after it is late: it hangs, or the way to it
- * is cut, and parts go another way.
- */
-#define LATE_AFTER MSEC(15)
-/* What a relay costs is judged like a server's latency; nothing is usual. */
-#define RELAY_SLOTS 64
-#define RELAY_USUAL 30000.0
-
-static struct relay_peer *peer_of(struct relay_ask *relay, const char *instance)
-{
-	struct relay_peer *peer;
-
-	HASH_FIND_STR(relay->relays, instance, peer);
-	if (peer)
-		return peer;
-	peer = mem_zalloc(sizeof(*peer));
-	str_copy(peer->instance, sizeof(peer->instance), str_from(instance));
-	HASH_ADD_STR(relay->relays, instance, peer);
-	return peer;
-}
-
-static bool is_late(const struct relay_batch *batch, int64_t now)
-{
-	/* Told each result at once, it says nothing before the first. */
-	return !batch->heard && batch->flush_after &&
-	       now > batch->told_at + batch->flush_after + LATE_AFTER;
-}
-
-static bool has_late_job(const struct relay_ask *relay,
-			 const struct relay_peer *peer, int64_t now)
-{
-	const struct relay_batch *batch;
-
-	for (batch = relay->jobs; batch; batch = batch->hh.next) {
-		if (batch->peer == peer && is_late(batch, now))
-			return true;
-	}
-	return false;
-}
-
-static double cost_of(const struct relay_ask *relay,
-		      const struct relay_peer *peer, int64_t now)
-{
-	static const struct server_traits traits = {.slots = RELAY_SLOTS,
-						    .usual = RELAY_USUAL};
-
-	if (has_late_job(relay, peer, now))
-		return SERVER_COST_AVOID;
-	return server_score_cost(&peer->score, &traits, now);
-}
-
-/* The instance at the other end of a link, if it may relay there; or NULL. */
-static const struct fleet_member *relay_at(struct relay_ask *relay,
-					   const struct peer_link *link,
-					   const char *data_centre)
-{
-	const struct fleet_member *member;
-
-	if (!link->outgoing || !link->up || link->doomed)
-		return NULL;
-	member = fleet_find(&relay->board->fleet, str_from(link->instance));
-	if (!member || member->status != FLEET_ALIVE ||
-	    strcmp(member->data_centre, data_centre) ||
-	    !relay->usable(relay->arg, member))
-		return NULL;
-	return member;
-}
-
-static uint32_t most_capacity(struct relay_ask *relay, const char *data_centre)
-{
-	const struct peer_link *link;
-	uint32_t most = 0;
-
-	DL_FOREACH (relay->peers->links, link) {
-		const struct fleet_member *member =
-			relay_at(relay, link, data_centre);
-
-		if (member && member->capacity > most)
-			most = member->capacity;
-	}
-	return most;
-}
-
-/* The best instance of a data centre, or NULL if none is good enough. */
-static struct relay_peer *choose(struct relay_ask *relay,
-				 const char *data_centre)
-{
-	uint32_t most = most_capacity(relay, data_centre);
-	int64_t now = clock_now(relay->board->clock);
-	const struct peer_link *link;
-	struct relay_peer *best = NULL;
-	double least = SERVER_COST_AVOID;
-
-	DL_FOREACH (relay->peers->links, link) {
-		const struct fleet_member *member =
-			relay_at(relay, link, data_centre);
-		struct relay_peer *peer;
-		double cost;
-
-		if (!member || !directory_is_large(member->capacity, most))
-			continue;
-		peer = peer_of(relay, member->instance);
-		cost = cost_of(relay, peer, now);
-		if (cost >= least)
-			continue;
-		least = cost;
-		best = peer;
-	}
-	return best;
-}
-
-/* An instance that was named, or NULL if it cannot be asked. */
-static struct relay_peer *find_relay(struct relay_ask *relay,
-				     const char *data_centre,
-				     const char *instance)
-{
-	const struct peer_link *link;
-
-	DL_FOREACH (relay->peers->links, link) {
-		if (!strcmp(link->instance, instance) &&
-		    relay_at(relay, link, data_centre))
-			return peer_of(relay, instance);
-	}
-	return NULL;
-}
-
 static struct relay_batch *find_batch(const struct relay_client *client,
 				      const char *data_centre,
 				      const char *instance)
@@ -161,8 +32,8 @@
 				     const char *instance)
 {
 	struct relay_peer *peer =
-		instance ? find_relay(relay, data_centre, instance)
-			 : choose(relay, data_centre);
+		instance ? relay_peer_find(relay, data_centre, instance)
+			 : relay_peer_choose(relay, data_centre);
 	struct relay_batch *batch;
 
 	if (!peer)
@@ -226,7 +97,7 @@
 		HASH_DEL(relay->jobs, batch);
 		if (!batch->heard)
 			server_score_result(&batch->peer->score,
-					    is_late(batch, now)
+					    relay_batch_is_late(batch, now)
 						    ? SERVER_SILENT
 						    : SERVER_DROPPED,
 					    0, now);
--- a/relay_ask_private.h
+++ b/relay_ask_private.h
@@ -39,6 +39,28 @@
 	UT_hash_handle hh; /* of all that were told */
 };
 
+/**
+ * relay_batch_is_late() - its relay should have told something by now
+ */
+bool relay_batch_is_late(const struct relay_batch *batch, int64_t now);
+
+/**
+ * relay_peer_choose() - the best instance of a data centre
+ *
+ * Return: NULL if none is good enough.
+ */
+struct relay_peer *relay_peer_choose(struct relay_ask *relay,
+				     const char *data_centre);
+
+/**
+ * relay_peer_find() - an instance that was named
+ *
+ * Return: NULL if it cannot be asked.
+ */
+struct relay_peer *relay_peer_find(struct relay_ask *relay,
+				   const char *data_centre,
+				   const char *instance);
+
 /**
  * relay_send_end() - the server's observations, as if it had been asked
  * directly
