registry: choose servers by expected completion, as told by all senders

With load_control.pace a server costs the work ahead as told (or own requests under way, if that is more) and its pace, plus 3 ms to another data centre in place of a factor of 1.4. What relays tell of a part (ahead_us, pace_us, wait_us) is kept in the server's outlook; the hedge delay is taken from the whole time of a part, the server is judged by its own.

--- a/dispatch_send.c
+++ b/dispatch_send.c
@@ -70,15 +70,18 @@
 static struct registry_server *pick(const struct dispatch_part *part,
 				    const struct tried *tried, bool fresh_only)
 {
+	const struct dispatch *dispatch = part->dispatch;
+	int64_t now = clock_now(dispatch->clock);
 	const struct registry_choice choice = {
 		.tried = tried->servers,
 		.n_tried = tried->n,
 		.fresh_only = fresh_only,
-		.regions = &part->dispatch->route->regions,
+		.regions = &dispatch->route->regions,
+		.level = server_outlook_level(dispatch->route->priority),
+		.salt = (uint64_t)now + (uint64_t)(part - dispatch->parts),
 	};
 
-	return registry_pick(part->service, &choice,
-			     clock_now(part->dispatch->clock));
+	return registry_pick(part->service, &choice, now);
 }
 
 /* Return: 0 if it was sent to the server; or why not. */
--- a/gateway.c
+++ b/gateway.c
@@ -85,6 +85,7 @@
 	gateway->upstream.limits.share_near =
 		CONNECTIONS_NEAR / gateway_fleet_near_senders(&gateway->fleet);
 	gateway->upstream.limits.share_far = CONNECTIONS_FAR / entries;
+	gateway->registry.shared_pace = settings->load_control.pace;
 }
 
 static void on_members_changed(void *arg)
--- a/registry.c
+++ b/registry.c
@@ -7,6 +7,7 @@
 
 #include "clock.h"
 #include "mem.h"
+#include "rng.h"
 
 /* Of a service that never answered, microseconds. */
 #define LATENCY_START 10000.0
@@ -69,6 +70,7 @@
 	if (service)
 		return service;
 	service = mem_zalloc(sizeof(*service));
+	service->registry = registry;
 	str_copy(service->name, sizeof(service->name), name);
 	service->latency = LATENCY_START;
 	HASH_ADD_KEYPTR(hh, registry->services, service->name,
@@ -371,14 +373,20 @@
 	       !is_tried(choice, server);
 }
 
-static double cost_of(const struct registry_server *server, int64_t now)
+static double cost_of(const struct registry_choice *choice,
+		      const struct registry_server *server, double spread,
+		      int64_t now)
 {
 	const struct server_traits traits = {
 		.slots = server->entry.slots,
 		.usual = server->service->latency,
 		.remote = server->remote,
+		.outlook = server->service->registry->shared_pace
+				   ? &server->outlook
+				   : NULL,
+		.level = choice->level,
+		.spread = spread,
 	};
-
 	double cost = server_score_cost(&server->score, &traits, now);
 
 	/* It bears few requests: those for which there is no other server. */
@@ -393,15 +401,17 @@
 {
 	struct registry_server *best = NULL;
 	double least = choice->fresh_only ? SERVER_COST_AVOID : 1e300;
+	struct rng rng;
 	int i;
 
+	rng_init(&rng, choice->salt);
 	for (i = 0; i < service->n; i++) {
 		struct registry_server *server = service->servers[i];
 		double cost;
 
 		if (!may_take(choice, server))
 			continue;
-		cost = cost_of(server, now);
+		cost = cost_of(choice, server, rng_unit(&rng), now);
 		if (cost >= least)
 			continue;
 		least = cost;
--- a/registry.h
+++ b/registry.h
@@ -59,6 +59,8 @@
  * @region: of its data centre, borrowed; empty if it is not known
  * @load: that it told last
  * @outlook: what one more request would meet there
+ * @is_slow: it is believed to be, see server_pace
+ * @slow_at: when that changed, microseconds
  * @queue: requests of this instance that wait for their turn, or NULL; owned by
  *	server_queue
  * @cold_until: it takes few requests until then, microseconds
@@ -76,6 +78,8 @@
 	const char *region;
 	struct server_load load;
 	struct server_outlook outlook;
+	bool is_slow;
+	int64_t slow_at;
 	struct server_queue *queue;
 	int64_t cold_until;
 	struct warmup_sends *cold_sends;
@@ -90,6 +94,7 @@
 
 /**
  * struct registry_service - all servers of a service
+ * @registry: that it belongs to
  * @budget: second sends to it that are left
  * @latency: of its answers, a moving average, microseconds
  * @usual: the same over some minutes, so that slow seconds hardly move it
@@ -98,6 +103,7 @@
  * @warmup: what its servers bear while they are cold
  */
 struct registry_service {
+	const struct registry *registry;
 	char name[REGISTRY_NAME_SIZE];
 	struct registry_server **servers;
 	int n;
@@ -123,6 +129,8 @@
 /**
  * struct registry - all backend servers
  * @regions: of data centres; may be NULL, set by the owner
+ * @shared_pace: servers are chosen by what all that send to them see; else by
+ *	what this instance sees alone; set by the owner
  * @cordons: data centres that get no new requests; who changes them calls
  *	registry_apply_cordons()
  */
@@ -130,6 +138,7 @@
 	struct registry_removed removed[REGISTRY_REMOVED_MAX];
 	uint64_t n_removed;
 	const struct regions *regions;
+	bool shared_pace;
 	struct cordons cordons;
 	char data_centre[REGISTRY_NAME_SIZE];
 	struct registry_server *servers;
@@ -253,12 +262,17 @@
  * @tried: servers not to be taken
  * @fresh_only: pass over those that are better avoided
  * @regions: it must be in one of them; NULL: anywhere
+ * @level: of the request's urgency, see server_outlook.h
+ * @salt: another one for each request, so that not all choose the same one of
+ *	servers that look alike
  */
 struct registry_choice {
 	struct registry_server *const *tried;
 	int n_tried;
 	bool fresh_only;
 	const struct region_set *regions;
+	int level;
+	uint64_t salt;
 };
 
 /**
--- a/relay_ask.c
+++ b/relay_ask.c
@@ -42,6 +42,7 @@
 	batch->relay = relay;
 	batch->client = client;
 	batch->peer = peer;
+	batch->level = server_outlook_level(client->priority);
 	str_copy(batch->data_centre, sizeof(batch->data_centre),
 		 str_from(data_centre));
 	DL_APPEND(client->batches, batch);
@@ -72,7 +73,6 @@
 	return 0;
 }
 
-/* The server's observations, as if it had been asked directly. */
 void relay_send_end(struct relay_send *entry, enum server_result result,
 		    int64_t took)
 {
--- a/relay_ask_private.h
+++ b/relay_ask_private.h
@@ -17,6 +17,7 @@
  * struct relay_batch - sends of one request to one data centre, told together
  * @client: NULL once the request is over
  * @told: it was given to the relay, as job @id
+ * @level: of urgency, of the request
  * @floor_lost: later parts are measured by one that was not taken
  */
 struct relay_batch {
@@ -30,6 +31,7 @@
 	bool floor_lost;
 	int64_t told_at;
 	int64_t flush_after;
+	int level;
 	struct relay_send **sends;
 	int n_sends;
 	int cap_sends;
--- a/relay_result.c
+++ b/relay_result.c
@@ -7,6 +7,7 @@
 #include "error.h"
 #include "mem.h"
 #include "records.h"
+#include "server_pace.h"
 
 /* To a relay of the same region and back: 3 ms, and its work. */
 #define WAY_MOST MSEC(4)
@@ -31,19 +32,56 @@
 	return (struct str){out, len};
 }
 
+/**
+ * struct part_times - where the time of a part went, microseconds
+ * @server: what the server took
+ * @way: there and back
+ * @wait: for its turn at the relay
+ */
+struct part_times {
+	int64_t server;
+	int64_t way;
+	int64_t wait;
+};
+
+static int64_t at_most(int64_t value, int64_t most)
+{
+	return value < most ? value : most;
+}
+
 /*
- * What the server took and the way there and back, without the time that the
- * relay waited for other parts.
+ * Without the time that the relay waited for other parts. A relay may tell any
+ * number: nothing took longer than since the part was sent.
  */
-static int64_t took_of(const struct relay_send *entry,
-		       const Peer__PartDone *done)
+static struct part_times times_of(const struct relay_send *entry,
+				  const Peer__PartDone *done, int64_t now)
 {
-	int64_t now = clock_now(entry->batch->relay->board->clock);
-	int64_t way = now - entry->sent_at - (int64_t)done->took_us;
+	int64_t left = now - entry->sent_at;
+	struct part_times times;
+
+	times.server = at_most(done->took_us, left);
+	left -= times.server;
+	times.wait = at_most(done->wait_us, left);
+	left -= times.wait;
+	times.way = at_most(left, WAY_MOST);
+	return times;
+}
 
-	if (way > WAY_MOST)
-		way = WAY_MOST;
-	return done->took_us + (way > 0 ? way : 0);
+/* One that does not tell of servers is measured by what they took. */
+static void note_outlook(struct relay_send *entry, const Peer__PartDone *done,
+			 const struct part_times *times, int64_t now)
+{
+	struct registry_server *server = entry->server;
+
+	if (done->pace_us) {
+		server_outlook_told(&server->outlook, entry->batch->level,
+				    done->ahead_us, now);
+		server_pace_told(server, done->pace_us,
+				 entry->batch->peer->instance, now);
+	} else if (server_result_of(done->code, done->success) ==
+		   SERVER_ANSWERED) {
+		server_pace_seen(server, times->server, now);
+	}
 }
 
 /* Others are asked until it is warm, but where there is no other. */
@@ -58,18 +96,21 @@
 {
 	struct relay_batch *batch = entry->batch;
 	struct dispatch_send *send = entry->send;
-	int64_t took = took_of(entry, done);
+	int64_t now = clock_now(batch->relay->board->clock);
+	struct part_times times = times_of(entry, done, now);
+	int64_t took = times.server + times.way;
 	struct dispatch_answer answer = {
 		.code = done->code,
 		.success = done->success,
 		.not_run = done->not_run,
 		.stamp = str_from(done->stamp),
 		.body = records,
-		.took = took,
+		.took = took + times.wait,
 	};
 
 	if (entry->over)
 		return;
+	note_outlook(entry, done, &times, now);
 	relay_send_end(entry, server_result_of(done->code, done->success),
 		       took);
 	/* It sees more of a server than each entry that asks it. */
--- a/server_outlook.c
+++ b/server_outlook.c
@@ -8,6 +8,13 @@
 #define AHEAD_MOST MSEC(10000)
 /* A server that nobody sends to may have recovered: what was told fades. */
 #define PACE_FADE_US 1500000.0
+/* A server that is so many times quicker or slower is not told from others. */
+#define PACE_RANGE 16.0
+/* What is told lies within this, microseconds. */
+#define PACE_MOST 60e6
+/* Weight of an answer: the least, and by the time since the one before. */
+#define SEEN_WEIGHT_LEAST 0.1
+#define SEEN_SPAN_US 500000.0
 
 int server_outlook_level(int64_t priority)
 {
@@ -30,10 +37,26 @@
 {
 	if (pace <= 0)
 		return;
-	outlook->pace = pace;
+	outlook->pace = pace < PACE_MOST ? pace : PACE_MOST;
 	outlook->pace_at = now;
 }
 
+void server_outlook_seen(struct server_outlook *outlook, int64_t took,
+			 int64_t now)
+{
+	double since = (double)(now - outlook->pace_at);
+	double weight = 1 - exp(-since / SEEN_SPAN_US);
+
+	if (weight < SEEN_WEIGHT_LEAST)
+		weight = SEEN_WEIGHT_LEAST;
+	if (!outlook->pace_at)
+		weight = 1;
+	server_outlook_paced(outlook,
+			     outlook->pace +
+				     ((double)took - outlook->pace) * weight,
+			     now);
+}
+
 int64_t server_outlook_ahead(const struct server_outlook *outlook, int level,
 			     int64_t now)
 {
@@ -43,13 +66,37 @@
 	return left > 0 ? left : 0;
 }
 
+int64_t server_outlook_longest(const struct server_outlook *outlook,
+			       int64_t now)
+{
+	int64_t longest = 0;
+	int level;
+
+	for (level = 0; level < OUTLOOK_LEVELS; level++) {
+		int64_t ahead = server_outlook_ahead(outlook, level, now);
+
+		if (ahead > longest)
+			longest = ahead;
+	}
+	return longest;
+}
+
+static double within(double value, double least, double most)
+{
+	if (value < least)
+		return least;
+	return value < most ? value : most;
+}
+
 double server_outlook_pace(const struct server_outlook *outlook, double usual,
 			   int64_t now)
 {
+	double pace;
 	double fade;
 
 	if (!outlook->pace_at)
 		return usual;
 	fade = exp(-(double)(now - outlook->pace_at) / PACE_FADE_US);
-	return usual + (outlook->pace - usual) * fade;
+	pace = within(outlook->pace, usual / PACE_RANGE, usual * PACE_RANGE);
+	return usual + (pace - usual) * fade;
 }
--- a/server_outlook.h
+++ b/server_outlook.h
@@ -46,6 +46,15 @@
 void server_outlook_paced(struct server_outlook *outlook, double pace,
 			  int64_t now);
 
+/**
+ * server_outlook_seen() - an answer to a request of this instance came
+ * @took: without what it waited here, microseconds
+ *
+ * It counts for more the longer nothing was known.
+ */
+void server_outlook_seen(struct server_outlook *outlook, int64_t took,
+			 int64_t now);
+
 /**
  * server_outlook_ahead() - how long a request of a level would wait
  *
@@ -56,10 +65,17 @@
 int64_t server_outlook_ahead(const struct server_outlook *outlook, int level,
 			     int64_t now);
 
+/**
+ * server_outlook_longest() - as server_outlook_ahead(), of the level that waits
+ * longest
+ */
+int64_t server_outlook_longest(const struct server_outlook *outlook,
+			       int64_t now);
+
 /**
  * server_outlook_pace() - how long a request takes once it has a slot
  * @usual: of the service, microseconds: what is believed where nothing was told
- *	for long
+ *	for long; what was told is believed within a range around it
  *
  * Return: microseconds.
  */
--- a/server_score.c
+++ b/server_score.c
@@ -4,6 +4,7 @@
 
 #include "clock.h"
 #include "error.h"
+#include "server_outlook.h"
 
 /* Weight of the newest answer: ten answers make most of the average. */
 #define LATENCY_WEIGHT 0.1
@@ -16,19 +17,19 @@
 #define FADE_US 1500000.0
 /* At a failure rate of a tenth, a server costs twice as much. */
 #define FAILURE_PRICE 10.0
-/*
- * Where one server of each pair refuses 60 % for seconds, the other has slots
- * for nearly all. Mean worth of three such days, four seeds each, at prices of
- * 4, 12 and 30: 0.8039, 0.8078, 0.8043; other days differ by 0.001 at most
- * between 4 and 12.
- */
+/* A refused request costs another send, of a budget that all share. */
 #define REFUSAL_PRICE 12.0
-/* Breaks ties for the own data centre. */
+/* Breaks ties for the own data centre, where only own sends are known. */
 #define REMOTE_PRICE 1.4
+/* To a relay in another data centre and back, microseconds. */
+#define REMOTE_WAY 3000.0
+/* Of the pace: what cannot be told from chance is no reason to go there. */
+#define REMOTE_MARGIN 0.1
+/* Of the pace, at most. */
+#define SPREAD_MOST 0.25
 /*
  * A server is taken for stopped when an answer is due for so many times its
- * usual latency, and at least for this long. Pauses last 120 to 150 ms, and
- * answers that late are rarer than pauses.
+ * usual latency, and at least for this long.
  */
 #define STOPPED_TIMES 2.5
 #define STOPPED_LEAST MSEC(25)
@@ -39,10 +40,7 @@
 /*
  * A server that takes so many times its service's usual time has a queue, or is
  * slow. What nobody waits for keeps its slots from others there, and costs more
- * than the connection that ends with it. Mean worth of 4 seeds a day: closing
- * every loser so soon takes 0.02 from calm days, for each pause of a server
- * costs its connections; closing none takes 0.007 from the days with the most
- * load. Three, four and six times differ by 0.0005 at most (44 pairs).
+ * than the connection that ends with it.
  */
 #define LOADED_TIMES 4.0
 #define LINGER MSEC(300)
@@ -160,8 +158,9 @@
 	}
 }
 
+/* @latency: within which an answer is due */
 static bool is_stopped(const struct server_score *score, double latency,
-		       int64_t now)
+		       int64_t waits, int64_t now)
 {
 	int64_t limit = (int64_t)(latency * STOPPED_TIMES);
 
@@ -169,11 +168,39 @@
 		return false;
 	if (limit < STOPPED_LEAST)
 		limit = STOPPED_LEAST;
-	return now - score->waiting_since > limit;
+	return now - score->waiting_since > limit + waits;
 }
 
-double server_score_cost(const struct server_score *score,
-			 const struct server_traits *traits, int64_t now)
+/* What counts against it whatever it would take. */
+static double avoidance(const struct server_score *score, double latency,
+			int64_t waits, int64_t now)
+{
+	double cost = 0;
+
+	if (is_stopped(score, latency, waits, now))
+		cost += SERVER_COST_AVOID;
+	if (now < score->avoid_until)
+		cost += SERVER_COST_DEAD;
+	return cost;
+}
+
+static double price_of_errors(const struct server_score *score)
+{
+	return 1 + FAILURE_PRICE * score->failures +
+	       REFUSAL_PRICE * score->refusals;
+}
+
+/* Requests of this instance for each slot. */
+static double own_load(const struct server_score *score,
+		       const struct server_traits *traits)
+{
+	return (double)score->outstanding /
+	       (double)(traits->slots > 0 ? traits->slots : 1);
+}
+
+/* By own sends alone. */
+static double cost_as_seen(const struct server_score *score,
+			   const struct server_traits *traits, int64_t now)
 {
 	double fade = exp(-(double)(now - score->latency_at) / FADE_US);
 	double latency = traits->usual;
@@ -181,18 +208,39 @@
 
 	if (score->latency_at)
 		latency += (score->latency - traits->usual) * fade;
-	cost = latency;
-	cost *= 1 + (double)score->outstanding /
-			    (double)(traits->slots > 0 ? traits->slots : 1);
-	cost *= 1 + FAILURE_PRICE * score->failures +
-		REFUSAL_PRICE * score->refusals;
+	cost = latency * (1 + own_load(score, traits)) * price_of_errors(score);
 	if (traits->remote)
 		cost *= REMOTE_PRICE;
-	if (is_stopped(score, latency, now))
-		cost += SERVER_COST_AVOID;
-	if (now < score->avoid_until)
-		cost += SERVER_COST_DEAD;
-	return cost;
+	return cost + avoidance(score, latency, 0, now);
+}
+
+/* By expected completion, as all that send to it see it. */
+static double cost_as_told(const struct server_score *score,
+			   const struct server_traits *traits, int64_t now)
+{
+	const struct server_outlook *outlook = traits->outlook;
+	double pace = server_outlook_pace(outlook, traits->usual, now);
+	double wait = (double)server_outlook_ahead(outlook, traits->level, now);
+	double own = own_load(score, traits) * pace;
+	/* A part that waits at a relay does not show that its server stopped.
+	 */
+	int64_t waits = server_outlook_longest(outlook, score->waiting_since);
+	double cost;
+
+	if (wait < own)
+		wait = own;
+	cost = wait + pace * (1 + SPREAD_MOST * traits->spread);
+	cost *= price_of_errors(score);
+	if (traits->remote)
+		cost += REMOTE_WAY + REMOTE_MARGIN * pace;
+	return cost + avoidance(score, pace, waits, now);
+}
+
+double server_score_cost(const struct server_score *score,
+			 const struct server_traits *traits, int64_t now)
+{
+	return traits->outlook ? cost_as_told(score, traits, now)
+			       : cost_as_seen(score, traits, now);
 }
 
 int64_t server_score_linger(const struct server_score *score, double usual,
--- a/server_score.h
+++ b/server_score.h
@@ -9,6 +9,8 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+struct server_outlook;
+
 /**
  * struct server_score - observations, microseconds where they are times
  * @latency: of answers, a moving average; 0 before the first
@@ -87,11 +89,18 @@
  * @slots: requests that it runs at once
  * @usual: latency of its service, microseconds
  * @remote: in another data centre
+ * @outlook: what is known of all that send to it; NULL: own sends alone count
+ * @level: of the request's urgency, with @outlook
+ * @spread: 0 to 1, drawn for the request and the server, so that not all choose
+ *	the same one of servers that look alike; with @outlook
  */
 struct server_traits {
 	int64_t slots;
 	double usual;
 	bool remote;
+	const struct server_outlook *outlook;
+	int level;
+	double spread;
 };
 
 /**
--- a/upstream.c
+++ b/upstream.c
@@ -14,6 +14,7 @@
 #include "error.h"
 #include "log.h"
 #include "mem.h"
+#include "server_pace.h"
 
 /* However many instances share what a server accepts, so many are allowed. */
 #define CONNS_NEAR_LEAST 2
@@ -80,11 +81,10 @@
 	bool success =
 		!result->code && result->message->parser.status_code <
 					 HTTP_STATUS_INTERNAL_SERVER_ERROR;
-	enum server_result kind = server_result_of(result->code, success);
 
-	server_score_result(&conn->server->score, kind, result->took, now);
-	if (kind == SERVER_ANSWERED)
-		registry_answered(conn->server->service, result->took);
+	server_pace_result(conn->server,
+			   server_result_of(result->code, success),
+			   result->took, now);
 }
 
 /* The exchange is over; the connection decides for itself what follows. */
