--- a/server_queue.c
+++ b/server_queue.c
@@ -399,12 +399,8 @@
 		      const struct exchange_result *result)
 {
 	struct exchange_result told = *result;
-	struct registry_server *server = turn->server;
 
 	told.waited = turn->sent_at - turn->queued_at;
-	if (!result->code && turn->queues->enabled)
-		server_outlook_paced(&server->outlook, server->score.latency,
-				     now_of(turn->queues));
 	report(turn, &told);
 }
 
--- a/server_score.c
+++ b/server_score.c
@@ -24,9 +24,9 @@
 /* To a relay in another data centre and back, microseconds. */
 #define REMOTE_WAY 3000.0
 /* Of the pace: what cannot be told from chance is no reason to go there. */
-#define REMOTE_MARGIN 0.1
+#define REMOTE_MARGIN 0.2
 /* Of the pace, at most. */
-#define SPREAD_MOST 0.25
+#define SPREAD_MOST 0.15
 /*
  * A server is taken for stopped when an answer is due for so many times its
  * usual latency, and at least for this long.
