--- a/gateway.c
+++ b/gateway.c
@@ -89,6 +89,7 @@
 		gateway_fleet_near_senders(&gateway->fleet);
 	gateway->turns.queues.enabled = settings->load_control.turns;
 	gateway->upstream.limits.share_far = CONNECTIONS_FAR / entries;
+	gateway->registry.shared_pace = settings->load_control.pace;
 }
 
 static void on_members_changed(void *arg)
