dispatch: leave out what would be answered too late

With queues before the servers, a request that cannot reach its least share in time takes the time of all servers, and so does a part that is expected after the goal. Refuse the one and leave out the other before anything is sent, where load_control.left_out is on.

--- a/dispatch.c
+++ b/dispatch.c
@@ -278,7 +278,7 @@
 	else if (dispatch->n_in + dispatch->n_failed == dispatch->n_parts &&
 		 is_enough(dispatch))
 		end(dispatch, DISPATCH_PARTIAL, 0);
-	else if (!can_be_enough(dispatch))
+	else if (!can_be_enough(dispatch) && !dispatch_recall(dispatch))
 		fail_all(dispatch, worst_code(dispatch));
 	else if (dispatch->route->sharded && now >= dispatch->answer_at &&
 		 is_enough(dispatch))
@@ -287,7 +287,7 @@
 		judge(dispatch, ERR_TOO_LATE);
 }
 
-static void fail_part(struct dispatch_part *part)
+void dispatch_part_fail(struct dispatch_part *part)
 {
 	if (part->state != PART_WAITING)
 		return;
@@ -309,7 +309,7 @@
 	if (code == ERR_BUDGET && now + period < dispatch->answer_at)
 		part->retry_at = now + period;
 	else
-		fail_part(part);
+		dispatch_part_fail(part);
 }
 
 /*
@@ -331,7 +331,7 @@
 			dispatch->lost_since = since;
 		part->code = ERR_NO_REPLICA;
 		dispatch->n_lost++;
-		fail_part(part);
+		dispatch_part_fail(part);
 	}
 }
 
@@ -354,7 +354,8 @@
 	int i;
 
 	leave_out_lost(dispatch);
-	if (can_be_enough(dispatch) && !admit(dispatch)) {
+	if (can_be_enough(dispatch) &&
+	    (!dispatch_forecast(dispatch) || !admit(dispatch))) {
 		end(dispatch, DISPATCH_REFUSED, ERR_OVERLOAD);
 		return dispatch->outcome;
 	}
@@ -395,7 +396,8 @@
 	int ret = ERR_NO_REPLICA;
 
 	part->retry_at = INT64_MAX;
-	if (dispatch->route->repeatable || !part->n_run)
+	if ((dispatch->route->repeatable || !part->n_run) &&
+	    dispatch_is_worth_sending(part, false))
 		ret = dispatch_part_send_again(part, "retry", false);
 	if (ret && !dispatch_part_under_way(part))
 		wait_or_fail(part, ret);
@@ -442,6 +444,7 @@
 	if (!answer->code && answer->success &&
 	    !has_stamp(dispatch, answer->stamp)) {
 		latency_add(dispatch->latency, answer->took);
+		dispatch_forecast_learn(send, answer->took);
 		take_part(part, answer);
 	} else {
 		part->code = answer->code ? answer->code : ERR_UNKNOWN;
@@ -479,7 +482,8 @@
 	if (part->state != PART_WAITING || now < part->hedge_at)
 		return;
 	part->hedge_at = INT64_MAX;
-	if (part->n_run >= part->dispatch->route->servers_max)
+	if (part->n_run >= part->dispatch->route->servers_max ||
+	    !dispatch_is_worth_sending(part, true))
 		return;
 	if (!is_straggler(part->dispatch) ||
 	    dispatch_part_send_again(part, "hedge", true))
--- a/dispatch.h
+++ b/dispatch.h
@@ -23,6 +23,8 @@
 
 struct dispatch;
 struct dispatch_part;
+struct forecast;
+struct forecast_part;
 struct load_control;
 
 /* Sends of one part, refused ones included. */
@@ -119,12 +121,19 @@
  * @abandon: the answer of a send is not needed any more
  * @decided: a send was decided, for the log; may be NULL
  * @limited: the limit of requests under way fell, for the log; may be NULL
+ * @foreseen: a request was refused or parts were left out, for the log; may be
+ *	NULL
+ * @kept_back: one more send of a part was not made, because its answer would be
+ *	too late to count, for the log; may be NULL
  */
 struct dispatch_ops {
 	int (*send)(void *arg, struct dispatch_send *send, int64_t deadline);
 	void (*abandon)(void *arg, struct dispatch_send *send);
 	void (*decided)(void *arg, const struct dispatch_send *send);
 	void (*limited)(void *arg, const struct load_limit *load);
+	void (*foreseen)(void *arg, const struct forecast *forecast);
+	void (*kept_back)(void *arg, const struct dispatch_part *part,
+			  const struct forecast_part *expected);
 };
 
 /**
@@ -151,8 +160,10 @@
  *	between dispatch_init() and dispatch_start()
  * @room_in: with ERR_OVERLOAD: there is room after so long, microseconds; 0:
  *	not known
+ * @foreseen: refused, since too few parts are expected in time
  * @n_in: parts that are in
  * @n_lost: parts that no server could be sent when it came
+ * @n_left_out: parts that were not worth sending
  * @lost_since: when the last of these was lost
  * @code: why it failed
  */
@@ -171,6 +182,7 @@
 	int n_in;
 	int n_failed;
 	int n_lost;
+	int n_left_out;
 	int64_t lost_since;
 	int n_sends;
 	int n_extra;
@@ -180,6 +192,7 @@
 	bool judged;
 	bool promised;
 	int64_t room_in;
+	bool foreseen;
 	struct records records;
 	enum dispatch_outcome outcome;
 	int code;
@@ -206,7 +219,8 @@
  *
  * Parts of which no server can be reached are left out at once. If the others
  * are not enough, or more requests are under way than can be served, nothing is
- * sent and the outcome is DISPATCH_REFUSED.
+ * sent and the outcome is DISPATCH_REFUSED. So it is if load control says that
+ * parts are left out whose answers would be late, and too few others remain.
  *
  * Return: the outcome, DISPATCH_OPEN while it waits.
  */
--- /dev/null
+++ b/dispatch_forecast.c
@@ -0,0 +1,238 @@
+/* What the registry says of a request's parts, and what follows from it. */
+#include "dispatch_private.h"
+
+#include <math.h>
+#include <stdlib.h>
+
+#include "error.h"
+#include "forecast.h"
+#include "gateway_settings.h"
+#include "mem.h"
+
+/* Words of a server that are older say nothing of what waits there now. */
+#define TOLD_AGE_MOST MSEC(1000)
+/* A peer may tell any pace. */
+#define SLOWNESS_LEAST 0.25
+#define SLOWNESS_MOST 50.0
+
+static bool is_on(const struct dispatch *dispatch)
+{
+	const struct load_control *control = dispatch->limits->control;
+
+	return control && control->left_out && dispatch->route->sharded;
+}
+
+/* Before the first answer of its kind nothing is expected of a request. */
+static bool can_expect(const struct dispatch *dispatch)
+{
+	return is_on(dispatch) && dispatch->latency->usual > 0;
+}
+
+/* How many times its service's usual time a server takes lately. */
+static double slowness(const struct registry_server *server, int64_t now)
+{
+	const struct server_score *score = &server->score;
+	double usual = server->service->usual;
+	double pace = usual;
+
+	if (usual <= 0)
+		return 1;
+	if (server->outlook.pace_at)
+		pace = server_outlook_pace(&server->outlook, usual, now);
+	else if (score->latency_at && now - score->latency_at < TOLD_AGE_MOST)
+		pace = score->latency;
+	return fmin(fmax(pace / usual, SLOWNESS_LEAST), SLOWNESS_MOST);
+}
+
+static int level_of(const struct dispatch *dispatch)
+{
+	return server_outlook_level(dispatch->route->priority);
+}
+
+static struct forecast_part expect(const struct dispatch *dispatch,
+				   const struct registry_server *server,
+				   int64_t now)
+{
+	const struct server_outlook *outlook = &server->outlook;
+	double run = dispatch->latency->usual * slowness(server, now);
+	int level = level_of(dispatch);
+
+	return (struct forecast_part){
+		.ahead = server_outlook_ahead(outlook, level, now),
+		.run = (int64_t)run,
+		.told_at = outlook->levels[level].at,
+	};
+}
+
+/* Sends of this instance that the servers of a service have not answered. */
+static int under_way(const struct registry_service *service)
+{
+	int n = 0;
+	int i;
+
+	for (i = 0; i < service->n; i++)
+		n += service->servers[i]->score.outstanding;
+	return n;
+}
+
+/* Return: parts of other requests that are under way at the same servers. */
+static int fill(struct dispatch *dispatch, struct forecast *forecast)
+{
+	int64_t now = clock_now(dispatch->clock);
+	int n_others = 0;
+	int i;
+
+	forecast->goal = dispatch->answer_at - now;
+	if (forecast->goal < 0)
+		forecast->goal = 0;
+	forecast->deadline = dispatch->deadline - now;
+	forecast->needed = forecast_needed(dispatch->n_parts,
+					   dispatch->route->coverage_min);
+	for (i = 0; i < dispatch->n_parts; i++) {
+		const struct dispatch_part *part = &dispatch->parts[i];
+		const struct registry_server *server;
+
+		if (part->state != PART_WAITING)
+			continue;
+		server = dispatch_part_pick(part, false);
+		if (!server)
+			continue;
+		forecast->parts[forecast->n] = expect(dispatch, server, now);
+		forecast->parts[forecast->n++].index = i;
+		n_others += under_way(part->service);
+	}
+	return n_others;
+}
+
+static void leave_out(struct dispatch *dispatch,
+		      const struct forecast *forecast)
+{
+	int i;
+
+	for (i = 0; i < forecast->n; i++) {
+		struct dispatch_part *part =
+			&dispatch->parts[forecast->parts[i].index];
+
+		if (!forecast->parts[i].left_out)
+			continue;
+		part->code = ERR_LEFT_OUT;
+		dispatch_part_fail(part);
+		dispatch->n_left_out++;
+	}
+}
+
+static void decide(struct dispatch *dispatch, struct forecast *forecast)
+{
+	forecast_decide(forecast);
+	leave_out(dispatch, forecast);
+	dispatch->foreseen = forecast->refused;
+	dispatch->room_in = forecast->room_in;
+	if (dispatch->ops->foreseen &&
+	    (forecast->refused || forecast->n_left_out))
+		dispatch->ops->foreseen(dispatch->arg, forecast);
+}
+
+bool dispatch_forecast(struct dispatch *dispatch)
+{
+	struct forecast forecast = {.promised = dispatch->promised};
+
+	if (!can_expect(dispatch))
+		return true;
+	forecast.parts =
+		mem_zalloc((size_t)dispatch->n_parts * sizeof(*forecast.parts));
+	/* The only one under way shows whether servers recovered. */
+	forecast.probe = fill(dispatch, &forecast) < forecast.n;
+	if (forecast.n >= forecast.needed)
+		decide(dispatch, &forecast);
+	free(forecast.parts);
+	return !forecast.refused;
+}
+
+bool dispatch_recall(struct dispatch *dispatch)
+{
+	int64_t now = clock_now(dispatch->clock);
+	int most =
+		dispatch->n_parts - dispatch->n_failed + dispatch->n_left_out;
+	bool sent = false;
+	int i;
+
+	if (!dispatch->n_left_out ||
+	    most < forecast_needed(dispatch->n_parts,
+				   dispatch->route->coverage_min))
+		return false;
+	dispatch->n_left_out = 0;
+	for (i = 0; i < dispatch->n_parts; i++) {
+		struct dispatch_part *part = &dispatch->parts[i];
+
+		if (part->state != PART_FAILED || part->code != ERR_LEFT_OUT)
+			continue;
+		budget_need(&part->service->budget, &dispatch->limits->budget,
+			    1, now);
+		if (dispatch_part_send(part, "first", false))
+			continue;
+		part->state = PART_WAITING;
+		dispatch->n_failed--;
+		sent = true;
+	}
+	return sent;
+}
+
+bool dispatch_is_worth_sending(struct dispatch_part *part, bool hedge)
+{
+	struct dispatch *dispatch = part->dispatch;
+	int64_t now = clock_now(dispatch->clock);
+	int needed = forecast_needed(dispatch->n_parts,
+				     dispatch->route->coverage_min);
+	bool enough = dispatch->n_in >= needed;
+	const struct registry_server *server;
+	struct forecast_part expected;
+
+	if (!can_expect(dispatch))
+		return true;
+	server = dispatch_part_pick(part, hedge);
+	if (!server)
+		return true;
+	expected = expect(dispatch, server, now);
+	if (now + forecast_expected(&expected) <=
+	    (enough ? dispatch->answer_at : dispatch->deadline))
+		return true;
+	if (dispatch->ops->kept_back)
+		dispatch->ops->kept_back(dispatch->arg, part, &expected);
+	return false;
+}
+
+/*
+ * Of what this instance sent since the last word, nobody has told it yet: a
+ * burst would find every queue as short as its first request did. A server that
+ * it sends to itself is told of by its own queue.
+ */
+void dispatch_forecast_sent(const struct dispatch_send *send)
+{
+	const struct dispatch *dispatch = send->part->dispatch;
+	struct registry_server *server = send->server;
+	struct server_outlook *outlook = &server->outlook;
+	int64_t now = clock_now(dispatch->clock);
+	int64_t slots = server->entry.slots > 0 ? server->entry.slots : 1;
+	int64_t more;
+	int i;
+
+	if (!is_on(dispatch) || server->queue || !outlook->pace_at ||
+	    now - outlook->pace_at > TOLD_AGE_MOST)
+		return;
+	more = expect(dispatch, server, now).run / slots;
+	for (i = level_of(dispatch); i < OUTLOOK_LEVELS; i++)
+		server_outlook_told(outlook, i,
+				    server_outlook_ahead(outlook, i, now) +
+					    more,
+				    now);
+}
+
+void dispatch_forecast_learn(const struct dispatch_send *send, int64_t took)
+{
+	const struct dispatch *dispatch = send->part->dispatch;
+	int64_t now = clock_now(dispatch->clock);
+
+	if (is_on(dispatch))
+		latency_add_usual(dispatch->latency,
+				  (double)took / slowness(send->server, now));
+}
--- a/dispatch_private.h
+++ b/dispatch_private.h
@@ -9,6 +9,18 @@
  */
 bool dispatch_part_under_way(const struct dispatch_part *part);
 
+/**
+ * dispatch_part_fail() - nothing more is done for it
+ */
+void dispatch_part_fail(struct dispatch_part *part);
+
+/**
+ * dispatch_part_pick() - the server that it would be sent to, or NULL
+ * @fresh_only: not one that is better avoided
+ */
+struct registry_server *dispatch_part_pick(const struct dispatch_part *part,
+					   bool fresh_only);
+
 /**
  * dispatch_is_worth_waiting() - a server may take the part in a moment
  * @code: why it does not now: no connection is free, or it is cold
@@ -39,4 +51,37 @@
 int dispatch_part_send_again(struct dispatch_part *part, const char *why,
 			     bool hedge);
 
+/**
+ * dispatch_forecast() - whether enough answers are expected in time
+ *
+ * Parts that are not worth sending fail with ERR_LEFT_OUT. Changes nothing
+ * where load control is off, or nothing is known of such requests.
+ *
+ * Return: false if the request is to be refused; then @dispatch->room_in is
+ * set.
+ */
+bool dispatch_forecast(struct dispatch *dispatch);
+
+/**
+ * dispatch_recall() - others failed: send what was left out after all
+ *
+ * Return: whether anything was sent.
+ */
+bool dispatch_recall(struct dispatch *dispatch);
+
+/**
+ * dispatch_is_worth_sending() - whether one more send of a part can still help
+ */
+bool dispatch_is_worth_sending(struct dispatch_part *part, bool hedge);
+
+/**
+ * dispatch_forecast_sent() - a send goes before what is sent to its server next
+ */
+void dispatch_forecast_sent(const struct dispatch_send *send);
+
+/**
+ * dispatch_forecast_learn() - a send was answered after so long, microseconds
+ */
+void dispatch_forecast_learn(const struct dispatch_send *send, int64_t took);
+
 #endif
--- a/dispatch_send.c
+++ b/dispatch_send.c
@@ -81,6 +81,15 @@
 			     clock_now(part->dispatch->clock));
 }
 
+struct registry_server *dispatch_part_pick(const struct dispatch_part *part,
+					   bool fresh_only)
+{
+	struct tried tried;
+
+	fill_tried(part, &tried);
+	return pick(part, &tried, fresh_only);
+}
+
 /* Return: 0 if it was sent to the server; or why not. */
 static int send_to(struct dispatch_part *part, struct registry_server *server,
 		   const char *why)
@@ -112,6 +121,7 @@
 	part->n_arrived++;
 	dispatch->n_sends++;
 	part->hedge_at = now + dispatch_hedge_delay(dispatch);
+	dispatch_forecast_sent(send);
 	if (dispatch->ops->decided)
 		dispatch->ops->decided(dispatch->arg, send);
 	return 0;
--- a/error.h
+++ b/error.h
@@ -61,7 +61,8 @@
 	X(ERR_NO_TRACE, -46, "no_trace", "no request of that id is known")     \
 	X(ERR_TRACE_EVICTED, -47, "trace_evicted",                             \
 	  "the request's record made room for later ones")                     \
-	X(ERR_COLD, -48, "cold", "the backend server takes few requests yet")
+	X(ERR_COLD, -48, "cold", "the backend server takes few requests yet")  \
+	X(ERR_LEFT_OUT, -49, "left_out", "not sent: expected too late to count")
 
 #define ERROR_ENUM(symbol, number, name, text) symbol = number,
 enum error_code {
--- a/gateway_request_private.h
+++ b/gateway_request_private.h
@@ -74,6 +74,18 @@
  */
 extern const struct dispatch_ops gateway_send_ops;
 
+/**
+ * gateway_foreseen() - log what was expected of a request that was refused, or
+ * that parts are left out of; @arg is its struct gateway_request
+ */
+void gateway_foreseen(void *arg, const struct forecast *forecast);
+
+/**
+ * gateway_kept_back() - log that a part is not sent again
+ */
+void gateway_kept_back(void *arg, const struct dispatch_part *part,
+		       const struct forecast_part *expected);
+
 /**
  * gateway_send_init() - after the dispatch is
  */
--- a/gateway_send.c
+++ b/gateway_send.c
@@ -298,6 +298,8 @@
 	.abandon = abandon,
 	.decided = decided,
 	.limited = limited,
+	.foreseen = gateway_foreseen,
+	.kept_back = gateway_kept_back,
 };
 
 /*
--- a/gateway_stats.h
+++ b/gateway_stats.h
@@ -18,6 +18,8 @@
 	  "of these, at once: too few shards had a server to send to")         \
 	X(overload, METRIC_COUNTER, "garnetreach_requests_overload_total",     \
 	  "of these, at once: more under way than can be served in time")      \
+	X(foreseen, METRIC_COUNTER, "garnetreach_requests_foreseen_total",     \
+	  "of these, at once: too few parts were expected in time")            \
 	X(failed, METRIC_COUNTER, "garnetreach_requests_failed_total",         \
 	  "failed, and may have run")                                          \
 	X(left, METRIC_COUNTER, "garnetreach_requests_left_total",             \
@@ -36,6 +38,10 @@
 	  "of these, refused by the server and not run")                       \
 	X(lost, METRIC_COUNTER, "garnetreach_sends_lost_total",                \
 	  "of these, without a whole answer")                                  \
+	X(parts_left_out, METRIC_COUNTER, "garnetreach_parts_left_out_total",  \
+	  "parts not sent: they were expected too late to count")              \
+	X(kept_back, METRIC_COUNTER, "garnetreach_sends_kept_back_total",      \
+	  "hedges and retries not made for the same reason")                   \
 	X(cold, METRIC_COUNTER, "garnetreach_sends_cold_total",                \
 	  "sends kept from servers that are cold, and made elsewhere or not")  \
 	X(cordons, METRIC_GAUGE, "garnetreach_cordons",                        \
--- a/latency.c
+++ b/latency.c
@@ -2,10 +2,13 @@
 
 /* One late answer moves the estimate by this share. */
 #define STEP 0.05
+/* Of the newest answer in what is usual: one request brings many at a time. */
+#define USUAL_WEIGHT 0.005
 
 void latency_init(struct latency *latency, int64_t guess)
 {
 	latency->late = (double)guess;
+	latency->usual = 0;
 }
 
 void latency_add(struct latency *latency, int64_t usec)
@@ -15,3 +18,10 @@
 	else
 		latency->late *= 1 - STEP * LATENCY_LATE;
 }
+
+void latency_add_usual(struct latency *latency, double usec)
+{
+	if (!latency->usual)
+		latency->usual = usec;
+	latency->usual += (usec - latency->usual) * USUAL_WEIGHT;
+}
--- a/latency.h
+++ b/latency.h
@@ -1,7 +1,7 @@
 /*
- * A running estimate of one quantile of a latency (stochastic approximation):
- * one number, moved up a little by each sample above it and down a little by
- * each one below.
+ * Running estimates of a latency: of one quantile (stochastic approximation: a
+ * number moved up a little by each sample above it and down a little by each
+ * one below), and of the mean.
  */
 #ifndef LATENCY_H
 #define LATENCY_H
@@ -11,9 +11,12 @@
 /**
  * struct latency - the latency of one kind of request
  * @late: so many microseconds are exceeded by LATENCY_LATE of the answers
+ * @usual: that an answer takes of a server that is as quick as usual,
+ *	microseconds; 0: none came yet
  */
 struct latency {
 	double late;
+	double usual;
 };
 
 /* Answers later than this share of all are worth asking another server for. */
@@ -26,4 +29,10 @@
 void latency_init(struct latency *latency, int64_t guess);
 void latency_add(struct latency *latency, int64_t usec);
 
+/**
+ * latency_add_usual() - an answer came
+ * @usec: that it would have taken of a server that is as quick as usual
+ */
+void latency_add_usual(struct latency *latency, double usec);
+
 #endif
