--- a/dispatch_forecast.c
+++ b/dispatch_forecast.c
@@ -25,7 +25,7 @@
 /* Before the first answer of its kind nothing is expected of a request. */
 static bool can_expect(const struct dispatch *dispatch)
 {
-	return is_on(dispatch) && dispatch->latency->usual > 0;
+	return is_on(dispatch) && dispatch->latency->unloaded > 0;
 }
 
 /* How many times its service's usual time a server takes lately. */
@@ -49,18 +49,49 @@
 	return server_outlook_level(dispatch->route->priority);
 }
 
+static bool may_take(const struct dispatch *dispatch,
+		     const struct registry_server *server)
+{
+	return registry_is_open(server) &&
+	       region_set_allows(&dispatch->route->regions, server->region);
+}
+
+/*
+ * Of the servers of a service, the one that looks best is often the one that
+ * was told of longest ago. All are sent to alike, so that the mean says more of
+ * each of them than its own word.
+ */
+static int64_t ahead_at(const struct dispatch *dispatch,
+			const struct registry_server *server, int64_t now)
+{
+	const struct registry_service *service = server->service;
+	int level = level_of(dispatch);
+	int64_t sum = 0;
+	int n = 0;
+	int i;
+
+	if (!server->outlook.levels[level].at)
+		return 0;
+	for (i = 0; i < service->n; i++) {
+		if (!may_take(dispatch, service->servers[i]))
+			continue;
+		sum += server_outlook_ahead(&service->servers[i]->outlook,
+					    level, now);
+		n++;
+	}
+	return n ? sum / n : 0;
+}
+
 static struct forecast_part expect(const struct dispatch *dispatch,
 				   const struct registry_server *server,
 				   int64_t now)
 {
-	const struct server_outlook *outlook = &server->outlook;
-	double run = dispatch->latency->usual * slowness(server, now);
-	int level = level_of(dispatch);
+	double run = dispatch->latency->unloaded * slowness(server, now);
 
 	return (struct forecast_part){
-		.ahead = server_outlook_ahead(outlook, level, now),
+		.ahead = ahead_at(dispatch, server, now),
 		.run = (int64_t)run,
-		.told_at = outlook->levels[level].at,
+		.told_at = server->outlook.levels[level_of(dispatch)].at,
 	};
 }
 
@@ -233,6 +264,7 @@
 	int64_t now = clock_now(dispatch->clock);
 
 	if (is_on(dispatch))
-		latency_add_usual(dispatch->latency,
-				  (double)took / slowness(send->server, now));
+		latency_add_unloaded(dispatch->latency,
+				     (double)took /
+					     slowness(send->server, now));
 }
--- a/forecast.c
+++ b/forecast.c
@@ -3,11 +3,16 @@
 #include <math.h>
 #include <stdlib.h>
 
+/*
+ * A request is refused if it is expected after this share of its goal: what
+ * other instances send meanwhile is not told yet.
+ */
+#define GOAL_SHARE 0.7
 /*
  * Of the goal: so much may be ahead of a part even where it cannot be in time.
  * Servers that are slow and not busy are worth asking.
  */
-#define AHEAD_SHARE 0.25
+#define AHEAD_SHARE 0.15
 /* A part is clearly late at so many times the goal: estimates are rough. */
 #define LATE_FACTOR 1.2
 /* Of the parts, to spare for those that fail. */
@@ -61,7 +66,8 @@
 	int64_t due = forecast->deadline;
 
 	if (!forecast->promised)
-		due = due_of(forecast, part, forecast->goal);
+		due = due_of(forecast, part,
+			     (int64_t)((double)forecast->goal * GOAL_SHARE));
 	if (due > forecast->deadline)
 		due = forecast->deadline;
 	if (forecast->probe || forecast_expected(part) <= due)
--- a/gateway_answer.c
+++ b/gateway_answer.c
@@ -64,7 +64,7 @@
 		const struct server_load *load =
 			last->server ? &last->server->load : &unknown;
 
-		if (part->state == PART_IN)
+		if (part->state == PART_IN || part->code == ERR_LEFT_OUT)
 			continue;
 		LOG_INFO("part_missing",
 			 LOG_STR("request", request->request.id),
--- a/latency.c
+++ b/latency.c
@@ -3,12 +3,12 @@
 /* One late answer moves the estimate by this share. */
 #define STEP 0.05
 /* Of the newest answer in what is usual: one request brings many at a time. */
-#define USUAL_WEIGHT 0.005
+#define UNLOADED_WEIGHT 0.005
 
 void latency_init(struct latency *latency, int64_t guess)
 {
 	latency->late = (double)guess;
-	latency->usual = 0;
+	latency->unloaded = 0;
 }
 
 void latency_add(struct latency *latency, int64_t usec)
@@ -19,9 +19,9 @@
 		latency->late *= 1 - STEP * LATENCY_LATE;
 }
 
-void latency_add_usual(struct latency *latency, double usec)
+void latency_add_unloaded(struct latency *latency, double usec)
 {
-	if (!latency->usual)
-		latency->usual = usec;
-	latency->usual += (usec - latency->usual) * USUAL_WEIGHT;
+	if (!latency->unloaded)
+		latency->unloaded = usec;
+	latency->unloaded += (usec - latency->unloaded) * UNLOADED_WEIGHT;
 }
--- a/latency.h
+++ b/latency.h
@@ -11,12 +11,12 @@
 /**
  * struct latency - the latency of one kind of request
  * @late: so many microseconds are exceeded by LATENCY_LATE of the answers
- * @usual: that an answer takes of a server that is as quick as usual,
+ * @unloaded: that an answer takes of a server that is as quick as usual,
  *	microseconds; 0: none came yet
  */
 struct latency {
 	double late;
-	double usual;
+	double unloaded;
 };
 
 /* Answers later than this share of all are worth asking another server for. */
@@ -30,9 +30,9 @@
 void latency_add(struct latency *latency, int64_t usec);
 
 /**
- * latency_add_usual() - an answer came
+ * latency_add_unloaded() - an answer came
  * @usec: that it would have taken of a server that is as quick as usual
  */
-void latency_add_usual(struct latency *latency, double usec);
+void latency_add_unloaded(struct latency *latency, double usec);
 
 #endif
