--- a/dispatch.c
+++ b/dispatch.c
@@ -396,8 +396,7 @@
 	int ret = ERR_NO_REPLICA;
 
 	part->retry_at = INT64_MAX;
-	if ((dispatch->route->repeatable || !part->n_run) &&
-	    dispatch_is_worth_sending(part, false))
+	if (dispatch->route->repeatable || !part->n_run)
 		ret = dispatch_part_send_again(part, "retry", false);
 	if (ret && !dispatch_part_under_way(part))
 		wait_or_fail(part, ret);
@@ -482,8 +481,7 @@
 	if (part->state != PART_WAITING || now < part->hedge_at)
 		return;
 	part->hedge_at = INT64_MAX;
-	if (part->n_run >= part->dispatch->route->servers_max ||
-	    !dispatch_is_worth_sending(part, true))
+	if (part->n_run >= part->dispatch->route->servers_max)
 		return;
 	if (!is_straggler(part->dispatch) ||
 	    dispatch_part_send_again(part, "hedge", true))
--- a/dispatch.h
+++ b/dispatch.h
@@ -68,6 +68,7 @@
  * @n_arrived: sends that reached a server, refused ones included
  * @hedge_at: when to ask another server besides, microseconds
  * @retry_at: when to try again what failed without leave for another send
+ * @kept_back: it was not sent again, because its answer would be too late
  * @code: why it failed last
  * @stamp: of the answer that is in, owned
  */
@@ -82,6 +83,7 @@
 	int n_arrived;
 	int64_t hedge_at;
 	int64_t retry_at;
+	bool kept_back;
 	int code;
 	char *stamp;
 };
--- a/dispatch_forecast.c
+++ b/dispatch_forecast.c
@@ -227,8 +227,9 @@
 	if (now + forecast_expected(&expected) <=
 	    (enough ? dispatch->answer_at : dispatch->deadline))
 		return true;
-	if (dispatch->ops->kept_back)
+	if (!part->kept_back && dispatch->ops->kept_back)
 		dispatch->ops->kept_back(dispatch->arg, part, &expected);
+	part->kept_back = true;
 	return false;
 }
 
--- a/dispatch_send.c
+++ b/dispatch_send.c
@@ -189,6 +189,8 @@
 		return ERR_NO_REPLICA;
 	if (!pick(part, &tried, hedge))
 		return has_busy(part) ? ERR_BUDGET : ERR_NO_REPLICA;
+	if (!dispatch_is_worth_sending(part, hedge))
+		return ERR_NO_REPLICA;
 	if (!take_budget(part, hedge))
 		return ERR_BUDGET;
 	ret = dispatch_part_send(part, why, hedge);
--- a/gateway_stats.h
+++ b/gateway_stats.h
@@ -41,7 +41,7 @@
 	X(parts_left_out, METRIC_COUNTER, "garnetreach_parts_left_out_total",  \
 	  "parts not sent: they were expected too late to count")              \
 	X(kept_back, METRIC_COUNTER, "garnetreach_sends_kept_back_total",      \
-	  "hedges and retries not made for the same reason")                   \
+	  "parts not sent again for the same reason")                   \
 	X(cold, METRIC_COUNTER, "garnetreach_sends_cold_total",                \
 	  "sends kept from servers that are cold, and made elsewhere or not")  \
 	X(cordons, METRIC_GAUGE, "garnetreach_cordons",                        \
