--- a/dispatch.c
+++ b/dispatch.c
@@ -297,7 +297,7 @@
 	else if (dispatch->n_in + dispatch->n_failed == dispatch->n_parts &&
 		 is_enough(dispatch))
 		end(dispatch, DISPATCH_PARTIAL, 0);
-	else if (!can_be_enough(dispatch))
+	else if (!can_be_enough(dispatch) && !dispatch_recall(dispatch))
 		fail_all(dispatch, worst_code(dispatch));
 	else if (dispatch->route->sharded && now >= dispatch->answer_at &&
 		 is_enough(dispatch))
@@ -306,7 +306,7 @@
 		judge(dispatch, ERR_TOO_LATE);
 }
 
-static void fail_part(struct dispatch_part *part)
+void dispatch_part_fail(struct dispatch_part *part)
 {
 	if (part->state != PART_WAITING)
 		return;
@@ -328,7 +328,7 @@
 	if (code == ERR_BUDGET && now + period < dispatch->answer_at)
 		part->retry_at = now + period;
 	else
-		fail_part(part);
+		dispatch_part_fail(part);
 }
 
 /*
@@ -350,7 +350,7 @@
 			dispatch->lost_since = since;
 		part->code = ERR_NO_REPLICA;
 		dispatch->n_lost++;
-		fail_part(part);
+		dispatch_part_fail(part);
 	}
 }
 
@@ -373,7 +373,8 @@
 	int i;
 
 	leave_out_lost(dispatch);
-	if (can_be_enough(dispatch) && !admit(dispatch)) {
+	if (can_be_enough(dispatch) &&
+	    (!dispatch_forecast(dispatch) || !admit(dispatch))) {
 		end(dispatch, DISPATCH_REFUSED, ERR_OVERLOAD);
 		return dispatch->outcome;
 	}
@@ -462,6 +463,7 @@
 	if (!answer->code && answer->success &&
 	    !has_stamp(dispatch, answer->stamp)) {
 		latency_add(dispatch->latency, answer->took);
+		dispatch_forecast_learn(send, answer->took);
 		take_part(part, answer);
 	} else {
 		part->code = answer->code ? answer->code : ERR_UNKNOWN;
--- a/dispatch_send.c
+++ b/dispatch_send.c
@@ -101,6 +101,15 @@
 	return registry_pick(part->service, &choice, now);
 }
 
+struct registry_server *dispatch_part_pick(const struct dispatch_part *part,
+					   bool fresh_only)
+{
+	struct tried tried;
+
+	fill_tried(part, &tried);
+	return pick(part, &tried, fresh_only);
+}
+
 /* Return: 0 if it was sent to the server; or why not. */
 static int send_to(struct dispatch_part *part, struct registry_server *server,
 		   const char *why)
@@ -132,6 +141,7 @@
 	part->n_arrived++;
 	dispatch->n_sends++;
 	part->hedge_at = now + dispatch_hedge_delay(dispatch);
+	dispatch_forecast_sent(send);
 	if (dispatch->ops->decided)
 		dispatch->ops->decided(dispatch->arg, send);
 	return 0;
@@ -200,6 +210,8 @@
 		return ERR_NO_REPLICA;
 	if (!pick(part, &tried, hedge))
 		return has_busy(part) ? ERR_BUDGET : ERR_NO_REPLICA;
+	if (!dispatch_is_worth_sending(part, hedge))
+		return ERR_NO_REPLICA;
 	if (!take_budget(part, hedge))
 		return ERR_BUDGET;
 	ret = dispatch_part_send(part, why, hedge);
--- a/gateway_answer.c
+++ b/gateway_answer.c
@@ -64,7 +64,7 @@
 		const struct server_load *load =
 			last->server ? &last->server->load : &unknown;
 
-		if (part->state == PART_IN)
+		if (part->state == PART_IN || part->code == ERR_LEFT_OUT)
 			continue;
 		LOG_INFO("part_missing",
 			 LOG_STR("request", request->request.id),
@@ -174,7 +174,7 @@
 		status = HTTP_STATUS_BAD_GATEWAY;
 	else
 		retry_after = dispatch_retry_after(&request->dispatch);
-	if (code == ERR_OVERLOAD) {
+	if (code == ERR_OVERLOAD && !request->dispatch.foreseen) {
 		metric_inc(&request->gateway->counters.overload);
 		log_overload(request, retry_after);
 	} else if (!request->dispatch.n_sends && request->dispatch.n_lost) {
--- a/gateway_send.c
+++ b/gateway_send.c
@@ -301,6 +301,8 @@
 	.waits = waits,
 	.decided = decided,
 	.limited = limited,
+	.foreseen = gateway_foreseen,
+	.kept_back = gateway_kept_back,
 };
 
 /*
