--- a/view_update.c
+++ b/view_update.c
@@ -135,6 +135,9 @@
 		add_server(update, server, clock_now(share->clock));
 		return;
 	}
+	/* It went since, which is another change, of a later revision. */
+	if (!change->removed)
+		return;
 	row = add_row(update);
 	row->id = (char *)change->id;
 	row->removed = true;
