--- a/tests/test_view_share.c
+++ b/tests/test_view_share.c
@@ -32,6 +32,16 @@
 	int64_t answer_at[STORE_TOPICS];
 };
 
+/* A view that is on its way, packed. */
+struct mail {
+	struct node *from;
+	struct node *to;
+	int64_t at;
+	uint8_t *data;
+	size_t len;
+	struct mail *next;
+};
+
 /* The store: one server, whose entry changes, and routes. */
 struct world {
 	struct clock clock;
@@ -40,6 +50,8 @@
 	int centres;
 	int n_large; /* of each data centre; 0: all are linked to each other */
 	int lost;    /* of a hundred messages */
+	int delay;   /* of views at most, ms: they overtake each other */
+	struct mail *mail;
 	uint64_t draws;
 	uint64_t era; /* 0: the store tells none */
 	uint64_t revision;
@@ -117,11 +129,63 @@
 	       hub_links_wants(&b->links, a->name);
 }
 
-static bool is_lost(struct world *world)
+static uint64_t draw(struct world *world)
 {
 	world->draws =
 		world->draws * 6364136223846793005ULL + 1442695040888963407ULL;
-	return (int)(world->draws >> 33) % 100 < world->lost;
+	return world->draws >> 33;
+}
+
+static bool is_lost(struct world *world)
+{
+	return (int)(draw(world) % 100) < world->lost;
+}
+
+static void post(struct node *from, struct node *to,
+		 const Peer__ViewUpdate *message)
+{
+	struct world *world = from->world;
+	struct mail *mail = mem_zalloc(sizeof(*mail));
+	int64_t delay = (int64_t)(draw(world) % (uint64_t)world->delay);
+
+	mail->from = from;
+	mail->to = to;
+	mail->at = clock_now(&world->clock) + MSEC(delay);
+	mail->len = peer__view_update__get_packed_size(message);
+	mail->data = mem_zalloc(mail->len + 1);
+	peer__view_update__pack(message, mail->data);
+	mail->next = world->mail;
+	world->mail = mail;
+}
+
+static void deliver(const struct mail *mail)
+{
+	Peer__ViewUpdate *message =
+		peer__view_update__unpack(NULL, mail->len, mail->data);
+
+	if (!mail->to->dead)
+		view_share_update(&mail->to->share, mail->from->name, message);
+	peer__view_update__free_unpacked(message, NULL);
+}
+
+static void deliver_due(struct world *world)
+{
+	struct mail **at = &world->mail;
+
+	while (*at) {
+		struct mail *mail = *at;
+
+		if (mail->at > clock_now(&world->clock)) {
+			at = &mail->next;
+			continue;
+		}
+		*at = mail->next;
+		deliver(mail);
+		free(mail->data);
+		free(mail);
+		/* What it led to stands in front now. */
+		at = &world->mail;
+	}
 }
 
 static bool on_update(void *arg, const char *member,
@@ -136,7 +200,11 @@
 	node->world->n_whole += message->whole || message->routes.len;
 	node->world->n_far +=
 		strcmp(node->share.data_centre, to->share.data_centre) != 0;
-	if (!to->dead && !node->dead && !is_lost(node->world))
+	if (to->dead || node->dead || is_lost(node->world))
+		return true;
+	if (node->world->delay)
+		post(node, to, message);
+	else
 		view_share_update(&to->share, node->name, message);
 	return true;
 }
@@ -247,6 +315,10 @@
 {
 	int i;
 
+	/* What is still on its way. */
+	world->delay = 0;
+	clock_advance(&world->clock, MSEC(10000));
+	deliver_due(world);
 	for (i = 0; i < world->n_nodes; i++)
 		stop_node(&world->nodes[i]);
 	free(world->nodes);
@@ -374,6 +446,7 @@
 
 	for (t = 0; t < ms; t += STEP_MS) {
 		clock_advance(&world->clock, MSEC(STEP_MS));
+		deliver_due(world);
 		for (i = 0; i < world->n_nodes; i++) {
 			struct node *node = &world->nodes[i];
 
@@ -1002,8 +1075,8 @@
 }
 
 /*
- * A server leaves while the store is silent for some and messages are lost; the
- * first reader's view is told on by others while it holds the removal back.
+ * A server leaves while the store is silent for some and views are lost or
+ * overtake each other.
  */
 static void leave_in_silence(uint64_t seed, bool drains)
 {
@@ -1013,6 +1086,7 @@
 	world.draws = seed;
 	pass(&world, 4000);
 	world.lost = 20;
+	world.delay = 700;
 	cut_half(&world, true);
 	world.nodes[reader_of(&world)].cut_off = true;
 	pass(&world, 500 + (int64_t)seed * 170);
@@ -1154,6 +1228,7 @@
 	world.era = 1;
 	world.revision = 500;
 	world.lost = lost;
+	world.delay = lost * 30;
 	pass(&world, 4000);
 	change_routes(&world);
 	pass(&world, 2500);
