--- a/home.c
+++ b/home.c
@@ -133,6 +133,7 @@
 	job->item.priority = (int)job->query->message->priority;
 	job->item.goal = job->query->deadline_at;
 	job->item.deadline = job->query->deadline_at;
+	job->item.lot = 0;
 	job->item.cost = 1;
 	ret = slot_queue_push(&server->queue, &job->item, on_drop, home);
 	if (ret)
--- a/server_queue.c
+++ b/server_queue.c
@@ -23,6 +23,8 @@
 #define COST_WEIGHT 0.02
 #define COST_LEAST 0.1
 #define COST_MOST 10.0
+/* Lots that are drawn for requests. */
+#define LOTS 8
 /* How often what waits is looked through for what cannot be served in time. */
 #define TICK MSEC(20)
 
@@ -340,12 +342,14 @@
 
 static struct server_turn *new_turn(struct server_queues *queues,
 				    struct registry_server *server,
+				    const struct upstream_request *request,
 				    const struct server_rank *rank,
 				    int64_t deadline)
 {
 	struct server_turn *turn = mem_zalloc(sizeof(*turn));
 
 	turn->queues = queues;
+	turn->request = request;
 	turn->server = registry_server_ref(server);
 	turn->deadline = deadline;
 	turn->queued_at = now_of(queues);
@@ -353,6 +357,7 @@
 		rank->priority < INT_MAX ? (int)rank->priority : INT_MAX;
 	turn->item.goal = rank->goal_at < deadline ? rank->goal_at : deadline;
 	turn->item.deadline = deadline;
+	turn->item.lot = (int)(str_hash(request->id) % LOTS);
 	turn->item.cost = *cost_of(queues, rank->priority);
 	if (turn->item.cost <= 0)
 		turn->item.cost = 1;
@@ -366,10 +371,10 @@
 		      int64_t connections_max, exchange_cb cb, void *arg,
 		      struct server_turn **out)
 {
-	struct server_turn *turn = new_turn(queues, server, rank, deadline);
+	struct server_turn *turn =
+		new_turn(queues, server, request, rank, deadline);
 	int ret;
 
-	turn->request = request;
 	turn->connections_max = connections_max;
 	turn->cb = cb;
 	turn->arg = arg;
--- a/slot_queue.c
+++ b/slot_queue.c
@@ -16,12 +16,15 @@
  * is first: the others have waited in vain the longest, and would all be served
  * just at their deadlines.
  */
-static bool before(const struct slot_item *a, const struct slot_item *b)
+static bool before(const struct slot_queue *queue, const struct slot_item *a,
+		   const struct slot_item *b)
 {
 	if (a->late != b->late)
 		return b->late;
 	if (a->priority != b->priority)
 		return a->priority < b->priority;
+	if (queue->by_lot && a->lot != b->lot)
+		return a->lot < b->lot;
 	if (a->goal != b->goal)
 		return a->late ? a->goal > b->goal : a->goal < b->goal;
 	return a->order < b->order;
@@ -40,7 +43,7 @@
 	while (i) {
 		size_t parent = (i - 1) / 2;
 
-		if (!before(item, queue->items[parent]))
+		if (!before(queue, item, queue->items[parent]))
 			break;
 		put(queue, i, queue->items[parent]);
 		i = parent;
@@ -58,9 +61,9 @@
 		if (child >= queue->n)
 			break;
 		if (child + 1 < queue->n &&
-		    before(queue->items[child + 1], queue->items[child]))
+		    before(queue, queue->items[child + 1], queue->items[child]))
 			child++;
-		if (!before(queue->items[child], item))
+		if (!before(queue, queue->items[child], item))
 			break;
 		put(queue, i, queue->items[child]);
 		i = child;
@@ -122,7 +125,7 @@
 	size_t i;
 
 	for (i = 0; i < queue->n; i++)
-		n += before(queue->items[i], item);
+		n += before(queue, queue->items[i], item);
 	return n;
 }
 
@@ -133,7 +136,7 @@
 	size_t i;
 
 	for (i = 1; i < queue->n; i++) {
-		if (before(last, queue->items[i]))
+		if (before(queue, last, queue->items[i]))
 			last = queue->items[i];
 	}
 	return last;
@@ -156,6 +159,21 @@
 	return 0;
 }
 
+/*
+ * Where not all can be in time, the first to miss their goals would at each
+ * server be others, and nearly all requests of many parts lack some.
+ */
+static void set_by_lot(struct slot_queue *queue, bool by_lot)
+{
+	size_t i;
+
+	if (queue->by_lot == by_lot)
+		return;
+	queue->by_lot = by_lot;
+	for (i = queue->n / 2; i-- > 0;)
+		move_down(queue, i);
+}
+
 void slot_queue_init(struct slot_queue *queue, const struct clock *clock,
 		     size_t max)
 {
@@ -190,6 +208,8 @@
 	MEM_GROW(queue->items, queue->n, queue->cap);
 	put(queue, queue->n, item);
 	move_up(queue, queue->n++);
+	if (misses_goal(queue, item, now + wait))
+		set_by_lot(queue, true);
 	return 0;
 }
 
@@ -202,9 +222,12 @@
 	       !is_late(queue, first, now)) {
 		first->late = true;
 		move_down(queue, 0);
+		set_by_lot(queue, true);
 		first = queue->items[0];
 	}
-	return first;
+	if (first->late)
+		set_by_lot(queue, false);
+	return queue->items[0];
 }
 
 /* Of the least urgent that can be in time, the first. */
@@ -219,7 +242,8 @@
 		if (misses_goal(queue, item, now))
 			continue;
 		if (!least || item->priority > least->priority ||
-		    (item->priority == least->priority && before(item, least)))
+		    (item->priority == least->priority &&
+		     before(queue, item, least)))
 			least = item;
 	}
 	return least;
--- a/slot_queue.h
+++ b/slot_queue.h
@@ -20,6 +20,7 @@
  * @goal: an answer later than this is worth little; @deadline where there is no
  *	such time, microseconds
  * @deadline: on the clock, microseconds
+ * @lot: drawn for its request, the same at all servers
  * @cost: it takes so many times the usual, 1 where nothing is known
  * @pushed: when it was queued, microseconds
  */
@@ -27,6 +28,7 @@
 	int priority;
 	int64_t goal;
 	int64_t deadline;
+	int lot;
 	double cost;
 	int64_t pushed;
 	/* Of the module. */
@@ -42,6 +44,8 @@
  * @plain: drop at the deadline only, as a baseline of experiments
  * @floor: the least urgent is passed over for fewer turns in a row than these;
  *	0: for any number
+ * @by_lot: not all can be in time: until nobody who can be waits, the least
+ *lots go first and then the goals, so that all servers serve the same requests
  * @slots: of them this instance's share, for the estimate of waits
  * @usual: nearly all take less with a slot, microseconds; 0: not known
  * @mean: time with a slot, microseconds
@@ -54,6 +58,7 @@
 	size_t max;
 	bool plain;
 	int floor;
+	bool by_lot;
 	int slots;
 	double usual;
 	double mean;
--- a/tests/test_slot_queue.c
+++ b/tests/test_slot_queue.c
@@ -36,6 +36,7 @@
 	item->priority = priority;
 	item->deadline = clock_now(&f->clock) + MSEC(in_ms);
 	item->goal = item->deadline;
+	item->lot = 0;
 	item->cost = 1;
 	return slot_queue_push(&f->queue, item, on_drop, f);
 }
