server_outlook: single answers move a pace little, chance not the choice

The times of single requests spread as widely as their mean: a sample after 150 ms moved the pace by a quarter of itself, and choices followed chance.

--- a/server_outlook.c
+++ b/server_outlook.c
@@ -12,9 +12,14 @@
 #define PACE_RANGE 16.0
 /* What is told lies within this, microseconds. */
 #define PACE_MOST 60e6
-/* Weight of an answer: the least, and by the time since the one before. */
+/* Words within this are of other senders, and of as many answers. */
+#define PACE_TOGETHER MSEC(250)
+/* Weight of an answer: by the time since the one before, within bounds. */
 #define SEEN_WEIGHT_LEAST 0.1
-#define SEEN_SPAN_US 500000.0
+#define SEEN_WEIGHT_MOST 0.5
+#define SEEN_SPAN_US 2000000.0
+/* One answer that took longer says no more than this, times what is known. */
+#define SEEN_CUT 4.0
 
 int server_outlook_level(int64_t priority)
 {
@@ -32,29 +37,39 @@
 	outlook->levels[level].at = now;
 }
 
+static double within(double value, double least, double most)
+{
+	if (value < least)
+		return least;
+	return value < most ? value : most;
+}
+
+static void set_pace(struct server_outlook *outlook, double pace, int64_t now)
+{
+	outlook->pace = pace < PACE_MOST ? pace : PACE_MOST;
+	outlook->pace_at = now;
+}
+
 void server_outlook_paced(struct server_outlook *outlook, double pace,
 			  int64_t now)
 {
 	if (pace <= 0)
 		return;
-	outlook->pace = pace < PACE_MOST ? pace : PACE_MOST;
-	outlook->pace_at = now;
+	if (outlook->pace_at && now - outlook->pace_at < PACE_TOGETHER)
+		pace = (pace + outlook->pace) / 2;
+	set_pace(outlook, pace, now);
 }
 
 void server_outlook_seen(struct server_outlook *outlook, int64_t took,
-			 int64_t now)
+			 double usual, int64_t now)
 {
 	double since = (double)(now - outlook->pace_at);
-	double weight = 1 - exp(-since / SEEN_SPAN_US);
+	double weight = within(1 - exp(-since / SEEN_SPAN_US),
+			       SEEN_WEIGHT_LEAST, SEEN_WEIGHT_MOST);
+	double pace = server_outlook_pace(outlook, usual, now);
+	double sample = within((double)took, 0, pace * SEEN_CUT);
 
-	if (weight < SEEN_WEIGHT_LEAST)
-		weight = SEEN_WEIGHT_LEAST;
-	if (!outlook->pace_at)
-		weight = 1;
-	server_outlook_paced(outlook,
-			     outlook->pace +
-				     ((double)took - outlook->pace) * weight,
-			     now);
+	set_pace(outlook, pace + (sample - pace) * weight, now);
 }
 
 int64_t server_outlook_ahead(const struct server_outlook *outlook, int level,
@@ -81,13 +96,6 @@
 	return longest;
 }
 
-static double within(double value, double least, double most)
-{
-	if (value < least)
-		return least;
-	return value < most ? value : most;
-}
-
 double server_outlook_pace(const struct server_outlook *outlook, double usual,
 			   int64_t now)
 {
--- a/server_outlook.h
+++ b/server_outlook.h
@@ -42,6 +42,9 @@
 
 /**
  * server_outlook_paced() - a request takes so long there lately, microseconds
+ *
+ * Words that come within a moment of each other are of different senders: the
+ * mean of them is believed.
  */
 void server_outlook_paced(struct server_outlook *outlook, double pace,
 			  int64_t now);
@@ -49,11 +52,12 @@
 /**
  * server_outlook_seen() - an answer to a request of this instance came
  * @took: without what it waited here, microseconds
+ * @usual: as for server_outlook_pace()
  *
  * It counts for more the longer nothing was known.
  */
 void server_outlook_seen(struct server_outlook *outlook, int64_t took,
-			 int64_t now);
+			 double usual, int64_t now);
 
 /**
  * server_outlook_ahead() - how long a request of a level would wait
--- a/server_pace.c
+++ b/server_pace.c
@@ -47,7 +47,8 @@
 {
 	int64_t age = age_of(server, now);
 
-	server_outlook_seen(&server->outlook, took, now);
+	server_outlook_seen(&server->outlook, took, server->service->latency,
+			    now);
 	review(server, "own", age, now);
 }
 
--- a/server_score.c
+++ b/server_score.c
@@ -23,8 +23,8 @@
 #define REMOTE_PRICE 1.4
 /* To a relay in another data centre and back, microseconds. */
 #define REMOTE_WAY 3000.0
-/* Of the pace: what cannot be told from chance is no reason to go there. */
-#define REMOTE_MARGIN 0.2
+/* Of what is usual: so much a pace may differ by chance. */
+#define PACE_CHANCE 0.3
 /* Of the pace, at most. */
 #define SPREAD_MOST 0.15
 /*
@@ -214,12 +214,24 @@
 	return cost + avoidance(score, latency, 0, now);
 }
 
+/* The times of single requests differ much: small differences say nothing. */
+static double beyond_chance(double pace, double usual)
+{
+	double chance = usual * PACE_CHANCE;
+
+	if (pace > usual + chance)
+		return pace - chance;
+	return pace < usual - chance ? pace + chance : usual;
+}
+
 /* By expected completion, as all that send to it see it. */
 static double cost_as_told(const struct server_score *score,
 			   const struct server_traits *traits, int64_t now)
 {
 	const struct server_outlook *outlook = traits->outlook;
-	double pace = server_outlook_pace(outlook, traits->usual, now);
+	double pace =
+		beyond_chance(server_outlook_pace(outlook, traits->usual, now),
+			      traits->usual);
 	double wait = (double)server_outlook_ahead(outlook, traits->level, now);
 	double own = own_load(score, traits) * pace;
 	/* A part that waits at a relay does not show that its server stopped.
@@ -232,7 +244,7 @@
 	cost = wait + pace * (1 + SPREAD_MOST * traits->spread);
 	cost *= price_of_errors(score);
 	if (traits->remote)
-		cost += REMOTE_WAY + REMOTE_MARGIN * pace;
+		cost += REMOTE_WAY;
 	return cost + avoidance(score, pace, waits, now);
 }
 
