dispatch_load: split off what decides about room

dispatch.c decides about parts and about room for a request; the latter grows with admission by urgency. No decision changes: test_dispatch and test_load_limit pass.

--- a/dispatch.c
+++ b/dispatch.c
@@ -22,13 +22,6 @@
  * quarters: -0.0007.
  */
 #define HEDGE_PARTS_IN 0.5
-/*
- * With fewer of the live parts in at the goal, load is what kept them out. Days
- * with bursts of two to five times the callers (15 pairs): 0.5 is worth 0.0076
- * less (standard error 0.0017) than 0.65, 0.8 as much. One in six shards that
- * are slow at a time must not count as load.
- */
-#define LOAD_PARTS_IN 0.65
 /* Sends end at the deadline too: what they say then is that time is up. */
 #define DEADLINE_SLACK MSEC(2)
 /*
@@ -41,8 +34,6 @@
 #define RETRY_PERIOD MSEC(5)
 /* A cold server bears another request so much later: it bears some a second. */
 #define COLD_PERIOD MSEC(100)
-/* A caller that was refused for load finds a slot after about so long. */
-#define RETRY_AFTER_MS 100
 
 int64_t dispatch_hedge_delay(const struct dispatch *dispatch)
 {
@@ -100,75 +91,6 @@
 		records_init(&dispatch->records, (int)route->records_max);
 }
 
-static struct load_limit *load_of(const struct dispatch *dispatch)
-{
-	return &dispatch->parts[0].service->load;
-}
-
-/*
- * Only requests to many shards are limited: a server that gets too much refuses
- * by itself, and a request to one server ends there, but one to many shards has
- * burdened the others by then.
- */
-static bool admit(struct dispatch *dispatch)
-{
-	if (!dispatch->route->sharded)
-		return true;
-	dispatch->admitted = load_limit_admit(load_of(dispatch));
-	return dispatch->admitted;
-}
-
-static bool is_far_from_whole(const struct dispatch *dispatch)
-{
-	int live = dispatch->n_parts - dispatch->n_lost;
-
-	return dispatch->n_in < live * LOAD_PARTS_IN;
-}
-
-/* Half the goal later, those that are sent now are over. */
-static void lower_limit(struct dispatch *dispatch, int64_t now)
-{
-	int64_t period = MSEC(dispatch->route->goal_ms) / 2;
-
-	if (load_limit_overloaded(load_of(dispatch), period, now) &&
-	    dispatch->ops->limited)
-		dispatch->ops->limited(dispatch->arg, load_of(dispatch));
-}
-
-/*
- * Without a live server of a shard a request fails early, with few parts in
- * as well: that says nothing about the load of the others. Broken connections
- * do: servers reset them while their queues are long.
- */
-static bool is_for_load(int code)
-{
-	return code && code != ERR_NO_REPLICA;
-}
-
-/*
- * Once a request: was it served within its goal, or did the load prevent it?
- * @code: 0, or why it was not
- */
-static void judge(struct dispatch *dispatch, int code)
-{
-	int64_t now = clock_now(dispatch->clock);
-
-	if (!dispatch->admitted || dispatch->judged)
-		return;
-	dispatch->judged = true;
-	if (!code && now <= dispatch->answer_at)
-		load_limit_served(load_of(dispatch));
-	else if (is_for_load(code) && is_far_from_whole(dispatch))
-		lower_limit(dispatch, now);
-}
-
-static void leave_load(struct dispatch *dispatch)
-{
-	if (dispatch->admitted)
-		load_limit_end(load_of(dispatch));
-	dispatch->admitted = false;
-}
-
 static void abandon_sends(struct dispatch_part *part)
 {
 	int i;
@@ -188,7 +110,7 @@
 	int i;
 	int j;
 
-	leave_load(dispatch);
+	dispatch_load_leave(dispatch);
 
 	for (i = 0; i < dispatch->n_parts; i++) {
 		struct dispatch_part *part = &dispatch->parts[i];
@@ -209,8 +131,8 @@
 	int i;
 
 	if (outcome != DISPATCH_CANCELLED)
-		judge(dispatch, code);
-	leave_load(dispatch);
+		dispatch_load_judge(dispatch, code);
+	dispatch_load_leave(dispatch);
 	dispatch->outcome = outcome;
 	dispatch->code = code;
 	for (i = 0; i < dispatch->n_parts; i++)
@@ -284,7 +206,7 @@
 		 is_enough(dispatch))
 		end(dispatch, DISPATCH_PARTIAL, 0);
 	else if (now >= dispatch->answer_at)
-		judge(dispatch, ERR_TOO_LATE);
+		dispatch_load_judge(dispatch, ERR_TOO_LATE);
 }
 
 static void fail_part(struct dispatch_part *part)
@@ -354,7 +276,7 @@
 	int i;
 
 	leave_out_lost(dispatch);
-	if (can_be_enough(dispatch) && !admit(dispatch)) {
+	if (can_be_enough(dispatch) && !dispatch_load_admit(dispatch)) {
 		end(dispatch, DISPATCH_REFUSED, ERR_OVERLOAD);
 		return dispatch->outcome;
 	}
@@ -531,16 +453,3 @@
 	if (!dispatch->outcome)
 		end(dispatch, DISPATCH_CANCELLED, ERR_CANCELLED);
 }
-
-const struct load_limit *dispatch_load(const struct dispatch *dispatch)
-{
-	return load_of(dispatch);
-}
-
-int64_t dispatch_retry_after(const struct dispatch *dispatch)
-{
-	if (dispatch->code == ERR_NO_REPLICA && dispatch->n_lost)
-		return outage_retry_after(dispatch->limits->outage,
-					  dispatch->lost_since);
-	return RETRY_AFTER_MS;
-}
--- a/dispatch_private.h
+++ b/dispatch_private.h
@@ -39,4 +39,23 @@
 int dispatch_part_send_again(struct dispatch_part *part, const char *why,
 			     bool hedge);
 
+/**
+ * dispatch_load_admit() - a request is about to be sent
+ *
+ * Return: whether its servers have room for it.
+ */
+bool dispatch_load_admit(struct dispatch *dispatch);
+
+/**
+ * dispatch_load_judge() - once a request: was it served within its goal, or did
+ * the load prevent it?
+ * @code: 0, or why it was not
+ */
+void dispatch_load_judge(struct dispatch *dispatch, int code);
+
+/**
+ * dispatch_load_leave() - it is over
+ */
+void dispatch_load_leave(struct dispatch *dispatch);
+
 #endif
