--- a/dispatch.c
+++ b/dispatch.c
@@ -276,6 +276,8 @@
 	int i;
 
 	leave_out_lost(dispatch);
+	if (can_be_enough(dispatch))
+		dispatch_load_ask(dispatch);
 	if (can_be_enough(dispatch) && !dispatch_load_admit(dispatch)) {
 		end(dispatch, DISPATCH_REFUSED, ERR_OVERLOAD);
 		return dispatch->outcome;
@@ -364,6 +366,7 @@
 	if (!answer->code && answer->success &&
 	    !has_stamp(dispatch, answer->stamp)) {
 		latency_add(dispatch->latency, answer->took);
+		dispatch_load_answered(dispatch, answer->took);
 		take_part(part, answer);
 	} else {
 		part->code = answer->code ? answer->code : ERR_UNKNOWN;
--- a/dispatch.h
+++ b/dispatch.h
@@ -24,6 +24,7 @@
 struct dispatch;
 struct dispatch_part;
 struct load_control;
+struct load_share;
 
 /* Sends of one part, refused ones included. */
 #define DISPATCH_SENDS_MAX 6
@@ -132,11 +133,13 @@
  * @budget: second sends to a service
  * @outage: services without a live server
  * @control: what is done where servers are short; NULL: nothing
+ * @share: what other instances tell of servers that are short, or NULL
  */
 struct dispatch_limits {
 	struct budget_limit budget;
 	struct outage *outage;
 	const struct load_control *control;
+	struct load_share *share;
 };
 
 /**
@@ -145,6 +148,8 @@
  * @deadline: of the caller and the route
  * @answer_at: sharded: from then on enough parts make the answer
  * @held: see dispatch_hold()
+ * @level: of urgency
+ * @cost: work that it is for its servers
  * @admitted: it counts in the load of its services
  * @judged: it was told to the load limit whether it is served in time
  * @promised: it was refused before and told to come now; set by the owner
@@ -176,6 +181,8 @@
 	int n_extra;
 	bool ran;
 	bool held;
+	int level;
+	int64_t cost;
 	bool admitted;
 	bool judged;
 	bool promised;
@@ -255,6 +262,18 @@
  */
 const struct load_limit *dispatch_load(const struct dispatch *dispatch);
 
+/**
+ * dispatch_is_for_load() - it was refused because servers are short
+ */
+bool dispatch_is_for_load(const struct dispatch *dispatch);
+
+/**
+ * dispatch_room() - work that all instances serve where it goes
+ *
+ * Return: a second; 0 if it is not known.
+ */
+double dispatch_room(const struct dispatch *dispatch);
+
 /**
  * dispatch_retry_after() - when a caller that was refused may come back, ms
  */
--- a/dispatch_load.c
+++ b/dispatch_load.c
@@ -2,6 +2,8 @@
 #include "dispatch_private.h"
 
 #include "error.h"
+#include "gateway_settings.h"
+#include "load_share.h"
 
 /*
  * With fewer of the live parts in at the goal, load is what kept them out: one
@@ -10,22 +12,112 @@
 #define LOAD_PARTS_IN 0.65
 /* A caller that was refused for load finds a slot after about so long. */
 #define RETRY_AFTER_MS 100
+/* Until so many answers are known, each one tells what the work takes. */
+#define USUAL_LEAST 16
 
 static struct load_limit *load_of(const struct dispatch *dispatch)
 {
 	return &dispatch->parts[0].service->load;
 }
 
+static bool is_by_priority(const struct dispatch *dispatch)
+{
+	const struct load_control *control = dispatch->limits->control;
+
+	return control && control->priorities;
+}
+
+static bool is_measured(const struct dispatch *dispatch)
+{
+	const struct load_control *control = dispatch->limits->control;
+
+	return control && (control->priorities || control->returns);
+}
+
+/*
+ * Without measures, requests are counted, and only those to many shards: a
+ * server that gets too much refuses by itself, and a request to one server ends
+ * there, but one to many shards has burdened the others by then.
+ */
+static bool is_counted(const struct dispatch *dispatch)
+{
+	return dispatch->route->sharded || is_measured(dispatch);
+}
+
+void dispatch_load_ask(struct dispatch *dispatch)
+{
+	int64_t now = clock_now(dispatch->clock);
+
+	dispatch->cost = 1;
+	if (is_by_priority(dispatch))
+		dispatch->level =
+			server_outlook_level(dispatch->route->priority);
+	if (is_measured(dispatch))
+		dispatch->cost +=
+			(int64_t)(dispatch->latency->usual * dispatch->n_parts);
+	if (is_counted(dispatch) && !dispatch->promised)
+		load_limit_ask(load_of(dispatch), dispatch->level,
+			       dispatch->cost, now);
+}
+
+void dispatch_load_answered(struct dispatch *dispatch, int64_t took)
+{
+	/* Under a limit it waits for others, which is no work of its own. */
+	if (!load_of(dispatch)->limit ||
+	    dispatch->latency->n_usual < USUAL_LEAST)
+		latency_add_usual(dispatch->latency, took);
+}
+
+static void share_limit(const struct dispatch *dispatch)
+{
+	const char *service = dispatch->parts[0].service->name;
+
+	if (dispatch->limits->share && load_of(dispatch)->limit)
+		load_share_limited(dispatch->limits->share,
+				   str_hash(str_from(service)),
+				   load_of(dispatch));
+}
+
+static bool fits(const struct dispatch *dispatch, int64_t now)
+{
+	struct load_limit *load = load_of(dispatch);
+	struct load_others others = {0};
+
+	if (dispatch->limits->share && is_by_priority(dispatch))
+		load_share_adopt(dispatch->limits->share,
+				 dispatch->parts[0].service->name, load,
+				 &others);
+	share_limit(dispatch);
+	return load_limit_admit(load, dispatch->level, dispatch->cost, &others,
+				now);
+}
+
 /*
- * Only requests to many shards are limited: a server that gets too much refuses
- * by itself, and a request to one server ends there, but one to many shards has
- * burdened the others by then.
+ * What was promised is let in. So is the most urgent level of a service of
+ * single servers, which refuse by themselves.
  */
+static bool is_let_in(const struct dispatch *dispatch, int64_t now)
+{
+	if (dispatch->promised)
+		return true;
+	return !dispatch->route->sharded &&
+	       load_limit_is_most_urgent(load_of(dispatch), dispatch->level,
+					 now);
+}
+
 bool dispatch_load_admit(struct dispatch *dispatch)
 {
-	if (!dispatch->route->sharded)
+	int64_t now = clock_now(dispatch->clock);
+
+	if (!is_counted(dispatch))
 		return true;
-	dispatch->admitted = load_limit_admit(load_of(dispatch));
+	if (is_let_in(dispatch, now)) {
+		load_limit_take(load_of(dispatch), dispatch->level,
+				dispatch->cost, now);
+		dispatch->admitted = true;
+	} else {
+		dispatch->admitted = fits(dispatch, now);
+	}
 	return dispatch->admitted;
 }
 
@@ -37,12 +129,21 @@
 }
 
 /* Half the goal later, those that are sent now are over. */
-static void lower_limit(struct dispatch *dispatch, int64_t now)
+static bool lower_limit(struct dispatch *dispatch, int64_t now)
 {
 	int64_t period = MSEC(dispatch->route->goal_ms) / 2;
 
-	if (load_limit_overloaded(load_of(dispatch), period, now) &&
-	    dispatch->ops->limited)
+	if (!dispatch->route->sharded)
+		return load_limit_full(load_of(dispatch), now);
+	return load_limit_overloaded(load_of(dispatch), period, now);
+}
+
+static void note_overload(struct dispatch *dispatch, int64_t now)
+{
+	if (!lower_limit(dispatch, now))
+		return;
+	share_limit(dispatch);
+	if (dispatch->ops->limited)
 		dispatch->ops->limited(dispatch->arg, load_of(dispatch));
 }
 
@@ -51,9 +152,11 @@
  * as well: that says nothing about the load of the others. Broken connections
  * do: servers reset them while their queues are long.
  */
-static bool is_for_load(int code)
+static bool is_overload(const struct dispatch *dispatch, int code)
 {
-	return code && code != ERR_NO_REPLICA;
+	if (!dispatch->route->sharded)
+		return code == ERR_SHED || code == ERR_BUDGET;
+	return code && code != ERR_NO_REPLICA && is_far_from_whole(dispatch);
 }
 
 void dispatch_load_judge(struct dispatch *dispatch, int code)
@@ -64,15 +167,26 @@
 		return;
 	dispatch->judged = true;
 	if (!code && now <= dispatch->answer_at)
-		load_limit_served(load_of(dispatch));
-	else if (is_for_load(code) && is_far_from_whole(dispatch))
-		lower_limit(dispatch, now);
+		load_limit_served(load_of(dispatch), dispatch->cost);
+	else if (is_overload(dispatch, code))
+		note_overload(dispatch, now);
+}
+
+static bool has_worked(const struct dispatch *dispatch)
+{
+	double least = dispatch->route->coverage_min * dispatch->n_parts;
+
+	return dispatch->n_in && dispatch->n_in >= least;
 }
 
 void dispatch_load_leave(struct dispatch *dispatch)
 {
-	if (dispatch->admitted)
-		load_limit_end(load_of(dispatch));
+	if (!dispatch->admitted)
+		return;
+	if (has_worked(dispatch))
+		load_limit_worked(load_of(dispatch), dispatch->cost,
+				  clock_now(dispatch->clock));
+	load_limit_end(load_of(dispatch), dispatch->level, dispatch->cost);
 	dispatch->admitted = false;
 }
 
@@ -81,10 +195,34 @@
 	return load_of(dispatch);
 }
 
+bool dispatch_is_for_load(const struct dispatch *dispatch)
+{
+	return dispatch->outcome == DISPATCH_REFUSED &&
+	       (dispatch->code == ERR_OVERLOAD || dispatch->code == ERR_SHED ||
+		dispatch->code == ERR_BUDGET);
+}
+
+/* The others' room is to their limits as this one's is to its own. */
+double dispatch_room(const struct dispatch *dispatch)
+{
+	const struct load_limit *load = load_of(dispatch);
+	double room = load_limit_room(load, clock_now(dispatch->clock));
+	struct load_others others;
+
+	if (!dispatch->limits->share || !load->limit)
+		return room;
+	load_share_others(dispatch->limits->share,
+			  str_hash(str_from(dispatch->parts[0].service->name)),
+			  &others);
+	return room * (load->limit + others.limit) / load->limit;
+}
+
 int64_t dispatch_retry_after(const struct dispatch *dispatch)
 {
 	if (dispatch->code == ERR_NO_REPLICA && dispatch->n_lost)
 		return outage_retry_after(dispatch->limits->outage,
 					  dispatch->lost_since);
+	if (dispatch->room_in > 0)
+		return (dispatch->room_in + USEC_PER_MSEC - 1) / USEC_PER_MSEC;
 	return RETRY_AFTER_MS;
 }
--- a/dispatch_private.h
+++ b/dispatch_private.h
@@ -39,6 +39,17 @@
 int dispatch_part_send_again(struct dispatch_part *part, const char *why,
 			     bool hedge);
 
+/**
+ * dispatch_load_ask() - a request came that has servers
+ */
+void dispatch_load_ask(struct dispatch *dispatch);
+
+/**
+ * dispatch_load_answered() - a server answered
+ * @took: microseconds
+ */
+void dispatch_load_answered(struct dispatch *dispatch, int64_t took);
+
 /**
  * dispatch_load_admit() - a request is about to be sent
  *
--- a/gateway.c
+++ b/gateway.c
@@ -324,6 +324,7 @@
 	ret = start_fleet(gateway);
 	if (ret)
 		return ret;
+	gateway_load_init(gateway);
 	gateway->upstream.limits.warmup = &gateway->fleet.warmup;
 	join_fleet(gateway);
 	relay_ask_init(&gateway->relay_ask, &gateway->fleet.board,
@@ -346,6 +347,7 @@
 	relay_ask_finish(&gateway->relay_ask);
 	upstream_finish(&gateway->upstream);
 	gateway_outage_finish(gateway);
+	gateway_load_finish(gateway);
 	inbound_finish(&gateway->inbound);
 	gateway_fleet_finish(&gateway->fleet);
 	store_client_finish(&gateway->store);
--- a/gateway.h
+++ b/gateway.h
@@ -14,6 +14,7 @@
 #include "clock.h"
 #include "dispatch.h"
 #include "gateway_fleet.h"
+#include "gateway_load.h"
 #include "gateway_settings.h"
 #include "gateway_stats.h"
 #include "inbound.h"
@@ -83,6 +84,7 @@
 	struct outage outage;
 	struct wake_timer outage_timer;
 	struct dispatch_limits limits;
+	struct gateway_load load;
 	struct peak entries;
 	struct route_stats *stats;
 	struct gateway_stats counters;
--- a/gateway_answer.c
+++ b/gateway_answer.c
@@ -153,15 +153,34 @@
 static void log_overload(const struct gateway_request *request,
 			 int64_t retry_after)
 {
-	const struct load_limit *load = dispatch_load(&request->dispatch);
-	int64_t age = clock_now(request->dispatch.clock) - load->lowered_at;
+	const struct dispatch *dispatch = &request->dispatch;
+	const struct load_limit *load = dispatch_load(dispatch);
+	int64_t age = clock_now(dispatch->clock) - load->lowered_at;
+	int level = dispatch->level;
 
 	LOG_INFO("load_refused", LOG_STR("request", request->request.id),
+		 LOG_I64("level", level), LOG_I64("cost", dispatch->cost),
 		 LOG_I64("open", load->open), LOG_F64("limit", load->limit),
+		 LOG_F64("asked", load->levels[level].asked),
+		 LOG_F64("admitted", load->levels[level].admitted),
+		 LOG_I64("room_in_us", dispatch->room_in),
 		 LOG_I64("limit_age_ms", age / USEC_PER_MSEC),
 		 LOG_I64("retry_after_ms", retry_after));
 }
 
+static struct metric *overload_level(const struct gateway_request *request)
+{
+	struct gateway_stats *counters = &request->gateway->counters;
+	struct metric *levels[OUTLOOK_LEVELS] = {
+		&counters->overload_level0,
+		&counters->overload_level1,
+		&counters->overload_level2,
+		&counters->overload_level3,
+	};
+
+	return levels[request->dispatch.level];
+}
+
 static void answer_failure(struct gateway_request *request, bool ran)
 {
 	int code = request->dispatch.code;
@@ -173,9 +192,10 @@
 	else if (ran)
 		status = HTTP_STATUS_BAD_GATEWAY;
 	else
-		retry_after = dispatch_retry_after(&request->dispatch);
+		retry_after = gateway_load_offer(request);
 	if (code == ERR_OVERLOAD) {
 		metric_inc(&request->gateway->counters.overload);
+		metric_inc(overload_level(request));
 		log_overload(request, retry_after);
 	} else if (!request->dispatch.n_sends && request->dispatch.n_lost) {
 		metric_inc(&request->gateway->counters.no_server);
--- /dev/null
+++ b/gateway_load.c
@@ -0,0 +1,221 @@
+#define LOG_MODULE "load"
+#include "gateway_load.h"
+
+#include "gateway_request_private.h"
+#include "log.h"
+
+/* Callers honour what they are told up to this part of the time they have. */
+#define PATIENCE_PART 3
+/* On a link that is slower, what was told would be old when it arrives. */
+#define BACKLOG_MOST (64 * 1024)
+
+static bool is_on(const struct gateway *gateway)
+{
+	const struct load_control *control = &gateway->settings->load_control;
+
+	return control->priorities || control->returns;
+}
+
+static void send_share(void *arg, const Peer__LoadShare *message)
+{
+	struct gateway *gateway = arg;
+	const struct view_share *views = &gateway->fleet.views;
+	int n = gateway_fleet_entries(&gateway->fleet);
+	int i;
+
+	for (i = 0; i < n && i < views->n_members; i++) {
+		struct peer_link *link;
+
+		if (i == views->rank)
+			continue;
+		link = peers_find_any(&gateway->fleet.peers,
+				      str_from(views->members[i].instance));
+		if (link && peer_backlog(link) < BACKLOG_MOST)
+			peer_send(link, FRAME_LOAD_SHARE, &message->base);
+	}
+}
+
+static void adopted(void *arg, const char *service,
+		    const struct load_limit *load,
+		    const struct load_others *others)
+{
+	(void)arg;
+	LOG_INFO("load_limit_adopted", LOG_TEXT("service", service),
+		 LOG_F64("limit", load->limit), LOG_I64("open", load->open),
+		 LOG_I64("others", others->n),
+		 LOG_I64("others_limited", others->n_limited),
+		 LOG_F64("ratio", others->ratio));
+}
+
+static const struct load_share_ops share_ops = {
+	.send = send_share,
+	.adopted = adopted,
+};
+
+static void on_frame(void *arg, struct peer_link *link, struct frame *frame)
+{
+	struct gateway *gateway = arg;
+
+	if (!is_on(gateway))
+		return;
+	gateway->load.share.n_others =
+		gateway_fleet_entries(&gateway->fleet) - 1;
+	load_share_told(&gateway->load.share, link->instance,
+			(const Peer__LoadShare *)frame->message);
+}
+
+static void on_timer(void *arg)
+{
+	struct gateway *gateway = arg;
+
+	load_share_tick(&gateway->load.share);
+	gateway_load_arm(gateway);
+}
+
+void gateway_load_init(struct gateway *gateway)
+{
+	struct gateway_load *load = &gateway->load;
+
+	return_book_init(&load->book, &gateway->clock);
+	load_share_init(&load->share, &gateway->clock, &share_ops, gateway,
+			&load->book);
+	wake_timer_init(&load->timer, gateway->base, &gateway->clock, on_timer,
+			gateway);
+	load->handler.frame = on_frame;
+	load->handler.types = 1u << FRAME_LOAD_SHARE;
+	load->handler.arg = gateway;
+	peers_add_handler(&gateway->fleet.peers, &load->handler);
+	if (is_on(gateway))
+		gateway->limits.share = &load->share;
+}
+
+void gateway_load_finish(struct gateway *gateway)
+{
+	wake_timer_finish(&gateway->load.timer);
+	return_book_finish(&gateway->load.book);
+}
+
+void gateway_load_arm(struct gateway *gateway)
+{
+	if (is_on(gateway))
+		wake_timer_move(&gateway->load.timer,
+				load_share_due(&gateway->load.share));
+}
+
+const struct route_service *
+gateway_load_target(const struct route *route, const struct return_entry *entry)
+{
+	int i;
+
+	for (i = 0; i < route->n_targets; i++) {
+		const struct route_service *service = route->targets[i].service;
+
+		if (str_hash(str_from(service->name)) == entry->service)
+			return service;
+	}
+	return NULL;
+}
+
+static bool is_limited(struct gateway *gateway, const struct route *route,
+		       const struct return_entry *entry)
+{
+	const struct route_service *target = gateway_load_target(route, entry);
+
+	return target &&
+	       registry_service(&gateway->registry, str_from(target->name))
+		       ->load.limit;
+}
+
+static void log_arrival(const struct gateway *gateway, struct str id,
+			const struct return_entry *entry,
+			enum return_state state)
+{
+	int64_t early = entry->due - clock_now(&gateway->clock);
+
+	if (state == RETURN_EARLY)
+		LOG_INFO("return_early", LOG_STR("request", id),
+			 LOG_I64("level", entry->level),
+			 LOG_I64("promised", entry->kept),
+			 LOG_I64("early_ms", early / USEC_PER_MSEC));
+	else
+		LOG_INFO("return_taken", LOG_STR("request", id),
+			 LOG_I64("level", entry->level),
+			 LOG_I64("early_ms", early / USEC_PER_MSEC));
+}
+
+static void use_up(struct gateway *gateway, struct return_entry *entry)
+{
+	return_book_drop(&gateway->load.book, entry->fingerprint);
+	entry->taken = true;
+	load_share_return(&gateway->load.share, entry);
+}
+
+enum return_state gateway_load_arrive(struct gateway *gateway,
+				      const struct route *route,
+				      uint64_t fingerprint, struct str id,
+				      struct return_entry *out)
+{
+	const struct return_entry *entry;
+	enum return_state state;
+
+	if (!gateway->settings->load_control.returns)
+		return RETURN_NONE;
+	entry = return_book_find(&gateway->load.book, fingerprint);
+	state = return_book_arrive(&gateway->load.book, entry);
+	if (state == RETURN_NONE)
+		return RETURN_NONE;
+	*out = *entry;
+	if (state == RETURN_EARLY && is_limited(gateway, route, entry)) {
+		metric_inc(&gateway->counters.return_early);
+		log_arrival(gateway, id, out, state);
+		return RETURN_EARLY;
+	}
+	use_up(gateway, out);
+	if (state == RETURN_EARLY || !gateway_load_target(route, out))
+		return RETURN_NONE;
+	metric_inc(&gateway->counters.return_taken);
+	log_arrival(gateway, id, out, state);
+	return RETURN_DUE;
+}
+
+static void log_offer(const struct gateway_request *request,
+		      const struct return_ask *ask,
+		      const struct return_entry *entry, int64_t wait)
+{
+	LOG_INFO("return_promised", LOG_STR("request", request->request.id),
+		 LOG_TEXT("service", request->dispatch.parts[0].service->name),
+		 LOG_I64("level", ask->level), LOG_I64("cost_us", ask->cost),
+		 LOG_F64("room_us", ask->room),
+		 LOG_I64("room_in_us", ask->room_in),
+		 LOG_I64("patience_us", ask->patience),
+		 LOG_I64("wait_us", wait), LOG_I64("promised", entry->kept));
+}
+
+int64_t gateway_load_offer(struct gateway_request *request)
+{
+	struct gateway *gateway = request->gateway;
+	const struct dispatch *dispatch = &request->dispatch;
+	int64_t now = clock_now(&gateway->clock);
+	const struct return_ask ask = {
+		.fingerprint = request->fingerprint,
+		.service = str_hash(str_from(dispatch->parts[0].service->name)),
+		.level = dispatch->level,
+		.cost = dispatch->cost,
+		.room = dispatch_room(dispatch),
+		.room_in = dispatch->room_in,
+		.patience = (dispatch->deadline - now) / PATIENCE_PART,
+	};
+	struct return_entry entry;
+	int64_t wait;
+
+	if (!gateway->settings->load_control.returns ||
+	    !dispatch_is_for_load(dispatch) || ask.patience <= 0)
+		return dispatch_retry_after(dispatch);
+	wait = return_book_offer(&gateway->load.book, &ask, &entry);
+	metric_inc(entry.kept ? &gateway->counters.return_promised
+			      : &gateway->counters.return_unpromised);
+	log_offer(request, &ask, &entry, wait);
+	load_share_return(&gateway->load.share, &entry);
+	gateway_load_arm(gateway);
+	return (wait + USEC_PER_MSEC - 1) / USEC_PER_MSEC;
+}
--- /dev/null
+++ b/gateway_load.h
@@ -0,0 +1,64 @@
+/*
+ * What a gateway instance does where backend servers are short: it tells other
+ * instances that take callers of it, and callers when to come back.
+ */
+#ifndef GATEWAY_LOAD_H
+#define GATEWAY_LOAD_H
+
+#include "load_share.h"
+#include "peer.h"
+#include "return_book.h"
+#include "wake_timer.h"
+
+struct gateway;
+struct gateway_request;
+struct route;
+
+/**
+ * struct gateway_load - wiring of these
+ */
+struct gateway_load {
+	struct return_book book;
+	struct load_share share;
+	struct wake_timer timer;
+	struct peer_handler handler;
+};
+
+/**
+ * gateway_load_init() - after the fleet's part of the instance
+ */
+void gateway_load_init(struct gateway *gateway);
+void gateway_load_finish(struct gateway *gateway);
+
+/**
+ * gateway_load_arm() - requests may have found servers short
+ */
+void gateway_load_arm(struct gateway *gateway);
+
+/**
+ * gateway_load_arrive() - whether a request was refused before and is due
+ * @id: of the request, for the log
+ * @out: set if the request is known
+ */
+enum return_state gateway_load_arrive(struct gateway *gateway,
+				      const struct route *route,
+				      uint64_t fingerprint, struct str id,
+				      struct return_entry *out);
+
+/**
+ * gateway_load_target() - the target that a request was refused for
+ *
+ * Return: NULL if the route has it no more.
+ */
+const struct route_service *
+gateway_load_target(const struct route *route,
+		    const struct return_entry *entry);
+
+/**
+ * gateway_load_offer() - when a caller that is refused may come back
+ *
+ * Return: milliseconds.
+ */
+int64_t gateway_load_offer(struct gateway_request *request);
+
+#endif
--- a/gateway_request.c
+++ b/gateway_request.c
@@ -10,6 +10,7 @@
 #include <utlist.h>
 
 #include "answer_due.h"
+#include "gateway_load.h"
 #include "gateway_outage.h"
 #include "gateway_request_private.h"
 #include "log.h"
@@ -193,9 +194,10 @@
 				  http_message_target(message), hash);
 }
 
+/* @due: what it was promised, or NULL */
 static void start(struct gateway *gateway, struct inbound_conn *conn,
 		  const struct http_message *message, const struct route *route,
-		  uint64_t fingerprint)
+		  uint64_t fingerprint, const struct return_entry *due)
 {
 	struct gateway_request *request = mem_zalloc(sizeof(*request));
 	struct route_stats *stats = stats_of(gateway, route);
@@ -219,16 +221,19 @@
 	inbound_conn_set(conn, request);
 	DL_APPEND(gateway->open, request);
 	if (!route->sharded)
-		target = route_deal(route);
+		target = due ? gateway_load_target(route, due)
+			     : route_deal(route);
 	dispatch_init(&request->dispatch, &gateway->clock, &gateway_send_ops,
 		      &gateway->limits, request, &gateway->registry, route,
 		      target, &stats->latency,
 		      clock_now(&gateway->clock) +
 			      time_left(gateway, route, told),
 		      answer_after(gateway, conn, route, stats, told));
+	request->dispatch.promised = due;
 	gateway_send_init(request);
 	go_on(request, dispatch_start(&request->dispatch));
 	gateway_outage_arm(gateway);
+	gateway_load_arm(gateway);
 }
 
 static void refuse(struct gateway *gateway, struct inbound_conn *conn,
@@ -269,6 +274,33 @@
 		       START_RETRY_MS, "routes_may_be_old");
 }
 
+static int64_t ms_until(const struct gateway *gateway, int64_t at)
+{
+	int64_t left = at - clock_now(&gateway->clock);
+
+	return (left + USEC_PER_MSEC - 1) / USEC_PER_MSEC;
+}
+
+static void start_or_refuse(struct gateway *gateway, struct inbound_conn *conn,
+			    const struct http_message *message,
+			    const struct route *route, uint64_t fingerprint)
+{
+	struct return_entry entry;
+	enum return_state state;
+
+	state = gateway_load_arrive(
+		gateway, route, fingerprint,
+		http_message_field(message,
+				   gateway->names->upstream.request_id),
+		&entry);
+	if (state == RETURN_EARLY)
+		refuse(gateway, conn, message, HTTP_STATUS_SERVICE_UNAVAILABLE,
+		       ms_until(gateway, entry.due), "early");
+	else
+		start(gateway, conn, message, route, fingerprint,
+		      state == RETURN_DUE ? &entry : NULL);
+}
+
 static void on_request(void *arg, struct inbound_conn *conn,
 		       const struct http_message *message)
 {
@@ -301,7 +333,7 @@
 		refuse(gateway, conn, message, HTTP_STATUS_SERVICE_UNAVAILABLE,
 		       retry_after_ms, "crashes_servers");
 	else
-		start(gateway, conn, message, route, fingerprint);
+		start_or_refuse(gateway, conn, message, route, fingerprint);
 }
 
 static void on_left(void *arg, struct inbound_conn *conn, void *data)
--- a/gateway_stats.h
+++ b/gateway_stats.h
@@ -18,6 +18,28 @@
 	  "of these, at once: too few shards had a server to send to")         \
 	X(overload, METRIC_COUNTER, "garnetreach_requests_overload_total",     \
 	  "of these, at once: more under way than can be served in time")      \
+	X(overload_level0, METRIC_COUNTER,                                     \
+	  "garnetreach_requests_overload_level0_total",                        \
+	  "of these, of the most urgent level")                                \
+	X(overload_level1, METRIC_COUNTER,                                     \
+	  "garnetreach_requests_overload_level1_total",                        \
+	  "the same, of routes of priority 1")                                 \
+	X(overload_level2, METRIC_COUNTER,                                     \
+	  "garnetreach_requests_overload_level2_total",                        \
+	  "the same, of routes of priority 2")                                 \
+	X(overload_level3, METRIC_COUNTER,                                     \
+	  "garnetreach_requests_overload_level3_total",                        \
+	  "the same, of less urgent routes")                                   \
+	X(return_promised, METRIC_COUNTER,                                     \
+	  "garnetreach_returns_promised_total",                                \
+	  "refused callers that were promised room at a time")                 \
+	X(return_unpromised, METRIC_COUNTER,                                   \
+	  "garnetreach_returns_unpromised_total",                              \
+	  "refused callers that will not wait until there is room")            \
+	X(return_taken, METRIC_COUNTER, "garnetreach_returns_taken_total",     \
+	  "promises that were used")                                           \
+	X(return_early, METRIC_COUNTER, "garnetreach_returns_early_total",     \
+	  "requests refused again, before the time that they were told")       \
 	X(failed, METRIC_COUNTER, "garnetreach_requests_failed_total",         \
 	  "failed, and may have run")                                          \
 	X(left, METRIC_COUNTER, "garnetreach_requests_left_total",             \
--- a/latency.h
+++ b/latency.h
@@ -11,9 +11,13 @@
 /**
  * struct latency - the latency of one kind of request
  * @late: so many microseconds are exceeded by LATENCY_LATE of the answers
+ * @usual: moving average of answers that did not wait for others, microseconds
+ * @n_usual: answers that are in it
  */
 struct latency {
 	double late;
+	double usual;
+	int n_usual;
 };
 
 /* Answers later than this share of all are worth asking another server for. */
@@ -26,4 +30,9 @@
 void latency_init(struct latency *latency, int64_t guess);
 void latency_add(struct latency *latency, int64_t usec);
 
+/**
+ * latency_add_usual() - an answer that shows what the work takes
+ */
+void latency_add_usual(struct latency *latency, int64_t usec);
+
 #endif
--- a/load_limit.h
+++ b/load_limit.h
@@ -1,10 +1,10 @@
 /*
- * How many requests an instance has under way at the same shards. Answers the
+ * How much work may be under way at the same servers, and whose. Answers the
  * load that servers cannot bear for a while, as a burst with callers who retry
  * at once: if all requests are sent, each gets some of its parts, none gets
  * enough, and all are late. The limit falls when requests lack many of their
  * parts at their goal and rises while they are served; what is over it is
- * refused before anything is sent.
+ * refused before anything is sent, the less urgent first.
  *
  * A few shards that are slow or lost do not lower it: most parts are in then.
  */
@@ -14,29 +14,114 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "server_outlook.h"
+
+/**
+ * struct load_level - what requests of a level of urgency have lately
+ * @open: work under way, of this level
+ * @asked: work that callers asked for, a second
+ * @admitted: of this, what was sent
+ * @peak: greatest work under way, of this level and more urgent ones
+ * @asked_at: when a request came last, microseconds; 0: never
+ */
+struct load_level {
+	int64_t open;
+	double asked;
+	double admitted;
+	double peak;
+	int64_t asked_at;
+};
+
 /**
  * struct load_limit - all zero: nothing was seen yet, and nothing is refused
- * @limit: requests under way at a time; 0: no limit was needed yet
- * @open: requests under way
+ * @limit: work under way at a time; 0: no limit was needed yet
+ * @open: work under way
+ * @unit: work of a request, on average
+ * @served: work of requests that were answered lately, a second
+ * @at: when what fades was brought up to date
  * @lowered_at: when the limit fell last, microseconds
  */
 struct load_limit {
 	double limit;
-	int open;
+	int64_t open;
+	double unit;
+	double served;
+	int64_t at;
 	int64_t lowered_at;
+	struct load_level levels[OUTLOOK_LEVELS];
+};
+
+/**
+ * struct load_others - what other instances that take callers told lately
+ * @n: that there are
+ * @n_limited: of these, that have a limit which fell lately
+ * @ratio: their limits by what they are asked for, the middle one; seconds
+ * @limit: sum of their limits
+ * @asked: work that callers ask of them, a second, by level
+ */
+struct load_others {
+	int n;
+	int n_limited;
+	double ratio;
+	double limit;
+	double asked[OUTLOOK_LEVELS];
 };
 
 /**
- * load_limit_admit() - a request came
+ * load_limit_ask() - a request came
+ * @level: of urgency, 0 is the highest
+ * @cost: its work
+ */
+void load_limit_ask(struct load_limit *load, int level, int64_t cost,
+		    int64_t now);
+
+/**
+ * load_limit_admit() - decide about it
+ * @others: may be NULL
  *
  * Return: whether it may be sent; then load_limit_end() follows once.
  */
-bool load_limit_admit(struct load_limit *load);
+bool load_limit_admit(struct load_limit *load, int level, int64_t cost,
+		      const struct load_others *others, int64_t now);
+
+/**
+ * load_limit_take() - a request is sent whatever the limit is
+ *
+ * load_limit_end() follows once.
+ */
+void load_limit_take(struct load_limit *load, int level, int64_t cost,
+		     int64_t now);
+
+/**
+ * load_limit_is_most_urgent() - no more urgent request came lately
+ */
+bool load_limit_is_most_urgent(const struct load_limit *load, int level,
+			       int64_t now);
+
+/**
+ * load_limit_adopt() - take the limit that most others have
+ *
+ * Return: whether it fell.
+ */
+bool load_limit_adopt(struct load_limit *load, const struct load_others *others,
+		      int64_t now);
+
+/**
+ * load_limit_worked() - a request got its answer, in time or not
+ */
+void load_limit_worked(struct load_limit *load, int64_t cost, int64_t now);
+
+/**
+ * load_limit_room() - work that was served lately
+ *
+ * Return: a second; 0 if it is not known.
+ */
+double load_limit_room(const struct load_limit *load, int64_t now);
 
 /**
  * load_limit_served() - a request was answered in time
  */
-void load_limit_served(struct load_limit *load);
+void load_limit_served(struct load_limit *load, int64_t cost);
 
 /**
  * load_limit_overloaded() - a request lacked many of its parts at its goal
@@ -48,9 +133,19 @@
 bool load_limit_overloaded(struct load_limit *load, int64_t period,
 			   int64_t now);
 
+/**
+ * load_limit_full() - servers had no room for a request, though they have for
+ * those that are under way
+ *
+ * With requests of one level nothing is gained by refusing them here.
+ *
+ * Return: whether the limit fell.
+ */
+bool load_limit_full(struct load_limit *load, int64_t now);
+
 /**
  * load_limit_end() - a request that was admitted is over
  */
-void load_limit_end(struct load_limit *load);
+void load_limit_end(struct load_limit *load, int level, int64_t cost);
 
 #endif
--- /dev/null
+++ b/load_share.c
@@ -0,0 +1,290 @@
+#include "load_share.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "str.h"
+
+/* Limits are told again before what was told last is too old. */
+#define LIMITS_PERIOD MSEC(200)
+/* A caller that repeats at once is at another instance within about this. */
+#define RETURNS_WITHIN MSEC(15)
+/* A limit that fell longer ago may only be one that nothing raised. */
+#define FELL_LATELY MSEC(3000)
+/* An instance that was asked for next to nothing knows no ratio. */
+#define ASKED_LEAST 1.0
+
+#define NEVER INT64_MAX
+
+void load_share_init(struct load_share *share, const struct clock *clock,
+		     const struct load_share_ops *ops, void *arg,
+		     struct return_book *book)
+{
+	memset(share, 0, sizeof(*share));
+	share->clock = clock;
+	share->ops = ops;
+	share->arg = arg;
+	share->book = book;
+}
+
+void load_share_limited(struct load_share *share, uint64_t service,
+			const struct load_limit *load)
+{
+	int i;
+
+	for (i = 0; i < share->n_limits; i++) {
+		if (share->limits[i].service == service)
+			return;
+	}
+	if (share->n_limits == LOAD_SHARE_SERVICES)
+		return;
+	share->limits[share->n_limits].service = service;
+	share->limits[share->n_limits++].load = load;
+	share->sent_at = 0;
+}
+
+void load_share_return(struct load_share *share,
+		       const struct return_entry *entry)
+{
+	if (share->n_returns == LOAD_SHARE_RETURNS)
+		load_share_tick(share);
+	if (!share->n_returns)
+		share->returned_at = clock_now(share->clock);
+	share->returns[share->n_returns++] = *entry;
+}
+
+/* Telling. */
+
+static uint32_t to_u32(double n)
+{
+	if (n <= 0)
+		return 0;
+	return n < UINT32_MAX ? (uint32_t)n : UINT32_MAX;
+}
+
+/* One service in a message, and what it points to. */
+struct load_part {
+	Peer__ServiceLoad message;
+	uint32_t asked[OUTLOOK_LEVELS];
+};
+
+static void fill_load(struct load_part *part, uint64_t service,
+		      const struct load_limit *load, int64_t now)
+{
+	int64_t age = load->lowered_at ? now - load->lowered_at : FELL_LATELY;
+	int i;
+
+	peer__service_load__init(&part->message);
+	part->message.service = service;
+	part->message.limit_us = to_u32(load->limit);
+	part->message.open_us = to_u32((double)load->open);
+	part->message.age_ms = to_u32((double)age / USEC_PER_MSEC);
+	for (i = 0; i < OUTLOOK_LEVELS; i++)
+		part->asked[i] = to_u32(load->levels[i].asked);
+	part->message.n_asked_us = OUTLOOK_LEVELS;
+	part->message.asked_us = part->asked;
+}
+
+static void fill_return(Peer__Return *message, const struct return_entry *entry,
+			int64_t now)
+{
+	peer__return__init(message);
+	message->fingerprint = entry->fingerprint;
+	message->service = entry->service;
+	message->due_in_ms = (int32_t)((entry->due - now) / USEC_PER_MSEC);
+	message->cost_us = entry->kept ? to_u32((double)entry->cost) : 0;
+	message->level = (uint32_t)entry->level;
+	message->taken = entry->taken;
+}
+
+/* Services whose limit is not needed any more are not told again. */
+static void drop_unlimited(struct load_share *share)
+{
+	int n = 0;
+	int i;
+
+	for (i = 0; i < share->n_limits; i++) {
+		if (share->limits[i].load->limit)
+			share->limits[n++] = share->limits[i];
+	}
+	share->n_limits = n;
+}
+
+static void tell(struct load_share *share, int64_t now)
+{
+	struct load_part loads[LOAD_SHARE_SERVICES];
+	Peer__ServiceLoad *load_list[LOAD_SHARE_SERVICES];
+	Peer__Return returns[LOAD_SHARE_RETURNS];
+	Peer__Return *return_list[LOAD_SHARE_RETURNS];
+	Peer__LoadShare message;
+	int i;
+
+	peer__load_share__init(&message);
+	for (i = 0; i < share->n_limits; i++) {
+		fill_load(&loads[i], share->limits[i].service,
+			  share->limits[i].load, now);
+		load_list[i] = &loads[i].message;
+	}
+	for (i = 0; i < share->n_returns; i++) {
+		fill_return(&returns[i], &share->returns[i], now);
+		return_list[i] = &returns[i];
+	}
+	message.n_services = (size_t)share->n_limits;
+	message.services = load_list;
+	message.n_returns = (size_t)share->n_returns;
+	message.returns = return_list;
+	share->ops->send(share->arg, &message);
+}
+
+void load_share_tick(struct load_share *share)
+{
+	int64_t now = clock_now(share->clock);
+
+	if (load_share_due(share) > now &&
+	    share->n_returns < LOAD_SHARE_RETURNS)
+		return;
+	drop_unlimited(share);
+	if (share->n_limits || share->n_returns)
+		tell(share, now);
+	share->sent_at = now;
+	share->n_returns = 0;
+}
+
+int64_t load_share_due(const struct load_share *share)
+{
+	int64_t due = NEVER;
+
+	if (share->n_limits)
+		due = share->sent_at + LIMITS_PERIOD;
+	if (share->n_returns && share->returned_at + RETURNS_WITHIN < due)
+		due = share->returned_at + RETURNS_WITHIN;
+	return due;
+}
+
+/* Hearing. */
+
+static struct load_share_peer *peer_of(struct load_share *share,
+				       const char *instance)
+{
+	struct load_share_peer *peer = &share->peers[0];
+	int i;
+
+	for (i = 0; i < share->n_peers; i++) {
+		if (!strcmp(share->peers[i].instance, instance))
+			return &share->peers[i];
+		if (share->peers[i].at < peer->at)
+			peer = &share->peers[i];
+	}
+	if (share->n_peers < LOAD_SHARE_PEERS)
+		peer = &share->peers[share->n_peers++];
+	str_copy(peer->instance, sizeof(peer->instance), str_from(instance));
+	return peer;
+}
+
+static void read_load(struct load_told *told, const Peer__ServiceLoad *from,
+		      int64_t now)
+{
+	size_t i;
+
+	memset(told, 0, sizeof(*told));
+	told->service = from->service;
+	told->limit = from->limit_us;
+	told->fell_at = now - MSEC(from->age_ms);
+	for (i = 0; i < from->n_asked_us && i < OUTLOOK_LEVELS; i++)
+		told->asked[i] = from->asked_us[i];
+}
+
+static void read_return(struct return_book *book, const Peer__Return *from,
+			int64_t now)
+{
+	const struct return_entry entry = {
+		.fingerprint = from->fingerprint,
+		.service = from->service,
+		.due = now + MSEC(from->due_in_ms),
+		.cost = from->cost_us,
+		.level = server_outlook_level(from->level),
+		.kept = from->cost_us,
+		.taken = from->taken,
+	};
+
+	return_book_told(book, &entry);
+}
+
+void load_share_told(struct load_share *share, const char *instance,
+		     const Peer__LoadShare *message)
+{
+	int64_t now = clock_now(share->clock);
+	struct load_share_peer *peer = peer_of(share, instance);
+	size_t i;
+
+	peer->at = now;
+	peer->n = 0;
+	for (i = 0; i < message->n_services && i < LOAD_SHARE_SERVICES; i++)
+		read_load(&peer->services[peer->n++], message->services[i],
+			  now);
+	for (i = 0; i < message->n_returns && i < LOAD_SHARE_RETURNS; i++)
+		read_return(share->book, message->returns[i], now);
+}
+
+static const struct load_told *told_by(const struct load_share_peer *peer,
+				       uint64_t service, int64_t now)
+{
+	int i;
+
+	if (now - peer->at > LOAD_SHARE_VALID)
+		return NULL;
+	for (i = 0; i < peer->n; i++) {
+		if (peer->services[i].service == service &&
+		    peer->services[i].limit)
+			return &peer->services[i];
+	}
+	return NULL;
+}
+
+static int compare(const void *a, const void *b)
+{
+	double one = *(const double *)a;
+	double other = *(const double *)b;
+
+	return one < other ? -1 : one > other;
+}
+
+void load_share_others(const struct load_share *share, uint64_t service,
+		       struct load_others *out)
+{
+	int64_t now = clock_now(share->clock);
+	double ratios[LOAD_SHARE_PEERS];
+	int i;
+	int j;
+
+	memset(out, 0, sizeof(*out));
+	out->n = share->n_others;
+	for (i = 0; i < share->n_peers; i++) {
+		const struct load_told *told =
+			told_by(&share->peers[i], service, now);
+		double asked = 0;
+
+		if (!told)
+			continue;
+		out->limit += told->limit;
+		for (j = 0; j < OUTLOOK_LEVELS; j++) {
+			out->asked[j] += told->asked[j];
+			asked += told->asked[j];
+		}
+		if (asked > ASKED_LEAST && now - told->fell_at < FELL_LATELY)
+			ratios[out->n_limited++] = told->limit / asked;
+	}
+	if (!out->n_limited)
+		return;
+	qsort(ratios, (size_t)out->n_limited, sizeof(*ratios), compare);
+	out->ratio = ratios[out->n_limited / 2];
+}
+
+void load_share_adopt(struct load_share *share, const char *service,
+		      struct load_limit *load, struct load_others *out)
+{
+	load_share_others(share, str_hash(str_from(service)), out);
+	if (load_limit_adopt(load, out, clock_now(share->clock)) &&
+	    share->ops->adopted)
+		share->ops->adopted(share->arg, service, load, out);
+}
--- a/peer.pb-c.c
+++ b/peer.pb-c.c
@@ -5734,7 +5734,7 @@
   (ProtobufCMessageInit) peer__part_result__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__return__field_descriptors[5] =
+static const ProtobufCFieldDescriptor peer__return__field_descriptors[6] =
 {
   {
     "fingerprint",
@@ -5796,18 +5796,31 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "level",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Return, level),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__return__field_indices_by_name[] = {
   3,   /* field[3] = cost_us */
   2,   /* field[2] = due_in_ms */
   0,   /* field[0] = fingerprint */
+  5,   /* field[5] = level */
   1,   /* field[1] = service */
   4,   /* field[4] = taken */
 };
 static const ProtobufCIntRange peer__return__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor peer__return__descriptor =
 {
@@ -5817,7 +5830,7 @@
   "Peer__Return",
   "peer",
   sizeof(Peer__Return),
-  5,
+  6,
   peer__return__field_descriptors,
   peer__return__field_indices_by_name,
   1,  peer__return__number_ranges,
--- a/peer.pb-c.h
+++ b/peer.pb-c.h
@@ -992,17 +992,21 @@
    */
   int32_t due_in_ms;
   /*
-   * of the room that is kept
+   * of the room that is kept; 0: none is
    */
   uint32_t cost_us;
   /*
    * it came back, and the room is used
    */
   protobuf_c_boolean taken;
+  /*
+   * of urgency
+   */
+  uint32_t level;
 };
 #define PEER__RETURN__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__return__descriptor) \
-    , 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/tests/test_dispatch.c
+++ b/tests/test_dispatch.c
@@ -378,8 +378,9 @@
 	lose_service(&world, "s1");
 	clock_advance(&world.clock, MSEC(3000));
 	load = &registry_service(&world.registry, STR("s0"))->load;
+	load_limit_ask(load, 0, 1, clock_now(&world.clock));
+	load_limit_take(load, 0, 2, clock_now(&world.clock));
 	load->limit = 2;
-	load->open = 2;
 	CU_ASSERT(start(&world, "/shards/") == DISPATCH_REFUSED);
 	CU_ASSERT(world.n_sent == 0);
 	CU_ASSERT(world.dispatch.code == ERR_OVERLOAD);
--- a/tests/test_load_limit.c
+++ b/tests/test_load_limit.c
@@ -418,33 +418,39 @@
 	world_finish(&world);
 }
 
+static bool admit(struct load_limit *load)
+{
+	load_limit_ask(load, 0, 1, START);
+	return load_limit_admit(load, 0, 1, NULL, START);
+}
+
 static void test_limit_moves(void)
 {
 	struct load_limit load = {0};
 	int i;
 
 	for (i = 0; i < 100; i++)
-		CU_ASSERT(load_limit_admit(&load));
+		CU_ASSERT(admit(&load));
 	load_limit_overloaded(&load, MSEC(60), START);
 	CU_ASSERT(load.limit == 50);
 	/* Those that were admitted before are late as well. */
 	load_limit_overloaded(&load, MSEC(60), START + MSEC(59));
 	CU_ASSERT(load.limit == 50);
-	CU_ASSERT(!load_limit_admit(&load));
+	CU_ASSERT(!admit(&load));
 	for (i = 0; i < 60; i++)
-		load_limit_end(&load);
-	CU_ASSERT(load_limit_admit(&load));
+		load_limit_end(&load, 0, 1);
+	CU_ASSERT(admit(&load));
 	for (i = 0; i < 10; i++)
 		load_limit_overloaded(&load, MSEC(60),
 				      START + MSEC(100) * (i + 1));
 	CU_ASSERT(load.limit == 2);
-	CU_ASSERT(!load_limit_admit(&load));
+	CU_ASSERT(!admit(&load));
 	for (i = 0; i < 41; i++)
-		load_limit_end(&load);
+		load_limit_end(&load, 0, 1);
 	/* One is always sent: it shows whether the load is over. */
-	CU_ASSERT(load_limit_admit(&load));
+	CU_ASSERT(admit(&load));
 	for (i = 0; i < 40000; i++)
-		load_limit_served(&load);
+		load_limit_served(&load, 1);
 	CU_ASSERT(load.limit == 0);
 }
 
