--- a/dispatch.h
+++ b/dispatch.h
@@ -274,6 +274,13 @@
  */
 double dispatch_room(const struct dispatch *dispatch);
 
+/**
+ * dispatch_room_in() - there is none before
+ *
+ * Return: microseconds from now; 0 if nothing is known.
+ */
+int64_t dispatch_room_in(const struct dispatch *dispatch);
+
 /**
  * dispatch_retry_after() - when a caller that was refused may come back, ms
  */
--- a/dispatch_load.c
+++ b/dispatch_load.c
@@ -10,6 +10,14 @@
  * in six shards that are slow at a time must not count as load.
  */
 #define LOAD_PARTS_IN 0.65
+/* Where the less urgent are refused first, sooner. */
+#define LOAD_PARTS_IN_BY_PRIORITY 0.8
+/*
+ * So many requests more for each limit's worth that is served. The urgent are
+ * late each time it is too high.
+ */
+#define RISE 1.0
+#define RISE_BY_PRIORITY 0.25
 /* A caller that was refused for load finds a slot after about so long. */
 #define RETRY_AFTER_MS 100
 /* Until so many answers are known, each one tells what the work takes. */
@@ -62,7 +70,7 @@
 
 void dispatch_load_answered(struct dispatch *dispatch, int64_t took)
 {
-	/* Under a limit it waits for others, which is no work of its own. */
+	/* Under a limit it waits for view, which is no work of its own. */
 	if (!load_of(dispatch)->limit ||
 	    dispatch->latency->n_usual < USUAL_LEAST)
 		latency_add_usual(dispatch->latency, took);
@@ -81,14 +89,13 @@
 static bool fits(const struct dispatch *dispatch, int64_t now)
 {
 	struct load_limit *load = load_of(dispatch);
-	struct load_others others = {0};
+	struct load_view view = {0};
 
 	if (dispatch->limits->share && is_by_priority(dispatch))
 		load_share_adopt(dispatch->limits->share,
-				 dispatch->parts[0].service->name, load,
-				 &others);
+				 dispatch->parts[0].service->name, load, &view);
 	share_limit(dispatch);
-	return load_limit_admit(load, dispatch->level, dispatch->cost, &others,
+	return load_limit_admit(load, dispatch->level, dispatch->cost, &view,
 				now);
 }
 
@@ -124,8 +131,10 @@
 static bool is_far_from_whole(const struct dispatch *dispatch)
 {
 	int live = dispatch->n_parts - dispatch->n_lost;
+	double least = is_by_priority(dispatch) ? LOAD_PARTS_IN_BY_PRIORITY
+						: LOAD_PARTS_IN;
 
-	return dispatch->n_in < live * LOAD_PARTS_IN;
+	return dispatch->n_in < live * least;
 }
 
 /* Half the goal later, those that are sent now are over. */
@@ -167,7 +176,9 @@
 		return;
 	dispatch->judged = true;
 	if (!code && now <= dispatch->answer_at)
-		load_limit_served(load_of(dispatch), dispatch->cost);
+		load_limit_served(load_of(dispatch), dispatch->cost,
+				  is_by_priority(dispatch) ? RISE_BY_PRIORITY
+							   : RISE);
 	else if (is_overload(dispatch, code))
 		note_overload(dispatch, now);
 }
@@ -202,19 +213,24 @@
 		dispatch->code == ERR_BUDGET);
 }
 
-/* The others' room is to their limits as this one's is to its own. */
 double dispatch_room(const struct dispatch *dispatch)
 {
-	const struct load_limit *load = load_of(dispatch);
-	double room = load_limit_room(load, clock_now(dispatch->clock));
-	struct load_others others;
+	struct load_share *share = dispatch->limits->share;
+	const char *service = dispatch->parts[0].service->name;
+	struct load_view view = {0};
+
+	if (share)
+		load_share_look(share, str_hash(str_from(service)), &view);
+	return load_limit_room(load_of(dispatch), dispatch->level, &view,
+			       clock_now(dispatch->clock));
+}
+
+int64_t dispatch_room_in(const struct dispatch *dispatch)
+{
+	int64_t excess = load_limit_excess(load_of(dispatch),
+					   clock_now(dispatch->clock));
 
-	if (!dispatch->limits->share || !load->limit)
-		return room;
-	load_share_others(dispatch->limits->share,
-			  str_hash(str_from(dispatch->parts[0].service->name)),
-			  &others);
-	return room * (load->limit + others.limit) / load->limit;
+	return excess > dispatch->room_in ? excess : dispatch->room_in;
 }
 
 int64_t dispatch_retry_after(const struct dispatch *dispatch)
--- a/gateway_load.c
+++ b/gateway_load.c
@@ -36,15 +36,14 @@
 }
 
 static void adopted(void *arg, const char *service,
-		    const struct load_limit *load,
-		    const struct load_others *others)
+		    const struct load_limit *load, const struct load_view *view)
 {
 	(void)arg;
 	LOG_INFO("load_limit_adopted", LOG_TEXT("service", service),
 		 LOG_F64("limit", load->limit), LOG_I64("open", load->open),
-		 LOG_I64("others", others->n),
-		 LOG_I64("others_limited", others->n_limited),
-		 LOG_F64("ratio", others->ratio));
+		 LOG_I64("others", view->n),
+		 LOG_I64("others_limited", view->n_limited),
+		 LOG_F64("ratio", view->ratio));
 }
 
 static const struct load_share_ops share_ops = {
@@ -202,7 +201,7 @@
 		.level = dispatch->level,
 		.cost = dispatch->cost,
 		.room = dispatch_room(dispatch),
-		.room_in = dispatch->room_in,
+		.room_in = dispatch_room_in(dispatch),
 		.patience = (dispatch->deadline - now) / PATIENCE_PART,
 	};
 	struct return_entry entry;
--- a/load_limit.c
+++ b/load_limit.c
@@ -1,12 +1,12 @@
 #include "load_limit.h"
 
 #include <math.h>
+#include <stddef.h>
 
 #include "clock.h"
 
 /* Additive increase, multiplicative decrease: see docs/LOAD-AND-FAULTS.md. */
 #define FALL 0.5
-#define RISE 1.0
 /* Servers that refuse have no queue to work off. */
 #define FALL_FULL 0.9
 #define FULL_PERIOD MSEC(100)
@@ -22,6 +22,10 @@
 #define NEED_MARGIN 1.25
 /* Share of what is sent that the less urgent get, so that none starves. */
 #define FLOOR 0.05
+/* They have more than that under way: they are what is refused first. */
+#define FLOOR_UNDER_WAY 0.1
+/* Nobody waits longer. */
+#define EXCESS_MOST MSEC(30000)
 /* Limits of the same servers differ this much by chance. */
 #define ADOPT_ABOVE 2.0
 
@@ -112,7 +116,7 @@
  * all instances, this one's room by what it is asked for taken for that of all.
  */
 static double need_of_all(const struct load_limit *load, int level,
-			  const struct load_others *others)
+			  const struct load_view *view)
 {
 	double own = asked_all(load);
 	double urgent = 0;
@@ -120,10 +124,10 @@
 	double room;
 	int i;
 
-	if (!others || !own || !load->served)
+	if (!view || !own || !load->served)
 		return 0;
 	for (i = 0; i < OUTLOOK_LEVELS; i++) {
-		double asked = load->levels[i].asked + others->asked[i];
+		double asked = load->levels[i].asked + view->asked[i];
 
 		all += asked;
 		urgent += i < level ? asked : 0;
@@ -134,27 +138,34 @@
 
 /* Work under way that more urgent requests than these have or will have. */
 static double need_of_more_urgent(const struct load_limit *load, int level,
-				  const struct load_others *others)
+				  const struct load_view *view)
 {
 	double need;
 
 	if (!level)
 		return 0;
 	need = fmax(load->levels[level - 1].peak * NEED_MARGIN,
-		    need_of_all(load, level, others));
+		    need_of_all(load, level, view));
 	return fmin(need, load->limit);
 }
 
+/* What the less urgent have under way ends before these are refused. */
+static bool is_held_by_less_urgent(const struct load_limit *load, int level)
+{
+	int64_t rest = load->open - open_up_to(load, level);
+
+	return (double)rest > (double)load->open * FLOOR_UNDER_WAY;
+}
+
 static bool fits(const struct load_limit *load, int level,
-		 const struct load_others *others)
+		 const struct load_view *view)
 {
-	double need = need_of_more_urgent(load, level, others);
-	int64_t rest = load->open;
+	double need = need_of_more_urgent(load, level, view);
+	int64_t above = level ? open_up_to(load, level - 1) : 0;
 
-	if (level)
-		rest -= open_up_to(load, level - 1);
-	return (double)open_up_to(load, level) < load->limit &&
-	       (level ? need + (double)rest < load->limit : true);
+	if (need + (double)(load->open - above) < load->limit)
+		return true;
+	return is_held_by_less_urgent(load, level);
 }
 
 static double share_of(const struct load_level *level)
@@ -183,19 +194,31 @@
 }
 
 bool load_limit_admit(struct load_limit *load, int level, int64_t cost,
-		      const struct load_others *others, int64_t now)
+		      const struct load_view *view, int64_t now)
 {
 	fade(load, now);
-	if (load->limit && !fits(load, level, others) &&
+	if (load->limit && !fits(load, level, view) &&
 	    (!level || !is_owed_floor(load, level, now)))
 		return false;
 	load_limit_take(load, level, cost, now);
 	return true;
 }
 
-double load_limit_room(const struct load_limit *load, int64_t now)
+double load_limit_room(const struct load_limit *load, int level,
+		       const struct load_view *view, int64_t now)
 {
-	return load->served * exp(-(double)(now - load->at) / (double)SPAN);
+	double left = exp(-(double)(now - load->at) / (double)SPAN);
+	double own = asked_all(load);
+	double room = load->served;
+	double all = own;
+	int i;
+
+	for (i = 0; i < level; i++)
+		room -= load->levels[i].admitted;
+	for (i = 0; view && i < OUTLOOK_LEVELS; i++)
+		all += view->asked[i];
+	room = fmax(room, load->served * FLOOR) * left;
+	return own > 0 ? room * all / own : room;
 }
 
 void load_limit_worked(struct load_limit *load, int64_t cost, int64_t now)
@@ -204,11 +227,23 @@
 	load->served += per_second(cost);
 }
 
-void load_limit_served(struct load_limit *load, int64_t cost)
+int64_t load_limit_excess(const struct load_limit *load, int64_t now)
+{
+	double excess = (double)load->open - load->limit;
+	double room = load_limit_room(load, 0, NULL, now);
+	double wait;
+
+	if (!load->limit || excess <= 0 || room <= 0)
+		return 0;
+	wait = excess * USEC_PER_SEC / room;
+	return wait < EXCESS_MOST ? (int64_t)wait : EXCESS_MOST;
+}
+
+void load_limit_served(struct load_limit *load, int64_t cost, double rise)
 {
 	if (!load->limit)
 		return;
-	load->limit += RISE * load->unit * (double)cost / load->limit;
+	load->limit += rise * load->unit * (double)cost / load->limit;
 	if (load->limit > LIMIT_MOST * load->unit)
 		load->limit = 0;
 }
@@ -248,14 +283,14 @@
 	return true;
 }
 
-bool load_limit_adopt(struct load_limit *load, const struct load_others *others,
+bool load_limit_adopt(struct load_limit *load, const struct load_view *view,
 		      int64_t now)
 {
 	double limit;
 
 	fade(load, now);
-	limit = others->ratio * asked_all(load);
-	if (!others->n_limited || others->n_limited * 2 < others->n || !limit)
+	limit = view->ratio * asked_all(load);
+	if (!view->n_limited || view->n_limited * 2 < view->n || !limit)
 		return false;
 	if (load->limit && load->limit <= limit * ADOPT_ABOVE)
 		return false;
--- a/load_limit.h
+++ b/load_limit.h
@@ -52,14 +52,14 @@
 };
 
 /**
- * struct load_others - what other instances that take callers told lately
+ * struct load_view - what other instances that take callers told lately
  * @n: that there are
  * @n_limited: of these, that have a limit which fell lately
  * @ratio: their limits by what they are asked for, the middle one; seconds
  * @limit: sum of their limits
  * @asked: work that callers ask of them, a second, by level
  */
-struct load_others {
+struct load_view {
 	int n;
 	int n_limited;
 	double ratio;
@@ -77,12 +77,12 @@
 
 /**
  * load_limit_admit() - decide about it
- * @others: may be NULL
+ * @view: may be NULL
  *
  * Return: whether it may be sent; then load_limit_end() follows once.
  */
 bool load_limit_admit(struct load_limit *load, int level, int64_t cost,
-		      const struct load_others *others, int64_t now);
+		      const struct load_view *view, int64_t now);
 
 /**
  * load_limit_take() - a request is sent whatever the limit is
@@ -103,7 +103,7 @@
  *
  * Return: whether it fell.
  */
-bool load_limit_adopt(struct load_limit *load, const struct load_others *others,
+bool load_limit_adopt(struct load_limit *load, const struct load_view *view,
 		      int64_t now);
 
 /**
@@ -112,16 +112,27 @@
 void load_limit_worked(struct load_limit *load, int64_t cost, int64_t now);
 
 /**
- * load_limit_room() - work that was served lately
+ * load_limit_room() - work that all instances served lately
+ * @level: without that of more urgent requests
+ * @view: what is served there is to what is asked as it is here; may be NULL
  *
  * Return: a second; 0 if it is not known.
  */
-double load_limit_room(const struct load_limit *load, int64_t now);
+double load_limit_room(const struct load_limit *load, int level,
+		       const struct load_view *view, int64_t now);
+
+/**
+ * load_limit_excess() - until what is over the limit is worked off
+ *
+ * Return: microseconds.
+ */
+int64_t load_limit_excess(const struct load_limit *load, int64_t now);
 
 /**
  * load_limit_served() - a request was answered in time
+ * @rise: of the limit, in requests, for as many as it holds
  */
-void load_limit_served(struct load_limit *load, int64_t cost);
+void load_limit_served(struct load_limit *load, int64_t cost, double rise);
 
 /**
  * load_limit_overloaded() - a request lacked many of its parts at its goal
--- a/load_share.c
+++ b/load_share.c
@@ -249,8 +249,8 @@
 	return one < other ? -1 : one > other;
 }
 
-void load_share_others(const struct load_share *share, uint64_t service,
-		       struct load_others *out)
+void load_share_look(const struct load_share *share, uint64_t service,
+		     struct load_view *out)
 {
 	int64_t now = clock_now(share->clock);
 	double ratios[LOAD_SHARE_PEERS];
@@ -281,9 +281,9 @@
 }
 
 void load_share_adopt(struct load_share *share, const char *service,
-		      struct load_limit *load, struct load_others *out)
+		      struct load_limit *load, struct load_view *out)
 {
-	load_share_others(share, str_hash(str_from(service)), out);
+	load_share_look(share, str_hash(str_from(service)), out);
 	if (load_limit_adopt(load, out, clock_now(share->clock)) &&
 	    share->ops->adopted)
 		share->ops->adopted(share->arg, service, load, out);
--- a/load_share.h
+++ b/load_share.h
@@ -35,7 +35,7 @@
 	void (*send)(void *arg, const Peer__LoadShare *message);
 	void (*adopted)(void *arg, const char *service,
 			const struct load_limit *load,
-			const struct load_others *others);
+			const struct load_view *view);
 };
 
 /**
@@ -106,18 +106,18 @@
 		     const Peer__LoadShare *message);
 
 /**
- * load_share_others() - what is believed of the others
+ * load_share_look() - what is believed of the others
  * @out: set
  */
-void load_share_others(const struct load_share *share, uint64_t service,
-		       struct load_others *out);
+void load_share_look(const struct load_share *share, uint64_t service,
+		     struct load_view *out);
 
 /**
  * load_share_adopt() - take the limit that most others have, if there is one
- * @out: set as by load_share_others()
+ * @out: set as by load_share_look()
  */
 void load_share_adopt(struct load_share *share, const char *service,
-		      struct load_limit *load, struct load_others *out);
+		      struct load_limit *load, struct load_view *out);
 
 /**
  * load_share_tick() - tell what is due
--- a/return_book.c
+++ b/return_book.c
@@ -95,16 +95,15 @@
 static void book_room(struct return_line *line, int level, int64_t cost,
 		      int64_t now)
 {
-	int64_t needs;
 	int i;
 
-	if (!line->room)
-		return;
-	needs = (int64_t)((double)cost * USEC_PER_SEC / line->room);
 	for (i = level; i < OUTLOOK_LEVELS; i++) {
+		if (!line->room[i])
+			continue;
 		if (line->free_at[i] < now)
 			line->free_at[i] = now;
-		line->free_at[i] += needs;
+		line->free_at[i] +=
+			(int64_t)((double)cost * USEC_PER_SEC / line->room[i]);
 	}
 }
 
@@ -130,15 +129,15 @@
 static int64_t wait_for_room(const struct return_line *line,
 			     const struct return_ask *ask, int64_t now)
 {
+	double room = line->room[ask->level];
 	int64_t start = now + ask->room_in;
 	int64_t wait;
 
-	if (!line->room)
+	if (!room)
 		return ask->room_in ? ask->room_in : WAIT_UNKNOWN;
 	if (line->free_at[ask->level] > start)
 		start = line->free_at[ask->level];
-	wait = start - now +
-	       (int64_t)((double)ask->cost * USEC_PER_SEC / line->room);
+	wait = start - now + (int64_t)((double)ask->cost * USEC_PER_SEC / room);
 	if (wait < WAIT_LEAST)
 		return WAIT_LEAST;
 	return wait < WAIT_MOST ? wait : WAIT_MOST;
@@ -153,7 +152,7 @@
 	int64_t wait;
 
 	sweep(book, now);
-	line->room = ask->room * ROOM_SHARE;
+	line->room[ask->level] = ask->room * ROOM_SHARE;
 	wait = wait_for_room(line, ask, now);
 	memset(out, 0, sizeof(*out));
 	out->fingerprint = ask->fingerprint;
--- a/return_book.h
+++ b/return_book.h
@@ -44,11 +44,11 @@
 /**
  * struct return_line - promises of a service
  * @free_at: by level: from when on room is not promised
- * @room: work a second that is promised at most
+ * @room: by level: work a second that is promised at most; 0: not known
  */
 struct return_line {
 	uint64_t service;
-	double room;
+	double room[OUTLOOK_LEVELS];
 	int64_t free_at[OUTLOOK_LEVELS];
 	int64_t used_at;
 };
--- a/tests/test_load_limit.c
+++ b/tests/test_load_limit.c
@@ -450,12 +450,32 @@
 	/* One is always sent: it shows whether the load is over. */
 	CU_ASSERT(admit(&load));
 	for (i = 0; i < 40000; i++)
-		load_limit_served(&load, 1);
+		load_limit_served(&load, 1, 1);
 	CU_ASSERT(load.limit == 0);
 }
 
+/* A server that refuses one kind alone must not lower what is sent to it */
+static void test_full_server(void)
+{
+	struct load_limit load = {0};
+	int i;
+
+	for (i = 0; i < 10; i++) {
+		load_limit_ask(&load, 1, 1, START);
+		load_limit_take(&load, 1, 1, START);
+	}
+	CU_ASSERT(!load_limit_full(&load, START));
+	CU_ASSERT(load_limit_is_most_urgent(&load, 1, START));
+	load_limit_ask(&load, 0, 1, START);
+	CU_ASSERT(!load_limit_is_most_urgent(&load, 1, START));
+	CU_ASSERT(load_limit_full(&load, START));
+	CU_ASSERT(load_limit_admit(&load, 0, 1, NULL, START));
+	CU_ASSERT(!load_limit_admit(&load, 1, 1, NULL, START));
+}
+
 static const struct unit_test tests[] = {
 	{"limit moves", test_limit_moves},
+	{"full server", test_full_server},
 	{"usual load", test_usual_load},
 	{"burst", test_burst},
 	{"one slow shard", test_one_slow_shard},
