--- a/tests/test_load_share.c
+++ b/tests/test_load_share.c
@@ -1,4 +1,3 @@
-#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -19,6 +18,7 @@
 #define PATIENCE MSEC(400)
 #define REPEAT_PERIOD MSEC(20)
 #define TRIES_MOST 12
+#define REPEATING 0.5 /* share of the callers */
 /* Servers, all together: so many requests run at a time. */
 #define SLOTS 6
 
@@ -88,7 +88,6 @@
 	int n_messages;
 	double lost; /* share of the messages */
 	bool returns;
-	double repeating;
 	size_t bytes;
 	size_t largest;
 };
@@ -133,14 +132,16 @@
 	entry->share.n_others = ENTRIES - 1;
 }
 
-static struct world *world_new(bool returns, double repeating)
+/* @n: entries at first */
+static struct world *world_new(int n, bool returns)
 {
 	struct world *world = mem_zalloc(sizeof(*world));
 
 	clock_init_paused(&world->clock, START);
 	rng_init(&world->rng, 1);
 	world->returns = returns;
-	world->repeating = repeating;
+	while (world->n_entries < n)
+		add_entry(world);
 	return world;
 }
 
@@ -312,16 +313,10 @@
 	struct caller *caller = &world->callers[world->n_callers++];
 
 	caller->kind = kind;
-	caller->repeats = rng_unit(&world->rng) < world->repeating;
+	caller->repeats = rng_unit(&world->rng) < REPEATING;
 	caller->at = clock_now(&world->clock);
 }
 
-static bool is_there(const struct world *world, const struct caller *caller)
-{
-	return caller->state == CALLER_AWAY &&
-	       caller->at <= clock_now(&world->clock);
-}
-
 /* @times: what comes, by what the servers bear with both kinds */
 static void play(struct world *world, int ms, double times)
 {
@@ -340,7 +335,8 @@
 		for (i = 0; i < world->n_callers; i++) {
 			struct caller *caller = &world->callers[i];
 
-			if (!is_there(world, caller))
+			if (caller->state != CALLER_AWAY ||
+			    caller->at > clock_now(&world->clock))
 				continue;
 			/* Another one each time, as the directory says. */
 			caller->entry = (int)(rng_next(&world->rng) %
@@ -383,11 +379,9 @@
 
 static struct world *shortage(bool returns, double lost)
 {
-	struct world *world = world_new(returns, 0.5);
+	struct world *world = world_new(ENTRIES, returns);
 
 	world->lost = lost;
-	while (world->n_entries < ENTRIES)
-		add_entry(world);
 	play(world, 1000, 0.5);
 	play(world, 4000, 4);
 	play(world, 2000, 0.3);
@@ -414,8 +408,8 @@
 static void test_shortage(void)
 {
 	struct world *world = shortage(true, 0);
-	struct seen honest;
 	struct seen repeating;
+	struct seen honest;
 
 	check_kinds(world);
 	look(world, 1, false, &honest);
@@ -452,12 +446,10 @@
 /* Half of what servers bear: nobody is refused, and nothing is told */
 static void test_no_shortage(void)
 {
-	struct world *world = world_new(true, 0.5);
+	struct world *world = world_new(ENTRIES, true);
 	struct seen seen;
 	int kind;
 
-	while (world->n_entries < ENTRIES)
-		add_entry(world);
 	play(world, 3000, 0.5);
 	for (kind = 0; kind < KINDS; kind++) {
 		look(world, kind, false, &seen);
@@ -470,11 +462,9 @@
 /* An instance that starts in a shortage knows of it within half a second */
 static void test_starts_in_shortage(void)
 {
-	struct world *world = world_new(true, 0.5);
+	struct world *world = world_new(ENTRIES - 1, true);
 	struct load_limit *load = &world->entries[2].load;
 
-	add_entry(world);
-	add_entry(world);
 	play(world, 500, 0.5);
 	play(world, 2000, 4);
 	add_entry(world);
@@ -488,11 +478,9 @@
 /* One that is cut off believes nothing old, and goes on by its own limit */
 static void test_cut_off(void)
 {
-	struct world *world = world_new(true, 0.5);
+	struct world *world = world_new(ENTRIES, true);
 	struct load_view view;
 
-	while (world->n_entries < ENTRIES)
-		add_entry(world);
 	play(world, 2000, 4);
 	load_share_look(&world->entries[0].share, SERVICE, &view);
 	CU_ASSERT(view.n_limited == 2);
