--- a/tests/test_load_share.c
+++ b/tests/test_load_share.c
@@ -14,6 +14,7 @@
 #define SERVICE 7
 #define CALLERS_MAX 16384
 #define MESSAGES_MAX 256
+#define MESSAGE_MOST 2500 /* bytes */
 #define WAY MSEC(2)
 #define PATIENCE MSEC(400)
 #define REPEAT_PERIOD MSEC(20)
@@ -59,12 +60,10 @@
 	int from;
 	int to;
 	int64_t at;
-	uint8_t *bytes;
+	uint8_t bytes[MESSAGE_MOST];
 	size_t len;
 };
 
-struct world;
-
 /* The decision code of an instance that takes callers. */
 struct entry {
 	struct world *world;
@@ -102,6 +101,8 @@
 	world->bytes += len;
 	if (len > world->largest)
 		world->largest = len;
+	if (len > MESSAGE_MOST)
+		return;
 	for (i = 0; i < world->n_entries; i++) {
 		struct message *out = &world->messages[world->n_messages];
 
@@ -112,7 +113,6 @@
 		out->from = entry->id;
 		out->to = i;
 		out->at = clock_now(&world->clock) + WAY;
-		out->bytes = mem_zalloc(len);
 		out->len = peer__load_share__pack(message, out->bytes);
 		world->n_messages++;
 	}
@@ -132,15 +132,14 @@
 	entry->share.n_others = ENTRIES - 1;
 }
 
-/* @n: entries at first */
-static struct world *world_new(int n, bool returns)
+static struct world *world_new(int n_entries, bool returns)
 {
 	struct world *world = mem_zalloc(sizeof(*world));
 
 	clock_init_paused(&world->clock, START);
 	rng_init(&world->rng, 1);
 	world->returns = returns;
-	while (world->n_entries < n)
+	while (world->n_entries < n_entries)
 		add_entry(world);
 	return world;
 }
@@ -151,8 +150,6 @@
 
 	for (i = 0; i < world->n_entries; i++)
 		return_book_finish(&world->entries[i].book);
-	for (i = 0; i < world->n_messages; i++)
-		free(world->messages[i].bytes);
 	free(world);
 }
 
@@ -176,7 +173,6 @@
 						 message->bytes);
 		load_share_told(&to->share, names[message->from], share);
 		peer__load_share__free_unpacked(share, NULL);
-		free(message->bytes);
 	}
 	world->n_messages = n;
 }
@@ -418,7 +414,7 @@
 	CU_ASSERT(share(honest.refusals, honest.refused_once) <= 1.3);
 	CU_ASSERT(share(repeating.served, repeating.asked) <=
 		  share(honest.served, honest.asked));
-	CU_ASSERT(world->largest <= 2500);
+	CU_ASSERT(world->largest <= MESSAGE_MOST);
 	world_free(world);
 }
 
