--- a/dispatch_forecast.c
+++ b/dispatch_forecast.c
@@ -272,9 +272,11 @@
 void dispatch_forecast_learn(const struct dispatch_send *send, int64_t took)
 {
 	const struct dispatch *dispatch = send->part->dispatch;
+	const struct load_control *control = dispatch->limits->control;
 	int64_t now = clock_now(dispatch->clock);
 
-	if (is_on(dispatch))
+	if (control &&
+	    (control->left_out || control->priorities || control->returns))
 		latency_add_unloaded(dispatch->latency,
 				     (double)took /
 					     slowness(send->server, now));
--- a/dispatch_private.h
+++ b/dispatch_private.h
@@ -102,4 +102,28 @@
  */
 void dispatch_forecast_learn(const struct dispatch_send *send, int64_t took);
 
+/**
+ * dispatch_load_ask() - a request came that has servers
+ */
+void dispatch_load_ask(struct dispatch *dispatch);
+
+/**
+ * dispatch_load_admit() - a request is about to be sent
+ *
+ * Return: whether its servers have room for it.
+ */
+bool dispatch_load_admit(struct dispatch *dispatch);
+
+/**
+ * dispatch_load_judge() - once a request: was it served within its goal, or did
+ * the load prevent it?
+ * @code: 0, or why it was not
+ */
+void dispatch_load_judge(struct dispatch *dispatch, int code);
+
+/**
+ * dispatch_load_leave() - it is over
+ */
+void dispatch_load_leave(struct dispatch *dispatch);
+
 #endif
