--- a/store_sync.c
+++ b/store_sync.c
@@ -180,7 +180,7 @@
 {
 	struct store_feed *feed = &sync->feeds[STORE_SERVERS];
 
-	/* A list of its own under way would count into the same round. */
+	/* Pages of a list of its own under way would count as this one. */
 	feed->listing = false;
 	feed->from[0] = '\0';
 	server_view_begin_list(&sync->servers);
