tests: a fleet in which the store's silence hides that a server left

A view that is on its way for long tells of the server while the one that read its removal holds that back.

--- a/tests/test_view_order.c
+++ b/tests/test_view_order.c
@@ -17,7 +17,7 @@
  * A server leaves while the store is silent for some and views are lost or
  * overtake each other.
  */
-static void leave_in_silence(uint64_t seed, bool drains)
+static void leave_in_silence(uint64_t seed, int64_t after_ms, bool drains)
 {
 	struct world world;
 
@@ -25,19 +25,19 @@
 	world.draws = seed;
 	world_pass(&world, 4000);
 	world.lost = 20;
-	world.delay = 700;
+	world.delay = 1500;
 	cut_half(&world, true);
 	world.nodes[world_reader(&world)].cut_off = true;
 	world_pass(&world, 500 + (int64_t)seed * 170);
 	world.created_at = ++world.revision;
-	world_pass(&world, 900);
-	if (drains)
+	if (drains) {
+		world_pass(&world, 900);
 		world_drain(&world);
-	world_pass(&world, 700);
+	}
+	world_pass(&world, after_ms);
 	world.removed_at = ++world.revision;
 	if (seed % 2)
 		world.compacted = world.revision;
-	world_pass(&world, (int64_t)seed * 90);
 	cut_half(&world, false);
 	world.nodes[world_reader(&world)].cut_off = false;
 	world_pass(&world, 8000);
@@ -50,7 +50,7 @@
 	uint64_t seed;
 
 	for (seed = 1; seed <= 24; seed++)
-		leave_in_silence(seed, seed % 3 == 0);
+		leave_in_silence(seed, (int64_t)seed * 100, seed % 3 == 0);
 }
 
 static void put_servers(struct node *node, int n, uint64_t changed_at)
