--- a/tests/test_view_order.c
+++ b/tests/test_view_order.c
@@ -155,8 +155,8 @@
 }
 
 /*
- * All know of a revision that the store gives out again. What is written then
- * must reach all, though its revision is lower.
+ * All know of a revision that the store gives out again, and its copy lacks the
+ * server. What is written then must reach all, though its revision is lower.
  */
 static void store_goes_back(int n, int centres, int n_large, int lost,
 			    bool some_first)
@@ -176,7 +176,10 @@
 	world_pass(&world, 2500);
 	cut_half(&world, some_first);
 	go_back(&world, 300);
+	world.missing = true;
 	pass_served(&world, 1500, 2);
+	world.missing = false;
+	world.created_at = ++world.revision;
 	world_drain(&world);
 	CU_ASSERT(world.drained_at < 500);
 	world_change_routes(&world);
@@ -198,6 +201,26 @@
 	store_goes_back(295, 6, 3, 10, true);
 }
 
+/* The copy lacks a server that never writes again. */
+static void test_gone_with_the_copy(void)
+{
+	struct world world;
+
+	world_init_hubs(&world, 36, 3, 2);
+	world.era = 1;
+	world.revision = 90;
+	world.lost = 10;
+	world.delay = 300;
+	world_pass(&world, 4000);
+	CU_ASSERT_EQUAL(world_count_knowing(&world), 36);
+	go_back(&world, 40);
+	world.missing = true;
+	pass_served(&world, 2200, 1);
+	world_pass(&world, 6000);
+	CU_ASSERT_EQUAL(world_count_knowing(&world), 0);
+	world_finish(&world);
+}
+
 /* Several times in a row, also while all of it is still under way. */
 static void test_store_goes_back_often(void)
 {
@@ -255,6 +278,7 @@
 	{"many changes", test_many_changes},
 	{"asked while holding back", test_asked_while_holding_back},
 	{"the store goes back", test_store_goes_back},
+	{"gone with the copy", test_gone_with_the_copy},
 	{"the store goes back often", test_store_goes_back_often},
 	{"a peer of an earlier era", test_peer_of_earlier_era},
 };
--- a/tests/view_world.c
+++ b/tests/view_world.c
@@ -327,6 +327,8 @@
 	}
 	answer.n_items =
 		call->watch ? call->after < item.changed_at : !item.removed;
+	if (world->missing)
+		answer.n_items = 0;
 	if (call->watch && is_gone(world, call))
 		answer.code = ERR_STALE;
 	store_sync_answered(&node->sync, STORE_SERVERS, &answer);
--- a/tests/view_world.h
+++ b/tests/view_world.h
@@ -45,6 +45,7 @@
 	uint64_t era; /* 0: the store tells none */
 	uint64_t revision;
 	uint64_t compacted; /* watches from before it are refused */
+	bool missing;	    /* the server's item: it has not written yet */
 	uint64_t drained_at;
 	uint64_t removed_at;
 	uint64_t created_at;
