slot_queue, server_queue: where not all can be in time, servers serve the same

By goals alone each server served whoever was about to miss its goal there, at each server others: of ninety parts some were always missing.

--- a/server_queue.c
+++ b/server_queue.c
@@ -25,6 +25,8 @@
 #define COST_MOST 10.0
 /* Lots that are drawn for requests. */
 #define LOTS 8
+/* Since it was found that not all can be in time, at any server. */
+#define BY_LOT_FOR MSEC(500)
 /* How often what waits is looked through for what cannot be served in time. */
 #define TICK MSEC(20)
 
@@ -199,14 +201,27 @@
 	queue->items.slots = most_under_way(queues, server);
 	queue->items.usual = pace_of(queues, server);
 	queue->items.mean = queue->items.usual;
+	slot_queue_set_by_lot(&queue->items,
+			      now_of(queues) < queues->by_lot_until);
 	return queue;
 }
 
+static void note_short(struct server_queues *queues,
+		       const struct server_queue *queue)
+{
+	int64_t until = queue->items.short_at + BY_LOT_FOR;
+
+	if (queue->items.short_at && until > queues->by_lot_until)
+		queues->by_lot_until = until;
+}
+
 /* The queue ends with the last that waits. */
 static void review(struct server_queues *queues, struct registry_server *server)
 {
 	struct server_queue *queue = server->queue;
 
+	if (queue)
+		note_short(queues, queue);
 	if (queue && !queue->items.n) {
 		DL_DELETE(queues->waiting, queue);
 		slot_queue_finish(&queue->items);
--- a/server_queue.h
+++ b/server_queue.h
@@ -89,6 +89,7 @@
  *	they share; at least 1
  * @enabled: else all is sent at once
  * @costs: of requests by level of urgency, compared to the mean; 0: not known
+ * @by_lot_until: not all can be in time, see slot_queue_set_by_lot()
  * @waiting: servers for which requests wait
  * @ended: turns that ended unsent, not reported yet
  */
@@ -100,6 +101,7 @@
 	int senders;
 	bool enabled;
 	double costs[OUTLOOK_LEVELS];
+	int64_t by_lot_until;
 	struct server_queue *waiting;
 	struct server_turn *ended;
 };
--- a/slot_queue.c
+++ b/slot_queue.c
@@ -159,11 +159,15 @@
 	return 0;
 }
 
-/*
- * Where not all can be in time, the first to miss their goals would at each
- * server be others, and nearly all requests of many parts lack some.
- */
-static void set_by_lot(struct slot_queue *queue, bool by_lot)
+void slot_queue_init(struct slot_queue *queue, const struct clock *clock,
+		     size_t max)
+{
+	memset(queue, 0, sizeof(*queue));
+	queue->clock = clock;
+	queue->max = max;
+}
+
+void slot_queue_set_by_lot(struct slot_queue *queue, bool by_lot)
 {
 	size_t i;
 
@@ -174,14 +178,6 @@
 		move_down(queue, i);
 }
 
-void slot_queue_init(struct slot_queue *queue, const struct clock *clock,
-		     size_t max)
-{
-	memset(queue, 0, sizeof(*queue));
-	queue->clock = clock;
-	queue->max = max;
-}
-
 void slot_queue_finish(struct slot_queue *queue)
 {
 	free(queue->items);
@@ -209,7 +205,7 @@
 	put(queue, queue->n, item);
 	move_up(queue, queue->n++);
 	if (misses_goal(queue, item, now + wait))
-		set_by_lot(queue, true);
+		queue->short_at = now;
 	return 0;
 }
 
@@ -222,12 +218,10 @@
 	       !is_late(queue, first, now)) {
 		first->late = true;
 		move_down(queue, 0);
-		set_by_lot(queue, true);
+		queue->short_at = now;
 		first = queue->items[0];
 	}
-	if (first->late)
-		set_by_lot(queue, false);
-	return queue->items[0];
+	return first;
 }
 
 /* Of the least urgent that can be in time, the first. */
--- a/slot_queue.h
+++ b/slot_queue.h
@@ -44,8 +44,8 @@
  * @plain: drop at the deadline only, as a baseline of experiments
  * @floor: the least urgent is passed over for fewer turns in a row than these;
  *	0: for any number
- * @by_lot: not all can be in time: until nobody who can be waits, the least
- *lots go first and then the goals, so that all servers serve the same requests
+ * @by_lot: see slot_queue_set_by_lot()
+ * @short_at: when it was last found that not all can be in time; 0: never
  * @slots: of them this instance's share, for the estimate of waits
  * @usual: nearly all take less with a slot, microseconds; 0: not known
  * @mean: time with a slot, microseconds
@@ -59,6 +59,7 @@
 	bool plain;
 	int floor;
 	bool by_lot;
+	int64_t short_at;
 	int slots;
 	double usual;
 	double mean;
@@ -78,6 +79,14 @@
  */
 void slot_queue_finish(struct slot_queue *queue);
 
+/**
+ * slot_queue_set_by_lot() - the least lots go first, and then the goals
+ *
+ * Where not all can be in time: else the first to miss their goals would at
+ * each server be others, and nearly all requests of many parts lack some.
+ */
+void slot_queue_set_by_lot(struct slot_queue *queue, bool by_lot);
+
 /**
  * slot_queue_push() - wait for a slot
  * @drop: may be called for a less urgent item that makes room
--- a/tests/test_server_queue.c
+++ b/tests/test_server_queue.c
@@ -1,4 +1,5 @@
 /* The load of requests before one server, played on a paused clock. */
+#include <stdio.h>
 #include <string.h>
 
 #include "error.h"
@@ -16,6 +17,7 @@
 /* A request and what became of it. */
 struct asked {
 	struct upstream_request request;
+	char id[8];
 	struct server_turn *turn; /* NULL once it is over */
 	int64_t priority;
 	int64_t goal_at;
@@ -204,7 +206,8 @@
 	struct server_rank rank = {.priority = priority, .goal_at = now + goal};
 	int ret;
 
-	asked->request.id = STR("id");
+	snprintf(asked->id, sizeof(asked->id), "%d", world->n);
+	asked->request.id = str_from(asked->id);
 	asked->priority = priority;
 	asked->goal_at = now + goal;
 	asked->work = work;
@@ -301,6 +304,48 @@
 	finish(&world);
 }
 
+#define ROUNDS 300
+
+/* Twice what the server bears, and what of it is answered in time. */
+static int play_twice(int64_t work, bool in_time[ROUNDS])
+{
+	struct world world;
+	int n = 0;
+	int i;
+
+	start(&world);
+	for (i = 0; i < ROUNDS; i++) {
+		ask(&world, 1, MSEC(150), work);
+		pass(&world, work / 2);
+	}
+	pass(&world, 2 * DEADLINE);
+	for (i = 0; i < ROUNDS; i++) {
+		in_time[i] = world.asked[i].in_time;
+		n += in_time[i];
+	}
+	finish(&world);
+	return n;
+}
+
+/*
+ * Requests have a part at each of two servers that bear half of them: both
+ * serve the same half, or hardly a request is whole.
+ */
+static void test_same_requests(void)
+{
+	bool here[ROUNDS];
+	bool there[ROUNDS];
+	int n = play_twice(MSEC(10), here);
+	int both = 0;
+	int i;
+
+	CU_ASSERT(n >= 0.45 * ROUNDS);
+	CU_ASSERT(play_twice(MSEC(14), there) >= 0.45 * ROUNDS);
+	for (i = 0; i < ROUNDS; i++)
+		both += here[i] && there[i];
+	CU_ASSERT(both >= 0.75 * n);
+}
+
 /* On a calm day nothing waits. */
 static void test_calm(void)
 {
@@ -534,6 +579,7 @@
 static const struct unit_test tests[] = {
 	{"urgent first", test_urgent_first},
 	{"floor", test_floor},
+	{"same requests", test_same_requests},
 	{"calm", test_calm},
 	{"outlook", test_outlook},
 	{"server leaves", test_server_leaves},
--- a/tests/test_slot_queue.c
+++ b/tests/test_slot_queue.c
@@ -128,6 +128,27 @@
 	slot_queue_finish(&f.queue);
 }
 
+/* Where not all can be in time, lots go before goals, not before urgency. */
+static void test_by_lot(void)
+{
+	struct slot_item urgent;
+	struct slot_item low;
+	struct slot_item high;
+	struct fixture f;
+
+	setup(&f, 10);
+	push(&f, &high, 5, 100);
+	high.lot = 7;
+	push(&f, &low, 5, 200);
+	push(&f, &urgent, 0, 900);
+	urgent.lot = 7;
+	slot_queue_set_by_lot(&f.queue, true);
+	CU_ASSERT_PTR_EQUAL(pop(&f), &urgent);
+	CU_ASSERT_PTR_EQUAL(pop(&f), &low);
+	CU_ASSERT_PTR_EQUAL(pop(&f), &high);
+	slot_queue_finish(&f.queue);
+}
+
 static void test_full(void)
 {
 	struct slot_item items[2];
@@ -225,6 +246,7 @@
 	{"drop", test_drop},
 	{"late wake", test_late_wake},
 	{"no hope", test_no_hope},
+	{"by lot", test_by_lot},
 	{"full", test_full},
 	{"remove", test_remove},
 	{"slow server is tried", test_slow_server_is_tried},
