--- a/upstream.c
+++ b/upstream.c
@@ -1,7 +1,6 @@
 #define LOG_MODULE "upstream"
 #include "upstream_private.h"
 
-#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -15,10 +14,6 @@
 #include "log.h"
 #include "mem.h"
 
-/* However many instances share what a server accepts, so many are allowed. */
-#define CONNS_NEAR_LEAST 2
-/* A request that must not be repeated uses none that was idle for longer. */
-#define IDLE_FRESH MSEC(100)
 #define CONNECT_TIMEOUT MSEC(250)
 /* Whoever waits gives up at the deadline; the connection just after it. */
 #define SILENCE_GRACE MSEC(10)
@@ -28,8 +23,6 @@
  * there, within 1.2 s, and the view is told within as much.
  */
 #define RESTART_SUSPECTED MSEC(2500)
-/* An answer that later ones overtake by so many times the usual is lost. */
-#define OVERTAKEN_TIMES 3
 #define HEAD_MAX 65536
 #define BODY_MAX (8 * 1024 * 1024)
 
@@ -265,37 +258,6 @@
 	return true;
 }
 
-/*
- * Only instances of its own data centre agree on who sends to a cold server.
- *
- * Return: whether one more request may go to it.
- */
-static bool count_cold(const struct upstream *upstream,
-		       struct registry_server *server)
-{
-	if (server->remote)
-		return false;
-	if (!server->cold_sends)
-		server->cold_sends = mem_zalloc(sizeof(*server->cold_sends));
-	return warmup_take(upstream->limits.warmup, str_from(server->entry.id),
-			   &server->service->warmup, server->cold_sends);
-}
-
-/*
- * Return: 0; or ERR_DRAINING, ERR_COLD: the server gets no request now.
- */
-static int may_send(const struct upstream *upstream,
-		    struct registry_server *server)
-{
-	if (!registry_is_open(server))
-		return ERR_DRAINING;
-	if (upstream->limits.warmup &&
-	    registry_is_cold(server, clock_now(upstream->clock)) &&
-	    !count_cold(upstream, server))
-		return ERR_COLD;
-	return 0;
-}
-
 /* While the connection was made, the server may have come to be left alone. */
 static int may_write(const struct upstream_conn *conn)
 {
@@ -305,7 +267,7 @@
 		return ERR_CANCELLED;
 	if (exchange->counted)
 		return registry_is_open(conn->server) ? 0 : ERR_DRAINING;
-	return may_send(conn->upstream, conn->server);
+	return upstream_may_send(conn->upstream, conn->server);
 }
 
 /* A server that is taken for cold, though its entry does not say so yet. */
@@ -430,45 +392,6 @@
 	return conn;
 }
 
-/* The one used last, so that those not needed run into their time-out. */
-static struct upstream_conn *find_idle(const struct upstream *upstream,
-				       const struct registry_server *server,
-				       bool fresh)
-{
-	int64_t now = clock_now(upstream->clock);
-	struct upstream_conn *best = NULL;
-	struct upstream_conn *conn;
-
-	DL_FOREACH (server->conns, conn) {
-		int64_t idle = now - conn->idle_since;
-
-		if (conn->state != CONN_IDLE || idle >= conn->idle_for)
-			continue;
-		if (fresh && idle > IDLE_FRESH)
-			continue;
-		if (!best || conn->idle_since > best->idle_since)
-			best = conn;
-	}
-	return best;
-}
-
-static bool may_open(const struct upstream *upstream,
-		     struct registry_server *server, int64_t connections_max)
-{
-	const struct upstream_limits *limits = &upstream->limits;
-	/* A peer may tell any number. */
-	double most;
-
-	/* Rounded up: with one connection, one slow answer blocks a server. */
-	if (server->remote)
-		most = ceil((double)connections_max * limits->share_far);
-	else
-		most = floor((double)connections_max * limits->share_near);
-	if (!server->remote && most < CONNS_NEAR_LEAST)
-		most = CONNS_NEAR_LEAST;
-	return registry_conns(server) < most;
-}
-
 static struct exchange *new_exchange(struct upstream *upstream,
 				     const struct upstream_request *request,
 				     int64_t deadline, exchange_cb cb,
@@ -496,15 +419,15 @@
 		  struct exchange **out)
 {
 	struct upstream_conn *conn =
-		find_idle(upstream, server, request->fresh);
+		upstream_find_idle(upstream, server, request->fresh);
 	bool cold = registry_is_cold(server, clock_now(upstream->clock));
 	int ret;
 
 	if (deadline - clock_now(upstream->clock) < USEC_PER_MSEC)
 		return ERR_TOO_LATE;
-	if (!conn && !may_open(upstream, server, connections_max))
+	if (!conn && !upstream_may_open(upstream, server, connections_max))
 		return ERR_BUDGET;
-	ret = may_send(upstream, server);
+	ret = upstream_may_send(upstream, server);
 	if (ret)
 		return ret;
 	if (!conn) {
@@ -565,27 +488,6 @@
 		arm(exchange->conn, linger);
 }
 
-/* Its answer is lost: the server has answered since for longer than it takes.
- */
-static bool is_overtaken(const struct exchange *exchange,
-			 const struct server_score *score)
-{
-	return exchange->abandoned && exchange->written &&
-	       (double)(score->waiting_since - exchange->sent_at) >
-		       score->latency * OVERTAKEN_TIMES;
-}
-
-int upstream_under_way(const struct registry_server *server)
-{
-	const struct upstream_conn *conn;
-	int n = 0;
-
-	DL_FOREACH (server->conns, conn)
-		n += conn->exchange &&
-		     !is_overtaken(conn->exchange, &server->score);
-	return n;
-}
-
 void upstream_close_idle(struct registry_server *server)
 {
 	struct upstream_conn *conn;
--- a/upstream_private.h
+++ b/upstream_private.h
@@ -53,6 +53,32 @@
 	void *arg;
 };
 
+/**
+ * upstream_may_send() - whether a server may get one more request now
+ *
+ * Return: 0; or ERR_DRAINING, ERR_COLD: it gets none.
+ */
+int upstream_may_send(const struct upstream *upstream,
+		      struct registry_server *server);
+
+/**
+ * upstream_may_open() - whether it may have one more connection
+ * @connections_max: of the server's service
+ */
+bool upstream_may_open(const struct upstream *upstream,
+		       struct registry_server *server, int64_t connections_max);
+
+/**
+ * upstream_find_idle() - the connection used last, so that those not needed run
+ * into their time-out
+ * @fresh: not one that the server may just be closing
+ *
+ * Return: NULL if there is none.
+ */
+struct upstream_conn *upstream_find_idle(const struct upstream *upstream,
+					 const struct registry_server *server,
+					 bool fresh);
+
 /**
  * upstream_header() - a header of the message that was read
  *
