forecast: what is kept back of the goal is learned

How much later than expected enough parts come depends on the load and on how old words of queues are; a fixed share of the goal fits one of these.

--- a/dispatch.h
+++ b/dispatch.h
@@ -162,6 +162,7 @@
  *	between dispatch_init() and dispatch_start()
  * @room_in: with ERR_OVERLOAD: there is room after so long, microseconds; 0:
  *	not known
+ * @enough_at: when enough parts were expected to be in, 0: not known
  * @foreseen: refused, since too few parts are expected in time
  * @n_in: parts that are in
  * @n_lost: parts that no server could be sent when it came
@@ -194,6 +195,7 @@
 	bool judged;
 	bool promised;
 	int64_t room_in;
+	int64_t enough_at;
 	bool foreseen;
 	struct records records;
 	enum dispatch_outcome outcome;
--- a/dispatch_forecast.c
+++ b/dispatch_forecast.c
@@ -28,6 +28,12 @@
 	return is_on(dispatch) && dispatch->latency->unloaded > 0;
 }
 
+static int needed(const struct dispatch *dispatch)
+{
+	return forecast_needed(dispatch->n_parts,
+			       dispatch->route->coverage_min);
+}
+
 /* How many times its service's usual time a server takes lately. */
 static double slowness(const struct registry_server *server, int64_t now)
 {
@@ -117,8 +123,8 @@
 	if (forecast->goal < 0)
 		forecast->goal = 0;
 	forecast->deadline = dispatch->deadline - now;
-	forecast->needed = forecast_needed(dispatch->n_parts,
-					   dispatch->route->coverage_min);
+	forecast->lag = (int64_t)dispatch->latency->lag;
+	forecast->needed = needed(dispatch);
 	for (i = 0; i < dispatch->n_parts; i++) {
 		const struct dispatch_part *part = &dispatch->parts[i];
 		const struct registry_server *server;
@@ -158,6 +164,8 @@
 	leave_out(dispatch, forecast);
 	dispatch->foreseen = forecast->refused;
 	dispatch->room_in = forecast->room_in;
+	dispatch->enough_at = clock_now(dispatch->clock) +
+			      forecast_expected(forecast->deciding);
 	if (dispatch->ops->foreseen &&
 	    (forecast->refused || forecast->n_left_out))
 		dispatch->ops->foreseen(dispatch->arg, forecast);
@@ -187,9 +195,7 @@
 	bool sent = false;
 	int i;
 
-	if (!dispatch->n_left_out ||
-	    most < forecast_needed(dispatch->n_parts,
-				   dispatch->route->coverage_min))
+	if (!dispatch->n_left_out || most < needed(dispatch))
 		return false;
 	dispatch->n_left_out = 0;
 	for (i = 0; i < dispatch->n_parts; i++) {
@@ -212,9 +218,7 @@
 {
 	struct dispatch *dispatch = part->dispatch;
 	int64_t now = clock_now(dispatch->clock);
-	int needed = forecast_needed(dispatch->n_parts,
-				     dispatch->route->coverage_min);
-	bool enough = dispatch->n_in >= needed;
+	bool enough = dispatch->n_in >= needed(dispatch);
 	const struct registry_server *server;
 	struct forecast_part expected;
 
@@ -274,8 +278,10 @@
 	const struct dispatch *dispatch = send->part->dispatch;
 	int64_t now = clock_now(dispatch->clock);
 
-	if (is_on(dispatch))
-		latency_add_unloaded(dispatch->latency,
-				     (double)took /
-					     slowness(send->server, now));
+	if (!is_on(dispatch))
+		return;
+	latency_add_unloaded(dispatch->latency,
+			     (double)took / slowness(send->server, now));
+	if (dispatch->enough_at && dispatch->n_in + 1 == needed(dispatch))
+		latency_add_lag(dispatch->latency, now - dispatch->enough_at);
 }
--- a/dispatch_private.h
+++ b/dispatch_private.h
@@ -83,7 +83,8 @@
 int64_t dispatch_forecast_sent(const struct dispatch_send *send);
 
 /**
- * dispatch_forecast_learn() - a send was answered after so long, microseconds
+ * dispatch_forecast_learn() - a part that is not in yet was answered
+ * @took: microseconds
  */
 void dispatch_forecast_learn(const struct dispatch_send *send, int64_t took);
 
--- a/forecast.c
+++ b/forecast.c
@@ -4,10 +4,11 @@
 #include <stdlib.h>
 
 /*
- * A request is refused if it is expected after this share of its goal: what
- * other instances send meanwhile is not told yet.
+ * Of the goal, less the lag: what is expected later is refused. At the least
+ * such a share is let through, whatever the lag was.
  */
-#define GOAL_SHARE 0.7
+#define GOAL_SHARE 0.9
+#define GOAL_SHARE_LEAST 0.35
 /*
  * Of the goal: so much may be ahead of a part even where it cannot be in time.
  * Servers that are slow and not busy are worth asking.
@@ -60,14 +61,22 @@
 	forecast->n_in_time = i;
 }
 
+/* Other instances send meanwhile, and the slowest of many parts decides. */
+static int64_t in_time(const struct forecast *forecast)
+{
+	double goal = (double)forecast->goal;
+	double due = goal * GOAL_SHARE - (double)forecast->lag;
+
+	return (int64_t)fmax(due, goal * GOAL_SHARE_LEAST);
+}
+
 static bool refuse(struct forecast *forecast)
 {
 	const struct forecast_part *part = forecast->deciding;
 	int64_t due = forecast->deadline;
 
 	if (!forecast->promised)
-		due = due_of(forecast, part,
-			     (int64_t)((double)forecast->goal * GOAL_SHARE));
+		due = due_of(forecast, part, in_time(forecast));
 	if (due > forecast->deadline)
 		due = forecast->deadline;
 	if (forecast->probe || forecast_expected(part) <= due)
--- a/forecast.h
+++ b/forecast.h
@@ -33,6 +33,7 @@
  * @needed: so many make an answer; @n at most
  * @goal: time left until an answer is worth less, microseconds
  * @deadline: time left until it is worth nothing, microseconds
+ * @lag: so much later than expected enough parts come lately, microseconds
  * @promised: it is sent if it can be answered by its deadline at all
  * @probe: it is sent in any case
  * @n_in_time: parts that are expected by the goal
@@ -47,6 +48,7 @@
 	int needed;
 	int64_t goal;
 	int64_t deadline;
+	int64_t lag;
 	bool promised;
 	bool probe;
 	int n_in_time;
--- a/gateway_forecast.c
+++ b/gateway_forecast.c
@@ -34,6 +34,7 @@
 		 LOG_I64("ahead_us", deciding->ahead),
 		 LOG_I64("run_us", deciding->run),
 		 LOG_I64("told_age_ms", told_at ? age / USEC_PER_MSEC : -1),
+		 LOG_I64("lag_us", forecast->lag),
 		 LOG_I64("promised", forecast->promised),
 		 LOG_I64("room_in_us", forecast->room_in));
 }
--- a/latency.c
+++ b/latency.c
@@ -4,11 +4,14 @@
 #define STEP 0.05
 /* Of the newest answer in what is usual: one request brings many at a time. */
 #define UNLOADED_WEIGHT 0.005
+/* Of the newest request in the lag. */
+#define LAG_WEIGHT 0.05
 
 void latency_init(struct latency *latency, int64_t guess)
 {
 	latency->late = (double)guess;
 	latency->unloaded = 0;
+	latency->lag = 0;
 }
 
 void latency_add(struct latency *latency, int64_t usec)
@@ -25,3 +28,8 @@
 		latency->unloaded = usec;
 	latency->unloaded += (usec - latency->unloaded) * UNLOADED_WEIGHT;
 }
+
+void latency_add_lag(struct latency *latency, int64_t usec)
+{
+	latency->lag += ((double)usec - latency->lag) * LAG_WEIGHT;
+}
--- a/latency.h
+++ b/latency.h
@@ -13,10 +13,13 @@
  * @late: so many microseconds are exceeded by LATENCY_LATE of the answers
  * @unloaded: that an answer takes of a server that is as quick as usual,
  *	microseconds; 0: none came yet
+ * @lag: so much later than expected enough parts of a request come lately,
+ *	microseconds
  */
 struct latency {
 	double late;
 	double unloaded;
+	double lag;
 };
 
 /* Answers later than this share of all are worth asking another server for. */
@@ -35,4 +38,10 @@
  */
 void latency_add_unloaded(struct latency *latency, double usec);
 
+/**
+ * latency_add_lag() - enough parts of a request came
+ * @usec: so much later than was expected
+ */
+void latency_add_lag(struct latency *latency, int64_t usec);
+
 #endif
