--- a/dispatch_private.h
+++ b/dispatch_private.h
@@ -31,26 +31,6 @@
  */
 bool dispatch_is_worth_waiting(const struct dispatch *dispatch, int code);
 
-/**
- * dispatch_part_send() - send it to the best server that takes it
- * @why: for logs
- * @fresh_only: not to one that is better avoided
- *
- * Return: 0; ERR_NO_REPLICA if there is none that was not tried; ERR_BUDGET if
- * those that are left have no connection free, or are cold.
- */
-int dispatch_part_send(struct dispatch_part *part, const char *why,
-		       bool fresh_only);
-
-/**
- * dispatch_part_send_again() - send it once more
- *
- * Return: 0; ERR_NO_REPLICA if no server or no attempt is left; ERR_BUDGET if
- * the budget of all requests does not allow it now, or no connection is free.
- */
-int dispatch_part_send_again(struct dispatch_part *part, const char *why,
-			     bool hedge);
-
 /**
  * dispatch_forecast() - whether enough answers are expected in time
  *
@@ -88,4 +68,24 @@
  */
 void dispatch_forecast_learn(const struct dispatch_send *send, int64_t took);
 
+/**
+ * dispatch_part_send() - send it to the best server that takes it
+ * @why: for logs
+ * @fresh_only: not to one that is better avoided
+ *
+ * Return: 0; ERR_NO_REPLICA if there is none that was not tried; ERR_BUDGET if
+ * those that are left have no connection free, or are cold.
+ */
+int dispatch_part_send(struct dispatch_part *part, const char *why,
+		       bool fresh_only);
+
+/**
+ * dispatch_part_send_again() - send it once more
+ *
+ * Return: 0; ERR_NO_REPLICA if no server or no attempt is left; ERR_BUDGET if
+ * the budget of all requests does not allow it now, or no connection is free.
+ */
+int dispatch_part_send_again(struct dispatch_part *part, const char *why,
+			     bool hedge);
+
 #endif
--- a/gateway_answer.c
+++ b/gateway_answer.c
@@ -174,9 +174,10 @@
 		status = HTTP_STATUS_BAD_GATEWAY;
 	else
 		retry_after = dispatch_retry_after(&request->dispatch);
-	if (code == ERR_OVERLOAD && !request->dispatch.foreseen) {
+	if (code == ERR_OVERLOAD) {
 		metric_inc(&request->gateway->counters.overload);
-		log_overload(request, retry_after);
+		if (!request->dispatch.foreseen)
+			log_overload(request, retry_after);
 	} else if (!request->dispatch.n_sends && request->dispatch.n_lost) {
 		metric_inc(&request->gateway->counters.no_server);
 		log_lost(request, retry_after);
--- a/gateway_stats.h
+++ b/gateway_stats.h
@@ -16,10 +16,10 @@
 	  "refused, and not run")                                              \
 	X(no_server, METRIC_COUNTER, "garnetreach_requests_no_server_total",   \
 	  "of these, at once: too few shards had a server to send to")         \
-	X(overload, METRIC_COUNTER, "garnetreach_requests_overload_total",     \
-	  "of these, at once: more under way than can be served in time")      \
 	X(foreseen, METRIC_COUNTER, "garnetreach_requests_foreseen_total",     \
 	  "of these, at once: too few parts were expected in time")            \
+	X(overload, METRIC_COUNTER, "garnetreach_requests_overload_total",     \
+	  "of these, at once: more under way than can be served in time")      \
 	X(failed, METRIC_COUNTER, "garnetreach_requests_failed_total",         \
 	  "failed, and may have run")                                          \
 	X(left, METRIC_COUNTER, "garnetreach_requests_left_total",             \
@@ -41,7 +41,7 @@
 	X(parts_left_out, METRIC_COUNTER, "garnetreach_parts_left_out_total",  \
 	  "parts not sent: they were expected too late to count")              \
 	X(kept_back, METRIC_COUNTER, "garnetreach_sends_kept_back_total",      \
-	  "parts not sent again for the same reason")                   \
+	  "parts not sent again for the same reason")                          \
 	X(cold, METRIC_COUNTER, "garnetreach_sends_cold_total",                \
 	  "sends kept from servers that are cold, and made elsewhere or not")  \
 	X(cordons, METRIC_GAUGE, "garnetreach_cordons",                        \
--- a/latency.h
+++ b/latency.h
@@ -10,16 +10,16 @@
 
 /**
  * struct latency - the latency of one kind of request
- * @late: so many microseconds are exceeded by LATENCY_LATE of the answers
  * @unloaded: that an answer takes of a server that is as quick as usual,
  *	microseconds; 0: none came yet
  * @lag: so much later than expected enough parts of a request come lately,
  *	microseconds
+ * @late: so many microseconds are exceeded by LATENCY_LATE of the answers
  */
 struct latency {
-	double late;
 	double unloaded;
 	double lag;
+	double late;
 };
 
 /* Answers later than this share of all are worth asking another server for. */
@@ -30,7 +30,6 @@
  * @guess: microseconds
  */
 void latency_init(struct latency *latency, int64_t guess);
-void latency_add(struct latency *latency, int64_t usec);
 
 /**
  * latency_add_unloaded() - an answer came
@@ -44,4 +43,9 @@
  */
 void latency_add_lag(struct latency *latency, int64_t usec);
 
+/**
+ * latency_add() - an answer came
+ */
+void latency_add(struct latency *latency, int64_t usec);
+
 #endif
