--- a/dispatch.c
+++ b/dispatch.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "dispatch_forecast.h"
 #include "error.h"
 #include "mem.h"
 
--- a/dispatch_forecast.c
+++ b/dispatch_forecast.c
@@ -1,9 +1,9 @@
-/* What the registry says of a request's parts, and what follows from it. */
-#include "dispatch_private.h"
+#include "dispatch_forecast.h"
 
 #include <math.h>
 #include <stdlib.h>
 
+#include "dispatch_private.h"
 #include "error.h"
 #include "forecast.h"
 #include "gateway_settings.h"
--- a/dispatch_send.c
+++ b/dispatch_send.c
@@ -3,6 +3,7 @@
 
 #include <string.h>
 
+#include "dispatch_forecast.h"
 #include "error.h"
 
 bool dispatch_part_under_way(const struct dispatch_part *part)
