--- a/gateway_stats.h
+++ b/gateway_stats.h
@@ -16,13 +16,13 @@
 	  "refused, and not run")                                              \
 	X(no_server, METRIC_COUNTER, "garnetreach_requests_no_server_total",   \
 	  "of these, at once: too few shards had a server to send to")         \
-	X(overload, METRIC_COUNTER, "garnetreach_requests_overload_total",     \
-	  "of these, at once: more under way than can be served in time")      \
 	X(foreseen, METRIC_COUNTER, "garnetreach_requests_foreseen_total",     \
 	  "of these, at once: too few parts were expected in time")            \
+	X(overload, METRIC_COUNTER, "garnetreach_requests_overload_total",     \
+	  "of these, at once: more under way than can be served in time")      \
 	X(overload_level0, METRIC_COUNTER,                                     \
 	  "garnetreach_requests_overload_level0_total",                        \
-	  "refused for want of room, of the most urgent level")                                \
+	  "of these, of the most urgent level")                                \
 	X(overload_level1, METRIC_COUNTER,                                     \
 	  "garnetreach_requests_overload_level1_total",                        \
 	  "the same, of routes of priority 1")                                 \
@@ -63,7 +63,7 @@
 	X(parts_left_out, METRIC_COUNTER, "garnetreach_parts_left_out_total",  \
 	  "parts not sent: they were expected too late to count")              \
 	X(kept_back, METRIC_COUNTER, "garnetreach_sends_kept_back_total",      \
-	  "parts not sent again for the same reason")                   \
+	  "parts not sent again for the same reason")                          \
 	X(cold, METRIC_COUNTER, "garnetreach_sends_cold_total",                \
 	  "sends kept from servers that are cold, and made elsewhere or not")  \
 	X(turns_waited, METRIC_COUNTER, "garnetreach_turns_waited_total",      \
