--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -26,6 +26,7 @@
 	struct dispatch_send sends[SERVERS];
 	int codes[SERVERS];
 	size_t lens[SERVERS];
+	int64_t took[SERVERS];
 };
 
 static void on_closing(void *arg, struct registry_server *server)
@@ -49,6 +50,7 @@
 
 	world->codes[i] = answer->code;
 	world->lens[i] = answer->body.len;
+	world->took[i] = answer->took;
 }
 
 static void on_hold(void *arg)
@@ -291,6 +293,60 @@
 	finish(&world);
 }
 
+/* Guards against a wait at the relay that counts as a slow server. */
+static void test_wait_is_not_the_servers(void)
+{
+	Peer__PartDone done = PEER__PART_DONE__INIT;
+	struct registry_server *server;
+	void *handles[SERVERS];
+	struct world world;
+	int64_t now;
+
+	start(&world);
+	world.client.priority = 1;
+	server = registry_find(&world.registry, STR("a"));
+	ask(&world, handles);
+	clock_advance(&world.clock, MSEC(50));
+	now = clock_now(&world.clock);
+	done.success = true;
+	done.took_us = MSEC(8);
+	done.wait_us = MSEC(40);
+	done.ahead_us = MSEC(30);
+	done.pace_us = MSEC(9);
+	tell_done(&world, &done, false, 1);
+	CU_ASSERT_EQUAL(world.took[0], MSEC(50));
+	CU_ASSERT_DOUBLE_EQUAL(server->score.latency, MSEC(10), 1);
+	CU_ASSERT_EQUAL(server_outlook_ahead(&server->outlook, 1, now),
+			MSEC(30));
+	CU_ASSERT_EQUAL(server_outlook_ahead(&server->outlook, 0, now), 0);
+	CU_ASSERT_DOUBLE_EQUAL(server->outlook.pace, MSEC(9), 1);
+	finish(&world);
+}
+
+/* Guards against a relay's figures that no part can have taken. */
+static void test_times_of_a_part_are_bounded(void)
+{
+	Peer__PartDone done = PEER__PART_DONE__INIT;
+	struct registry_server *server;
+	void *handles[SERVERS];
+	struct world world;
+
+	start(&world);
+	server = registry_find(&world.registry, STR("a"));
+	ask(&world, handles);
+	clock_advance(&world.clock, MSEC(50));
+	done.success = true;
+	done.took_us = UINT32_MAX;
+	done.wait_us = UINT32_MAX;
+	tell_done(&world, &done, false, 1);
+	CU_ASSERT_EQUAL(world.took[0], MSEC(50));
+	CU_ASSERT(server->score.latency <= MSEC(50));
+	/* It told no pace: what the part took is all that is known. */
+	CU_ASSERT(server->outlook.pace_at);
+	CU_ASSERT(server->outlook.pace <= MSEC(50));
+	finish(&world);
+}
+
 static const struct unit_test tests[] = {
 	{"floor", test_floor},
 	{"floor not taken", test_floor_not_taken},
@@ -298,6 +354,8 @@
 	{"no floor", test_no_floor},
 	{"relay tells failures", test_relay_tells_failures},
 	{"cold part comes back", test_cold_part_comes_back},
+	{"a wait is not the server's", test_wait_is_not_the_servers},
+	{"times of a part are bounded", test_times_of_a_part_are_bounded},
 };
 
 UNIT_MAIN("relay", tests)
