--- a/dispatch_load.c
+++ b/dispatch_load.c
@@ -10,14 +10,13 @@
  * in six shards that are slow at a time must not count as load.
  */
 #define LOAD_PARTS_IN 0.65
-/* Where the less urgent are refused first, sooner. */
-#define LOAD_PARTS_IN_BY_PRIORITY 0.8
 /*
- * So many requests more for each limit's worth that is served. The urgent are
- * late each time it is too high.
+ * Where parts wait for their turn and are left out by what is expected of them,
+ * the limit is the last guard.
  */
+#define LOAD_PARTS_IN_LAST 0.4
+/* So many requests more for each limit's worth that is served. */
 #define RISE 1.0
-#define RISE_BY_PRIORITY 0.25
 /* A caller that was refused for load finds a slot after about so long. */
 #define RETRY_AFTER_MS 100
 
@@ -126,9 +125,10 @@
 
 static bool is_far_from_whole(const struct dispatch *dispatch)
 {
-	int live = dispatch->n_parts - dispatch->n_lost;
-	double least = is_by_priority(dispatch) ? LOAD_PARTS_IN_BY_PRIORITY
-						: LOAD_PARTS_IN;
+	const struct load_control *control = dispatch->limits->control;
+	int live = dispatch->n_parts - dispatch->n_lost - dispatch->n_left_out;
+	double least = control && control->left_out ? LOAD_PARTS_IN_LAST
+						    : LOAD_PARTS_IN;
 
 	return dispatch->n_in < live * least;
 }
@@ -172,9 +172,7 @@
 		return;
 	dispatch->judged = true;
 	if (!code && now <= dispatch->answer_at)
-		load_limit_served(load_of(dispatch), dispatch->cost,
-				  is_by_priority(dispatch) ? RISE_BY_PRIORITY
-							   : RISE);
+		load_limit_served(load_of(dispatch), dispatch->cost, RISE);
 	else if (is_overload(dispatch, code))
 		note_overload(dispatch, now);
 }
