--- a/forecast.c
+++ b/forecast.c
@@ -73,10 +73,10 @@
 static bool refuse(struct forecast *forecast)
 {
 	const struct forecast_part *part = forecast->deciding;
-	int64_t due =
-		due_of(forecast, part,
-		       forecast->promised ? forecast->goal : in_time(forecast));
+	int64_t due = forecast->deadline;
 
+	if (!forecast->promised)
+		due = due_of(forecast, part, in_time(forecast));
 	if (due > forecast->deadline)
 		due = forecast->deadline;
 	if (forecast->probe || forecast_expected(part) <= due)
