--- a/server_queue.c
+++ b/server_queue.c
@@ -1,5 +1,5 @@
 #define LOG_MODULE "server_queue"
-#include "server_queue.h"
+#include "server_queue_private.h"
 
 #include <limits.h>
 #include <stdlib.h>
@@ -11,18 +11,8 @@
 #include "log.h"
 #include "mem.h"
 
-/* Requests that wait for one server here. */
-#define WAITING_MOST 128
 /* So many turns go before the least urgent has one. */
 #define FLOOR_TURNS 8
-/* To a server elsewhere, asked directly, are under way at least so many. */
-#define FAR_LEAST 2
-/* A server that refuses more than this share has others' work in it. */
-#define REFUSALS_MOST 0.1
-/* Weight of the newest answer in what the requests of a level cost. */
-#define COST_WEIGHT 0.02
-#define COST_LEAST 0.1
-#define COST_MOST 10.0
 /* Lots that are drawn for requests. */
 #define LOTS 8
 /* Since it was found that not all can be in time, at any server. */
@@ -30,16 +20,6 @@
 /* How often what waits is looked through for what cannot be served in time. */
 #define TICK MSEC(20)
 
-/**
- * struct server_queue - of one server, while something waits
- */
-struct server_queue {
-	struct registry_server *server;
-	struct slot_queue items;
-	struct server_queue *prev;
-	struct server_queue *next;
-};
-
 void server_queues_init(struct server_queues *queues, const struct clock *clock,
 			const struct server_queue_ops *ops, void *arg,
 			struct gateway_stats *stats)
@@ -63,78 +43,6 @@
 				      offsetof(struct server_turn, item));
 }
 
-/* What keeps this instance's share of the slots busy. */
-static int most_under_way(const struct server_queues *queues,
-			  const struct registry_server *server)
-{
-	int64_t share = server->entry.slots / queues->senders;
-
-	if (share < 1)
-		share = 1;
-	if (share > WAITING_MOST)
-		share = WAITING_MOST;
-	if (server->remote)
-		return share > FAR_LEAST ? (int)share : FAR_LEAST;
-	/* One more, so that a slot does not wait for the way. */
-	return (int)share + (server->score.refusals <= REFUSALS_MOST);
-}
-
-static bool has_room(const struct server_queues *queues,
-		     const struct registry_server *server)
-{
-	return queues->ops->under_way(queues->arg, server) <
-	       most_under_way(queues, server);
-}
-
-static double pace_of(const struct server_queues *queues,
-		      const struct registry_server *server)
-{
-	return server_outlook_pace(&server->outlook, server->service->latency,
-				   now_of(queues));
-}
-
-/*
- * Until the next of those under way ends. With n of them, one ends every n-th
- * of the time that each takes, whoever else uses the slots.
- *
- * Return: 0 if one more may be sent at once.
- */
-static double until_next(const struct server_queues *queues,
-			 const struct registry_server *server)
-{
-	if (!server->queue && has_room(queues, server))
-		return 0;
-	return pace_of(queues, server) / most_under_way(queues, server);
-}
-
-static int64_t ahead_of(const struct registry_server *server, int priority,
-			double until_next)
-{
-	double n = 1;
-
-	if (server->queue)
-		n += slot_queue_before(&server->queue->items, priority);
-	return (int64_t)(n * until_next);
-}
-
-static void tell_outlook(const struct server_queues *queues,
-			 struct registry_server *server)
-{
-	int64_t now = now_of(queues);
-	double next;
-	int level;
-
-	if (!queues->enabled)
-		return;
-	next = until_next(queues, server);
-	for (level = 0; level < OUTLOOK_LEVELS; level++) {
-		int priority = level < OUTLOOK_LEVELS - 1 ? level : INT_MAX;
-
-		server_outlook_told(&server->outlook, level,
-				    ahead_of(server, priority, next), now);
-	}
-}
-
 static void free_turn(struct server_turn *turn)
 {
 	registry_server_unref(turn->server);
@@ -163,10 +71,9 @@
 		 LOG_I64("priority", turn->item.priority),
 		 LOG_I64("waited_us", now - turn->queued_at),
 		 LOG_I64("left_us", turn->deadline - now),
-		 LOG_I64("ahead_us",
-			 ahead_of(turn->server, turn->item.priority,
-				  until_next(queues, turn->server))),
-		 LOG_F64("pace_us", pace_of(queues, turn->server)));
+		 LOG_I64("ahead_us", server_queue_ahead(queues, turn->server,
+							turn->item.priority)),
+		 LOG_F64("pace_us", server_queue_pace(queues, turn->server)));
 }
 
 static void drop(struct server_turn *turn, int code)
@@ -192,14 +99,14 @@
 	if (!queue) {
 		queue = mem_zalloc(sizeof(*queue));
 		queue->server = server;
-		slot_queue_init(&queue->items, queues->clock, WAITING_MOST);
+		slot_queue_init(&queue->items, queues->clock, SERVER_QUEUE_MAX);
 		queue->items.floor = FLOOR_TURNS;
 		DL_APPEND(queues->waiting, queue);
 		server->queue = queue;
 		queues->ops->wake(queues->arg, now_of(queues) + TICK);
 	}
-	queue->items.slots = most_under_way(queues, server);
-	queue->items.usual = pace_of(queues, server);
+	queue->items.slots = server_queue_most(queues, server);
+	queue->items.usual = server_queue_pace(queues, server);
 	queue->items.mean = queue->items.usual;
 	slot_queue_set_by_lot(&queue->items,
 			      now_of(queues) < queues->by_lot_until);
@@ -228,31 +135,7 @@
 		free(queue);
 		server->queue = NULL;
 	}
-	tell_outlook(queues, server);
-}
-
-static double *cost_of(struct server_queues *queues, int64_t priority)
-{
-	return &queues->costs[server_outlook_level(priority)];
-}
-
-/* Behind others, it would show the time of these as well. */
-static void learn_cost(const struct server_turn *turn, int64_t took)
-{
-	double *cost = cost_of(turn->queues, turn->item.priority);
-	double sample;
-
-	if (turn->pace <= 0)
-		return;
-	sample = (double)took / turn->pace;
-	if (sample < COST_LEAST)
-		sample = COST_LEAST;
-	if (sample > COST_MOST)
-		sample = COST_MOST;
-	if (*cost > 0)
-		*cost += (sample - *cost) * COST_WEIGHT;
-	else
-		*cost = sample;
+	server_queue_tell(queues, server);
 }
 
 static int send_now(struct server_turn *turn)
@@ -261,7 +144,7 @@
 	bool alone = queues->enabled &&
 		     !queues->ops->under_way(queues->arg, turn->server);
 
-	turn->pace = alone ? pace_of(queues, turn->server) : 0;
+	turn->pace = alone ? server_queue_pace(queues, turn->server) : 0;
 	turn->state = TURN_SENT;
 	turn->sent_at = now_of(queues);
 	return queues->ops->send(queues->arg, turn);
@@ -282,7 +165,7 @@
 		 LOG_I64("priority", turn->item.priority),
 		 LOG_I64("waited_us", waited),
 		 LOG_I64("goal_in_us", turn->item.goal - now),
-		 LOG_F64("pace_us", pace_of(queues, turn->server)));
+		 LOG_F64("pace_us", server_queue_pace(queues, turn->server)));
 }
 
 /* Why nothing that waits can be sent any more; 0: it can. */
@@ -317,7 +200,7 @@
 	if (code)
 		return_all(queue, code);
 	while (queue->items.n &&
-	       (!queues->enabled || has_room(queues, server))) {
+	       (!queues->enabled || server_queue_has_room(queues, server))) {
 		item = slot_queue_pop(&queue->items, on_drop, queues);
 		if (!item)
 			break;
@@ -352,7 +235,8 @@
 static bool must_wait(const struct server_queues *queues,
 		      const struct registry_server *server)
 {
-	return queues->enabled && (server->queue || !has_room(queues, server));
+	return queues->enabled &&
+	       (server->queue || !server_queue_has_room(queues, server));
 }
 
 static struct server_turn *new_turn(struct server_queues *queues,
@@ -373,9 +257,7 @@
 	turn->item.goal = rank->goal_at < deadline ? rank->goal_at : deadline;
 	turn->item.deadline = deadline;
 	turn->item.lot = (int)(str_hash(request->id) % LOTS);
-	turn->item.cost = *cost_of(queues, rank->priority);
-	if (turn->item.cost <= 0)
-		turn->item.cost = 1;
+	turn->item.cost = server_queue_cost(queues, rank->priority);
 	return turn;
 }
 
@@ -457,7 +339,7 @@
 
 	told.waited = turn->sent_at - turn->queued_at;
 	if (!result->code && turn->queues->enabled) {
-		learn_cost(turn, result->took);
+		server_queue_learn(turn, result->took);
 		server_outlook_paced(&server->outlook, server->score.latency,
 				     now_of(turn->queues));
 	}
