--- a/load_limit.c
+++ b/load_limit.c
@@ -21,7 +21,7 @@
 /* More urgent requests come in groups; room is kept for somewhat more. */
 #define NEED_MARGIN 1.25
 /* Share of what is sent that the less urgent get, so that none starves. */
-#define FLOOR 0.05
+#define FLOOR 0.1
 /* They have more than that under way: they are what is refused first. */
 #define FLOOR_UNDER_WAY 0.1
 /* Nobody waits longer. */
