--- a/dispatch_load.c
+++ b/dispatch_load.c
@@ -10,14 +10,12 @@
  * in six shards that are slow at a time must not count as load.
  */
 #define LOAD_PARTS_IN 0.65
-/* Where the less urgent are refused first, sooner. */
-#define LOAD_PARTS_IN_BY_PRIORITY 0.8
 /*
- * So many requests more for each limit's worth that is served. The urgent are
- * late each time it is too high.
+ * So many requests more for each limit's worth that is served. With priorities
+ * what is too much are the less urgent ones, and it may rise faster.
  */
 #define RISE 1.0
-#define RISE_BY_PRIORITY 0.25
+#define RISE_BY_PRIORITY 2.0
 /* A caller that was refused for load finds a slot after about so long. */
 #define RETRY_AFTER_MS 100
 /* Until so many answers are known, each one tells what the work takes. */
@@ -131,10 +129,8 @@
 static bool is_far_from_whole(const struct dispatch *dispatch)
 {
 	int live = dispatch->n_parts - dispatch->n_lost;
-	double least = is_by_priority(dispatch) ? LOAD_PARTS_IN_BY_PRIORITY
-						: LOAD_PARTS_IN;
 
-	return dispatch->n_in < live * least;
+	return dispatch->n_in < live * LOAD_PARTS_IN;
 }
 
 /* Half the goal later, those that are sent now are over. */
--- a/tests/test_load_share.c
+++ b/tests/test_load_share.c
@@ -281,7 +281,7 @@
 	if (late)
 		load_limit_overloaded(&entry->load, kind->goal / 2, now);
 	else
-		load_limit_served(&entry->load, kind->work, 0.25);
+		load_limit_served(&entry->load, kind->work, 2);
 	load_limit_end(&entry->load, caller->kind, kind->work);
 }
 
