--- a/tests/test_load_share.c
+++ b/tests/test_load_share.c
@@ -14,7 +14,7 @@
 #define SERVICE 7
 #define CALLERS_MAX 16384
 #define MESSAGES_MAX 256
-#define MESSAGE_MOST 2500 /* bytes */
+#define MESSAGE_MOST 2800 /* bytes */
 #define WAY MSEC(2)
 #define PATIENCE MSEC(400)
 #define REPEAT_PERIOD MSEC(20)
