--- a/dispatch_load.c
+++ b/dispatch_load.c
@@ -15,8 +15,12 @@
  * the limit is the last guard.
  */
 #define LOAD_PARTS_IN_LAST 0.4
-/* So many requests more for each limit's worth that is served. */
+/*
+ * So many requests more for each limit's worth that is served. With priorities
+ * what is too much are the less urgent ones, and it may rise faster.
+ */
 #define RISE 1.0
+#define RISE_BY_PRIORITY 2.0
 /* A caller that was refused for load finds a slot after about so long. */
 #define RETRY_AFTER_MS 100
 
@@ -172,7 +176,9 @@
 		return;
 	dispatch->judged = true;
 	if (!code && now <= dispatch->answer_at)
-		load_limit_served(load_of(dispatch), dispatch->cost, RISE);
+		load_limit_served(load_of(dispatch), dispatch->cost,
+				  is_by_priority(dispatch) ? RISE_BY_PRIORITY
+							   : RISE);
 	else if (is_overload(dispatch, code))
 		note_overload(dispatch, now);
 }
