--- a/registry.c
+++ b/registry.c
@@ -212,6 +212,17 @@
 	return names[word];
 }
 
+uint64_t registry_known_at(const struct registry *registry, struct str id)
+{
+	const struct registry_server *server = registry_find(registry, id);
+	const struct registry_removed *removed;
+
+	if (server)
+		return server->changed_at;
+	removed = find_removed(registry, id);
+	return removed ? removed->changed_at : 0;
+}
+
 enum registry_word registry_compare(const struct registry *registry,
 				    const struct server_entry *entry,
 				    uint64_t changed_at)
--- a/registry.h
+++ b/registry.h
@@ -180,6 +180,13 @@
 				    const struct server_entry *entry,
 				    uint64_t changed_at);
 
+/**
+ * registry_known_at() - the store's revision of a server's entry, or of its end
+ *
+ * Return: 0 if neither is known, or they are of an earlier era.
+ */
+uint64_t registry_known_at(const struct registry *registry, struct str id);
+
 /**
  * registry_put() - a server's entry came
  * @changed_at: the store's revision; an older one changes nothing
--- a/server_view.c
+++ b/server_view.c
@@ -190,13 +190,12 @@
 {
 	enum registry_word word =
 		registry_compare(view->registry, entry, changed_at);
-	const struct registry_server *server;
 
 	if (word == REGISTRY_NEWER || word == REGISTRY_REPEATED)
 		return true;
-	server = registry_find(view->registry, str_from(entry->id));
 	log_word(entry->id, state_of(entry), registry_word_name(word),
-		 changed_at, server ? server->changed_at : 0);
+		 changed_at,
+		 registry_known_at(view->registry, str_from(entry->id)));
 	return false;
 }
 
