--- a/slot_queue.c
+++ b/slot_queue.c
@@ -11,15 +11,22 @@
 #define QUANTILE_STEP 0.1
 #define SMOOTHING 0.05
 
-/* Whether @a goes before @b. */
-static bool before(const struct slot_item *a, const struct slot_item *b)
+/*
+ * Whether @a goes before @b. Of those that missed their goals the last to do so
+ * is first: the others have waited in vain the longest, and would all be served
+ * just at their deadlines.
+ */
+static bool before(const struct slot_queue *queue, const struct slot_item *a,
+		   const struct slot_item *b)
 {
 	if (a->late != b->late)
 		return b->late;
 	if (a->priority != b->priority)
 		return a->priority < b->priority;
+	if (queue->by_lot && a->lot != b->lot)
+		return a->lot < b->lot;
 	if (a->goal != b->goal)
-		return a->goal < b->goal;
+		return a->late ? a->goal > b->goal : a->goal < b->goal;
 	return a->order < b->order;
 }
 
@@ -36,7 +43,7 @@
 	while (i) {
 		size_t parent = (i - 1) / 2;
 
-		if (!before(item, queue->items[parent]))
+		if (!before(queue, item, queue->items[parent]))
 			break;
 		put(queue, i, queue->items[parent]);
 		i = parent;
@@ -54,9 +61,9 @@
 		if (child >= queue->n)
 			break;
 		if (child + 1 < queue->n &&
-		    before(queue->items[child + 1], queue->items[child]))
+		    before(queue, queue->items[child + 1], queue->items[child]))
 			child++;
-		if (!before(queue->items[child], item))
+		if (!before(queue, queue->items[child], item))
 			break;
 		put(queue, i, queue->items[child]);
 		i = child;
@@ -84,7 +91,7 @@
 static bool misses(const struct slot_queue *queue, const struct slot_item *item,
 		   int64_t end, int64_t now)
 {
-	int64_t need = queue->plain ? 0 : (int64_t)queue->usual;
+	int64_t need = queue->plain ? 0 : (int64_t)(queue->usual * item->cost);
 	int64_t most = (end - item->pushed) / 2;
 
 	if (need > most)
@@ -118,7 +125,7 @@
 	size_t i;
 
 	for (i = 0; i < queue->n; i++)
-		n += before(queue->items[i], item);
+		n += before(queue, queue->items[i], item);
 	return n;
 }
 
@@ -129,7 +136,7 @@
 	size_t i;
 
 	for (i = 1; i < queue->n; i++) {
-		if (before(last, queue->items[i]))
+		if (before(queue, last, queue->items[i]))
 			last = queue->items[i];
 	}
 	return last;
@@ -160,6 +167,17 @@
 	queue->max = max;
 }
 
+void slot_queue_set_by_lot(struct slot_queue *queue, bool by_lot)
+{
+	size_t i;
+
+	if (queue->by_lot == by_lot)
+		return;
+	queue->by_lot = by_lot;
+	for (i = queue->n / 2; i-- > 0;)
+		move_down(queue, i);
+}
+
 void slot_queue_finish(struct slot_queue *queue)
 {
 	free(queue->items);
@@ -186,6 +204,8 @@
 	MEM_GROW(queue->items, queue->n, queue->cap);
 	put(queue, queue->n, item);
 	move_up(queue, queue->n++);
+	if (misses_goal(queue, item, now + wait))
+		queue->short_at = now;
 	return 0;
 }
 
@@ -198,6 +218,7 @@
 	       !is_late(queue, first, now)) {
 		first->late = true;
 		move_down(queue, 0);
+		queue->short_at = now;
 		first = queue->items[0];
 	}
 	return first;
@@ -215,7 +236,8 @@
 		if (misses_goal(queue, item, now))
 			continue;
 		if (!least || item->priority > least->priority ||
-		    (item->priority == least->priority && before(item, least)))
+		    (item->priority == least->priority &&
+		     before(queue, item, least)))
 			least = item;
 	}
 	return least;
@@ -223,11 +245,17 @@
 
 static struct slot_item *find_next(struct slot_queue *queue, int64_t now)
 {
+	struct slot_item *first = find_first(queue, now);
 	struct slot_item *least = NULL;
 
-	if (queue->floor && !(++queue->pops % (uint64_t)queue->floor))
+	if (queue->floor)
 		least = find_least(queue, now);
-	return least ? least : find_first(queue, now);
+	if (!least || least->priority <= first->priority)
+		least = first;
+	else if (++queue->passed < queue->floor)
+		return first;
+	queue->passed = 0;
+	return least;
 }
 
 struct slot_item *slot_queue_pop(struct slot_queue *queue, slot_drop_fn drop,
@@ -246,19 +274,20 @@
 	return NULL;
 }
 
-size_t slot_queue_before(const struct slot_queue *queue, int priority)
+double slot_queue_before(const struct slot_queue *queue, int priority)
 {
 	int64_t now = clock_now(queue->clock);
-	size_t n = 0;
+	double cost = 0;
 	size_t i;
 
 	for (i = 0; i < queue->n; i++) {
 		const struct slot_item *item = queue->items[i];
 
-		n += item->priority <= priority &&
-		     !misses_goal(queue, item, now);
+		if (item->priority <= priority &&
+		    !misses_goal(queue, item, now))
+			cost += item->cost;
 	}
-	return n;
+	return cost;
 }
 
 void slot_queue_remove(struct slot_queue *queue, struct slot_item *item)
--- a/slot_queue.h
+++ b/slot_queue.h
@@ -20,12 +20,16 @@
  * @goal: an answer later than this is worth little; @deadline where there is no
  *	such time, microseconds
  * @deadline: on the clock, microseconds
+ * @lot: drawn for its request, the same at all servers
+ * @cost: it takes so many times the usual, 1 where nothing is known
  * @pushed: when it was queued, microseconds
  */
 struct slot_item {
 	int priority;
 	int64_t goal;
 	int64_t deadline;
+	int lot;
+	double cost;
 	int64_t pushed;
 	/* Of the module. */
 	bool late; /* it was found that it misses its goal */
@@ -38,7 +42,10 @@
  * @items: a heap
  * @max: most items
  * @plain: drop at the deadline only, as a baseline of experiments
- * @floor: each so-many-th turn is for the least urgent, 0: none is
+ * @floor: the least urgent is passed over for fewer turns in a row than these;
+ *	0: for any number
+ * @by_lot: see slot_queue_set_by_lot()
+ * @short_at: when it was last found that not all can be in time; 0: never
  * @slots: of them this instance's share, for the estimate of waits
  * @usual: nearly all take less with a slot, microseconds; 0: not known
  * @mean: time with a slot, microseconds
@@ -51,11 +58,13 @@
 	size_t max;
 	bool plain;
 	int floor;
+	bool by_lot;
+	int64_t short_at;
 	int slots;
 	double usual;
 	double mean;
 	uint64_t pushes;
-	uint64_t pops;
+	int passed; /* turns in a row that went before the least urgent */
 };
 
 /* Told of an item that left the queue without a slot; @code as slot_queue_push.
@@ -70,6 +79,14 @@
  */
 void slot_queue_finish(struct slot_queue *queue);
 
+/**
+ * slot_queue_set_by_lot() - the least lots go first, and then the goals
+ *
+ * Where not all can be in time: else the first to miss their goals would at
+ * each server be others, and nearly all requests of many parts lack some.
+ */
+void slot_queue_set_by_lot(struct slot_queue *queue, bool by_lot);
+
 /**
  * slot_queue_push() - wait for a slot
  * @drop: may be called for a less urgent item that makes room
@@ -100,11 +117,12 @@
 void slot_queue_expire(struct slot_queue *queue, slot_drop_fn drop, void *ctx);
 
 /**
- * slot_queue_before() - how many would be served before a new item that is in
- * time
+ * slot_queue_before() - what would be served before a new item that is in time
  * @priority: of the new one
+ *
+ * Return: the sum of their costs.
  */
-size_t slot_queue_before(const struct slot_queue *queue, int priority);
+double slot_queue_before(const struct slot_queue *queue, int priority);
 
 /**
  * slot_queue_served() - learn how long a request had a slot
