--- a/dispatch.c
+++ b/dispatch.c
@@ -468,7 +468,7 @@
 int64_t dispatch_due(const struct dispatch *dispatch)
 {
 	int64_t now = clock_now(dispatch->clock);
-	int64_t due = dispatch->deadline;
+	int64_t due = dispatch->deadline - DEADLINE_SLACK;
 	int i;
 
 	if (dispatch->route->sharded && dispatch->answer_at > now &&
