--- a/gateway_send.c
+++ b/gateway_send.c
@@ -58,6 +58,8 @@
 	if (!result->code)
 		metric_histogram_add(&counters->send_time.histogram,
 				     result->took);
+	else if (result->code == ERR_OVERLOAD)
+		return; /* never sent: counted where it waited */
 	else if (result->not_run)
 		metric_inc(&counters->shed);
 	else
--- a/upstream_limits.c
+++ b/upstream_limits.c
@@ -1,5 +1,4 @@
-/* Whether a backend server may get one more request, and on which connection.
- */
+/* Whether a server may get one more request, and on which connection. */
 #include "upstream_private.h"
 
 #include <math.h>
