--- a/return_book.c
+++ b/return_book.c
@@ -6,7 +6,7 @@
 #include "mem.h"
 
 /* New requests need room as well, and are better served at once. */
-#define ROOM_SHARE 0.5
+#define ROOM_SHARE 0.25
 /* Without any knowledge. */
 #define WAIT_UNKNOWN MSEC(100)
 /* Sooner, nothing has changed; later, what was seen now says nothing. */
