--- a/tests/test_dispatch.c
+++ b/tests/test_dispatch.c
@@ -600,6 +600,24 @@
 	world_finish(&world);
 }
 
+/* An error that is told at the deadline comes too late: the caller has left. */
+static void test_told_before_the_deadline(void)
+{
+	struct world world;
+	int64_t left;
+
+	world_init(&world);
+	start(&world, "/shards/");
+	left = dispatch_due(&world.dispatch) - clock_now(&world.clock);
+	while (!dispatch_tick(&world.dispatch) && left > 0) {
+		clock_advance(&world.clock, left);
+		left = dispatch_due(&world.dispatch) - clock_now(&world.clock);
+	}
+	CU_ASSERT(world.dispatch.outcome == DISPATCH_FAILED);
+	CU_ASSERT(clock_now(&world.clock) < world.dispatch.deadline);
+	world_finish(&world);
+}
+
 /* A deadline passes while all waits here: the caller is told it has not run. */
 static void test_waiting_to_the_end_has_not_run(void)
 {
@@ -672,6 +690,7 @@
 	{"no server", test_no_server},
 	{"the same stamp twice", test_same_stamp_twice},
 	{"the caller left", test_caller_left},
+	{"told before the deadline", test_told_before_the_deadline},
 };
 
 UNIT_MAIN("dispatch", tests)
