--- a/dispatch_forecast.c
+++ b/dispatch_forecast.c
@@ -242,17 +242,20 @@
  * burst would find every queue as short as its first request did. A server that
  * it sends to itself is told of by its own queue.
  */
-static void add_ahead(const struct dispatch *dispatch,
-		      struct registry_server *server, int64_t run, int64_t now)
+void dispatch_forecast_sent(const struct dispatch_send *send)
 {
+	const struct dispatch *dispatch = send->part->dispatch;
+	struct registry_server *server = send->server;
 	struct server_outlook *outlook = &server->outlook;
+	int64_t now = clock_now(dispatch->clock);
 	int64_t slots = server->entry.slots > 0 ? server->entry.slots : 1;
-	int64_t more = run / slots;
+	int64_t more;
 	int i;
 
-	if (server->queue || !outlook->pace_at ||
+	if (!can_expect(dispatch) || server->queue || !outlook->pace_at ||
 	    now - outlook->pace_at > TOLD_AGE_MOST)
 		return;
+	more = expect(dispatch, server, now).run / slots;
 	for (i = level_of(dispatch); i < OUTLOOK_LEVELS; i++)
 		server_outlook_told(outlook, i,
 				    server_outlook_ahead(outlook, i, now) +
@@ -260,19 +263,6 @@
 				    now);
 }
 
-int64_t dispatch_forecast_sent(const struct dispatch_send *send)
-{
-	const struct dispatch *dispatch = send->part->dispatch;
-	int64_t now = clock_now(dispatch->clock);
-	struct forecast_part expected;
-
-	if (!can_expect(dispatch))
-		return 0;
-	expected = expect(dispatch, send->server, now);
-	add_ahead(dispatch, send->server, expected.run, now);
-	return expected.ahead;
-}
-
 void dispatch_forecast_learn(const struct dispatch_send *send, int64_t took)
 {
 	const struct dispatch *dispatch = send->part->dispatch;
--- a/dispatch_forecast.h
+++ b/dispatch_forecast.h
@@ -37,11 +37,8 @@
 
 /**
  * dispatch_forecast_sent() - a send goes before what is sent to its server next
- *
- * Return: how long it waits for others there, microseconds: it is no straggler
- * before.
  */
-int64_t dispatch_forecast_sent(const struct dispatch_send *send);
+void dispatch_forecast_sent(const struct dispatch_send *send);
 
 /**
  * dispatch_forecast_learn() - a part that is not in yet was answered
--- a/dispatch_send.c
+++ b/dispatch_send.c
@@ -121,8 +121,8 @@
 	part->n_run++;
 	part->n_arrived++;
 	dispatch->n_sends++;
-	part->hedge_at = now + dispatch_hedge_delay(dispatch) +
-			 dispatch_forecast_sent(send);
+	part->hedge_at = now + dispatch_hedge_delay(dispatch);
+	dispatch_forecast_sent(send);
 	if (dispatch->ops->decided)
 		dispatch->ops->decided(dispatch->arg, send);
 	return 0;
