--- a/dispatch.c
+++ b/dispatch.c
@@ -16,21 +16,14 @@
 #define HEDGE_MOST_OF_GOAL 0.35
 /*
  * A hedge helps where one server is late among many that are not. If most parts
- * of a request are late, load is the cause and hedges add to it: in 0.2 s of a
- * burst at twice the usual rate 193 went out while connections ran out. Hedges
- * wait until this share of the parts is in: mean worth +0.0021 over 44 pairs of
- * days (standard error 0.0006), on no kind of day lower by over 0.0005. Three
- * quarters: -0.0007.
+ * of a request are late, load is the cause and hedges add to it.
  */
 #define HEDGE_PARTS_IN 0.5
 /* Sends end at the deadline too: what they say then is that time is up. */
 #define DEADLINE_SLACK MSEC(2)
 /*
  * A retry without budget left is tried again so much later, and so is a server
- * that had no connection or no slot free. A part that both servers of a shard
- * had no slot for was lost with most of its time left: asking them again is
- * worth 0.004 on the day with the most refusals (4 seeds), and nothing on calm
- * ones.
+ * that had no connection or no slot free.
  */
 #define RETRY_PERIOD MSEC(5)
 /* A cold server bears another request so much later: it bears some a second. */
--- a/member_send.c
+++ b/member_send.c
@@ -54,8 +54,7 @@
 /*
  * That another instance joined matters in its own data centre; hubs of others
  * are told by itself, and the rest by whole lists. Spread by all to all, joins
- * were 38 of 64 MB between the data centres of 295 instances that
- * started and served for half a minute.
+ * were most of what passes between data centres while many start.
  */
 static bool is_for_near(const struct member *member)
 {
