losses, overload: refusals of gateways by cause, from an id to it

losses counted requests that came too early as the request's own fault, and ones that fail for parts that were left out as broken. What is told as the time of return is 5 s at most: a shortage lasts some seconds, and 30 s were told there to callers that wait 0.4 s.

--- a/losses.c
+++ b/losses.c
@@ -31,7 +31,7 @@
 	{ERR_DRAINING, LOSS_NO_SERVER},	  {ERR_SHED, LOSS_FULL},
 	{ERR_BUDGET, LOSS_FULL},	  {ERR_OVERLOAD, LOSS_OVERLOAD},
 	{ERR_TOO_LATE, LOSS_TIMEOUT},	  {ERR_CANCELLED, LOSS_LEFT},
-	{ERR_BANNED, LOSS_REQUEST},
+	{ERR_BANNED, LOSS_REQUEST},	  {ERR_LEFT_OUT, LOSS_OVERLOAD},
 };
 
 const char *loss_cause_name(enum loss_cause cause)
@@ -117,7 +117,7 @@
 
 	if (!strcmp(why, "starting") || !strcmp(why, "routes_may_be_old"))
 		return LOSS_NO_ROUTES;
-	return LOSS_REQUEST;
+	return !strcmp(why, "early") ? LOSS_EARLY : LOSS_REQUEST;
 }
 
 static void count(struct losses_row *row, enum loss_cause cause,
--- a/losses.h
+++ b/losses.h
@@ -24,6 +24,7 @@
 	X(LOSS_NO_SERVER, "no_server", "no live server of too many shards")    \
 	X(LOSS_FULL, "full", "no slot, connection or retry left in time")      \
 	X(LOSS_OVERLOAD, "overload", "refused: more than servers can bear")    \
+	X(LOSS_EARLY, "early", "refused again before the time it was told")    \
 	X(LOSS_BROKEN, "broken", "a server broke off or answered wrong")       \
 	X(LOSS_TIMEOUT, "timeout", "servers were waited for until the end")    \
 	X(LOSS_LEFT, "left", "the caller left before the answer")              \
--- a/return_book.c
+++ b/return_book.c
@@ -11,7 +11,7 @@
 #define WAIT_UNKNOWN MSEC(100)
 /* Sooner, nothing has changed; later, what was seen now says nothing. */
 #define WAIT_LEAST MSEC(20)
-#define WAIT_MOST MSEC(30000)
+#define WAIT_MOST MSEC(5000)
 /* A caller's clock and the way to it are not exact. */
 #define EARLY_BY MSEC(10)
 /* A caller may need a new connection first, and meet a slow link. */
--- a/tests/test_losses.c
+++ b/tests/test_losses.c
@@ -58,6 +58,12 @@
 	CU_ASSERT(cause_of(AT("38") REQUEST
 			   "\"status\":503,\"error\":\"overload\"}") ==
 		  LOSS_OVERLOAD);
+	CU_ASSERT(cause_of(AT("38") REQUEST
+			   "\"status\":502,\"error\":\"left_out\"}") ==
+		  LOSS_OVERLOAD);
+	CU_ASSERT(cause_of(AT("38") "\"event\":\"request_refused\","
+				    "\"status\":503,\"why\":\"early\"}") ==
+		  LOSS_EARLY);
 	CU_ASSERT(cause_of(AT("38") REQUEST
 			   "\"status\":502,\"error\":\"lost\"}") ==
 		  LOSS_BROKEN);
