gateway: log whether second sends are charged, with totals per window

Users observed more second sends to a service than the budget of the whole fleet allows. The logs did not show why. They lacked whether a second send took a token or counted as the first to arrive, the number of instances by which the slack was divided at that time, how long the process had been running, and how many second sends a service received from each instance within one budget window.

Add `charged`, `budget_most`, `entries` and `uptime_ms` to `sent_again`, and `arrived` to `send_failed`. Add a `second_sends` line, logged once per window for each service with a second send or a refused one. It gives the number of requests, charged second sends, uncharged second sends and refusals. The budget limits the sum over all instances. Add metrics for charged and uncharged second sends, for refusals, and for the number of instances by which the slack is divided. No decision changes.

--- a/budget.h
+++ b/budget.h
@@ -20,6 +20,8 @@
  * @needed: all that were ever needed
  * @spent: all extra requests ever granted
  * @refused: all that were refused
+ * @uncharged: extra requests that took no token because no earlier send had
+ *	reached a server
  */
 struct budget {
 	double tokens;
@@ -29,6 +31,7 @@
 	uint64_t needed;
 	uint64_t spent;
 	uint64_t refused;
+	uint64_t uncharged;
 };
 
 /**
--- a/dispatch.c
+++ b/dispatch.c
@@ -352,7 +352,7 @@
 }
 
 /* It never reached a server, so that it is no second send to its service. */
-static bool is_unsent(int code)
+bool dispatch_is_unsent(int code)
 {
 	return code == ERR_CONNECT || code == ERR_BUDGET ||
 	       code == ERR_DRAINING || code == ERR_COLD ||
@@ -366,7 +366,7 @@
 	struct dispatch_part *part = send->part;
 
 	send->state = SEND_OVER;
-	if (is_unsent(answer->code))
+	if (dispatch_is_unsent(answer->code))
 		part->n_arrived--;
 	if (is_busy(dispatch, answer))
 		send->busy_until =
--- a/dispatch.h
+++ b/dispatch.h
@@ -43,6 +43,7 @@
  * @busy_until: it did not run, for want of a connection or a slot; the server
  *	may be asked again from then on, and this be used anew
  * @why: for logs: "first", "hedge", "retry", "moved"
+ * @charged: whether it took a token from the service's budget
  */
 struct dispatch_send {
 	struct dispatch_part *part;
@@ -53,6 +54,7 @@
 	bool relayed;
 	int64_t busy_until;
 	const char *why;
+	bool charged;
 };
 
 enum part_state {
@@ -276,6 +278,12 @@
  */
 void dispatch_cancel(struct dispatch *dispatch);
 
+/**
+ * dispatch_is_unsent() - whether a result means that no server was reached
+ * @code: error code of the send's result
+ */
+bool dispatch_is_unsent(int code);
+
 /**
  * dispatch_load() - the requests under way that this one counts among
  */
--- a/dispatch_send.c
+++ b/dispatch_send.c
@@ -128,6 +128,7 @@
 	send->state = SEND_UNDER_WAY;
 	send->sent_at = now;
 	send->why = why;
+	send->charged = part->n_arrived > 0;
 	ret = dispatch->ops->send(dispatch->arg, send, dispatch->deadline);
 	if (ret) {
 		*send = before;
@@ -194,8 +195,10 @@
 
 	if (!part->n_arrived)
 		return true;
-	if (hedge && !budget_is_half_full(budget, limit, now))
+	if (hedge && !budget_is_half_full(budget, limit, now)) {
+		budget->refused++;
 		return false;
+	}
 	return budget_take(budget, limit, 1, now);
 }
 
@@ -217,10 +220,12 @@
 	if (!take_budget(part, hedge))
 		return ERR_BUDGET;
 	ret = dispatch_part_send(part, why, hedge);
-	if (!ret)
+	if (!ret) {
 		dispatch->n_extra++;
-	else if (arrived)
+		part->service->budget.uncharged += !arrived;
+	} else if (arrived) {
 		budget_refund(&part->service->budget);
+	}
 	return ret;
 }
 
@@ -228,11 +233,13 @@
 		       struct dispatch_send *waiting)
 {
 	struct dispatch *dispatch = part->dispatch;
+	bool arrived;
 	int ret;
 
 	/* It has not run: the other send is in place of it. */
 	part->n_run--;
 	part->n_arrived--;
+	arrived = part->n_arrived;
 	ret = dispatch_part_send_again(part, "moved", true);
 	if (ret) {
 		part->n_run++;
@@ -240,6 +247,8 @@
 		return ret;
 	}
 	dispatch->n_extra--;
+	if (!arrived)
+		part->service->budget.uncharged--;
 	waiting->state = SEND_OVER;
 	dispatch->ops->abandon(dispatch->arg, waiting);
 	return 0;
--- a/gateway.c
+++ b/gateway.c
@@ -10,6 +10,7 @@
 #include "error.h"
 #include "gateway_outage.h"
 #include "gateway_request.h"
+#include "gateway_second_sends.h"
 #include "log.h"
 #include "mem.h"
 #include "store_schedule.h"
@@ -80,6 +81,7 @@
 	int entries =
 		peak_add(&gateway->entries, now, clock_now(&gateway->clock));
 
+	gateway->entries_peak = entries;
 	budget->ratio = settings->retry_ratio * RETRY_RATIO_KEPT;
 	budget->burst = settings->retry_slack * RETRY_SLACK_KEPT / entries;
 	budget->per_second = 0;
@@ -302,6 +304,7 @@
 	gateway->settings = settings;
 	gateway->names = names;
 	clock_init(&gateway->clock);
+	gateway->started_at = clock_now(&gateway->clock);
 	gateway_stats_init(&gateway->counters);
 	registry_init(&gateway->registry, str_from(settings->data_centre),
 		      on_server_closing, gateway);
@@ -334,6 +337,7 @@
 	if (ret)
 		return ret;
 	gateway_load_init(gateway);
+	gateway_second_sends_init(gateway);
 	gateway->upstream.limits.warmup = &gateway->fleet.warmup;
 	join_fleet(gateway);
 	relay_ask_init(&gateway->relay_ask, &gateway->fleet.board,
@@ -357,6 +361,7 @@
 	upstream_finish(&gateway->upstream);
 	gateway_outage_finish(gateway);
 	gateway_load_finish(gateway);
+	gateway_second_sends_finish(gateway);
 	inbound_finish(&gateway->inbound);
 	gateway_fleet_finish(&gateway->fleet);
 	store_client_finish(&gateway->store);
--- a/gateway.h
+++ b/gateway.h
@@ -65,7 +65,12 @@
 
 /**
  * struct gateway - one instance
- * @entries: most that took callers lately; limits of all are divided by it
+ * @entries: recent peak of the number of instances that accept callers
+ * @entries_peak: latest result of peak_add() on @entries; limits of the whole
+ *	fleet are divided by it
+ * @started_at: time of gateway_init(), microseconds
+ * @second_sends_timer: fires once per retry budget window
+ * @second_sends_at: start of the current window, microseconds
  * @open: requests that are not answered
  */
 struct gateway {
@@ -88,6 +93,10 @@
 	struct dispatch_limits limits;
 	struct gateway_load load;
 	struct peak entries;
+	int entries_peak;
+	int64_t started_at;
+	struct wake_timer second_sends_timer;
+	int64_t second_sends_at;
 	struct route_stats *stats;
 	struct gateway_stats counters;
 	struct gateway_request *open;
--- a/gateway_pages.c
+++ b/gateway_pages.c
@@ -10,6 +10,7 @@
 #include <event2/listener.h>
 
 #include "error.h"
+#include "gateway_second_sends.h"
 #include "log.h"
 
 /*
@@ -115,6 +116,9 @@
 	metric_set(&counters->bad_loads, (int64_t)gateway->upstream.bad_loads);
 	metric_set(&counters->cordons, gateway->registry.cordons.n);
 	metric_set(&counters->conns, gateway->inbound.n);
+	metric_set(&counters->budget_refused,
+		   gateway_second_sends_refused(gateway));
+	metric_set(&counters->budget_entries, gateway->entries_peak);
 	metric_set(&counters->log_dropped, (int64_t)log_dropped());
 }
 
--- /dev/null
+++ b/gateway_second_sends.c
@@ -0,0 +1,91 @@
+#define LOG_MODULE "second_sends"
+#include "gateway_second_sends.h"
+
+#include "gateway.h"
+#include "log.h"
+
+static int64_t counter_delta(uint64_t now, uint64_t before)
+{
+	return (int64_t)(now - before);
+}
+
+static void log_window(const struct gateway *gateway,
+		       const struct registry_service *service)
+{
+	const struct budget *budget = &service->budget;
+	const struct budget *logged = &service->logged_budget;
+	int64_t now = clock_now(&gateway->clock);
+	int64_t age = now - gateway->second_sends_at;
+
+	LOG_INFO("second_sends", LOG_TEXT("service", service->name),
+		 LOG_I64("window_ms", age / USEC_PER_MSEC),
+		 LOG_I64("needed",
+			 counter_delta(budget->needed, logged->needed)),
+		 LOG_I64("charged",
+			 counter_delta(budget->spent, logged->spent)),
+		 LOG_I64("uncharged",
+			 counter_delta(budget->uncharged, logged->uncharged)),
+		 LOG_I64("refused",
+			 counter_delta(budget->refused, logged->refused)),
+		 LOG_F64("budget", budget->tokens),
+		 LOG_F64("budget_most", gateway->limits.budget.burst),
+		 LOG_I64("entries", gateway->entries_peak),
+		 LOG_I64("uptime_ms",
+			 (now - gateway->started_at) / USEC_PER_MSEC));
+}
+
+static bool has_second_sends(const struct registry_service *service)
+{
+	const struct budget *budget = &service->budget;
+	const struct budget *logged = &service->logged_budget;
+
+	return budget->spent != logged->spent ||
+	       budget->uncharged != logged->uncharged ||
+	       budget->refused != logged->refused;
+}
+
+static void arm(struct gateway *gateway)
+{
+	int64_t window =
+		(int64_t)(gateway->settings->retry_window_s * USEC_PER_SEC);
+
+	wake_timer_arm(&gateway->second_sends_timer,
+		       clock_now(&gateway->clock) + window);
+}
+
+static void on_timer(void *arg)
+{
+	struct gateway *gateway = arg;
+	struct registry_service *service = gateway->registry.services;
+
+	for (; service; service = service->hh.next) {
+		if (has_second_sends(service))
+			log_window(gateway, service);
+		service->logged_budget = service->budget;
+	}
+	gateway->second_sends_at = clock_now(&gateway->clock);
+	arm(gateway);
+}
+
+void gateway_second_sends_init(struct gateway *gateway)
+{
+	wake_timer_init(&gateway->second_sends_timer, gateway->base,
+			&gateway->clock, on_timer, gateway);
+	gateway->second_sends_at = gateway->started_at;
+	arm(gateway);
+}
+
+void gateway_second_sends_finish(struct gateway *gateway)
+{
+	wake_timer_finish(&gateway->second_sends_timer);
+}
+
+int64_t gateway_second_sends_refused(const struct gateway *gateway)
+{
+	const struct registry_service *service = gateway->registry.services;
+	int64_t n = 0;
+
+	for (; service; service = service->hh.next)
+		n += (int64_t)service->budget.refused;
+	return n;
+}
--- a/gateway_send.c
+++ b/gateway_send.c
@@ -81,6 +81,7 @@
 		 LOG_TEXT("why_sent", send->why),
 		 LOG_TEXT("error", error_name(result->code)),
 		 LOG_I64("status", status), LOG_I64("not_run", result->not_run),
+		 LOG_I64("arrived", !dispatch_is_unsent(result->code)),
 		 LOG_I64("took_us", result->took));
 }
 
@@ -270,20 +271,32 @@
 {
 	struct gateway_request *request = arg;
 	struct gateway_stats *counters = &request->gateway->counters;
+	const struct budget_limit *budget = &request->gateway->limits.budget;
 	bool hedge = !strcmp(send->why, "hedge");
 
 	metric_inc(&counters->sends);
 	if (!strcmp(send->why, "first"))
 		return;
-	if (strcmp(send->why, "moved"))
+	if (strcmp(send->why, "moved")) {
 		metric_inc(hedge ? &counters->hedges : &counters->retries);
+		if (!send->charged)
+			metric_inc(&counters->uncharged);
+	}
+	if (send->charged)
+		metric_inc(&counters->charged);
 	LOG_INFO("sent_again", LOG_STR("request", request->request.id),
 		 LOG_TEXT("why", send->why),
 		 LOG_TEXT("service", send->part->service->name),
 		 LOG_TEXT("server", send->server->entry.id),
 		 LOG_I64("after_us", send->sent_at - request->dispatch.start),
 		 LOG_TEXT("error", error_name(send->part->code)),
-		 LOG_F64("budget", send->part->service->budget.tokens));
+		 LOG_I64("charged", send->charged),
+		 LOG_F64("budget", send->part->service->budget.tokens),
+		 LOG_F64("budget_most", budget->burst),
+		 LOG_I64("entries", request->gateway->entries_peak),
+		 LOG_I64("uptime_ms", (clock_now(&request->gateway->clock) -
+				       request->gateway->started_at) /
+					      USEC_PER_MSEC));
 }
 
 static void limited(void *arg, const struct load_limit *load)
--- a/gateway_stats.h
+++ b/gateway_stats.h
@@ -56,6 +56,15 @@
 	  "of these, again after a failure")                                   \
 	X(hedges, METRIC_COUNTER, "garnetreach_sends_hedge_total",             \
 	  "of these, beside one that is late")                                 \
+	X(charged, METRIC_COUNTER, "garnetreach_second_sends_charged_total",   \
+	  "of both, charged to the budget of second sends")                    \
+	X(uncharged, METRIC_COUNTER,                                           \
+	  "garnetreach_second_sends_uncharged_total",                          \
+	  "of both, not charged: no send before them reached a server")        \
+	X(budget_refused, METRIC_GAUGE, "garnetreach_second_sends_refused",    \
+	  "second sends that the budget did not allow, since the start")       \
+	X(budget_entries, METRIC_GAUGE, "garnetreach_second_sends_entries",    \
+	  "instances by which the slack of second sends is divided here")      \
 	X(shed, METRIC_COUNTER, "garnetreach_sends_shed_total",                \
 	  "of these, refused by the server and not run")                       \
 	X(lost, METRIC_COUNTER, "garnetreach_sends_lost_total",                \
--- a/registry.h
+++ b/registry.h
@@ -98,6 +98,7 @@
  * struct registry_service - all servers of a service
  * @registry: that it belongs to
  * @budget: second sends to it that are left
+ * @logged_budget: copy of @budget at the end of the last logging window
  * @latency: of its answers, a moving average, microseconds
  * @usual: the same over some minutes, so that slow seconds hardly move it
  * @n_answers: that came
@@ -111,6 +112,7 @@
 	int n;
 	int cap;
 	struct budget budget;
+	struct budget logged_budget;
 	bool budget_set;
 	double latency;
 	double usual;
