tests: reproduce second sends beyond the fleet-wide budget

After restarts, and through instances that were not counted, callers' requests reached a service more often than the fleet-wide budget allows. These tests compare the sum of second arrivals over all instances with the budget in every window: on a simulated clock (test_retry_share), and with real processes in front of refusing servers, counted at the servers (test_retry_budget).

The computation of an instance's share of the slack moves from gateway.c to retry_share.c, so that it can be tested without a network.

--- a/gateway.c
+++ b/gateway.c
@@ -24,20 +24,6 @@
 /* And so long before, it ends whatever is still open. */
 #define END_BEFORE MSEC(400)
 #define STOP_CHECK MSEC(50)
-/*
- * Second sends are counted over all instances. Their ratio adds up by itself,
- * kept a little below what is allowed; the slack is divided.
- */
-#define RETRY_RATIO_KEPT 0.95
-#define RETRY_SLACK_KEPT 0.8
-/* Until so many are known: at the start nobody knows the others. */
-#define ENTRIES_LEAST 4
-/*
- * Limits are divided by the most that took callers within this to twice this:
- * callers keep an address for 15 s at most, and second sends are counted over
- * 10 s and the 10 s before.
- */
-#define ENTRIES_SPAN MSEC(40000)
 /* An instance of so many cores reads the store at once when it starts. */
 #define JOIN_AT_ONCE 0.25
 /*
@@ -69,28 +55,30 @@
 	arm_store(gateway);
 }
 
-/*
- * The slack is never divided by fewer than took callers lately: some of these
- * may still have requests, and others may know of more.
- */
 static void set_limits(struct gateway *gateway)
 {
 	const struct gateway_settings *settings = gateway->settings;
-	struct budget_limit *budget = &gateway->limits.budget;
-	int now = gateway_fleet_entries(&gateway->fleet);
-	int entries =
-		peak_add(&gateway->entries, now, clock_now(&gateway->clock));
-
-	gateway->entries_peak = entries;
-	budget->ratio = settings->retry_ratio * RETRY_RATIO_KEPT;
-	budget->burst = settings->retry_slack * RETRY_SLACK_KEPT / entries;
-	budget->per_second = 0;
+	const struct retry_settings retry = {
+		.ratio = settings->retry_ratio,
+		.slack = settings->retry_slack,
+		.window = (int64_t)(settings->retry_window_s * USEC_PER_SEC),
+	};
+	const struct retry_membership membership = {
+		.entries = gateway_fleet_entries(&gateway->fleet),
+		.members = gateway->fleet.views.n_members,
+		.is_entry = gateway_fleet_is_entry(&gateway->fleet),
+	};
+
+	retry_share_update(&gateway->retry_share, &retry, &membership,
+			   clock_now(&gateway->clock));
+	gateway->limits.budget = gateway->retry_share.limit;
 	gateway->upstream.limits.share_near =
 		CONNECTIONS_NEAR / gateway_fleet_near_senders(&gateway->fleet);
 	gateway->turns.queues.senders =
 		gateway_fleet_near_senders(&gateway->fleet);
 	gateway->turns.queues.enabled = settings->load_control.turns;
-	gateway->upstream.limits.share_far = CONNECTIONS_FAR / entries;
+	gateway->upstream.limits.share_far =
+		CONNECTIONS_FAR / gateway->retry_share.entries_peak;
 	gateway->registry.shared_pace = settings->load_control.pace;
 }
 
@@ -315,8 +303,7 @@
 			      &gateway->fleet.board.poison, &gateway->counters);
 	gateway_outage_init(gateway);
 	gateway->limits.control = &settings->load_control;
-	peak_init(&gateway->entries, ENTRIES_SPAN, ENTRIES_LEAST,
-		  clock_now(&gateway->clock));
+	retry_share_init(&gateway->retry_share, clock_now(&gateway->clock));
 	set_limits(gateway);
 	ret = inbound_init(&gateway->inbound, base, &gateway->clock,
 			   &settings->caller_address, &gateway_request_ops,
--- a/gateway.h
+++ b/gateway.h
@@ -24,6 +24,7 @@
 #include "registry.h"
 #include "relay_ask.h"
 #include "relay_serve.h"
+#include "retry_share.h"
 #include "server_queue_net.h"
 #include "store_client.h"
 #include "store_sync.h"
@@ -65,9 +66,7 @@
 
 /**
  * struct gateway - one instance
- * @entries: recent peak of the number of instances that accept callers
- * @entries_peak: latest result of peak_add() on @entries; limits of the whole
- *	fleet are divided by it
+ * @retry_share: its share of the fleet-wide budget of second sends
  * @started_at: time of gateway_init(), microseconds
  * @second_sends_timer: fires once per retry budget window
  * @second_sends_at: start of the current window, microseconds
@@ -92,8 +91,7 @@
 	struct wake_timer outage_timer;
 	struct dispatch_limits limits;
 	struct gateway_load load;
-	struct peak entries;
-	int entries_peak;
+	struct retry_share retry_share;
 	int64_t started_at;
 	struct wake_timer second_sends_timer;
 	int64_t second_sends_at;
--- a/gateway_fleet.c
+++ b/gateway_fleet.c
@@ -453,6 +453,13 @@
 	return n > 0 ? n : 1;
 }
 
+bool gateway_fleet_is_entry(const struct gateway_fleet *fleet)
+{
+	const struct view_share *views = &fleet->views;
+
+	return !views->n_members || views->rank < gateway_fleet_entries(fleet);
+}
+
 int gateway_fleet_near_senders(const struct gateway_fleet *fleet)
 {
 	const struct view_share *views = &fleet->views;
--- a/gateway_fleet.h
+++ b/gateway_fleet.h
@@ -126,6 +126,14 @@
  */
 int gateway_fleet_entries(const struct gateway_fleet *fleet);
 
+/**
+ * gateway_fleet_is_entry() - this instance is one of those that take callers,
+ * as far as known here
+ *
+ * Return: true as well if no members are known.
+ */
+bool gateway_fleet_is_entry(const struct gateway_fleet *fleet);
+
 /**
  * gateway_fleet_is_sender() - this instance is one of those that connect to
  * backend servers: hubs, and those that take callers
--- a/gateway_second_sends.c
+++ b/gateway_second_sends.c
@@ -29,7 +29,7 @@
 			 counter_delta(budget->refused, logged->refused)),
 		 LOG_F64("budget", budget->tokens),
 		 LOG_F64("budget_most", gateway->limits.budget.burst),
-		 LOG_I64("entries", gateway->entries_peak),
+		 LOG_I64("entries", gateway->retry_share.entries_peak),
 		 LOG_I64("uptime_ms",
 			 (now - gateway->started_at) / USEC_PER_MSEC));
 }
--- a/gateway_send.c
+++ b/gateway_send.c
@@ -293,7 +293,7 @@
 		 LOG_I64("charged", send->charged),
 		 LOG_F64("budget", send->part->service->budget.tokens),
 		 LOG_F64("budget_most", budget->burst),
-		 LOG_I64("entries", request->gateway->entries_peak),
+		 LOG_I64("entries", request->gateway->retry_share.entries_peak),
 		 LOG_I64("uptime_ms", (clock_now(&request->gateway->clock) -
 				       request->gateway->started_at) /
 					      USEC_PER_MSEC));
--- a/tests/opaque_world.py
+++ b/tests/opaque_world.py
@@ -11,6 +11,7 @@
 import subprocess
 import sys
 import threading
+import time
 import urllib.parse
 
 HERE = pathlib.Path(__file__).resolve().parent
@@ -36,6 +37,7 @@
         self.headers = headers
         self.body = body
         self.id = headers.get("x-request-id", "")
+        self.arrived_at = time.monotonic()
 
 
 def answer(body=b"", status="200 OK", headers=(), length=None):
