retry_share, budget: grant only second sends that requests earned

The slack of the budget was divided by the number of instances named in the directory, and each process started with its whole share. Both rely on knowledge that no instance can have. A restarted process received a new share, of a slack divided by only four, because it did not know any other instance yet. Instances that were not counted also took callers' requests, and their shares were as large as those of the others.

A budget now starts empty. Without a share of the slack, it saves up only what requests of the last 2 s earned (a fifth of the window), or one token of any age. These bounds add up over any set of processes, whatever they know of each other, and a restart can only lose tokens.

The slack is granted over time, and only to instances that are counted as entries, have run for a window and have known another instance: 0.9 of it, less the single tokens, divided by the most entries ever known after the first window, and by four at least. These instances may save up 0.55 of their share and are granted the rest once per window.

Two cases of test_gateway expected a second send for the first request of a new process: test_lost_answer_is_repeated_if_it_may and test_other_server_at_the_address. With initially empty budgets they failed ("timed out", 503 instead of 200). A new process has no tokens for a second send, so the expectation was specific to the previous retry share. Both cases now serve 8 requests first, and then make the same checks as before.

--- a/budget.c
+++ b/budget.c
@@ -9,7 +9,9 @@
 		 int64_t now)
 {
 	memset(budget, 0, sizeof(*budget));
-	if (limit->per_second > 0)
+	if (limit->decay_time)
+		budget->tokens = 0;
+	else if (limit->per_second > 0)
 		budget->floor = limit->burst;
 	else
 		budget->tokens = limit->burst;
@@ -17,23 +19,39 @@
 }
 
 /*
- * Tokens saved in a busy time would let a storm start after it: what is saved
- * shrinks with the traffic, down to the burst.
+ * Tokens saved under high load could feed a retry storm after it: the capacity
+ * shrinks with the request rate, down to the burst, or to the reserve if the
+ * limit has a decay time.
  */
+double budget_capacity(const struct budget *budget,
+		       const struct budget_limit *limit)
+{
+	double earned = limit->ratio * budget->recent;
+	double saved;
+
+	if (!limit->decay_time)
+		return limit->burst + earned;
+	saved = fmin(limit->burst, limit->ratio * budget->decayed_needed);
+	return fmax(limit->reserve, fmax(earned, saved));
+}
+
 static void settle(struct budget *budget, const struct budget_limit *limit,
 		   int64_t now)
 {
 	double age = (double)(now - budget->at);
-	double most;
 
 	budget->recent *= exp(-age / BUDGET_WINDOW_US);
+	if (limit->decay_time)
+		budget->decayed_needed *= exp(-age / (double)limit->decay_time);
 	budget->at = now;
-	budget->floor += age * limit->per_second / USEC_PER_SEC;
-	if (budget->floor > limit->burst)
-		budget->floor = limit->burst;
-	most = limit->burst + limit->ratio * budget->recent;
-	if (budget->tokens > most)
-		budget->tokens = most;
+	/* With a decay time, the capacity also bounds what time grants. */
+	if (limit->decay_time)
+		budget->tokens += age * limit->per_second / USEC_PER_SEC;
+	else
+		budget->floor = fmin(limit->burst,
+				     budget->floor + age * limit->per_second /
+							     USEC_PER_SEC);
+	budget->tokens = fmin(budget->tokens, budget_capacity(budget, limit));
 }
 
 void budget_need(struct budget *budget, const struct budget_limit *limit, int n,
@@ -42,6 +60,7 @@
 	settle(budget, limit, now);
 	budget->needed += (uint64_t)n;
 	budget->recent += n;
+	budget->decayed_needed += n;
 	budget->tokens += limit->ratio * n;
 	settle(budget, limit, now);
 }
@@ -74,6 +93,5 @@
 			 const struct budget_limit *limit, int64_t now)
 {
 	settle(budget, limit, now);
-	return budget->tokens * 2 >=
-	       limit->burst + limit->ratio * budget->recent;
+	return budget->tokens * 2 >= budget_capacity(budget, limit);
 }
--- a/budget.h
+++ b/budget.h
@@ -16,6 +16,7 @@
  * @tokens: extra requests that may be sent now
  * @floor: of these, those granted by time alone
  * @recent: requests needed lately, fading with BUDGET_WINDOW_US
+ * @decayed_needed: requests needed, decaying with the limit's @decay_time
  * @at: time of the last change, microseconds
  * @needed: all that were ever needed
  * @spent: all extra requests ever granted
@@ -27,6 +28,7 @@
 	double tokens;
 	double floor;
 	double recent;
+	double decayed_needed;
 	int64_t at;
 	uint64_t needed;
 	uint64_t spent;
@@ -39,15 +41,22 @@
  * @ratio: extra requests for each one needed
  * @burst: extra requests granted on top, and after idle time
  * @per_second: extra requests granted by time alone, at most @burst at once
+ * @decay_time: if not 0, a new budget is empty, and its capacity, which then
+ *	also bounds tokens from @per_second, is what requests of about this time
+ *	earned, microseconds; at most @burst, unless those of BUDGET_WINDOW_US
+ *	earned more
+ * @reserve: with @decay_time, minimum capacity; tokens up to it do not decay
  */
 struct budget_limit {
 	double ratio;
 	double burst;
 	double per_second;
+	int64_t decay_time;
+	double reserve;
 };
 
 /**
- * budget_init() - a budget with its burst
+ * budget_init() - a budget with its burst; empty if @limit has a decay time
  */
 void budget_init(struct budget *budget, const struct budget_limit *limit,
 		 int64_t now);
@@ -64,13 +73,23 @@
  *
  * Over any stretch of time the extra requests granted are at most the ratio
  * of those needed, plus the burst, plus the ratio of those needed within
- * BUDGET_WINDOW_US before, plus what time alone grants.
+ * BUDGET_WINDOW_US before, plus what time alone grants. With a decay time
+ * they are at most the ratio of those needed, plus what time alone grants, plus
+ * the larger of @reserve and the ratio of those needed within about @decay_time
+ * before. These bounds add up over any number of budgets, regardless of when
+ * each was created or discarded.
  *
  * Return: whether it may be sent.
  */
 bool budget_take(struct budget *budget, const struct budget_limit *limit,
 		 double cost, int64_t now);
 
+/**
+ * budget_capacity() - maximum number of saved tokens at the last change
+ */
+double budget_capacity(const struct budget *budget,
+		       const struct budget_limit *limit);
+
 /**
  * budget_is_half_full() - whether half of what can be saved up is there
  *
--- a/gateway_pages.c
+++ b/gateway_pages.c
@@ -118,8 +118,7 @@
 	metric_set(&counters->conns, gateway->inbound.n);
 	metric_set(&counters->budget_refused,
 		   gateway_second_sends_refused(gateway));
-	metric_set(&counters->budget_entries,
-		   gateway->retry_share.entries_peak);
+	metric_set(&counters->budget_entries, gateway->retry_share.divisor);
 	metric_set(&counters->log_dropped, (int64_t)log_dropped());
 }
 
--- a/gateway_second_sends.c
+++ b/gateway_second_sends.c
@@ -28,8 +28,9 @@
 		 LOG_I64("refused",
 			 counter_delta(budget->refused, logged->refused)),
 		 LOG_F64("budget", budget->tokens),
-		 LOG_F64("budget_most", gateway->limits.budget.burst),
-		 LOG_I64("entries", gateway->retry_share.entries_peak),
+		 LOG_F64("budget_most",
+			 budget_capacity(budget, &gateway->limits.budget)),
+		 LOG_I64("entries", gateway->retry_share.divisor),
 		 LOG_I64("uptime_ms",
 			 (now - gateway->started_at) / USEC_PER_MSEC));
 }
--- a/gateway_send.c
+++ b/gateway_send.c
@@ -271,7 +271,8 @@
 {
 	struct gateway_request *request = arg;
 	struct gateway_stats *counters = &request->gateway->counters;
-	const struct budget_limit *budget = &request->gateway->limits.budget;
+	const struct budget_limit *limit = &request->gateway->limits.budget;
+	const struct budget *budget = &send->part->service->budget;
 	bool hedge = !strcmp(send->why, "hedge");
 
 	metric_inc(&counters->sends);
@@ -291,9 +292,9 @@
 		 LOG_I64("after_us", send->sent_at - request->dispatch.start),
 		 LOG_TEXT("error", error_name(send->part->code)),
 		 LOG_I64("charged", send->charged),
-		 LOG_F64("budget", send->part->service->budget.tokens),
-		 LOG_F64("budget_most", budget->burst),
-		 LOG_I64("entries", request->gateway->retry_share.entries_peak),
+		 LOG_F64("budget", budget->tokens),
+		 LOG_F64("budget_most", budget_capacity(budget, limit)),
+		 LOG_I64("entries", request->gateway->retry_share.divisor),
 		 LOG_I64("uptime_ms", (clock_now(&request->gateway->clock) -
 				       request->gateway->started_at) /
 					      USEC_PER_MSEC));
--- a/retry_share.h
+++ b/retry_share.h
@@ -39,11 +39,20 @@
  * struct retry_share - share of one instance in the budget
  * @entries: recent peak of the number of instances that accept callers
  * @entries_peak: latest result of peak_add() on @entries
+ * @started_at: time of retry_share_init(), microseconds
+ * @entries_max: maximum number of entries known since the end of the first
+ *	window
+ * @members_max: maximum number of members known since then
+ * @divisor: number of entries among which the slack is divided
  * @limit: applies to the budget of each service
  */
 struct retry_share {
 	struct peak entries;
 	int entries_peak;
+	int64_t started_at;
+	int entries_max;
+	int members_max;
+	int divisor;
 	struct budget_limit limit;
 };
 
--- a/tests/test_budget.c
+++ b/tests/test_budget.c
@@ -5,6 +5,12 @@
 
 static const struct budget_limit limit = {.ratio = 0.1, .burst = 5};
 
+/* No initial burst; saved tokens decay within 2 s to a reserve of 1. */
+static const struct budget_limit decaying = {.ratio = 0.1,
+					     .burst = 50,
+					     .decay_time = 2 * SECOND,
+					     .reserve = 1};
+
 static int take_all(struct budget *budget, int64_t now)
 {
 	int n = 0;
@@ -122,12 +128,75 @@
 	CU_ASSERT_FALSE(budget_take(&budget, &none, 1, SECOND));
 }
 
+/* Guards against second sends right after a start, before any request. */
+static void test_starts_empty(void)
+{
+	struct budget budget;
+
+	budget_init(&budget, &decaying, SECOND);
+	CU_ASSERT_FALSE(budget_take(&budget, &decaying, 1, SECOND));
+	budget_need(&budget, &decaying, 10, SECOND);
+	CU_ASSERT(budget_take(&budget, &decaying, 1, SECOND));
+	CU_ASSERT_FALSE(budget_take(&budget, &decaying, 1, SECOND));
+}
+
+/* Guards against many instances that spend old tokens at the same time. */
+static void test_saved_tokens_decay(void)
+{
+	struct budget budget;
+	int64_t now = SECOND;
+	int i;
+	int n;
+
+	budget_init(&budget, &decaying, now);
+	for (i = 0; i < 1000; i++)
+		budget_need(&budget, &decaying, 1, now += 10000);
+	for (n = 0; budget_take(&budget, &decaying, 1, now); n++)
+		;
+	/* 100 requests a second at a ratio of 0.1, over about 2 s. */
+	CU_ASSERT(n >= 15 && n <= 20);
+	for (i = 0; i < 1000; i++)
+		budget_need(&budget, &decaying, 1, now += 10000);
+	now += 20 * SECOND;
+	CU_ASSERT(budget_take(&budget, &decaying, 1, now));
+	CU_ASSERT_FALSE(budget_take(&budget, &decaying, 1, now));
+}
+
+/* Guards against time-granted tokens at the start and saved while idle. */
+static void test_granted_by_time(void)
+{
+	const struct budget_limit with_rate = {.ratio = 0.1,
+					       .burst = 50,
+					       .per_second = 2,
+					       .decay_time = 2 * SECOND,
+					       .reserve = 1};
+	struct budget budget;
+	int64_t now = SECOND;
+	int n = 0;
+	int i;
+
+	budget_init(&budget, &with_rate, now);
+	CU_ASSERT_FALSE(budget_take(&budget, &with_rate, 1, now));
+	for (i = 0; i < 1000; i++) {
+		budget_need(&budget, &with_rate, 1, now += 10000);
+		n += budget_take(&budget, &with_rate, 1, now);
+	}
+	/* 10 s: 0.1 for each of 1000 requests, plus 2 a second. */
+	CU_ASSERT(n >= 118 && n <= 120);
+	now += 3600LL * SECOND;
+	CU_ASSERT(budget_take(&budget, &with_rate, 1, now));
+	CU_ASSERT_FALSE(budget_take(&budget, &with_rate, 1, now));
+}
+
 static const struct unit_test tests[] = {
 	{"outage", test_outage},
 	{"after idle", test_after_idle},
 	{"saved up", test_saved_up},
 	{"cost", test_cost},
 	{"few requests", test_few_requests},
+	{"starts empty", test_starts_empty},
+	{"saved tokens decay", test_saved_tokens_decay},
+	{"granted by time", test_granted_by_time},
 	{"a ratio of 0 allows nothing", test_ratio_zero},
 };
 
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -153,6 +153,16 @@
         gateway = self.ready_gateway()
         return server, gateway, self.caller(gateway)
 
+    def warm_up_budget(self, caller, target):
+        """Serves requests until the budget allows a second send: it is empty
+        in a new process, and each request adds at most 0.2 tokens."""
+        for i in range(8):
+            got = caller.request(target, request_id=f"earn{i}")
+            self.assertEqual(got.status, 200)
+        for server in self.servers:
+            server.seen.clear()
+            server.ran.clear()
+
 
 class Forwarding(GatewayTest):
     def test_request_and_answer_pass_unchanged(self):
@@ -366,9 +376,10 @@
 
         first = self.server("one-1", "one")
         second = self.server("one-2", "one", data_centre="dc-1")
-        first.behave = lose
         self.publish()
         caller = self.caller(self.ready_gateway())
+        self.warm_up_budget(caller, "/patient/x")
+        first.behave = lose
         self.assertEqual(caller.request("/patient/x").status, 200)
         self.assertEqual((len(first.ran), len(second.ran)), (1, 1))
 
@@ -377,11 +388,12 @@
         is not the one meant, and did not run the request."""
         first = self.server("one-1", "one")
         second = self.server("one-2", "one", data_centre="dc-1")
+        self.publish()
+        caller = self.caller(self.ready_gateway())
+        self.warm_up_budget(caller, "/once/x")
         first.behave = lambda s, r: answer(
             status="421 Misdirected Request",
             headers=[("X-Instance-Id", "other")])
-        self.publish()
-        caller = self.caller(self.ready_gateway())
         for i in range(3):
             got = caller.request("/once/x", method="POST", body=b"b",
                                  request_id=f"m{i}")
