--- a/scripts/replay-seeds.sh
+++ b/scripts/replay-seeds.sh
@@ -8,9 +8,10 @@
 here=$(dirname "$0")
 while read -r site day seed rest; do
 	case "$site" in "" | "#"*) continue ;; esac
+	day_name=$(basename "$day" .toml)
 	line=$("$bench" run "$sites/$site.toml" "$day" --seed "$seed" \
 		--why "replay of an old seed: ${rest%%|*}" </dev/null |
-		sed -n "s/^$day .*/&/p" | head -1)
+		sed -n "s/^$day_name .*/&/p" | head -1)
 	echo "$site --seed $seed: $line"
 	case "$line" in *BROKEN* | "") status=1 ;; esac
 done <"$here/../tests/seeds.txt"
