--- a/tests/test_retry_share.c
+++ b/tests/test_retry_share.c
@@ -171,6 +171,48 @@
 	}
 }
 
+static void randomize_memberships(struct retry_fleet *fleet)
+{
+	struct rng *rng = &fleet->rng;
+	int i;
+
+	for (i = 0; i < fleet->n; i++) {
+		struct retry_membership *membership =
+			&fleet->instances[i].membership;
+
+		membership->members = 1 + (int)(rng_next(rng) % fleet->n);
+		membership->entries =
+			1 + (int)(rng_next(rng) % membership->members);
+		membership->is_entry = rng_unit(rng) < 0.7;
+	}
+}
+
+/* Guards against excess when instances disagree about the membership. */
+static void test_different_memberships(void)
+{
+	uint64_t seed;
+	int i;
+
+	for (seed = 101; seed <= 160; seed++) {
+		struct retry_fleet fleet;
+		bool large = seed % 2;
+
+		retry_fleet_init(&fleet, large ? LARGE_MEMBERS : 7,
+				 large ? SLACK_LARGE : SLACK_SMALL, seed);
+		retry_fleet_run(&fleet, MSEC(20000));
+		fleet.refuse_ratio = 0.8;
+		for (i = 0; i < 40; i++) {
+			randomize_memberships(&fleet);
+			if (i % 4 == 3)
+				apply_random_event(&fleet);
+			retry_fleet_run(&fleet, (int64_t)(rng_unit(&fleet.rng) *
+							  MSEC(2000)));
+		}
+		check_budget(&fleet, seed);
+		retry_fleet_finish(&fleet);
+	}
+}
+
 /* Guards against meeting the budget by granting no second sends. */
 static void test_sustained_retries(void)
 {
@@ -218,6 +260,7 @@
 	{"long partition", test_long_partition},
 	{"callers switch instances", test_callers_switch_instances},
 	{"random events", test_random_events},
+	{"different memberships", test_different_memberships},
 	{"sustained retries", test_sustained_retries},
 	{"immediate retries", test_immediate_retries},
 };
