retry_share: entries with a share of the slack begin with it and keep it

An instance has a share of the slack only if its process has run for a window, so that no earlier process on the same machine spent within that window. It may therefore begin a service with the part of the share that may be saved up, and keep it however few requests come. The sum over all instances is the same: 0.9 of the slack, less the single tokens.

All cases of test_retry_share pass, and a new one for services that are first requested long after the start.

--- a/budget.c
+++ b/budget.c
@@ -10,7 +10,7 @@
 {
 	memset(budget, 0, sizeof(*budget));
 	if (limit->decay_time)
-		budget->tokens = 0;
+		budget->tokens = limit->initial;
 	else if (limit->per_second > 0)
 		budget->floor = limit->burst;
 	else
--- a/budget.h
+++ b/budget.h
@@ -41,11 +41,12 @@
  * @ratio: extra requests for each one needed
  * @burst: extra requests granted on top, and after idle time
  * @per_second: extra requests granted by time alone, at most @burst at once
- * @decay_time: if not 0, a new budget is empty, and its capacity, which then
- *	also bounds tokens from @per_second, is what requests of about this time
+ * @decay_time: if not 0, a new budget has @initial, and its capacity, which
+ *then also bounds tokens from @per_second, is what requests of about this time
  *	earned, microseconds; at most @burst, unless those of BUDGET_WINDOW_US
  *	earned more
  * @reserve: with @decay_time, minimum capacity; tokens up to it do not decay
+ * @initial: with @decay_time, tokens of a new budget
  */
 struct budget_limit {
 	double ratio;
@@ -53,10 +54,11 @@
 	double per_second;
 	int64_t decay_time;
 	double reserve;
+	double initial;
 };
 
 /**
- * budget_init() - a budget with its burst; empty if @limit has a decay time
+ * budget_init() - a budget with its burst, or @initial with a decay time
  */
 void budget_init(struct budget *budget, const struct budget_limit *limit,
 		 int64_t now);
@@ -75,9 +77,9 @@
  * of those needed, plus the burst, plus the ratio of those needed within
  * BUDGET_WINDOW_US before, plus what time alone grants. With a decay time
  * they are at most the ratio of those needed, plus what time alone grants, plus
- * the larger of @reserve and the ratio of those needed within about @decay_time
- * before. These bounds add up over any number of budgets, regardless of when
- * each was created or discarded.
+ * @initial, plus the larger of @reserve and the ratio of those needed within
+ * about @decay_time before. These bounds add up over any number of budgets,
+ * regardless of when each was created or discarded.
  *
  * Return: whether it may be sent.
  */
--- a/retry_share.c
+++ b/retry_share.c
@@ -94,9 +94,17 @@
 	limit->decay_time = settings->window;
 	limit->per_second = slack_share * (1 - SAVED_SHARE_RATIO) *
 			    USEC_PER_SEC / (double)settings->window;
-	if (!has_slack_share) {
+	if (has_slack_share) {
+		/*
+		 * A service that had no requests yet begins with the saved
+		 * share: an earlier process here ended more than a window ago.
+		 */
+		limit->reserve = fmax(limit->reserve, limit->burst);
+		limit->initial = limit->reserve;
+	} else {
 		limit->decay_time = (int64_t)(DECAY_WINDOW_RATIO *
 					      (double)settings->window);
 		limit->per_second = 0;
+		limit->initial = 0;
 	}
 }
--- a/tests/test_retry_share.c
+++ b/tests/test_retry_share.c
@@ -213,6 +213,20 @@
 	}
 }
 
+/* Guards against initial tokens on top of the slack. */
+static void test_first_requests(void)
+{
+	struct retry_fleet fleet;
+
+	retry_fleet_init(&fleet, 7, SLACK_SMALL, 9);
+	fleet.next_at += SETTLE_TIME;
+	fleet.refuse_ratio = 1;
+	retry_fleet_run(&fleet, SETTLE_TIME + MSEC(20000));
+	CU_ASSERT(fleet.n_extra > 0);
+	check_budget(&fleet, 9);
+	retry_fleet_finish(&fleet);
+}
+
 /* Guards against meeting the budget by granting no second sends. */
 static void test_sustained_retries(void)
 {
@@ -261,6 +275,7 @@
 	{"callers switch instances", test_callers_switch_instances},
 	{"random events", test_random_events},
 	{"different memberships", test_different_memberships},
+	{"first requests", test_first_requests},
 	{"sustained retries", test_sustained_retries},
 	{"immediate retries", test_immediate_retries},
 };
