delivery: count the second sends that servers may still receive

No log line told how many second sends lie unread at servers that stand still, nor for how long: a send was forgotten once its request had ended or its connection was closed. Whether late arrivals or uncharged ones put the fleet over its budget could not be told from an instance's lines.

A part's sends are now followed until a server shows that it has received them: by its own answer, or, once the send has ended here without one, by answers to requests sent later, for as long again as it was silent. What is abandoned hands its part over to the exchange or the relay's batch. The first arrival is no second one, whichever send that is. A server that left the registry may still read; one that was started again will not.

Logged: unread, unread_ms in second_sends, unread in sent_again, unread_send_ended; metric garnetreach_second_sends_unread. Nothing is decided by it yet.

--- a/budget.h
+++ b/budget.h
@@ -23,6 +23,7 @@
  * @refused: total number of extra requests refused
  * @uncharged: extra requests that took no token because no earlier send had
  *	reached a server
+ * @unread: extra requests that servers may still receive
  *
  * All zero is a valid empty budget.
  */
@@ -36,6 +37,7 @@
 	uint64_t spent;
 	uint64_t refused;
 	uint64_t uncharged;
+	int unread;
 };
 
 /**
--- /dev/null
+++ b/delivery.c
@@ -0,0 +1,163 @@
+#define LOG_MODULE "delivery"
+#include "delivery.h"
+
+#include <stdlib.h>
+
+#include <utlist.h>
+
+#include "budget.h"
+#include "clock.h"
+#include "error.h"
+#include "log.h"
+#include "mem.h"
+#include "registry.h"
+
+/*
+ * While a link is cut, a kernel repeats what was written at intervals that
+ * double: after the cut it may take as long again until the server gets it.
+ */
+#define RETRANSMISSION_FACTOR 2
+/* A closed connection's bytes are repeated for no longer. */
+#define UNREAD_AGE_MAX MSEC(60000)
+
+enum delivery_end delivery_end_of(int code, bool not_run)
+{
+	switch (code) {
+	case 0:
+	case ERR_SHED:
+	case ERR_FOREIGN:
+	case ERR_LOST:
+	case ERR_PROTOCOL:
+		return DELIVERY_RECEIVED;
+	default:
+		return not_run ? DELIVERY_UNSENT : DELIVERY_UNKNOWN;
+	}
+}
+
+int delivery_unread(int n_pending, bool received)
+{
+	int n = received ? n_pending : n_pending - 1;
+
+	return n > 0 ? n : 0;
+}
+
+static void update(struct delivery *delivery)
+{
+	int n = delivery_unread(delivery->n_pending, delivery->received);
+
+	delivery->budget->unread += n - delivery->n_unread;
+	delivery->n_unread = n;
+}
+
+struct delivery *delivery_new(struct budget *budget, bool received)
+{
+	struct delivery *delivery = mem_zalloc(sizeof(*delivery));
+
+	delivery->budget = budget;
+	delivery->received = received;
+	return delivery_add(delivery);
+}
+
+struct delivery *delivery_add(struct delivery *delivery)
+{
+	if (!delivery)
+		return NULL;
+	delivery->n_pending++;
+	update(delivery);
+	return delivery;
+}
+
+void delivery_end(struct delivery *delivery, bool received)
+{
+	if (!delivery)
+		return;
+	delivery->n_pending--;
+	delivery->received |= received;
+	update(delivery);
+	if (!delivery->n_pending)
+		free(delivery);
+}
+
+void unread_sends_add(struct unread_send **sends,
+		      struct registry_server *server, struct delivery *delivery,
+		      int64_t sent_at, int64_t now)
+{
+	struct unread_send *send = mem_zalloc(sizeof(*send));
+
+	send->server = registry_server_ref(server);
+	send->delivery = delivery;
+	send->sent_at = sent_at;
+	send->ended_at = now;
+	DL_APPEND(*sends, send);
+}
+
+static void end_unread(struct unread_send **sends, struct unread_send *send,
+		       bool received)
+{
+	DL_DELETE(*sends, send);
+	delivery_end(send->delivery, received);
+	registry_server_unref(send->server);
+	free(send);
+}
+
+static void log_end(const struct unread_send *send, const char *why,
+		    int64_t now)
+{
+	LOG_INFO("unread_send_ended",
+		 LOG_TEXT("server", send->server->entry.id),
+		 LOG_TEXT("service", send->server->service->name),
+		 LOG_TEXT("why", why),
+		 LOG_I64("age_ms", (now - send->sent_at) / USEC_PER_MSEC),
+		 LOG_I64("unread", send->delivery->budget->unread));
+}
+
+static bool is_received(const struct unread_send *send, int64_t now)
+{
+	int64_t silence = send->answered_at - send->sent_at;
+
+	return now - send->sent_at >= silence * RETRANSMISSION_FACTOR;
+}
+
+void unread_sends_answered(struct unread_send **sends,
+			   const struct registry_server *server,
+			   int64_t sent_at, int64_t now)
+{
+	struct unread_send *send;
+	struct unread_send *next;
+
+	DL_FOREACH_SAFE (*sends, send, next) {
+		if (send->server != server || sent_at < send->ended_at)
+			continue;
+		if (!send->answered_at)
+			send->answered_at = now;
+		if (!is_received(send, now))
+			continue;
+		log_end(send, "answered", now);
+		end_unread(sends, send, true);
+	}
+}
+
+void unread_sends_expire(struct unread_send **sends, int64_t now)
+{
+	struct unread_send *send;
+	struct unread_send *next;
+
+	DL_FOREACH_SAFE (*sends, send, next) {
+		if (now - send->sent_at < UNREAD_AGE_MAX)
+			continue;
+		log_end(send, "expired", now);
+		end_unread(sends, send, false);
+	}
+}
+
+void unread_sends_drop(struct unread_send **sends,
+		       const struct registry_server *server)
+{
+	struct unread_send *send;
+	struct unread_send *next;
+
+	DL_FOREACH_SAFE (*sends, send, next) {
+		if (!server || send->server == server)
+			end_unread(sends, send, false);
+	}
+}
--- a/dispatch.c
+++ b/dispatch.c
@@ -87,18 +87,47 @@
 		records_init(&dispatch->records, (int)route->records_max);
 }
 
+static void abandon_send(struct dispatch_send *send, struct delivery *delivery)
+{
+	struct dispatch *dispatch = send->part->dispatch;
+
+	send->state = SEND_ENDED;
+	send->delivery = delivery;
+	dispatch->ops->abandon(dispatch->arg, send);
+	send->delivery = NULL;
+}
+
+static void keep_unread(struct dispatch_send *send, struct delivery *delivery)
+{
+	struct dispatch_part *part = send->part;
+
+	if (delivery)
+		unread_sends_add(&part->service->unread_sends, send->server,
+				 delivery_add(delivery), send->sent_at,
+				 clock_now(part->dispatch->clock));
+	send->unknown = false;
+}
+
+/* Second sends stay counted in the budget until they have been received. */
 static void abandon_sends(struct dispatch_part *part)
 {
+	struct delivery *delivery = NULL;
 	int i;
 
+	if (part->n_unread)
+		delivery = delivery_new(&part->service->budget,
+					part->n_settled > 0);
 	for (i = 0; i < part->n_sends; i++) {
 		struct dispatch_send *send = &part->sends[i];
 
-		if (send->state != SEND_IN_FLIGHT)
-			continue;
-		send->state = SEND_ENDED;
-		part->dispatch->ops->abandon(part->dispatch->arg, send);
+		if (send->state == SEND_IN_FLIGHT)
+			abandon_send(send, delivery);
+		else if (send->unknown)
+			keep_unread(send, delivery);
 	}
+	part->service->budget.unread -= part->n_unread;
+	part->n_unread = 0;
+	delivery_end(delivery, false);
 }
 
 void dispatch_finish(struct dispatch *dispatch)
@@ -184,8 +213,9 @@
 		struct dispatch_send *send;
 
 		while ((send = dispatch_part_queued_send(part))) {
-			send->state = SEND_ENDED;
-			dispatch->ops->abandon(dispatch->arg, send);
+			abandon_send(send, NULL);
+			part->n_delivered--;
+			dispatch_part_count_unread(part);
 		}
 	}
 }
@@ -227,6 +257,15 @@
 		dispatch_load_report(dispatch, ERR_TOO_LATE);
 }
 
+void dispatch_part_count_unread(struct dispatch_part *part)
+{
+	int n = delivery_unread(part->n_delivered - part->n_settled,
+				part->n_settled > 0);
+
+	part->service->budget.unread += n - part->n_unread;
+	part->n_unread = n;
+}
+
 void dispatch_part_fail(struct dispatch_part *part)
 {
 	if (part->state != PART_PENDING)
@@ -374,6 +413,11 @@
 	send->state = SEND_ENDED;
 	if (dispatch_is_unsent(answer->code))
 		part->n_delivered--;
+	else if (answer->delivery != DELIVERY_UNKNOWN)
+		part->n_settled++;
+	else
+		send->unknown = true;
+	dispatch_part_count_unread(part);
 	if (is_server_busy(dispatch, answer))
 		send->busy_until = clock_now(dispatch->clock) +
 				   (answer->code == ERR_COLD ? COLD_RETRY_DELAY
--- a/dispatch.h
+++ b/dispatch.h
@@ -15,6 +15,7 @@
 
 #include "budget.h"
 #include "clock.h"
+#include "delivery.h"
 #include "latency.h"
 #include "outage.h"
 #include "records.h"
@@ -47,6 +48,9 @@
  *	on, microseconds, it may be tried again and this entry be reused
  * @why: for logs: "first", "hedge", "retry" or "moved"
  * @charged: it took a token from the service's budget
+ * @unknown: it ended without a sign that the server received it
+ * @delivery: while it is abandoned: what the owner tells how the send ends, see
+ *	delivery_add(); NULL if that does not matter
  */
 struct dispatch_send {
 	struct dispatch_part *part;
@@ -58,6 +62,8 @@
 	int64_t busy_until;
 	const char *why;
 	bool charged;
+	bool unknown;
+	struct delivery *delivery;
 };
 
 enum part_state {
@@ -70,6 +76,9 @@
  * struct dispatch_part - the part of a request for one service
  * @n_maybe_run: servers on which it may have run
  * @n_delivered: sends that reached a server, including refused ones
+ * @n_settled: those of them that no server will receive any more
+ * @n_unread: second sends that servers may still receive, counted in the
+ *	service's budget
  * @hedge_at: when to hedge, microseconds; INT64_MAX: not
  * @retry_at: when to retry after a failure, microseconds; INT64_MAX: not
  * @suppressed: another send was not made as its answer would be too late
@@ -85,6 +94,8 @@
 	int n_sends;
 	int n_maybe_run;
 	int n_delivered;
+	int n_settled;
+	int n_unread;
 	int64_t hedge_at;
 	int64_t retry_at;
 	bool suppressed;
@@ -100,6 +111,7 @@
  * @stamp: server's signature of the answer
  * @body: complete body
  * @took: time from the send to the answer, microseconds
+ * @delivery: whether the server received it
  */
 struct dispatch_answer {
 	int code;
@@ -108,6 +120,7 @@
 	struct str stamp;
 	struct str body;
 	int64_t took;
+	enum delivery_end delivery;
 };
 
 enum dispatch_outcome {
--- a/dispatch_private.h
+++ b/dispatch_private.h
@@ -9,6 +9,12 @@
  */
 bool dispatch_part_in_flight(const struct dispatch_part *part);
 
+/**
+ * dispatch_part_count_unread() - count the part's second sends that servers may
+ * still receive
+ */
+void dispatch_part_count_unread(struct dispatch_part *part);
+
 /**
  * dispatch_part_fail() - mark a pending part as failed
  */
--- a/dispatch_send.c
+++ b/dispatch_send.c
@@ -145,6 +145,7 @@
 		part->n_sends++;
 	part->n_maybe_run++;
 	part->n_delivered++;
+	dispatch_part_count_unread(part);
 	dispatch->n_sends++;
 	part->hedge_at = now + dispatch_hedge_delay(dispatch);
 	dispatch_forecast_add_sent(send);
--- a/gateway_pages.c
+++ b/gateway_pages.c
@@ -122,6 +122,8 @@
 	metric_set(&counters->caller_connections, gateway->inbound.n);
 	metric_set(&counters->second_sends_refused,
 		   gateway_second_sends_refused(gateway));
+	metric_set(&counters->second_sends_unread,
+		   gateway_second_sends_unread(gateway));
 	metric_set(&counters->second_sends_entries,
 		   gateway->retry_share.divisor);
 	metric_set(&counters->log_dropped, (int64_t)log_dropped());
--- a/gateway_second_sends.c
+++ b/gateway_second_sends.c
@@ -1,6 +1,8 @@
 #define LOG_MODULE "second_sends"
 #include "gateway_second_sends.h"
 
+#include <utlist.h>
+
 #include "gateway.h"
 #include "log.h"
 
@@ -9,6 +11,19 @@
 	return (int64_t)(now - before);
 }
 
+/* Age of the oldest ended send that its server may still receive. */
+static int64_t unread_age(const struct registry_service *service, int64_t now)
+{
+	const struct unread_send *send;
+	int64_t age = 0;
+
+	DL_FOREACH (service->unread_sends, send) {
+		if (now - send->sent_at > age)
+			age = now - send->sent_at;
+	}
+	return age;
+}
+
 static void log_window(const struct gateway *gateway,
 		       const struct registry_service *service)
 {
@@ -27,6 +42,8 @@
 			 counter_delta(budget->uncharged, logged->uncharged)),
 		 LOG_I64("refused",
 			 counter_delta(budget->refused, logged->refused)),
+		 LOG_I64("unread", budget->unread),
+		 LOG_I64("unread_ms", unread_age(service, now) / USEC_PER_MSEC),
 		 LOG_F64("budget", budget->tokens),
 		 LOG_F64("budget_most",
 			 budget_capacity(budget, &gateway->limits.budget)),
@@ -42,7 +59,7 @@
 
 	return budget->spent != logged->spent ||
 	       budget->uncharged != logged->uncharged ||
-	       budget->refused != logged->refused;
+	       budget->refused != logged->refused || budget->unread;
 }
 
 static void arm(struct gateway *gateway)
@@ -58,13 +75,15 @@
 {
 	struct gateway *gateway = arg;
 	struct registry_service *service = gateway->registry.services;
+	int64_t now = clock_now(&gateway->clock);
 
 	for (; service; service = service->hh.next) {
+		unread_sends_expire(&service->unread_sends, now);
 		if (has_second_sends(service))
 			log_window(gateway, service);
 		service->logged_budget = service->budget;
 	}
-	gateway->second_sends_window_start = clock_now(&gateway->clock);
+	gateway->second_sends_window_start = now;
 	arm(gateway);
 }
 
@@ -90,3 +109,13 @@
 		n += (int64_t)service->budget.refused;
 	return n;
 }
+
+int64_t gateway_second_sends_unread(const struct gateway *gateway)
+{
+	const struct registry_service *service = gateway->registry.services;
+	int64_t n = 0;
+
+	for (; service; service = service->hh.next)
+		n += service->budget.unread;
+	return n;
+}
--- a/gateway_second_sends.h
+++ b/gateway_second_sends.h
@@ -23,4 +23,10 @@
  */
 int64_t gateway_second_sends_refused(const struct gateway *gateway);
 
+/**
+ * gateway_second_sends_unread() - count second sends that servers may still
+ * receive, over all services
+ */
+int64_t gateway_second_sends_unread(const struct gateway *gateway);
+
 #endif
--- a/gateway_send.c
+++ b/gateway_send.c
@@ -94,6 +94,7 @@
 		.not_run = result->not_run,
 		.stamp = result->stamp,
 		.took = result->took,
+		.delivery = delivery_end_of(result->code, result->not_run),
 	};
 	int status;
 
@@ -257,13 +258,14 @@
 	int64_t linger = registry_linger(send->server, now);
 
 	if (send->relayed) {
-		relay_ask_abandon(send->handle);
+		relay_ask_abandon(send->handle, send->delivery);
 		return;
 	}
 	/* If the connection were closed, it would be unknown whether it ran. */
 	if (!request->route->repeatable)
 		linger = request->dispatch.deadline - now;
-	server_job_abandon(send->handle, linger > 0 ? linger : 0);
+	server_job_abandon(send->handle, linger > 0 ? linger : 0,
+			   send->delivery);
 }
 
 static bool is_queued(void *arg, const struct dispatch_send *send)
@@ -297,6 +299,7 @@
 		 LOG_I64("after_us", send->sent_at - request->dispatch.start),
 		 LOG_TEXT("error", error_name(send->part->code)),
 		 LOG_I64("charged", send->charged),
+		 LOG_I64("unread", budget->unread),
 		 LOG_F64("budget", budget->tokens),
 		 LOG_F64("budget_most", budget_capacity(budget, limit)),
 		 LOG_I64("entries", request->gateway->retry_share.divisor),
--- a/gateway_stats.h
+++ b/gateway_stats.h
@@ -66,6 +66,9 @@
 	X(second_sends_refused, METRIC_GAUGE,                                  \
 	  "garnetreach_second_sends_refused",                                  \
 	  "retries and hedges denied by the retry budget since start")         \
+	X(second_sends_unread, METRIC_GAUGE,                                   \
+	  "garnetreach_second_sends_unread",                                   \
+	  "second sends that backend servers may still receive")               \
 	X(second_sends_entries, METRIC_GAUGE,                                  \
 	  "garnetreach_second_sends_entries",                                  \
 	  "instances that share the slack of the retry budget")                \
--- a/registry.c
+++ b/registry.c
@@ -141,6 +141,7 @@
 	struct registry_server *successor;
 
 	registry_server_ref(server);
+	unread_sends_drop(&server->service->unread_sends, server);
 	remove_server(registry, server);
 	successor = add(registry, entry);
 	successor->earlier = server;
@@ -408,6 +409,7 @@
 		remove_server(registry, registry->servers);
 	HASH_ITER (hh, registry->services, service, successor) {
 		HASH_DEL(registry->services, service);
+		unread_sends_drop(&service->unread_sends, NULL);
 		free(service->servers);
 		free(service);
 	}
--- a/registry.h
+++ b/registry.h
@@ -15,6 +15,7 @@
 #include "budget.h"
 #include "clock.h"
 #include "cordon.h"
+#include "delivery.h"
 #include "load_limit.h"
 #include "regions.h"
 #include "server_load.h"
@@ -116,6 +117,7 @@
  * @budget: remaining budget for second sends to this service
  * @logged_budget: copy of @budget at the end of the last logging window
  * @budget_set: @budget was initialized
+ * @unread_sends: list of ended second sends that servers may still receive
  * @latency: moving average of answer latency, microseconds
  * @baseline_latency: the same over some minutes, so that a few slow seconds
  *	hardly change it
@@ -134,6 +136,7 @@
 	struct budget budget;
 	struct budget logged_budget;
 	bool budget_set;
+	struct unread_send *unread_sends;
 	double latency;
 	double baseline_latency;
 	uint64_t n_answers;
--- a/relay_ask.c
+++ b/relay_ask.c
@@ -73,8 +73,27 @@
 	return 0;
 }
 
+/* An answer shows that the server receives requests. */
+static void record_delivery(struct relay_send *relayed,
+			    enum server_result result, enum delivery_end end,
+			    int64_t now)
+{
+	struct unread_send **unread_sends =
+		&relayed->server->service->unread_sends;
+
+	if (result == SERVER_ANSWERED || result == SERVER_REFUSED)
+		unread_sends_answered(unread_sends, relayed->server,
+				      relayed->sent_at, now);
+	if (relayed->delivery && end == DELIVERY_UNKNOWN)
+		unread_sends_add(unread_sends, relayed->server,
+				 relayed->delivery, relayed->sent_at, now);
+	else
+		delivery_end(relayed->delivery, end == DELIVERY_RECEIVED);
+	relayed->delivery = NULL;
+}
+
 void relay_send_end(struct relay_send *relayed, enum server_result result,
-		    int64_t took)
+		    enum delivery_end end, int64_t took)
 {
 	int64_t now = clock_now(relayed->batch->relay->board->clock);
 
@@ -82,6 +101,7 @@
 		return;
 	relayed->ended = true;
 	relayed->batch->n_open--;
+	record_delivery(relayed, result, end, now);
 	server_score_result(&relayed->server->score, result, took, now);
 	if (result == SERVER_ANSWERED)
 		registry_record_latency(relayed->server->service, took);
@@ -105,7 +125,9 @@
 	if (batch->client)
 		DL_DELETE(batch->client->batches, batch);
 	for (i = 0; i < batch->n_sends; i++) {
-		relay_send_end(batch->sends[i], SERVER_ABANDONED, 0);
+		relay_send_end(batch->sends[i], SERVER_ABANDONED,
+			       batch->sent ? DELIVERY_UNKNOWN : DELIVERY_UNSENT,
+			       0);
 		registry_server_unref(batch->sends[i]->server);
 		free(batch->sends[i]);
 	}
@@ -202,11 +224,12 @@
 	client->flush_after = 0;
 }
 
-void relay_ask_abandon(void *handle)
+void relay_ask_abandon(void *handle, struct delivery *delivery)
 {
 	struct relay_send *relayed = handle;
 
 	relayed->send = NULL;
+	relayed->delivery = delivery_add(delivery);
 }
 
 static void send_cancel(struct relay_batch *batch)
@@ -256,8 +279,11 @@
 
 static void fail_job(struct relay_ask *relay, uint64_t id)
 {
-	static const struct dispatch_answer lost_answer = {.code = ERR_LOST,
-							   .stamp = STR("")};
+	static const struct dispatch_answer lost_answer = {
+		.code = ERR_LOST,
+		.stamp = STR(""),
+		.delivery = DELIVERY_UNKNOWN,
+	};
 	struct relay_batch *batch = relay_ask_find_job(relay, id);
 	struct relay_client *client;
 	int i;
@@ -272,7 +298,7 @@
 		struct dispatch_send *send = relayed->send;
 
 		/* The lost connection says nothing about the server. */
-		relay_send_end(relayed, SERVER_ABANDONED, 0);
+		relay_send_end(relayed, SERVER_ABANDONED, DELIVERY_UNKNOWN, 0);
 		relayed->send = NULL;
 		if (send)
 			client->result(send, &lost_answer);
--- a/relay_ask.h
+++ b/relay_ask.h
@@ -133,8 +133,9 @@
 
 /**
  * relay_ask_abandon() - ignore the result of a send
+ * @delivery: told how the send ends; may be NULL
  */
-void relay_ask_abandon(void *handle);
+void relay_ask_abandon(void *handle, struct delivery *delivery);
 
 /**
  * relay_client_finish() - end a request and cancel its jobs at the relays
--- a/relay_ask_private.h
+++ b/relay_ask_private.h
@@ -11,6 +11,7 @@
  * @server: holds a reference
  * @sent_at: time of relay_ask_send(), microseconds
  * @ended: its result is recorded in @server
+ * @delivery: of an abandoned send: told how it ends; or NULL
  */
 struct relay_send {
 	struct relay_batch *batch;
@@ -18,6 +19,7 @@
 	struct registry_server *server;
 	int64_t sent_at;
 	bool ended;
+	struct delivery *delivery;
 };
 
 /**
@@ -85,10 +87,11 @@
 /**
  * relay_send_end() - end a send and record its result for the server, as if it
  * had been sent directly
+ * @end: whether the server received it
  * @took: microseconds, for SERVER_ANSWERED and SERVER_SILENT
  */
 void relay_send_end(struct relay_send *relayed, enum server_result result,
-		    int64_t took);
+		    enum delivery_end end, int64_t took);
 
 /**
  * relay_batch_free() - free a batch; sends that have not ended are dropped
--- a/relay_result.c
+++ b/relay_result.c
@@ -109,13 +109,14 @@
 		.stamp = str_from(done->stamp),
 		.body = records,
 		.took = took + times.queue,
+		.delivery = delivery_end_of(done->code, done->not_run),
 	};
 
 	if (relayed->ended)
 		return;
 	record_outlook(relayed, done, &times, now);
 	relay_send_end(relayed, server_result_of(done->code, done->success),
-		       took);
+		       answer.delivery, took);
 	/* A relay makes more sends to a server than a single entry. */
 	if (server_result_of(done->code, done->success) != SERVER_ABANDONED)
 		server_score_set_failures(&relayed->server->score,
--- a/relay_serve.c
+++ b/relay_serve.c
@@ -110,7 +110,7 @@
 		struct job_send *send = &job->sends[i];
 
 		if (send->turn)
-			server_job_abandon(send->turn, get_linger(send));
+			server_job_abandon(send->turn, get_linger(send), NULL);
 	}
 	clear_results(job);
 	records_finish(&job->records);
--- a/server_queue.c
+++ b/server_queue.c
@@ -310,7 +310,8 @@
 	update_queue(job->queues, job->server);
 }
 
-void server_job_abandon(struct server_job *job, int64_t linger)
+void server_job_abandon(struct server_job *job, int64_t linger,
+			struct delivery *delivery)
 {
 	struct server_queues *queues = job->queues;
 
@@ -319,7 +320,7 @@
 	else if (job->state == JOB_UNSENT)
 		DL_DELETE(queues->ended, job);
 	else
-		queues->ops->abandon(queues->arg, job, linger);
+		queues->ops->abandon(queues->arg, job, linger, delivery);
 	free_job(job);
 }
 
--- a/server_queue.h
+++ b/server_queue.h
@@ -92,7 +92,8 @@
  */
 struct server_queue_ops {
 	int (*send)(void *arg, struct server_job *job);
-	void (*abandon)(void *arg, struct server_job *job, int64_t linger);
+	void (*abandon)(void *arg, struct server_job *job, int64_t linger,
+			struct delivery *delivery);
 	void (*hurry)(void *arg, struct server_job *job, int64_t linger);
 	int (*under_way)(void *arg, const struct registry_server *server);
 	void (*wake)(void *arg, int64_t at);
@@ -164,8 +165,10 @@
  * server_job_abandon() - abandon a request without reporting its end
  * @job: the request
  * @linger: as of exchange_abandon(); an unsent request is dropped
+ * @delivery: told how the send ends; may be NULL
  */
-void server_job_abandon(struct server_job *job, int64_t linger);
+void server_job_abandon(struct server_job *job, int64_t linger,
+			struct delivery *delivery);
 
 /**
  * server_job_hurry() - as server_job_abandon(), but the end is reported
--- a/server_queue_net.c
+++ b/server_queue_net.c
@@ -32,11 +32,12 @@
 	return ret;
 }
 
-static void abandon(void *arg, struct server_job *job, int64_t linger)
+static void abandon(void *arg, struct server_job *job, int64_t linger,
+		    struct delivery *delivery)
 {
 	(void)arg;
 	crash_watch_end(job->watch, false);
-	exchange_abandon(job->handle, linger);
+	exchange_abandon(job->handle, linger, delivery);
 }
 
 static void hurry(void *arg, struct server_job *job, int64_t linger)
--- a/tests/dispatch_fixture.h
+++ b/tests/dispatch_fixture.h
@@ -23,6 +23,8 @@
  * @outage_check: the latest of them
  * @sent: sends of the request, in order
  * @n_abandoned: sends that were abandoned
+ * @keep_deliveries: an abandoned send stays pending, until the test ends it
+ * @deliveries: of abandoned sends, with @keep_deliveries
  * @send_error: error that each send fails with, or 0
  * @queued_send: send that is in the queue of its server, or NULL
  */
@@ -40,6 +42,8 @@
 	struct dispatch_send *sent[SENDS_MAX];
 	int n_sent;
 	int n_abandoned;
+	bool keep_deliveries;
+	struct delivery *deliveries[SENDS_MAX];
 	int send_error;
 	struct dispatch_send *queued_send;
 };
@@ -61,7 +65,9 @@
 {
 	struct fixture *fixture = arg;
 
-	(void)send;
+	if (fixture->keep_deliveries)
+		fixture->deliveries[fixture->n_abandoned] =
+			delivery_add(send->delivery);
 	fixture->n_abandoned++;
 }
 
--- a/tests/test_dispatch.c
+++ b/tests/test_dispatch.c
@@ -684,7 +684,71 @@
 	fixture_finish(&fixture);
 }
 
+/* Guards against forgetting the first send once its hedge is answered. */
+static void test_unread_after_hedge(void)
+{
+	struct fixture fixture;
+	const struct budget *budget;
+
+	fixture_init(&fixture);
+	fixture.keep_deliveries = true;
+	start_dispatch(&fixture, "/any/");
+	budget = &fixture.dispatch.parts[0].service->budget;
+	CU_ASSERT(budget->unread == 0);
+	advance(&fixture, 60);
+	CU_ASSERT(fixture.n_sent == 2);
+	CU_ASSERT(budget->unread == 1);
+	CU_ASSERT(deliver_answer(&fixture, 1, 0, false, "a") ==
+		  DISPATCH_COMPLETE);
+	CU_ASSERT(fixture.n_abandoned == 1);
+	CU_ASSERT(budget->unread == 1);
+	delivery_end(fixture.deliveries[0], true);
+	CU_ASSERT(budget->unread == 0);
+	fixture_finish(&fixture);
+}
+
+/* Guards against counting a refused send as one that may still arrive. */
+static void test_unread_after_refusal(void)
+{
+	struct fixture fixture;
+	const struct budget *budget;
+
+	fixture_init(&fixture);
+	start_dispatch(&fixture, "/any/");
+	budget = &fixture.dispatch.parts[0].service->budget;
+	deliver_answer(&fixture, 0, ERR_SHED, true, "");
+	CU_ASSERT(fixture.n_sent == 2);
+	CU_ASSERT(budget->unread == 1);
+	deliver_answer(&fixture, 1, 0, false, "a");
+	CU_ASSERT(budget->unread == 0);
+	fixture_finish(&fixture);
+}
+
+/* Guards against forgetting a send whose end showed nothing of the server. */
+static void test_unread_after_silence(void)
+{
+	struct fixture fixture;
+	struct registry_service *service;
+	struct dispatch_answer silence = {.code = ERR_SILENT,
+					  .delivery = DELIVERY_UNKNOWN};
+
+	fixture_init(&fixture);
+	start_dispatch(&fixture, "/any/");
+	service = fixture.dispatch.parts[0].service;
+	dispatch_result(&fixture.dispatch, fixture.sent[0], &silence);
+	CU_ASSERT(fixture.n_sent == 2);
+	CU_ASSERT(service->budget.unread == 1);
+	deliver_answer(&fixture, 1, 0, false, "a");
+	CU_ASSERT(service->budget.unread == 1);
+	CU_ASSERT(service->unread_sends &&
+		  service->unread_sends->server == fixture.sent[0]->server);
+	fixture_finish(&fixture);
+}
+
 static const struct unit_test tests[] = {
+	{"first send is unread after its hedge", test_unread_after_hedge},
+	{"refused send is not unread", test_unread_after_refusal},
+	{"silent send is unread", test_unread_after_silence},
 	{"queued part is moved to another server", test_queued_part_is_moved},
 	{"non-idempotent request moves only while queued",
 	 test_once_moves_only_while_queued},
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -257,7 +257,7 @@
 
 	set_up(&fixture);
 	send_parts(&fixture, handles);
-	relay_ask_abandon(handles[0]);
+	relay_ask_abandon(handles[0], NULL);
 	receive_part(&fixture, 0, true, 2);
 	CU_ASSERT_EQUAL(fixture.codes[0], 1);
 	receive_part(&fixture, 1, false, 0);
@@ -276,7 +276,7 @@
 
 	set_up(&fixture);
 	send_parts(&fixture, handles);
-	relay_ask_abandon(handles[0]);
+	relay_ask_abandon(handles[0], NULL);
 	receive_part(&fixture, 0, true, 1);
 	receive_part(&fixture, 1, true, 1);
 	CU_ASSERT_EQUAL(fixture.codes[1], ERR_PROTOCOL);
@@ -292,7 +292,7 @@
 	set_up(&fixture);
 	send_parts(&fixture, handles);
 	receive_part(&fixture, 0, true, 1);
-	relay_ask_abandon(handles[1]);
+	relay_ask_abandon(handles[1], NULL);
 	receive_part(&fixture, 1, false, 2);
 	receive_part(&fixture, 2, false, 1);
 	CU_ASSERT_EQUAL(fixture.codes[2], 0);
--- a/tests/test_server_queue.c
+++ b/tests/test_server_queue.c
@@ -73,9 +73,11 @@
 	return 0;
 }
 
-static void on_abandon(void *arg, struct server_job *job, int64_t linger)
+static void on_abandon(void *arg, struct server_job *job, int64_t linger,
+		       struct delivery *delivery)
 {
 	(void)arg;
+	(void)delivery;
 	(void)linger;
 	call_of(job)->job = NULL;
 }
@@ -484,7 +486,7 @@
 	ask(&world, 1, MSEC(500), MSEC(10));
 	abandoned = ask(&world, 0, MSEC(500), MSEC(10));
 	kept = ask(&world, 1, MSEC(500), MSEC(10));
-	server_job_abandon(abandoned->job, 0);
+	server_job_abandon(abandoned->job, 0, NULL);
 	abandoned->n_ends++;
 	pass(&world, MSEC(100));
 	CU_ASSERT(!abandoned->ran);
--- a/upstream.c
+++ b/upstream.c
@@ -66,6 +66,7 @@
 {
 	if (exchange->out)
 		evbuffer_free(exchange->out);
+	delivery_end(exchange->delivery, false);
 	free(exchange->id);
 	free(exchange);
 }
@@ -83,6 +84,27 @@
 			     result->took, now);
 }
 
+/* An answer shows that the server receives requests. */
+static void record_delivery(struct upstream_conn *conn,
+			    struct exchange *exchange,
+			    const struct exchange_result *result)
+{
+	struct unread_send **unread_sends =
+		&conn->server->service->unread_sends;
+	enum delivery_end end = delivery_end_of(result->code, result->not_run);
+	int64_t now = clock_now(conn->upstream->clock);
+
+	if (result->message)
+		unread_sends_answered(unread_sends, conn->server,
+				      exchange->sent_at, now);
+	if (exchange->delivery && end == DELIVERY_UNKNOWN)
+		unread_sends_add(unread_sends, conn->server, exchange->delivery,
+				 exchange->sent_at, now);
+	else
+		delivery_end(exchange->delivery, end == DELIVERY_RECEIVED);
+	exchange->delivery = NULL;
+}
+
 /* Ends the exchange but not the connection. */
 static void end_exchange(struct upstream_conn *conn,
 			 struct exchange_result *result)
@@ -94,6 +116,7 @@
 	conn->exchange = NULL;
 	result->took = clock_now(conn->upstream->clock) - exchange->sent_at;
 	record_result(conn, result);
+	record_delivery(conn, exchange, result);
 	if (!exchange->abandoned)
 		exchange->cb(exchange->arg, result);
 	free_exchange(exchange);
@@ -450,11 +473,13 @@
 	return 0;
 }
 
-void exchange_abandon(struct exchange *exchange, int64_t linger)
+void exchange_abandon(struct exchange *exchange, int64_t linger,
+		      struct delivery *delivery)
 {
 	struct upstream_conn *conn = exchange->conn;
 
 	exchange->abandoned = true;
+	exchange->delivery = delivery_add(delivery);
 	/* While connecting, the connect time-out applies. */
 	if (exchange->written)
 		set_timer(conn, linger);
--- a/upstream.h
+++ b/upstream.h
@@ -155,11 +155,13 @@
 /**
  * exchange_abandon() - drop the callback of an exchange
  * @linger: time until the connection is closed without an answer, microseconds
+ * @delivery: told how the send ends; may be NULL
  *
  * Only closing the connection cancels the request, and the next one then needs
  * a new connection, so a request that ends soon is left to complete.
  */
-void exchange_abandon(struct exchange *exchange, int64_t linger);
+void exchange_abandon(struct exchange *exchange, int64_t linger,
+		      struct delivery *delivery);
 
 /**
  * exchange_set_timeout() - end an exchange early if no answer comes
--- a/upstream_private.h
+++ b/upstream_private.h
@@ -49,6 +49,7 @@
  * @is_head: the method is HEAD, so that the answer has no body
  * @written: bytes were passed to the socket
  * @abandoned: @cb is not called
+ * @delivery: of an abandoned exchange: told how it ends; or NULL
  * @counted_cold: it was counted as a send to a cold server
  * @sent_at: time of upstream_send(), microseconds
  * @deadline: microseconds
@@ -62,6 +63,7 @@
 	bool is_head;
 	bool written;
 	bool abandoned;
+	struct delivery *delivery;
 	bool counted_cold;
 	int64_t sent_at;
 	int64_t deadline;
