--- a/tests/retry_fleet.c
+++ b/tests/retry_fleet.c
@@ -97,6 +97,26 @@
 	return i;
 }
 
+static void add_arrival(struct retry_fleet *fleet)
+{
+	MEM_GROW(fleet->extra, fleet->n_extra, fleet->cap_extra);
+	fleet->extra[fleet->n_extra++] = fleet->now;
+}
+
+/* What a killed process has sent is received, too. */
+void retry_fleet_hold(struct retry_fleet *fleet, bool held)
+{
+	int i;
+
+	fleet->held = held;
+	if (held)
+		return;
+	for (; fleet->n_held; fleet->n_held--)
+		add_arrival(fleet);
+	for (i = 0; i < fleet->n; i++)
+		fleet->instances[i].budget.unread = 0;
+}
+
 /* Return: false if the budget is empty and the retry has to wait. */
 static bool send_retries(struct retry_fleet *fleet, struct fleet_retry *retry)
 {
@@ -106,9 +126,13 @@
 		if (!budget_take(&instance->budget, &instance->share.limit, 1,
 				 fleet->now))
 			return false;
-		MEM_GROW(fleet->extra, fleet->n_extra, fleet->cap_extra);
-		fleet->extra[fleet->n_extra++] = fleet->now;
 		retry->sends_left--;
+		if (fleet->held) {
+			fleet->n_held++;
+			instance->budget.unread++;
+			continue;
+		}
+		add_arrival(fleet);
 		if (rng_uniform(&fleet->rng) >= fleet->refuse_ratio)
 			return true;
 	}
@@ -129,7 +153,7 @@
 	budget_count_needed(&instance->budget, limit, 1, fleet->now);
 	MEM_GROW(fleet->needed, fleet->n_needed, fleet->cap_needed);
 	fleet->needed[fleet->n_needed++] = fleet->now;
-	if (rng_uniform(&fleet->rng) >= fleet->refuse_ratio)
+	if (!fleet->held && rng_uniform(&fleet->rng) >= fleet->refuse_ratio)
 		return;
 	if (send_retries(fleet, &retry))
 		return;
--- a/tests/retry_fleet.h
+++ b/tests/retry_fleet.h
@@ -47,7 +47,9 @@
  * @sends_max: sends of one request, the first one included
  * @next_at: time of the next request, microseconds
  * @needed: times of requests, microseconds
- * @extra: times of second sends, microseconds
+ * @extra: times at which second sends arrive, microseconds
+ * @held: servers receive nothing; see retry_fleet_hold()
+ * @n_held: second sends that servers have not received
  */
 struct retry_fleet {
 	struct rng rng;
@@ -65,6 +67,8 @@
 	int64_t *extra;
 	int n_extra;
 	int cap_extra;
+	bool held;
+	int n_held;
 	struct fleet_retry *waiting;
 	int n_waiting;
 	int cap_waiting;
@@ -92,6 +96,12 @@
 void retry_fleet_set_membership(struct retry_fleet *fleet, int entries,
 				int members);
 
+/**
+ * retry_fleet_hold() - stop the servers from receiving anything, or let them
+ * receive all that was sent since
+ */
+void retry_fleet_hold(struct retry_fleet *fleet, bool held);
+
 /**
  * retry_fleet_run() - advance the simulated clock
  */
--- a/tests/test_retry_share.c
+++ b/tests/test_retry_share.c
@@ -229,6 +229,70 @@
 	retry_fleet_finish(&fleet);
 }
 
+/* Guards against second sends that pile up at servers that receive nothing. */
+static void test_held_back_sends(void)
+{
+	uint64_t seed;
+	int i;
+
+	for (seed = 201; seed <= 260; seed++) {
+		struct retry_fleet fleet;
+		double rate = seed % 2 ? 28 : 90;
+
+		retry_fleet_init(&fleet, 7, SLACK_SMALL, seed);
+		fleet.rate = rate;
+		retry_fleet_run(&fleet, MSEC(20000));
+		fleet.refuse_ratio = 0.9;
+		for (i = 0; i < 5; i++) {
+			double held_s = 2 + 7 * rng_uniform(&fleet.rng);
+
+			/* Callers who wait send fewer requests. */
+			fleet.rate = rate / 3;
+			retry_fleet_hold(&fleet, true);
+			retry_fleet_run(&fleet, (int64_t)(held_s * 1e6));
+			fleet.rate = rate;
+			retry_fleet_hold(&fleet, false);
+			retry_fleet_run(&fleet,
+					(int64_t)(rng_uniform(&fleet.rng) *
+						  MSEC(6000)));
+		}
+		check_budget(&fleet, seed);
+		retry_fleet_finish(&fleet);
+	}
+}
+
+/*
+ * Guards against sends that wait for a server while the processes that sent
+ * them are replaced again and again.
+ */
+static void test_held_back_beside_restarts(void)
+{
+	uint64_t seed;
+	int i;
+	int j;
+
+	for (seed = 301; seed <= 360; seed++) {
+		struct retry_fleet fleet;
+
+		retry_fleet_init(&fleet, 7, SLACK_SMALL, seed);
+		retry_fleet_run(&fleet, MSEC(20000));
+		fleet.refuse_ratio = 0.9;
+		retry_fleet_hold(&fleet, true);
+		for (i = 0; i < 3; i++) {
+			retry_fleet_run(
+				&fleet,
+				MSEC(1000) + (int64_t)(rng_uniform(&fleet.rng) *
+						       MSEC(2000)));
+			for (j = 0; j < fleet.n; j++)
+				retry_fleet_restart(&fleet, j);
+		}
+		retry_fleet_hold(&fleet, false);
+		retry_fleet_run(&fleet, MSEC(12000));
+		check_budget(&fleet, seed);
+		retry_fleet_finish(&fleet);
+	}
+}
+
 /* Guards against meeting the budget by granting no second sends. */
 static void test_sustained_retries(void)
 {
@@ -278,6 +342,8 @@
 	{"random events", test_random_events},
 	{"different memberships", test_different_memberships},
 	{"first requests", test_first_requests},
+	{"held back sends", test_held_back_sends},
+	{"held back beside restarts", test_held_back_beside_restarts},
 	{"sustained retries", test_sustained_retries},
 	{"immediate retries", test_immediate_retries},
 };
