budget: let unread second sends keep their tokens

Callers saw refusals and late answers as the fleet went over its budget: in the 10 s after servers that had read nothing went on, up to 110 second sends arrived where 96.2 were allowed.

Cause: a token is taken when a second send is made, and the rule counts when it arrives. Tokens were earned and saved up anew while what they had paid for lay unread in kernels; nothing bounded how much of it. Class: a limit that is charged where something is sent and judged where it arrives.

Now what servers may still receive is taken off the capacity of the budget, so that unread sends and saved tokens together are what only the latter were. Unread sends may arrive at a time with hardly a request, so no more of them are allowed than the part of the slack that an instance may save up, or one without a share.

--- a/budget.c
+++ b/budget.c
@@ -35,6 +35,23 @@
 	return fmax(limit->reserve, fmax(earned, saved));
 }
 
+/* What is still to arrive counts in some later window beside new tokens. */
+static double unused_capacity(const struct budget *budget,
+			      const struct budget_limit *limit)
+{
+	double capacity = budget_capacity(budget, limit);
+
+	if (!limit->decay_time)
+		return capacity;
+	return fmax(0, capacity - budget->unread);
+}
+
+static bool is_unread_max(const struct budget *budget,
+			  const struct budget_limit *limit)
+{
+	return limit->decay_time && budget->unread + 1 > limit->unread_max;
+}
+
 static void update_tokens(struct budget *budget,
 			  const struct budget_limit *limit, int64_t now)
 {
@@ -52,7 +69,7 @@
 			fmin(limit->burst,
 			     budget->time_tokens +
 				     age * limit->per_second / USEC_PER_SEC);
-	budget->tokens = fmin(budget->tokens, budget_capacity(budget, limit));
+	budget->tokens = fmin(budget->tokens, unused_capacity(budget, limit));
 }
 
 void budget_count_needed(struct budget *budget,
@@ -75,7 +92,8 @@
 		budget->spent++;
 		return true;
 	}
-	if (budget->tokens < cost || limit->ratio <= 0) {
+	if (budget->tokens < cost || limit->ratio <= 0 ||
+	    is_unread_max(budget, limit)) {
 		budget->refused++;
 		return false;
 	}
--- a/budget.h
+++ b/budget.h
@@ -51,6 +51,8 @@
  *	BUDGET_WINDOW_US earned more
  * @reserve: with @decay_time, minimum capacity; tokens up to it do not decay
  * @initial: with @decay_time, tokens of a new budget
+ * @unread_max: with @decay_time, maximum number of extra requests granted that
+ *	servers may still receive
  */
 struct budget_limit {
 	double ratio;
@@ -59,6 +61,7 @@
 	int64_t decay_time;
 	double reserve;
 	double initial;
+	double unread_max;
 };
 
 /**
@@ -87,7 +90,8 @@
  * BUDGET_WINDOW_US before, plus what time alone grants. With a decay time
  * they are at most the ratio of those needed, plus what time alone grants, plus
  * @initial, plus the larger of @reserve and the ratio of those needed within
- * about @decay_time before. These bounds add up over any number of budgets,
+ * about @decay_time before. What servers may still receive is taken off the
+ * capacity, so that the same holds for the extra requests that arrive. These bounds add up over any number of budgets,
  * regardless of when each was created or discarded.
  *
  * Return: whether it may be sent.
--- a/retry_share.c
+++ b/retry_share.c
@@ -31,6 +31,12 @@
  * at a constant rate, once per window in total.
  */
 #define SAVED_SHARE_RATIO 0.55
+/*
+ * Second sends that servers may still receive, of an instance without a share
+ * of the slack. They may arrive when nothing else is sent, so only what does
+ * not depend on the traffic may be unread: this one, or the saved share.
+ */
+#define UNREAD_MAX 1
 /* Minimum divisor: a new or isolated instance does not know the others. */
 #define ENTRIES_MIN 4
 /*
@@ -91,6 +97,8 @@
 	slack_share = fmax(0, slack_share) / share->divisor;
 	limit->burst = slack_share * SAVED_SHARE_RATIO;
 	limit->decay_time = settings->window;
+	limit->unread_max =
+		has_slack_share ? fmax(UNREAD_MAX, limit->burst) : UNREAD_MAX;
 	limit->per_second = slack_share * (1 - SAVED_SHARE_RATIO) *
 			    USEC_PER_SEC / (double)settings->window;
 	if (has_slack_share) {
--- a/tests/test_budget.c
+++ b/tests/test_budget.c
@@ -9,7 +9,8 @@
 static const struct budget_limit decaying = {.ratio = 0.1,
 					     .burst = 50,
 					     .decay_time = 2 * SECOND,
-					     .reserve = 1};
+					     .reserve = 1,
+					     .unread_max = 3};
 
 static int take_all(struct budget *budget, int64_t now)
 {
@@ -169,7 +170,8 @@
 					       .burst = 50,
 					       .per_second = 2,
 					       .decay_time = 2 * SECOND,
-					       .reserve = 1};
+					       .reserve = 1,
+					       .unread_max = 1};
 	struct budget budget;
 	int64_t now = SECOND;
 	int n = 0;
@@ -188,7 +190,31 @@
 	CU_ASSERT_FALSE(budget_take(&budget, &with_rate, 1, now));
 }
 
+/* Guards against new tokens for second sends that are still to arrive. */
+static void test_unread_keeps_tokens(void)
+{
+	struct budget budget;
+	int64_t now = SECOND;
+	int i;
+
+	budget_init(&budget, &decaying, now);
+	for (i = 0; i < 1000; i++)
+		budget_count_needed(&budget, &decaying, 1, now += 1000);
+	for (; budget.unread < 3; budget.unread++)
+		CU_ASSERT(budget_take(&budget, &decaying, 1, now));
+	CU_ASSERT_FALSE(budget_take(&budget, &decaying, 1, now));
+	/* Of the capacity, what is unread is used. */
+	for (i = 0; i < 20000; i++)
+		budget_count_needed(&budget, &decaying, 1, now += 1000);
+	CU_ASSERT(budget.tokens <= budget_capacity(&budget, &decaying) - 3);
+	/* Requests end: only the reserve is left, and it is used. */
+	now += 20 * SECOND;
+	budget.unread = 1;
+	CU_ASSERT_FALSE(budget_take(&budget, &decaying, 1, now));
+}
+
 static const struct unit_test tests[] = {
+	{"unread second sends keep tokens", test_unread_keeps_tokens},
 	{"outage", test_outage},
 	{"idle time saves nothing", test_idle_saves_nothing},
 	{"saved tokens", test_saved_tokens},
