upstream: reset connections that are given up without an answer

A request that had ended here, its connection closed, could still reach its server much later: the kernel goes on to repeat what a cut link kept from it, at intervals that double, for a minute or more after the close. Callers see nothing of it but the load; servers run what nobody waits for, and a second send arrives long after it was charged.

A connection that is closed without a sign of its server is now reset: the kernel drops what it has not delivered. What a server's kernel has, it will read all the same; tried apart, neither a close nor a reset takes it back. So an answer to a request that was sent after the end of another shows that the server has that one, too, and its token is free again at once; before, it was held for as long again as the server had been silent.

Cut links were not played: nothing here can cut one below TCP.

--- a/delivery.c
+++ b/delivery.c
@@ -12,12 +12,7 @@
 #include "mem.h"
 #include "registry.h"
 
-/*
- * While a link is cut, a kernel repeats what was written at intervals that
- * double: after the cut it may take as long again until the server gets it.
- */
-#define RETRANSMISSION_FACTOR 2
-/* A closed connection's bytes are repeated for no longer. */
+/* A server that stands still for longer has most likely ended. */
 #define UNREAD_AGE_MAX MSEC(60000)
 
 enum delivery_end delivery_end_of(int code, bool not_run)
@@ -111,13 +106,6 @@
 		 LOG_I64("unread", send->delivery->budget->unread));
 }
 
-static bool is_received(const struct unread_send *send, int64_t now)
-{
-	int64_t silence = send->answered_at - send->sent_at;
-
-	return now - send->sent_at >= silence * RETRANSMISSION_FACTOR;
-}
-
 void unread_sends_answered(struct unread_send **sends,
 			   const struct registry_server *server,
 			   int64_t sent_at, int64_t now)
@@ -128,10 +116,6 @@
 	DL_FOREACH_SAFE (*sends, send, next) {
 		if (send->server != server || sent_at < send->ended_at)
 			continue;
-		if (!send->answered_at)
-			send->answered_at = now;
-		if (!is_received(send, now))
-			continue;
 		log_end(send, "answered", now);
 		end_unread(sends, send, true);
 	}
--- a/delivery.h
+++ b/delivery.h
@@ -80,15 +80,12 @@
  * @delivery: holds a pending send
  * @sent_at: microseconds
  * @ended_at: microseconds
- * @answered_at: when the server first answered a request that was sent after
- *	@ended_at, microseconds; 0: not yet
  */
 struct unread_send {
 	struct registry_server *server;
 	struct delivery *delivery;
 	int64_t sent_at;
 	int64_t ended_at;
-	int64_t answered_at;
 	struct unread_send *prev;
 	struct unread_send *next;
 };
@@ -105,7 +102,8 @@
 		      int64_t sent_at, int64_t now);
 
 /**
- * unread_sends_answered() - end sends that a server must have received
+ * unread_sends_answered() - end sends that a server must have received, as it
+ * has answered a request that was sent after their end
  * @sent_at: when the request that the server has answered was sent,
  *	microseconds
  * @now: microseconds
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -420,6 +420,28 @@
         release.set()
         self.assertEqual(got.status, 504)
 
+    def test_connection_given_up_is_reset(self):
+        """Guards against a kernel that goes on to repeat a request after its
+        connection was given up, so that the server gets it much later."""
+        server, _, caller = self.start_one()
+        ends = []
+
+        def read_end(connection, stream):
+            for line in iter(stream.readline, b"\r\n"):
+                if not line:
+                    return False
+            try:
+                ends.append(connection.recv(1))
+            except ConnectionResetError:
+                ends.append("reset")
+            return False
+
+        server.serve_one = read_end
+        self.assertEqual(caller.request("/any/x", headers=[
+            ("X-Deadline-Ms", "300")]).status, 504)
+        self.wait("connection given up", lambda: ends)
+        self.assertEqual(ends, ["reset"])
+
     def test_request_that_crashes_servers(self):
         """Guards against a request that crashes every server that runs it, and
         that its caller keeps repeating. It is banned after three servers."""
--- a/upstream.c
+++ b/upstream.c
@@ -131,6 +131,19 @@
 	registry_server_unref(server);
 }
 
+/*
+ * Makes the kernel drop what it has not delivered, when the connection is
+ * closed. It would go on to repeat it for minutes, and the server would get a
+ * request that ended here long ago.
+ */
+static void drop_undelivered(struct upstream_conn *conn)
+{
+	const struct linger linger = {.l_onoff = 1};
+
+	setsockopt(bufferevent_getfd(conn->bev), SOL_SOCKET, SO_LINGER, &linger,
+		   sizeof(linger));
+}
+
 static void fail_conn(struct upstream_conn *conn, int code)
 {
 	struct registry_server *server = registry_server_ref(conn->server);
@@ -141,6 +154,8 @@
 		result.code = code == ERR_TOO_LATE ? code : ERR_CONNECT;
 		result.not_run = true;
 	}
+	if (delivery_end_of(result.code, result.not_run) == DELIVERY_UNKNOWN)
+		drop_undelivered(conn);
 	end_exchange(conn, &result);
 	free_conn(conn);
 	notify_released(upstream, server);
@@ -490,6 +505,8 @@
 	while (upstream->conns) {
 		struct upstream_conn *conn = upstream->conns;
 
+		if (conn->exchange && conn->exchange->written)
+			drop_undelivered(conn);
 		if (conn->exchange)
 			free_exchange(conn->exchange);
 		end_check(conn, true);
