budget: earn tokens once a server has received the request

An instance that starts while servers read nothing earned tokens for requests that no server had received, and spent them on second sends to servers that read nothing either. What earlier processes had left unread was forgotten with them, so that each start in such a time added to what arrives at once when the servers go on.

The budget counts requests whether they arrive or not, so that earning less is always within it.

Now a request earns its tokens with the first sign that a server has received one of its sends. While servers read nothing, nothing is earned, by whatever process.

--- a/budget.c
+++ b/budget.c
@@ -72,17 +72,23 @@
 	budget->tokens = fmin(budget->tokens, unused_capacity(budget, limit));
 }
 
-void budget_count_needed(struct budget *budget,
-			 const struct budget_limit *limit, int n, int64_t now)
+void budget_earn(struct budget *budget, const struct budget_limit *limit, int n,
+		 int64_t now)
 {
 	update_tokens(budget, limit, now);
-	budget->needed += (uint64_t)n;
 	budget->recent_needed += n;
 	budget->decayed_needed += n;
 	budget->tokens += limit->ratio * n;
 	update_tokens(budget, limit, now);
 }
 
+void budget_count_needed(struct budget *budget,
+			 const struct budget_limit *limit, int n, int64_t now)
+{
+	budget->needed += (uint64_t)n;
+	budget_earn(budget, limit, n, now);
+}
+
 bool budget_take(struct budget *budget, const struct budget_limit *limit,
 		 double cost, int64_t now)
 {
--- a/budget.h
+++ b/budget.h
@@ -73,7 +73,15 @@
 		 int64_t now);
 
 /**
- * budget_count_needed() - count requests needed, which earn tokens
+ * budget_earn() - add the tokens that requests needed earn
+ * @n: number of requests
+ * @now: microseconds
+ */
+void budget_earn(struct budget *budget, const struct budget_limit *limit, int n,
+		 int64_t now);
+
+/**
+ * budget_count_needed() - count requests needed, and add what they earn
  * @n: number of requests
  * @now: microseconds
  */
@@ -91,8 +99,9 @@
  * they are at most the ratio of those needed, plus what time alone grants, plus
  * @initial, plus the larger of @reserve and the ratio of those needed within
  * about @decay_time before. What servers may still receive is taken off the
- * capacity, so that the same holds for the extra requests that arrive. These bounds add up over any number of budgets,
- * regardless of when each was created or discarded.
+ * capacity, so that the same holds for the extra requests that arrive. These
+ * bounds add up over any number of budgets, regardless of when each was created
+ * or discarded.
  *
  * Return: whether it may be sent.
  */
--- a/dispatch.c
+++ b/dispatch.c
@@ -317,14 +317,11 @@
 
 static void send_first(struct dispatch_part *part)
 {
-	struct dispatch *dispatch = part->dispatch;
 	int ret;
 
 	if (part->state != PART_PENDING)
 		return;
-	budget_count_needed(&part->service->budget, &dispatch->limits->budget,
-			    1, clock_now(dispatch->clock));
-	ret = dispatch_part_send(part, "first", false);
+	ret = dispatch_part_send_first(part);
 	if (ret)
 		schedule_retry_or_fail(part, ret);
 }
@@ -404,6 +401,31 @@
 	       code == ERR_OVERLOAD || code == ERR_BANNED;
 }
 
+/*
+ * A part earns tokens only once a server has received it: otherwise those of
+ * all requests to servers that stand still would pile up there.
+ */
+static void settle_send(struct dispatch_part *part)
+{
+	struct dispatch *dispatch = part->dispatch;
+
+	if (!part->n_settled++)
+		budget_earn(&part->service->budget, &dispatch->limits->budget,
+			    1, clock_now(dispatch->clock));
+}
+
+static void record_delivery(struct dispatch_send *send,
+			    const struct dispatch_answer *answer)
+{
+	if (dispatch_is_unsent(answer->code))
+		send->part->n_delivered--;
+	else if (answer->delivery == DELIVERY_UNKNOWN)
+		send->unknown = true;
+	else
+		settle_send(send->part);
+	dispatch_part_count_unread(send->part);
+}
+
 enum dispatch_outcome dispatch_result(struct dispatch *dispatch,
 				      struct dispatch_send *send,
 				      const struct dispatch_answer *answer)
@@ -411,13 +433,7 @@
 	struct dispatch_part *part = send->part;
 
 	send->state = SEND_ENDED;
-	if (dispatch_is_unsent(answer->code))
-		part->n_delivered--;
-	else if (answer->delivery != DELIVERY_UNKNOWN)
-		part->n_settled++;
-	else
-		send->unknown = true;
-	dispatch_part_count_unread(part);
+	record_delivery(send, answer);
 	if (is_server_busy(dispatch, answer))
 		send->busy_until = clock_now(dispatch->clock) +
 				   (answer->code == ERR_COLD ? COLD_RETRY_DELAY
--- a/dispatch_forecast.c
+++ b/dispatch_forecast.c
@@ -193,7 +193,6 @@
 
 bool dispatch_send_left_out(struct dispatch *dispatch)
 {
-	int64_t now = clock_now(dispatch->clock);
 	int n_possible =
 		dispatch->n_parts - dispatch->n_failed + dispatch->n_left_out;
 	bool sent = false;
@@ -207,9 +206,7 @@
 
 		if (part->state != PART_FAILED || part->code != ERR_LEFT_OUT)
 			continue;
-		budget_count_needed(&part->service->budget,
-				    &dispatch->limits->budget, 1, now);
-		if (dispatch_part_send(part, "first", false))
+		if (dispatch_part_send_first(part))
 			continue;
 		part->state = PART_PENDING;
 		dispatch->n_failed--;
--- a/dispatch_private.h
+++ b/dispatch_private.h
@@ -68,6 +68,15 @@
 int dispatch_part_send(struct dispatch_part *part, const char *why,
 		       bool preferred_only);
 
+/**
+ * dispatch_part_send_first() - send a part that was not sent yet
+ *
+ * It earns the service's budget its share once a server has received it.
+ *
+ * Return: as of dispatch_part_send().
+ */
+int dispatch_part_send_first(struct dispatch_part *part);
+
 /**
  * dispatch_part_send_again() - hedge or retry a part
  * @why: for logs
--- a/dispatch_send.c
+++ b/dispatch_send.c
@@ -186,6 +186,12 @@
 	return ret;
 }
 
+int dispatch_part_send_first(struct dispatch_part *part)
+{
+	part->service->budget.needed++;
+	return dispatch_part_send(part, "first", false);
+}
+
 /*
  * A part that never reached a server needs no token. Hedges leave half of the
  * budget to retries: they only save time, while without a retry a part is lost.
--- a/tests/retry_fleet.c
+++ b/tests/retry_fleet.c
@@ -150,7 +150,8 @@
 	if (!instance->has_budget)
 		budget_init(&instance->budget, limit, fleet->now);
 	instance->has_budget = true;
-	budget_count_needed(&instance->budget, limit, 1, fleet->now);
+	if (!fleet->held)
+		budget_count_needed(&instance->budget, limit, 1, fleet->now);
 	MEM_GROW(fleet->needed, fleet->n_needed, fleet->cap_needed);
 	fleet->needed[fleet->n_needed++] = fleet->now;
 	if (!fleet->held && rng_uniform(&fleet->rng) >= fleet->refuse_ratio)
--- a/tests/retry_fleet.h
+++ b/tests/retry_fleet.h
@@ -48,7 +48,8 @@
  * @next_at: time of the next request, microseconds
  * @needed: times of requests, microseconds
  * @extra: times at which second sends arrive, microseconds
- * @held: servers receive nothing; see retry_fleet_hold()
+ * @held: servers receive nothing, so that requests earn nothing; see
+ *	retry_fleet_hold()
  * @n_held: second sends that servers have not received
  */
 struct retry_fleet {
--- a/tests/test_retry_share.c
+++ b/tests/test_retry_share.c
@@ -293,6 +293,30 @@
 	}
 }
 
+/* Guards against tokens for requests that no server has received. */
+static void test_held_back_beside_many_restarts(void)
+{
+	uint64_t seed;
+	int i;
+
+	for (seed = 401; seed <= 420; seed++) {
+		struct retry_fleet fleet;
+
+		retry_fleet_init(&fleet, 7, SLACK_SMALL, seed);
+		retry_fleet_run(&fleet, MSEC(20000));
+		fleet.refuse_ratio = 0.9;
+		retry_fleet_hold(&fleet, true);
+		for (i = 0; i < 100; i++) {
+			retry_fleet_run(&fleet, MSEC(200));
+			retry_fleet_restart(&fleet, i % fleet.n);
+		}
+		retry_fleet_hold(&fleet, false);
+		retry_fleet_run(&fleet, MSEC(12000));
+		check_budget(&fleet, seed);
+		retry_fleet_finish(&fleet);
+	}
+}
+
 /* Guards against meeting the budget by granting no second sends. */
 static void test_sustained_retries(void)
 {
@@ -344,6 +368,7 @@
 	{"first requests", test_first_requests},
 	{"held back sends", test_held_back_sends},
 	{"held back beside restarts", test_held_back_beside_restarts},
+	{"held back beside many restarts", test_held_back_beside_many_restarts},
 	{"sustained retries", test_sustained_retries},
 	{"immediate retries", test_immediate_retries},
 };
