relay: count the time that a link held a request back

A request to a relay tells the time that is left when it is sent. What a link, or the relay's own socket beyond the first turn of its loop, held back for seconds was sent to servers as if it had just left the entry: servers worked for callers who had long been answered or had given up, with more time than was left, and second sends arrived long after they were charged.

Cause and class: a time limit that is set where something is sent and used where it arrives. Only the relay's own stall was taken off.

Entries now send the time of their clock along. Its offset is not known, but the quickest messages of the last minute or two show it; what took longer was held back by the difference, which is taken off the time that is left. Older builds send no time and get what they got.

--- a/peak.c
+++ b/peak.c
@@ -1,6 +1,6 @@
 #include "peak.h"
 
-void peak_init(struct peak *peak, int64_t span, int value, int64_t now)
+void peak_init(struct peak *peak, int64_t span, int64_t value, int64_t now)
 {
 	peak->span = span;
 	peak->span_start = now;
@@ -8,7 +8,7 @@
 	peak->previous = value;
 }
 
-int peak_add(struct peak *peak, int value, int64_t now)
+int64_t peak_add(struct peak *peak, int64_t value, int64_t now)
 {
 	if (now - peak->span_start >= peak->span) {
 		/* No older value holds after a gap of more than a span. */
--- a/peak.h
+++ b/peak.h
@@ -17,8 +17,8 @@
 struct peak {
 	int64_t span;
 	int64_t span_start;
-	int current;
-	int previous;
+	int64_t current;
+	int64_t previous;
 };
 
 /**
@@ -27,7 +27,7 @@
  * @value: initial maximum
  * @now: microseconds
  */
-void peak_init(struct peak *peak, int64_t span, int value, int64_t now);
+void peak_init(struct peak *peak, int64_t span, int64_t value, int64_t now);
 
 /**
  * peak_add() - add the current value
@@ -36,6 +36,6 @@
  *
  * Return: the maximum.
  */
-int peak_add(struct peak *peak, int value, int64_t now);
+int64_t peak_add(struct peak *peak, int64_t value, int64_t now);
 
 #endif
--- a/peer.h
+++ b/peer.h
@@ -14,6 +14,7 @@
 #include "blackboard.h"
 #include "fleet.h"
 #include "frame.h"
+#include "link_delay.h"
 #include "peer_traffic.h"
 
 struct bufferevent;
@@ -35,6 +36,7 @@
  * @last_received_at: when bytes were last received
  * @last_sent_at: when a frame was last sent
  * @opened_at: when the link was created
+ * @delay: of part requests received
  */
 struct peer_link {
 	struct peers *peers;
@@ -48,6 +50,7 @@
 	int64_t last_received_at;
 	int64_t last_sent_at;
 	int64_t opened_at;
+	struct link_delay delay;
 	struct peer_link *prev;
 	struct peer_link *next;
 };
--- a/peer.pb-c.c
+++ b/peer.pb-c.c
@@ -5282,7 +5282,7 @@
   (ProtobufCMessageInit) peer__part_send__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__part_request__field_descriptors[13] =
+static const ProtobufCFieldDescriptor peer__part_request__field_descriptors[14] =
 {
   {
     "id",
@@ -5440,6 +5440,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "sent_at_us",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__PartRequest, sent_at_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__part_request__field_indices_by_name[] = {
   3,   /* field[3] = body */
@@ -5455,11 +5467,12 @@
   6,   /* field[6] = records_max */
   1,   /* field[1] = request_id */
   9,   /* field[9] = sends */
+  13,   /* field[13] = sent_at_us */
 };
 static const ProtobufCIntRange peer__part_request__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 13 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor peer__part_request__descriptor =
 {
@@ -5469,7 +5482,7 @@
   "Peer__PartRequest",
   "peer",
   sizeof(Peer__PartRequest),
-  13,
+  14,
   peer__part_request__field_descriptors,
   peer__part_request__field_indices_by_name,
   1,  peer__part_request__number_ranges,
--- a/peer.pb-c.h
+++ b/peer.pb-c.h
@@ -899,10 +899,14 @@
    * left until the request is to be answered
    */
   uint32_t goal_ms;
+  /*
+   * by the sender's monotonic clock
+   */
+  uint64_t sent_at_us;
 };
 #define PEER__PART_REQUEST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__part_request__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, {0,NULL}, {0,NULL}, 0, 0, 0, 0, 0, 0,NULL, {0,NULL}, 0, 0 }
+    , 0, (char *)protobuf_c_empty_string, {0,NULL}, {0,NULL}, 0, 0, 0, 0, 0, 0,NULL, {0,NULL}, 0, 0, 0 }
 
 
 struct  Peer__PartDone
--- a/relay_ask.c
+++ b/relay_ask.c
@@ -186,6 +186,7 @@
 	message.head.len = client->request->head.len;
 	message.body.data = (uint8_t *)client->request->body.data;
 	message.body.len = client->request->body.len;
+	message.sent_at_us = (uint64_t)now;
 	message.deadline_ms = left > 0 ? (uint32_t)(left / USEC_PER_MSEC) : 0;
 	message.flush_ms = (uint32_t)(client->flush_after / USEC_PER_MSEC);
 	message.records_max = (uint32_t)client->records_max;
--- a/relay_serve.c
+++ b/relay_serve.c
@@ -309,13 +309,29 @@
 	}
 }
 
+/*
+ * How long the message was held back. The time it tells is what was left when
+ * it was sent; with it, servers would get requests that the entry gave up long
+ * ago.
+ */
+static int64_t get_held_time(struct relay_job *job,
+			     const Peer__PartRequest *message)
+{
+	const struct blackboard *board = job->relay->board;
+	int64_t held = link_delay_add(&job->link->delay, message->sent_at_us,
+				      clock_now(board->clock));
+	int64_t stall = blackboard_stall(board);
+
+	return held > stall ? held : stall;
+}
+
 /* Copies what queued sends need, as they outlive the message. */
 static void copy_request(struct relay_job *job,
 			 const Peer__PartRequest *message)
 {
 	struct upstream_request *request = &job->request;
 	int64_t now = clock_now(job->relay->board->clock);
-	int64_t stall = blackboard_stall(job->relay->board);
+	int64_t held = get_held_time(job, message);
 
 	request->head.len = message->head.len;
 	request->head.data = mem_dup_len(message->head.data, message->head.len);
@@ -324,8 +340,8 @@
 	request->id = str_from(mem_dup(message->request_id));
 	request->fingerprint = message->fingerprint;
 	job->rank.priority = message->priority;
-	job->rank.goal_at = now + MSEC((int64_t)message->goal_ms) - stall;
-	job->deadline = now + MSEC((int64_t)message->deadline_ms) - stall;
+	job->rank.goal_at = now + MSEC((int64_t)message->goal_ms) - held;
+	job->deadline = now + MSEC((int64_t)message->deadline_ms) - held;
 	job->connections_max = message->connections_max;
 }
 
--- a/retry_share.c
+++ b/retry_share.c
@@ -59,7 +59,7 @@
 			  bool past_first_window, int64_t now)
 {
 	share->entries_peak =
-		peak_add(&share->entries, membership->entries, now);
+		(int)peak_add(&share->entries, membership->entries, now);
 	if (!past_first_window)
 		return;
 	if (membership->entries > share->entries_max)
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -28,6 +28,7 @@
 import fake_server  # noqa: E402
 import wire  # noqa: E402
 from fake_server import FakeServer, http_response  # noqa: E402
+from wire import frame, read_frame  # noqa: E402
 
 BUILD = None
 WAIT_MAX_S = 20  # upper limit of each wait, reached only on failure
@@ -41,7 +42,6 @@
 EXIT_INVALID = 3
 
 # docs/PROTOCOL.md: frames between instances.
-MAGIC = 0x4752
 HELLO = 1
 QUERY = 2
 FAILURE = 15
@@ -51,27 +51,11 @@
 ERR_FOREIGN = -29
 
 
-def frame(kind, payload=b"", magic=MAGIC, version=1, length=None, reserved=0):
-    if length is None:
-        length = len(payload)
-    return struct.pack(">HBBII", magic, version, kind, length,
-                       reserved) + payload
-
-
 def hello(instance="stranger", incarnation=5):
     return wire.encode((1, instance), (2, incarnation), (3, DC),
                        (4, "127.0.0.1:1"), (5, "127.0.0.1:1"))
 
 
-def read_frame(stream):
-    """Read a frame as (kind, payload); None at the end of the stream."""
-    head = stream.read(12)
-    if len(head) < 12:
-        return None
-    _, _, kind, length, _ = struct.unpack(">HBBII", head)
-    return kind, stream.read(length)
-
-
 def decode_sint32(value):
     """Decode a zigzag-encoded protocol buffers sint32."""
     return value >> 1 ^ -(value & 1)
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -10,6 +10,7 @@
 import sys
 import tempfile
 import threading
+import time
 import unittest
 
 TESTS_DIR = pathlib.Path(__file__).resolve().parent
@@ -18,6 +19,7 @@
 
 import experiment  # noqa: E402
 import json  # noqa: E402
+import wire  # noqa: E402
 from gateway_fixtures import (  # noqa: E402
     HOST, Gateway, OpaqueServer, Store, answer, config_document, free_port,
     route,
@@ -38,6 +40,11 @@
 ]
 
 
+# docs/PROTOCOL.md: frames between instances.
+HELLO = 1
+PART_REQUEST = 21
+
+
 class Answer:
     def __init__(self, status, headers, body):
         self.status = status
@@ -619,6 +626,38 @@
             relay.process.send_signal(signal.SIGCONT)
 
 
+class HeldBack(GatewayTest):
+    DEADLINE_MS = 2000
+
+    def part_request(self, number, sent_at_s):
+        """A frame of an entry with a request to one server."""
+        head = f"GET /shards/x HTTP/1.1\r\nX-Request-Id: r{number}\r\n"
+        return wire.frame(PART_REQUEST, wire.encode(
+            (1, number), (2, f"r{number}"), (3, head),
+            (5, self.DEADLINE_MS), (7, 3), (9, 64),
+            (10, wire.encode((2, "s0-0"))), (14, int(sent_at_s * 1e6))))
+
+    def test_part_request_held_back_by_a_link(self):
+        """Guards against a relay that sends what a link has held back until
+        its entry gave it up, with the time that was left then."""
+        server = self.server("s0-0", "s0")
+        server.respond = OpaqueServer.send_records
+        self.publish()
+        relay = self.ready_gateway()
+        entry = socket.create_connection((relay.ip, self.peer_port))
+        entry.sendall(wire.frame(HELLO, wire.encode(
+            (1, "entry"), (2, 5), (3, "dc-1"), (4, "127.0.0.1:1"),
+            (5, "127.0.0.1:1"))))
+        now = 1000
+        for number, sent_at_s in [(1, now), (2, now - 5), (3, now)]:
+            entry.sendall(self.part_request(number, sent_at_s))
+            time.sleep(0.1)
+        self.wait("requests", lambda: len(server.seen) >= 2)
+        time.sleep(0.2)
+        self.assertEqual([r.id for r in server.seen], ["r1", "r3"])
+        entry.close()
+
+
 class Places(GatewayTest):
     """Cordoned data centres, cold servers, and regions."""
 
--- a/tests/wire.py
+++ b/tests/wire.py
@@ -1,8 +1,12 @@
-"""Encoder and decoder of the backend messages in docs/PROTOCOL.md.
+"""Encoder and decoder of the messages and frames in docs/PROTOCOL.md.
 
 Protocol buffers without generated code, for tests.
 """
 
+import struct
+
+FRAME_MAGIC = 0x4752
+FRAME_HEADER = ">HBBII"
 VARINT = 0
 LENGTH_DELIMITED = 2
 
@@ -143,3 +147,20 @@
     return {"request_id": last_text(fields, 1), "server": last_text(fields, 2),
             "version": last_int(fields, 3),
             "shards": [read_partial(item) for item in fields.get(4, [])]}
+
+
+def frame(kind, payload=b"", magic=FRAME_MAGIC, version=1, length=None,
+          reserved=0):
+    if length is None:
+        length = len(payload)
+    return struct.pack(FRAME_HEADER, magic, version, kind, length,
+                       reserved) + payload
+
+
+def read_frame(stream):
+    """Read a frame as (kind, payload); None at the end of the stream."""
+    head = stream.read(struct.calcsize(FRAME_HEADER))
+    if len(head) < struct.calcsize(FRAME_HEADER):
+        return None
+    _, _, kind, length, _ = struct.unpack(FRAME_HEADER, head)
+    return kind, stream.read(length)
