bench: successors beside stopped instances, and busy processors, in the soak

An instance is stopped, another one starts under its name, the old one goes on beside it and is asked to end two seconds later; all processors are used for some seconds.

--- a/bench/soak.py
+++ b/bench/soak.py
@@ -14,6 +14,7 @@
 import collections
 import concurrent.futures
 import json
+import os
 import pathlib
 import shutil
 import signal
@@ -41,6 +42,8 @@
 TROUBLE_S = 22
 CALM_S = 3
 RESTART_S = 0.2
+# An instance and its successor run beside each other for so long.
+BESIDE_S = 2
 SPEEDS = (0.8, 1.0, 1.3)
 LOAD_CONTROL = ["priorities", "returns", "turns", "left_out", "pace"]
 SECOND_SEND_SHARE_MIN = 0.01
@@ -160,7 +163,10 @@
         self.hosts = plan_hosts(self.deployment, self.directory)
         self.routes, self.config_routes = plan_routes(self.deployment)
         self.config_version = 0
+        self.peer_port = free_port()
         self.gateways = []
+        self.directories = []
+        self.replaced = []
         self.results = Results()
 
     def services(self):
@@ -195,19 +201,24 @@
                 "reset": {"refuse": refuse / 2, "reset": 0.3},
                 }.get(trouble.kind)
 
-    def start_gateways(self):
-        peer_port = free_port()
+    def start_gateway(self, number):
         centres = [dc for dc, n in self.deployment.instances for _ in range(n)]
-        for i, data_centre in enumerate(centres):
-            gateway = Gateway(
-                self.options.build, self.directory, self.store, i, peer_port,
-                seeds=[f"127.0.0.{10 + j}:{peer_port}" for j in (0, 1)],
-                data_centre=data_centre, retry_ratio=soak_plan.RATIO,
-                retry_slack=self.deployment.slack,
-                retry_window_s=soak_plan.WINDOW_S, log_level="info",
-                load_control=[] if self.options.plain else LOAD_CONTROL)
-            gateway.start()
-            self.gateways.append(gateway)
+        gateway = Gateway(
+            self.options.build, self.directory, self.store, number,
+            self.peer_port,
+            seeds=[f"127.0.0.{10 + i}:{self.peer_port}" for i in (0, 1)],
+            data_centre=centres[number], retry_ratio=soak_plan.RATIO,
+            retry_slack=self.deployment.slack,
+            retry_window_s=soak_plan.WINDOW_S, log_level="info",
+            load_control=[] if self.options.plain else LOAD_CONTROL)
+        gateway.start()
+        return gateway
+
+    def start_gateways(self):
+        n = sum(n for _, n in self.deployment.instances)
+        self.gateways = [self.start_gateway(i) for i in range(n)]
+        self.directories = [g.settings["directory_address"]
+                            for g in self.gateways]
         for gateway in self.gateways:
             experiment.wait_until("an instance is ready", gateway.is_ready,
                                   READY_S)
@@ -234,14 +245,16 @@
                 for i in trouble.targets]
 
     async def restart(self, gateways, how):
-        for gateway in gateways:
-            if gateway.process.poll() is None:
-                gateway.process.send_signal(how)
-        for gateway in gateways:
-            await asyncio.to_thread(gateway.process.wait)
+        """Another trouble may restart or replace the same instances."""
+        ended = [(gateway, gateway.process) for gateway in gateways]
+        for _, child in ended:
+            if child.poll() is None:
+                child.send_signal(how)
+        for _, child in ended:
+            await asyncio.to_thread(child.wait)
         await asyncio.sleep(RESTART_S)
-        for gateway in gateways:
-            if gateway.process.poll() is not None:
+        for gateway, child in ended:
+            if gateway.process is child and gateway in self.gateways:
                 gateway.start()
 
     async def pause(self, trouble):
@@ -254,6 +267,33 @@
             if child.poll() is None:
                 child.send_signal(signal.SIGCONT)
 
+    async def replace(self, trouble):
+        """Start an instance under the name of one that stands still; that one
+        goes on beside it before it is asked to end."""
+        number = trouble.targets[0] % len(self.gateways)
+        old = self.gateways[number].process
+        self.replaced.append(old)
+        if old.poll() is None:
+            old.send_signal(signal.SIGSTOP)
+        self.gateways[number] = self.start_gateway(number)
+        self.directories.append(
+            self.gateways[number].settings["directory_address"])
+        await asyncio.sleep(trouble.until - trouble.at)
+        if old.poll() is None:
+            old.send_signal(signal.SIGCONT)
+        await asyncio.sleep(BESIDE_S)
+        if old.poll() is None:
+            old.terminate()
+
+    async def keep_busy(self, trouble):
+        """Use all processors for a while."""
+        script = f"import time\nt = time.time() + {trouble.until - trouble.at}"
+        children = [subprocess.Popen(
+            [sys.executable, "-c", f"{script}\nwhile time.time() < t: pass"])
+            for _ in range(os.cpu_count())]
+        for child in children:
+            await asyncio.to_thread(child.wait)
+
     async def play(self, trouble, trouble_at):
         await asyncio.sleep(trouble_at + trouble.at - time.monotonic())
         if trouble.kind in ("hold_all", "hold_some"):
@@ -266,14 +306,17 @@
             await self.restart(self.targets(trouble), signal.SIGTERM)
         elif trouble.kind == "pause":
             await self.pause(trouble)
+        elif trouble.kind == "replace":
+            await self.replace(trouble)
+        elif trouble.kind == "busy":
+            await self.keep_busy(trouble)
         elif trouble.kind == "configure":
             self.configure()
 
     async def play_all(self, trouble_at):
         until = trouble_at + TROUBLE_S + CALM_S
         settings = {
-            "directories": [g.settings["directory_address"]
-                            for g in self.gateways],
+            "directories": self.directories,
             "data_centres": [dc for dc, _ in self.deployment.instances],
             "host": HOST,
             "routes": self.routes,
@@ -348,11 +391,11 @@
         return report
 
     def stop(self):
-        for gateway in self.gateways:
-            if gateway.process.poll() is None:
-                gateway.process.send_signal(signal.SIGCONT)
-                gateway.process.kill()
-            gateway.process.wait()
+        for child in [g.process for g in self.gateways] + self.replaced:
+            if child.poll() is None:
+                child.send_signal(signal.SIGCONT)
+                child.kill()
+            child.wait()
         for host in self.hosts:
             host.stop()
         self.store.shutdown()
--- a/bench/soak_plan.py
+++ b/bench/soak_plan.py
@@ -84,8 +84,10 @@
     "held_pauses": ("hold_all", "pause"),
     "any": ("hold_all", "hold_all", "hold_some", "kill", "kill_all", "pause",
             "terminate", "slow", "reset", "configure"),
+    "successors": ("replace", "replace", "terminate", "kill", "hold_all",
+                   "busy"),
 }
-STEPS = {"restarts": 6, "held": 4, "any": 8}
+STEPS = {"restarts": 6, "held": 4, "any": 8, "successors": 8}
 STEPS_DEFAULT = 5
 
 
@@ -106,7 +108,8 @@
     at = rng.uniform(0, length_s * 0.8)
     targets = tuple(rng.sample(range(64), 3))
     lasts = {"hold_all": (2, 9), "hold_some": (2, 9), "pause": (1, 12),
-             "slow": (3, 10), "reset": (2, 8)}.get(kind, (0, 0))
+             "slow": (3, 10), "reset": (2, 8), "replace": (1, 8),
+             "busy": (3, 8)}.get(kind, (0, 0))
     if kind in ("kill", "terminate"):
         targets = targets[:rng.randint(1, 3)]
     return Trouble(kind, at, at + rng.uniform(*lasts), targets,
