view_update: name all servers in a whole view

A view told as whole ended after 4,096 servers; who received it took the others as gone, so that with more servers than that, at the aimed 9,200, a new instance would have had shards without a server.

The new case of test_view_share has 9,200 servers and failed before.

--- a/tests/test_view_share.c
+++ b/tests/test_view_share.c
@@ -7,6 +7,7 @@
 #include "unit.h"
 #include "view_compress.h"
 #include "view_cluster.h"
+#include "view_update.h"
 
 /* Return: calls on the store in ten seconds by @n instances. */
 static int count_calls(int n)
@@ -237,6 +238,30 @@
 	free(packed);
 }
 
+/* Guards against a whole view that names only some of the servers. */
+static void test_whole_view_of_many_servers(void)
+{
+	struct server_entry entry = {.service = "many"};
+	struct view_update update;
+	struct cluster cluster;
+	struct node *node;
+	int i;
+
+	cluster_init(&cluster, 1);
+	node = &cluster.nodes[0];
+	for (i = 0; i < 9200; i++) {
+		snprintf(entry.id, sizeof(entry.id), "many-%d", i);
+		registry_put(&node->registry, &entry, 1);
+	}
+	view_update_snapshot(&node->share, &update);
+	view_update_add_state(&node->share, &update, false);
+	CU_ASSERT(update.message.whole);
+	CU_ASSERT(update.n_rows == (int)HASH_COUNT(node->registry.servers));
+	CU_ASSERT(update.packed != NULL);
+	view_update_finish(&update);
+	cluster_finish(&cluster);
+}
+
 /* A peer sends invalid compressed data, or announces a wrong size. */
 static void test_packed_badly(void)
 {
@@ -534,6 +559,7 @@
 	{"start while the store is away", test_start_while_store_is_away},
 	{"a lost message", test_lost_message},
 	{"packed", test_packed},
+	{"whole view of many servers", test_whole_view_of_many_servers},
 	{"packed badly", test_packed_badly},
 	{"a restart is told", test_restart_is_told},
 	{"spread by hubs", test_spread_by_hubs},
--- a/view_update.c
+++ b/view_update.c
@@ -5,9 +5,6 @@
 #include "mem.h"
 #include "view_compress.h"
 
-/* A row takes about 150 bytes. */
-#define SNAPSHOT_ROWS_MAX 4096
-
 static void view_update_init(struct view_update *update, int max)
 {
 	size_t n = (size_t)(max > 0 ? max : 1);
@@ -183,9 +180,7 @@
 	struct registry_server *server;
 
 	view_update_init(update, (int)HASH_COUNT(registry->servers));
-	for (server = registry->servers;
-	     server && update->n_rows < SNAPSHOT_ROWS_MAX;
-	     server = server->hh.next)
+	for (server = registry->servers; server; server = server->hh.next)
 		add_server(update, server, clock_now(share->clock));
 	update->message.whole = true;
 }
