frame: check that the message could be joined

frame_read() read a null pointer if there was no memory to join a message of up to 8 MB, and the instance died; the link now fails with a system error.

--- a/frame.c
+++ b/frame.c
@@ -105,6 +105,8 @@
 	if (evbuffer_get_length(in) < sizeof(header) + len)
 		return 0;
 	data = evbuffer_pullup(in, (ev_ssize_t)(sizeof(header) + len));
+	if (!data)
+		return ERR_SYSTEM;
 	frame->type = header.type;
 	frame->payload_len = len;
 	frame->message =
