--- a/bench/soak.py
+++ b/bench/soak.py
@@ -226,10 +226,12 @@
     # Troubles.
 
     def held(self, trouble):
-        """Processes that a trouble holds: of all servers or of some."""
+        """Processes that a trouble holds: of all servers, of some or one."""
         hosts = self.hosts
         if trouble.kind == "hold_some":
             hosts = [hosts[i % len(hosts)] for i in trouble.targets]
+        elif trouble.kind == "hold_one":
+            hosts = [hosts[trouble.targets[0] % len(hosts)]]
         return [h.proxy if trouble.by_proxy else h.child for h in hosts]
 
     async def hold(self, trouble):
@@ -296,7 +298,7 @@
 
     async def play(self, trouble, trouble_at):
         await asyncio.sleep(trouble_at + trouble.at - time.monotonic())
-        if trouble.kind in ("hold_all", "hold_some"):
+        if trouble.kind.startswith("hold_"):
             await self.hold(trouble)
         elif trouble.kind == "kill":
             await self.restart(self.targets(trouble), signal.SIGKILL)
@@ -368,6 +370,7 @@
             "served": round(results.served / max(results.asked, 1), 4),
             "complete": round(results.complete / max(results.asked, 1), 4),
             "median_ms": round(took[len(took) // 2] * 1000),
+            "p99_ms": round(took[len(took) * 99 // 100] * 1000),
             "sent_again": sum(map(len, repeated.values())),
             "worst": self.worst_window(repeated, start),
         }
--- a/bench/soak_plan.py
+++ b/bench/soak_plan.py
@@ -74,7 +74,7 @@
         pause_ms=120, pause_every_ms=3000),
 )}
 
-# Which troubles a plan is drawn from. "refuse" lasts through all of these.
+# Which troubles a plan is drawn from, beside servers that refuse all the time.
 MIXES = {
     "restarts": ("kill", "terminate", "kill_all"),
     "held": ("hold_all",),
@@ -84,9 +84,12 @@
     "held_pauses": ("hold_all", "pause"),
     "any": ("hold_all", "hold_all", "hold_some", "kill", "kill_all", "pause",
             "terminate", "slow", "reset", "configure"),
+    # Without refusals: what one server that stands still costs callers.
+    "one_stopped": ("hold_one",),
     "successors": ("replace", "replace", "terminate", "kill", "hold_all",
                    "busy"),
 }
+NOT_REFUSING = ("one_stopped",)
 STEPS = {"restarts": 6, "held": 4, "any": 8, "successors": 8}
 STEPS_DEFAULT = 5
 
@@ -107,7 +110,8 @@
 def draw_trouble(rng, kind, length_s):
     at = rng.uniform(0, length_s * 0.8)
     targets = tuple(rng.sample(range(64), 3))
-    lasts = {"hold_all": (2, 9), "hold_some": (2, 9), "pause": (1, 12),
+    lasts = {"hold_all": (2, 9), "hold_some": (2, 9), "hold_one": (2, 9),
+             "pause": (1, 12),
              "slow": (3, 10), "reset": (2, 8), "replace": (1, 8),
              "busy": (3, 8)}.get(kind, (0, 0))
     if kind in ("kill", "terminate"):
@@ -119,7 +123,8 @@
 def draw_plan(seed, mix, length_s):
     """Draw the troubles of a run, in the order in which they begin."""
     rng = random.Random(seed)
-    plan = [Trouble("refuse", 0, length_s, amount=rng.uniform(0.8, 0.9))]
+    refuse = 0 if mix in NOT_REFUSING else rng.uniform(0.8, 0.9)
+    plan = [Trouble("refuse", 0, length_s, amount=refuse)]
     for i in range(STEPS.get(mix, STEPS_DEFAULT)):
         kind = MIXES[mix][i] if i < 1 else rng.choice(MIXES[mix])
         plan.append(draw_trouble(rng, kind, length_s))
