delivery: one way to end a pending send, earn only for what was received

Exchanges and relayed sends ended a pending send by the same lines twice, dispatch by a third form; unread_sends_end() and unread_sends_answered() now take the server. A send that ran out of time before its first byte was counted as received: it earned its request a token, and the send beside it was taken for a second one. A part now notes apart that a server has received it.

--- a/delivery.c
+++ b/delivery.c
@@ -73,17 +73,21 @@
 		free(delivery);
 }
 
-void unread_sends_add(struct unread_send **sends,
-		      struct registry_server *server, struct delivery *delivery,
-		      int64_t sent_at, int64_t now)
+void unread_sends_end(struct registry_server *server, struct delivery *delivery,
+		      enum delivery_end end, int64_t sent_at, int64_t now)
 {
-	struct unread_send *send = mem_zalloc(sizeof(*send));
+	struct unread_send *send;
 
+	if (!delivery || end != DELIVERY_UNKNOWN) {
+		delivery_end(delivery, end == DELIVERY_RECEIVED);
+		return;
+	}
+	send = mem_zalloc(sizeof(*send));
 	send->server = registry_server_ref(server);
 	send->delivery = delivery;
 	send->sent_at = sent_at;
 	send->ended_at = now;
-	DL_APPEND(*sends, send);
+	DL_APPEND(server->service->unread_sends, send);
 }
 
 static void end_unread(struct unread_send **sends, struct unread_send *send,
@@ -106,10 +110,10 @@
 		 LOG_I64("unread", send->delivery->budget->unread));
 }
 
-void unread_sends_answered(struct unread_send **sends,
-			   const struct registry_server *server,
-			   int64_t sent_at, int64_t now)
+void unread_sends_answered(struct registry_server *server, int64_t sent_at,
+			   int64_t now)
 {
+	struct unread_send **sends = &server->service->unread_sends;
 	struct unread_send *send;
 	struct unread_send *next;
 
--- a/delivery.h
+++ b/delivery.h
@@ -91,15 +91,15 @@
 };
 
 /**
- * unread_sends_add() - add a send that ended with DELIVERY_UNKNOWN
- * @sends: list of the server's service
- * @delivery: takes over its pending send
+ * unread_sends_end() - end a pending send, or keep it among the unread ones of
+ * its server's service
+ * @delivery: takes over its pending send; may be NULL
+ * @end: kept with DELIVERY_UNKNOWN
  * @sent_at: microseconds
  * @now: microseconds
  */
-void unread_sends_add(struct unread_send **sends,
-		      struct registry_server *server, struct delivery *delivery,
-		      int64_t sent_at, int64_t now);
+void unread_sends_end(struct registry_server *server, struct delivery *delivery,
+		      enum delivery_end end, int64_t sent_at, int64_t now);
 
 /**
  * unread_sends_answered() - end sends that a server must have received, as it
@@ -108,18 +108,19 @@
  *	microseconds
  * @now: microseconds
  */
-void unread_sends_answered(struct unread_send **sends,
-			   const struct registry_server *server,
-			   int64_t sent_at, int64_t now);
+void unread_sends_answered(struct registry_server *server, int64_t sent_at,
+			   int64_t now);
 
 /**
  * unread_sends_expire() - end sends that are too old to be received
+ * @sends: of a service
  * @now: microseconds
  */
 void unread_sends_expire(struct unread_send **sends, int64_t now);
 
 /**
  * unread_sends_drop() - end the sends to a server whose process has ended
+ * @sends: of its service
  * @server: NULL: all servers
  */
 void unread_sends_drop(struct unread_send **sends,
--- a/dispatch.c
+++ b/dispatch.c
@@ -101,10 +101,8 @@
 {
 	struct dispatch_part *part = send->part;
 
-	if (delivery)
-		unread_sends_add(&part->service->unread_sends, send->server,
-				 delivery_add(delivery), send->sent_at,
-				 clock_now(part->dispatch->clock));
+	unread_sends_end(send->server, delivery_add(delivery), DELIVERY_UNKNOWN,
+			 send->sent_at, clock_now(part->dispatch->clock));
 	send->unknown = false;
 }
 
@@ -115,8 +113,7 @@
 	int i;
 
 	if (part->n_unread)
-		delivery = delivery_new(&part->service->budget,
-					part->n_settled > 0);
+		delivery = delivery_new(&part->service->budget, part->received);
 	for (i = 0; i < part->n_sends; i++) {
 		struct dispatch_send *send = &part->sends[i];
 
@@ -260,7 +257,7 @@
 void dispatch_part_count_unread(struct dispatch_part *part)
 {
 	int n = delivery_unread(part->n_delivered - part->n_settled,
-				part->n_settled > 0);
+				part->received);
 
 	part->service->budget.unread += n - part->n_unread;
 	part->n_unread = n;
@@ -405,25 +402,32 @@
  * A part earns tokens only once a server has received it: otherwise those of
  * all requests to servers that stand still would pile up there.
  */
-static void settle_send(struct dispatch_part *part)
+static void note_received(struct dispatch_part *part)
 {
 	struct dispatch *dispatch = part->dispatch;
 
-	if (!part->n_settled++)
-		budget_earn(&part->service->budget, &dispatch->limits->budget,
-			    1, clock_now(dispatch->clock));
+	if (part->received)
+		return;
+	part->received = true;
+	budget_earn(&part->service->budget, &dispatch->limits->budget, 1,
+		    clock_now(dispatch->clock));
 }
 
 static void record_delivery(struct dispatch_send *send,
 			    const struct dispatch_answer *answer)
 {
+	struct dispatch_part *part = send->part;
+
 	if (dispatch_is_unsent(answer->code))
-		send->part->n_delivered--;
+		part->n_delivered--;
 	else if (answer->delivery == DELIVERY_UNKNOWN)
 		send->unknown = true;
 	else
-		settle_send(send->part);
-	dispatch_part_count_unread(send->part);
+		part->n_settled++;
+	if (answer->delivery == DELIVERY_RECEIVED &&
+	    !dispatch_is_unsent(answer->code))
+		note_received(part);
+	dispatch_part_count_unread(part);
 }
 
 enum dispatch_outcome dispatch_result(struct dispatch *dispatch,
--- a/dispatch.h
+++ b/dispatch.h
@@ -77,6 +77,7 @@
  * @n_maybe_run: servers on which it may have run
  * @n_delivered: sends that reached a server, including refused ones
  * @n_settled: those of them that no server will receive any more
+ * @received: a server has received it
  * @n_unread: second sends that servers may still receive, counted in the
  *	service's budget
  * @hedge_at: when to hedge, microseconds; INT64_MAX: not
@@ -95,6 +96,7 @@
 	int n_maybe_run;
 	int n_delivered;
 	int n_settled;
+	bool received;
 	int n_unread;
 	int64_t hedge_at;
 	int64_t retry_at;
--- a/relay_ask.c
+++ b/relay_ask.c
@@ -73,25 +73,6 @@
 	return 0;
 }
 
-/* An answer shows that the server receives requests. */
-static void record_delivery(struct relay_send *relayed,
-			    enum server_result result, enum delivery_end end,
-			    int64_t now)
-{
-	struct unread_send **unread_sends =
-		&relayed->server->service->unread_sends;
-
-	if (result == SERVER_ANSWERED || result == SERVER_REFUSED)
-		unread_sends_answered(unread_sends, relayed->server,
-				      relayed->sent_at, now);
-	if (relayed->delivery && end == DELIVERY_UNKNOWN)
-		unread_sends_add(unread_sends, relayed->server,
-				 relayed->delivery, relayed->sent_at, now);
-	else
-		delivery_end(relayed->delivery, end == DELIVERY_RECEIVED);
-	relayed->delivery = NULL;
-}
-
 void relay_send_end(struct relay_send *relayed, enum server_result result,
 		    enum delivery_end end, int64_t took)
 {
@@ -101,7 +82,11 @@
 		return;
 	relayed->ended = true;
 	relayed->batch->n_open--;
-	record_delivery(relayed, result, end, now);
+	if (result == SERVER_ANSWERED || result == SERVER_REFUSED)
+		unread_sends_answered(relayed->server, relayed->sent_at, now);
+	unread_sends_end(relayed->server, relayed->delivery, end,
+			 relayed->sent_at, now);
+	relayed->delivery = NULL;
 	server_score_result(&relayed->server->score, result, took, now);
 	if (result == SERVER_ANSWERED)
 		registry_record_latency(relayed->server->service, took);
--- a/tests/test_delivery.c
+++ b/tests/test_delivery.c
@@ -50,8 +50,8 @@
 	struct delivery *delivery =
 		delivery_new(&fixture->service->budget, true);
 
-	unread_sends_add(&fixture->service->unread_sends, fixture->server,
-			 delivery, SENT_AT, ended_at);
+	unread_sends_end(fixture->server, delivery, DELIVERY_UNKNOWN, SENT_AT,
+			 ended_at);
 }
 
 static int unread(const struct fixture *fixture)
@@ -90,15 +90,13 @@
 static void test_answer_to_later_request(void)
 {
 	struct fixture fixture;
-	struct unread_send **sends;
 
 	fixture_init(&fixture);
-	sends = &fixture.service->unread_sends;
 	add_unread(&fixture, SENT_AT + MSEC(300));
-	unread_sends_answered(sends, fixture.server, SENT_AT + MSEC(200),
+	unread_sends_answered(fixture.server, SENT_AT + MSEC(200),
 			      SENT_AT + MSEC(5000));
 	CU_ASSERT(unread(&fixture) == 1);
-	unread_sends_answered(sends, fixture.server, SENT_AT + MSEC(400),
+	unread_sends_answered(fixture.server, SENT_AT + MSEC(400),
 			      SENT_AT + MSEC(6000));
 	CU_ASSERT(unread(&fixture) == 0);
 	fixture_finish(&fixture);
@@ -122,6 +120,22 @@
 	fixture_finish(&fixture);
 }
 
+/* Guards against counting sends for ever to a server that stays silent. */
+static void test_silent_server(void)
+{
+	struct fixture fixture;
+
+	fixture_init(&fixture);
+	add_unread(&fixture, SENT_AT);
+	unread_sends_expire(&fixture.service->unread_sends,
+			    SENT_AT + MSEC(59000));
+	CU_ASSERT(unread(&fixture) == 1);
+	unread_sends_expire(&fixture.service->unread_sends,
+			    SENT_AT + MSEC(60000));
+	CU_ASSERT(unread(&fixture) == 0);
+	fixture_finish(&fixture);
+}
+
 /* Guards against sends counted for a process that has ended. */
 static void test_restarted_server(void)
 {
@@ -152,6 +166,7 @@
 	{"unsent", test_unsent},
 	{"answer to a later request", test_answer_to_later_request},
 	{"removed server", test_removed_server},
+	{"silent server", test_silent_server},
 	{"restarted server", test_restarted_server},
 	{"ends", test_ends},
 };
--- a/upstream.c
+++ b/upstream.c
@@ -84,24 +84,17 @@
 			     result->took, now);
 }
 
-/* An answer shows that the server receives requests. */
 static void record_delivery(struct upstream_conn *conn,
 			    struct exchange *exchange,
 			    const struct exchange_result *result)
 {
-	struct unread_send **unread_sends =
-		&conn->server->service->unread_sends;
-	enum delivery_end end = delivery_end_of(result->code, result->not_run);
 	int64_t now = clock_now(conn->upstream->clock);
 
 	if (result->message)
-		unread_sends_answered(unread_sends, conn->server,
-				      exchange->sent_at, now);
-	if (exchange->delivery && end == DELIVERY_UNKNOWN)
-		unread_sends_add(unread_sends, conn->server, exchange->delivery,
-				 exchange->sent_at, now);
-	else
-		delivery_end(exchange->delivery, end == DELIVERY_RECEIVED);
+		unread_sends_answered(conn->server, exchange->sent_at, now);
+	unread_sends_end(conn->server, exchange->delivery,
+			 delivery_end_of(result->code, result->not_run),
+			 exchange->sent_at, now);
 	exchange->delivery = NULL;
 }
 
