delivery: count sends to a server whose entry is gone for 20 s

A server that hung with second sends unread, crashed and came back under another id kept their tokens for 60 s: its service could not be sent to again from that instance for so long, at small slacks. A server that stands still loses its entry, too, and may still read, so that they are counted on for 20 s; users' troubles last 2 to 9 s. test_delivery, removed server and silent server.

--- a/delivery.c
+++ b/delivery.c
@@ -14,6 +14,8 @@
 
 /* A server that stands still for longer has most likely ended. */
 #define UNREAD_AGE_MAX MSEC(60000)
+/* The same if its entry is gone, most often because it has ended. */
+#define UNREAD_AGE_MAX_GONE MSEC(20000)
 
 enum delivery_end delivery_end_of(int code, bool not_run)
 {
@@ -131,7 +133,10 @@
 	struct unread_send *next;
 
 	DL_FOREACH_SAFE (*sends, send, next) {
-		if (now - send->sent_at < UNREAD_AGE_MAX)
+		int64_t age_max = send->server->gone ? UNREAD_AGE_MAX_GONE
+						     : UNREAD_AGE_MAX;
+
+		if (now - send->sent_at < age_max)
 			continue;
 		log_end(send, "expired", now);
 		end_unread(sends, send, false);
