tests: answer a watch of the fake store that history was dropped under

Traced in the fixture: a watch that is open while its changes are written and dropped at once goes on to wait, and then says that there is nothing new up to the present revision. It says now that the history is gone, as the store does; a script that does both under the store's lock gets that in place of no events.

--- a/tests/gateway_fixtures.py
+++ b/tests/gateway_fixtures.py
@@ -238,9 +238,11 @@
                 return None
             self.cond.wait_for(
                 lambda: self.unavailable or self.era != era
+                or after < self.compacted_revision
                 or self.events(prefix, after), wait_s
             )
-            if self.era != era:
+            # Its changes may be among those that were dropped meanwhile.
+            if self.era != era or after < self.compacted_revision:
                 return None
             return {
                 "events": self.events(prefix, after),
