bench, tests: keep the users' rule of second sends in one place

bench/soak.py and test_retry_budget counted windows by the same lines. Both use RetryRule now; the bound and the checks are as before.

--- a/bench/soak.py
+++ b/bench/soak.py
@@ -10,7 +10,6 @@
 
 import argparse
 import asyncio
-import bisect
 import collections
 import concurrent.futures
 import json
@@ -25,6 +24,7 @@
 
 import experiment
 import soak_plan
+from retry_rule import RetryRule
 from soak_caller import Caller, Results, Route
 
 sys.path.insert(0, str(experiment.ROOT / "tests"))
@@ -345,18 +345,18 @@
         return {service: sorted(times) for service, times in repeated.items()}
 
     def worst_window(self, repeated, start):
-        """The window nearest to the bound, or furthest over it."""
+        """Describe the worst window over all services."""
+        rule = RetryRule(soak_plan.RATIO, self.deployment.slack,
+                         soak_plan.WINDOW_S)
         worst = {"over": float("-inf")}
         for service, times in repeated.items():
             sent = sorted(at for at, services in self.results.sent
                           if service in services)
-            for at in times:
-                n = count_in_window(times, at)
-                allowed = retries_allowed(sent, at, self.deployment.slack)
-                if n - allowed > worst["over"]:
-                    worst = {"over": round(n - allowed, 1), "service": service,
-                             "repeated": n, "allowed": round(allowed, 1),
-                             "at_s": round(at - start, 1)}
+            n, allowed, at = rule.worst_window(times, sent) or (0, 0, start)
+            if times and n - allowed > worst["over"]:
+                worst = {"over": round(n - allowed, 1), "service": service,
+                         "repeated": n, "allowed": round(allowed, 1),
+                         "at_s": round(at - start, 1)}
         return worst
 
     def report(self, start):
@@ -405,22 +405,6 @@
         self.store.server_close()
 
 
-def count_in_window(times, start):
-    return (bisect.bisect_left(times, start + soak_plan.WINDOW_S)
-            - bisect.bisect_left(times, start))
-
-
-def retries_allowed(sent_at, start, slack):
-    """Return the second sends allowed in the window that begins at `start`.
-
-    They follow from the requests in that window, the one before or the one
-    half a window before, whichever has most.
-    """
-    offsets = (0, soak_plan.WINDOW_S / 2, soak_plan.WINDOW_S)
-    return soak_plan.RATIO * max(count_in_window(sent_at, start - s)
-                                 for s in offsets) + slack
-
-
 def is_failed(report):
     return (report["worst"]["over"] > 0 or report["sent_again"]
             < SECOND_SEND_SHARE_MIN * report["asked"])
--- a/tests/test_retry_budget.py
+++ b/tests/test_retry_budget.py
@@ -1,7 +1,6 @@
 """Tests of the fleet-wide retry budget with gateway processes and servers that
 refuse requests."""
 
-import bisect
 import collections
 import pathlib
 import random
@@ -12,32 +11,17 @@
 
 import test_gateway
 from gateway_fixtures import OpaqueServer, free_port, route
+from retry_rule import RetryRule
 from test_gateway import Caller, GatewayTest
 
 RATIO = 0.2
 SLACK_RETRIES = 24
 WINDOW_S = 10
-WINDOW_OFFSETS_S = (0, WINDOW_S / 2, WINDOW_S)
 CALL_INTERVAL_S = 0.4
 SERVERS = 6
 SEED = 3201
 
 
-def count_in_window(times, start):
-    return (bisect.bisect_left(times, start + WINDOW_S)
-            - bisect.bisect_left(times, start))
-
-
-def retries_allowed(sent_at, start):
-    """Return the retries allowed in the window that begins at `start`.
-
-    They follow from the requests in that window, the one before or the one
-    half a window before, whichever has most.
-    """
-    return RATIO * max(count_in_window(sent_at, start - s)
-                       for s in WINDOW_OFFSETS_S) + SLACK_RETRIES
-
-
 def repeated_arrivals(servers):
     """Return the times at which a service received a request again."""
     arrivals = collections.defaultdict(list)
@@ -123,16 +107,13 @@
     def check_budget(self):
         repeated = repeated_arrivals(self.servers)
         sent_at = sorted(self.sent_at)
-        worst = max(((count_in_window(repeated, at)
-                      - retries_allowed(sent_at, at), at)
-                     for at in repeated), default=(0, 0))
+        rule = RetryRule(RATIO, SLACK_RETRIES, WINDOW_S)
+        n, allowed, _ = rule.worst_window(repeated, sent_at) or (0, 0, 0)
         print(f"{len(sent_at)} requests, {len(repeated)} arrivals beyond the"
-              " first; worst window:"
-              f" {count_in_window(repeated, worst[1])} where"
-              f" {retries_allowed(sent_at, worst[1]):.1f} are allowed",
+              f" first; worst window: {n} where {allowed:.1f} are allowed",
               file=sys.stderr)
         self.assertGreater(len(repeated), len(sent_at) / 20)
-        self.assertLessEqual(worst[0], 0)
+        self.assertLessEqual(n, allowed)
 
     def test_rolling_restarts(self):
         """Guards against granting a full share of the slack at each restart."""
