--- a/delivery.c
+++ b/delivery.c
@@ -17,7 +17,7 @@
 /* The same if its entry is gone, most often because it has ended. */
 #define UNREAD_AGE_MAX_GONE MSEC(20000)
 
-enum delivery_end delivery_end_of(int code, bool not_run)
+enum delivery_outcome delivery_outcome_of(int code, bool not_run)
 {
 	switch (code) {
 	case 0:
@@ -76,7 +76,7 @@
 }
 
 void unread_sends_end(struct registry_server *server, struct delivery *delivery,
-		      enum delivery_end end, int64_t sent_at, int64_t now)
+		      enum delivery_outcome end, int64_t sent_at, int64_t now)
 {
 	struct unread_send *send;
 
--- a/delivery.h
+++ b/delivery.h
@@ -15,19 +15,18 @@
 struct registry_server;
 
 /* What is known at the end of a send. */
-enum delivery_end {
-	DELIVERY_RECEIVED, /* the server received it, or closed the connection
-			    */
+enum delivery_outcome {
+	DELIVERY_RECEIVED, /* the server received it, or closed */
 	DELIVERY_UNSENT,   /* the server certainly will not receive it */
 	DELIVERY_UNKNOWN,  /* the server may still receive it */
 };
 
 /**
- * delivery_end_of() - what the result of a send shows
+ * delivery_outcome_of() - what the result of a send shows
  * @code: as in struct exchange_result
  * @not_run: the server certainly did not run the request
  */
-enum delivery_end delivery_end_of(int code, bool not_run);
+enum delivery_outcome delivery_outcome_of(int code, bool not_run);
 
 /**
  * delivery_unread() - number of second sends that servers may still receive
@@ -99,7 +98,7 @@
  * @now: microseconds
  */
 void unread_sends_end(struct registry_server *server, struct delivery *delivery,
-		      enum delivery_end end, int64_t sent_at, int64_t now);
+		      enum delivery_outcome end, int64_t sent_at, int64_t now);
 
 /**
  * unread_sends_answered() - end sends that a server must have received, as it
--- a/dispatch.h
+++ b/dispatch.h
@@ -122,7 +122,7 @@
 	struct str stamp;
 	struct str body;
 	int64_t took;
-	enum delivery_end delivery;
+	enum delivery_outcome delivery;
 };
 
 enum dispatch_outcome {
--- a/gateway_send.c
+++ b/gateway_send.c
@@ -94,7 +94,7 @@
 		.not_run = result->not_run,
 		.stamp = result->stamp,
 		.took = result->took,
-		.delivery = delivery_end_of(result->code, result->not_run),
+		.delivery = delivery_outcome_of(result->code, result->not_run),
 	};
 	int status;
 
--- a/relay_ask.c
+++ b/relay_ask.c
@@ -74,7 +74,7 @@
 }
 
 void relay_send_end(struct relay_send *relayed, enum server_result result,
-		    enum delivery_end end, int64_t took)
+		    enum delivery_outcome end, int64_t took)
 {
 	int64_t now = clock_now(relayed->batch->relay->board->clock);
 
--- a/relay_ask_private.h
+++ b/relay_ask_private.h
@@ -91,7 +91,7 @@
  * @took: microseconds, for SERVER_ANSWERED and SERVER_SILENT
  */
 void relay_send_end(struct relay_send *relayed, enum server_result result,
-		    enum delivery_end end, int64_t took);
+		    enum delivery_outcome end, int64_t took);
 
 /**
  * relay_batch_free() - free a batch; sends that have not ended are dropped
--- a/relay_result.c
+++ b/relay_result.c
@@ -109,7 +109,7 @@
 		.stamp = str_from(done->stamp),
 		.body = records,
 		.took = took + times.queue,
-		.delivery = delivery_end_of(done->code, done->not_run),
+		.delivery = delivery_outcome_of(done->code, done->not_run),
 	};
 
 	if (relayed->ended)
--- a/tests/test_delivery.c
+++ b/tests/test_delivery.c
@@ -152,13 +152,13 @@
 /* Guards against results that are taken for a sign of the server. */
 static void test_ends(void)
 {
-	CU_ASSERT(delivery_end_of(0, false) == DELIVERY_RECEIVED);
-	CU_ASSERT(delivery_end_of(ERR_SHED, true) == DELIVERY_RECEIVED);
-	CU_ASSERT(delivery_end_of(ERR_SILENT, false) == DELIVERY_UNKNOWN);
-	CU_ASSERT(delivery_end_of(ERR_TOO_LATE, false) == DELIVERY_UNKNOWN);
-	CU_ASSERT(delivery_end_of(ERR_TOO_LATE, true) == DELIVERY_UNSENT);
-	CU_ASSERT(delivery_end_of(ERR_CONNECT, true) == DELIVERY_UNSENT);
-	CU_ASSERT(delivery_end_of(ERR_CANCELLED, true) == DELIVERY_UNSENT);
+	CU_ASSERT(delivery_outcome_of(0, false) == DELIVERY_RECEIVED);
+	CU_ASSERT(delivery_outcome_of(ERR_SHED, true) == DELIVERY_RECEIVED);
+	CU_ASSERT(delivery_outcome_of(ERR_SILENT, false) == DELIVERY_UNKNOWN);
+	CU_ASSERT(delivery_outcome_of(ERR_TOO_LATE, false) == DELIVERY_UNKNOWN);
+	CU_ASSERT(delivery_outcome_of(ERR_TOO_LATE, true) == DELIVERY_UNSENT);
+	CU_ASSERT(delivery_outcome_of(ERR_CONNECT, true) == DELIVERY_UNSENT);
+	CU_ASSERT(delivery_outcome_of(ERR_CANCELLED, true) == DELIVERY_UNSENT);
 }
 
 static const struct unit_test tests[] = {
--- a/upstream.c
+++ b/upstream.c
@@ -93,7 +93,7 @@
 	if (result->message)
 		unread_sends_answered(conn->server, exchange->sent_at, now);
 	unread_sends_end(conn->server, exchange->delivery,
-			 delivery_end_of(result->code, result->not_run),
+			 delivery_outcome_of(result->code, result->not_run),
 			 exchange->sent_at, now);
 	exchange->delivery = NULL;
 }
@@ -147,7 +147,8 @@
 		result.code = code == ERR_TOO_LATE ? code : ERR_CONNECT;
 		result.not_run = true;
 	}
-	if (delivery_end_of(result.code, result.not_run) == DELIVERY_UNKNOWN)
+	if (delivery_outcome_of(result.code, result.not_run) ==
+	    DELIVERY_UNKNOWN)
 		drop_undelivered(conn);
 	end_exchange(conn, &result);
 	free_conn(conn);
