--- a/bench/soak.py
+++ b/bench/soak.py
@@ -42,6 +42,8 @@
 TROUBLE_S = 22
 CALM_S = 3
 RESTART_S = 0.2
+INSTANCES_MAX = 8
+RUNS_MAX = 30
 # An instance and its successor run beside each other for so long.
 BESIDE_S = 2
 SPEEDS = (0.8, 1.0, 1.3)
@@ -163,6 +165,8 @@
         self.hosts = plan_hosts(self.deployment, self.directory)
         self.routes, self.config_routes = plan_routes(self.deployment)
         self.config_version = 0
+        # Runs beside each other, in processes of near ids, share no address.
+        self.first_number = INSTANCES_MAX * (os.getpid() % RUNS_MAX)
         self.peer_port = free_port()
         self.gateways = []
         self.directories = []
@@ -204,9 +208,10 @@
     def start_gateway(self, number):
         centres = [dc for dc, n in self.deployment.instances for _ in range(n)]
         gateway = Gateway(
-            self.options.build, self.directory, self.store, number,
-            self.peer_port,
-            seeds=[f"127.0.0.{10 + i}:{self.peer_port}" for i in (0, 1)],
+            self.options.build, self.directory, self.store,
+            self.first_number + number, self.peer_port,
+            seeds=[f"127.0.0.{10 + self.first_number + i}:{self.peer_port}"
+                   for i in (0, 1)],
             data_centre=centres[number], retry_ratio=soak_plan.RATIO,
             retry_slack=self.deployment.slack,
             retry_window_s=soak_plan.WINDOW_S, log_level="info",
