--- a/scripts/regression.sh
+++ b/scripts/regression.sh
@@ -1,7 +1,8 @@
 #!/bin/sh
 # Regression run before a merge, on the users' bench, which is not part of this
 # repository. Scores each deployment and searches days for broken rules: 40 days
-# each, 8 where a day takes minutes.
+# each, 8 where a day takes minutes. The exit status is 1 if a deployment was not
+# played, failed its gate or broke a rule.
 # usage: regression.sh BENCH SYSTEM_FOLDER [JOBS]
 set -eu
 bench=$1
@@ -20,8 +21,13 @@
 8 grown/despac-garnet-grown
 8 shifted/rhh-search-now-grown"
 
+# Return: whether the output of a command has a line, and no broken rule.
+passed() {
+	grep -q "$1" "$2" && ! grep -q BROKEN "$2"
+}
+
 status=0
-echo "$deployments" | while read -r days site; do
+while read -r days site; do
 	name=$(basename "$site")
 	echo "== $name"
 	"$bench" score "$system/$site.toml" --jobs "$jobs" \
@@ -31,6 +37,10 @@
 	"$bench" hunt "$system/$site.toml" --days "$days" --jobs "$jobs" \
 		--why "regression run" </dev/null >"$out/hunt-$name.txt" 2>&1
 	tail -n 3 "$out/hunt-$name.txt"
-done
+	passed "GATE passed" "$out/score-$name.txt" || status=1
+	passed ", 0 with a rule broken" "$out/hunt-$name.txt" || status=1
+done <<EOF
+$deployments
+EOF
 sh "$(dirname "$0")/replay-seeds.sh" "$bench" "$system/sites" || status=1
 exit $status
