home: log by what evidence a server is held for crashed

A caller's search was answered 503 no_slot where half of the data was due, and no line said why: neither what made the search a suspect nor what it waited for.

lost_jobs_judged says by what evidence lost jobs are held for a crash or not; suspect_held names the run that keeps a suspect from running, how long it has run and whether it was given up. Nothing is decided differently.

--- a/home.c
+++ b/home.c
@@ -235,6 +235,33 @@
 			    query->run || query->message->watched);
 }
 
+/* Names the run that keeps a suspect from running. */
+static void log_held_suspect(const struct home *home,
+			     const struct home_job *job)
+{
+	const struct home_query *query = job->query;
+	const struct poison_run *run =
+		poison_blocking_run(&home->board->poison,
+				    query->message->fingerprint,
+				    str_from(job->server->name));
+	const struct home_job *other;
+
+	if (!run)
+		return;
+	other = (const struct home_job *)((const char *)run -
+					  offsetof(struct home_job, poison));
+	LOG_INFO("suspect_held",
+		 LOG_TEXT("request", query->message->request_id),
+		 LOG_U64("fingerprint", query->message->fingerprint),
+		 LOG_TEXT("server", job->server->name),
+		 LOG_TEXT("runs_on", other->server->name),
+		 LOG_TEXT("by", other->query->message->request_id),
+		 LOG_I64("for_ms",
+			 (clock_now(home->board->clock) - other->started_at) /
+				 USEC_PER_MSEC),
+		 LOG_U64("given_up", other->is_given_up));
+}
+
 static void start_job(struct home_job *job)
 {
 	struct home *home = job->query->home;
@@ -242,6 +269,8 @@
 
 	count_dequeued(job);
 	ret = begin_poison(home, job);
+	if (ret == ERR_NO_SLOT)
+		log_held_suspect(home, job);
 	if (ret) {
 		finish_job(job, ret);
 		return;
@@ -423,6 +452,7 @@
 		dequeue(job);
 		finish_job(job, code);
 	} else if (job->state == HOME_JOB_RUNNING && may_cancel(job)) {
+		job->is_given_up = true;
 		home->ops->cancel(home->arg, job);
 	}
 }
--- a/home.h
+++ b/home.h
@@ -56,6 +56,7 @@
  * @silent_at: when its connection is considered dead and closed; INT64_MAX for
  * never
  * @is_late: @late_at has passed
+ * @is_given_up: it was cancelled while it ran; its server may still work on it
  * @late_unreported: it is late and the entry was not told yet
  * @code: 0 or an error
  * @sent: bytes may have reached the server
@@ -79,6 +80,7 @@
 	int64_t late_at;
 	int64_t silent_at;
 	bool is_late;
+	bool is_given_up;
 	bool late_unreported;
 	int code;
 	bool sent;
--- a/home_net.c
+++ b/home_net.c
@@ -43,6 +43,7 @@
  * @n_lost: entries in @lost_jobs
  * @cap_lost: allocated entries of @lost_jobs
  * @lost_timer: ends that delay, or the wait for the probe
+ * @lost_at: when the first of @lost_jobs broke, microseconds
  * @probing: a probe for whether the server accepts connections is running
  */
 struct server_link {
@@ -62,6 +63,7 @@
 	int n_lost;
 	int cap_lost;
 	struct event *lost_timer;
+	int64_t lost_at;
 	bool probing;
 };
 
@@ -303,13 +305,28 @@
 	tick_and_rearm(arg);
 }
 
-static void report_lost_jobs(struct server_link *link, bool crashed)
+static void log_verdict(const struct server_link *link, bool crashed,
+			const char *evidence)
+{
+	LOG_INFO("lost_jobs_judged", LOG_TEXT("server", link->server->name),
+		 LOG_U64("crashed", crashed), LOG_TEXT("evidence", evidence),
+		 LOG_U64("connected",
+			 !server_pool_is_disconnected(&link->pool)),
+		 LOG_I64("after_ms",
+			 (clock_now(link->net->board->clock) - link->lost_at) /
+				 USEC_PER_MSEC),
+		 LOG_I64("jobs", link->n_lost));
+}
+
+static void report_lost_jobs(struct server_link *link, bool crashed,
+			     const char *evidence)
 {
 	struct home_net *net = link->net;
 	struct str none = {NULL, 0};
 	int n = link->n_lost;
 	int i;
 
+	log_verdict(link, crashed, evidence);
 	link->probing = false;
 	evtimer_del(link->lost_timer);
 	if (crashed)
@@ -326,7 +343,8 @@
 	struct server_link *link = arg;
 
 	if (link->probing)
-		report_lost_jobs(link, reply->code == ERR_CONNECT);
+		report_lost_jobs(link, reply->code == ERR_CONNECT,
+				 error_name(reply->code));
 }
 
 /*
@@ -345,8 +363,12 @@
 
 	(void)fd;
 	(void)what;
-	if (link->probing || !server_pool_is_disconnected(&link->pool)) {
-		report_lost_jobs(link, link->probing);
+	if (link->probing) {
+		report_lost_jobs(link, true, "silent");
+		return;
+	}
+	if (!server_pool_is_disconnected(&link->pool)) {
+		report_lost_jobs(link, false, "other_connection");
 		return;
 	}
 	link->probing = true;
@@ -354,7 +376,7 @@
 	ret = server_pool_get(&link->pool, "/v1/holdings", NULL, on_probe,
 			      link);
 	if (ret)
-		report_lost_jobs(link, ret == ERR_CONNECT);
+		report_lost_jobs(link, ret == ERR_CONNECT, "not_probed");
 }
 
 /* Return: whether the job is kept to be reported later as lost. */
@@ -367,6 +389,8 @@
 	if (code != ERR_LOST || !sent || !job->query->message->fingerprint)
 		return false;
 	MEM_GROW(link->lost_jobs, link->n_lost, link->cap_lost);
+	if (!link->n_lost)
+		link->lost_at = clock_now(link->net->board->clock);
 	link->lost_jobs[link->n_lost++] = job;
 	job->handle = NULL;
 	if (!evtimer_pending(link->lost_timer, NULL))
--- a/poison.c
+++ b/poison.c
@@ -340,20 +340,21 @@
  * A crash can be attributed to a suspect only if no other one runs on the same
  * server, and a suspect running on two servers could crash both.
  */
-static bool may_run_suspect(const struct poison *poison, uint64_t hash,
-			    uint64_t server_name)
+const struct poison_run *poison_blocking_run(const struct poison *poison,
+					     uint64_t hash, struct str server)
 {
-	const struct poison_server *server;
+	const struct poison_server *other;
 	const struct poison_run *run;
+	uint64_t name = str_hash(server);
 
-	for (server = poison->servers; server; server = server->hh.next) {
-		DL_FOREACH (server->runs, run) {
+	for (other = poison->servers; other; other = other->hh.next) {
+		DL_FOREACH (other->runs, run) {
 			if (run->hash == hash ||
-			    (run->suspect && server->name == server_name))
-				return false;
+			    (run->suspect && other->name == name))
+				return run;
 		}
 	}
-	return true;
+	return NULL;
 }
 
 int poison_begin(struct poison *poison, struct poison_run *run, uint64_t hash,
@@ -367,7 +368,7 @@
 	if (entry && !watched && !poison->no_canaries)
 		return ERR_SHED;
 	if (entry && !poison->no_canaries &&
-	    !may_run_suspect(poison, hash, name))
+	    poison_blocking_run(poison, hash, server))
 		return ERR_NO_SLOT;
 	run->hash = hash;
 	run->replica_set = str_hash(replica_set);
--- a/poison.h
+++ b/poison.h
@@ -248,6 +248,17 @@
 int poison_begin(struct poison *poison, struct poison_run *run, uint64_t hash,
 		 struct str server, struct str replica_set, bool watched);
 
+/**
+ * poison_blocking_run() - find the run that a suspect has to wait for
+ * @poison: state of this instance
+ * @hash: fingerprint of the suspect
+ * @server: name of the server that it is to run on
+ *
+ * Return: the run because of which poison_begin() returns ERR_NO_SLOT, or NULL.
+ */
+const struct poison_run *poison_blocking_run(const struct poison *poison,
+					     uint64_t hash, struct str server);
+
 /**
  * poison_end() - a request ended without a crash of its server
  * @poison: state of this instance
