crash_check: hold a server for crashed only if it takes no connection

What callers saw: 503 no_slot (not run), three to five in a row, or 504, where the half of the data on another, sound server was due.

Cause: when all connections of a server broke, a home sent it a request for its holdings. If no answer came within 50 ms the server was held for crashed, and what ran there became a suspect. A server that closes connections and is slow answers later than that.

Now only a new connection is asked for: accepted, the server lives; refused, or not answered within 50 ms as when its machine is gone, it has crashed, as before. Where none can be tried (no descriptors, ports or share of connections) nobody is blamed; a lack of descriptors or ports here counted as a crash there.

The decision is crash_check, on the runtime's clock and without I/O; lost_jobs is the rest of it, moved out of home_net.

--- /dev/null
+++ b/crash_check.c
@@ -0,0 +1,84 @@
+#include "crash_check.h"
+
+#include <string.h>
+
+const char *crash_evidence_name(enum crash_evidence evidence)
+{
+	static const char *const names[] = {
+		[CRASH_EVIDENCE_OTHER_CONNECTION] = "other_connection",
+		[CRASH_EVIDENCE_LISTENS] = "listens",
+		[CRASH_EVIDENCE_REFUSED] = "refused",
+		[CRASH_EVIDENCE_UNREACHED] = "unreached",
+		[CRASH_EVIDENCE_UNKNOWN] = "unknown",
+	};
+
+	return names[evidence];
+}
+
+/*
+ * A machine that is gone counts: what crashed may have taken its address with
+ * it.
+ */
+bool crash_evidence_is_crash(enum crash_evidence evidence)
+{
+	return evidence == CRASH_EVIDENCE_REFUSED ||
+	       evidence == CRASH_EVIDENCE_UNREACHED;
+}
+
+void crash_check_init(struct crash_check *check, const struct clock *clock,
+		      const struct crash_check_ops *ops, void *arg)
+{
+	memset(check, 0, sizeof(*check));
+	check->clock = clock;
+	check->ops = ops;
+	check->arg = arg;
+	check->wake_at = INT64_MAX;
+}
+
+void crash_check_start(struct crash_check *check)
+{
+	if (check->state != CRASH_CHECK_IDLE)
+		return;
+	check->state = CRASH_CHECK_DELAYED;
+	check->started_at = clock_now(check->clock);
+	check->wake_at = check->started_at + CRASH_CHECK_DELAY;
+}
+
+static void judge(struct crash_check *check, enum crash_evidence evidence)
+{
+	check->state = CRASH_CHECK_IDLE;
+	check->wake_at = INT64_MAX;
+	check->ops->judged(check->arg, evidence);
+}
+
+static void probe(struct crash_check *check)
+{
+	if (check->ops->is_connected(check->arg)) {
+		judge(check, CRASH_EVIDENCE_OTHER_CONNECTION);
+		return;
+	}
+	if (check->ops->probe(check->arg)) {
+		judge(check, CRASH_EVIDENCE_UNKNOWN);
+		return;
+	}
+	check->state = CRASH_CHECK_PROBING;
+	check->wake_at = clock_now(check->clock) + CRASH_CHECK_PROBE_TIMEOUT;
+}
+
+void crash_check_probed(struct crash_check *check, enum crash_evidence evidence)
+{
+	if (check->state == CRASH_CHECK_PROBING)
+		judge(check, evidence);
+}
+
+void crash_check_tick(struct crash_check *check)
+{
+	if (clock_now(check->clock) < check->wake_at)
+		return;
+	if (check->state == CRASH_CHECK_DELAYED)
+		probe(check);
+	else if (check->ops->is_connected(check->arg))
+		judge(check, CRASH_EVIDENCE_OTHER_CONNECTION);
+	else
+		judge(check, CRASH_EVIDENCE_UNREACHED);
+}
--- /dev/null
+++ b/crash_check.h
@@ -0,0 +1,114 @@
+/*
+ * Decides whether a backend server whose connections broke has crashed. The
+ * module does no I/O: its owner probes the server and passes in what it met.
+ *
+ * Only a server at which nobody listens is held for crashed. One that accepts a
+ * connection is alive, however long it takes to answer.
+ */
+#ifndef CRASH_CHECK_H
+#define CRASH_CHECK_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "clock.h"
+
+/* Time for the other connections of a crashed server to break, too. */
+#define CRASH_CHECK_DELAY MSEC(3)
+/* A server that accepts connections does so within a round trip. */
+#define CRASH_CHECK_PROBE_TIMEOUT MSEC(50)
+
+/**
+ * enum crash_evidence - what is known of a server whose connections broke
+ * @CRASH_EVIDENCE_OTHER_CONNECTION: another connection to it is still open
+ * @CRASH_EVIDENCE_LISTENS: it accepted a new connection
+ * @CRASH_EVIDENCE_REFUSED: its machine refused a new connection
+ * @CRASH_EVIDENCE_UNREACHED: its machine did not answer, or can't be reached
+ * @CRASH_EVIDENCE_UNKNOWN: it could not be probed, for want of a connection or
+ *	of resources of this machine
+ */
+enum crash_evidence {
+	CRASH_EVIDENCE_OTHER_CONNECTION,
+	CRASH_EVIDENCE_LISTENS,
+	CRASH_EVIDENCE_REFUSED,
+	CRASH_EVIDENCE_UNREACHED,
+	CRASH_EVIDENCE_UNKNOWN,
+};
+
+/**
+ * crash_evidence_name() - name for logs
+ */
+const char *crash_evidence_name(enum crash_evidence evidence);
+
+/**
+ * crash_evidence_is_crash() - whether the server is held for crashed
+ */
+bool crash_evidence_is_crash(enum crash_evidence evidence);
+
+/**
+ * struct crash_check_ops - I/O callbacks
+ * @is_connected: whether any connection to the server is open
+ * @probe: open a new connection and report to crash_check_probed(), not during
+ *	the call; returns 0, or a negative error if that isn't possible
+ * @judged: the check has ended; the probe, if one runs, is no longer needed
+ */
+struct crash_check_ops {
+	bool (*is_connected)(void *arg);
+	int (*probe)(void *arg);
+	void (*judged)(void *arg, enum crash_evidence evidence);
+};
+
+enum crash_check_state {
+	CRASH_CHECK_IDLE,
+	CRASH_CHECK_DELAYED,
+	CRASH_CHECK_PROBING,
+};
+
+/**
+ * struct crash_check - the check of one server
+ * @clock: borrowed
+ * @ops: borrowed, called with @arg
+ * @state: see enum crash_check_state
+ * @started_at: when the first connection broke, microseconds
+ * @wake_at: when crash_check_tick() is due, microseconds; INT64_MAX: not
+ */
+struct crash_check {
+	const struct clock *clock;
+	const struct crash_check_ops *ops;
+	void *arg;
+	enum crash_check_state state;
+	int64_t started_at;
+	int64_t wake_at;
+};
+
+/**
+ * crash_check_init() - set up without a check running
+ * @check: owned by the caller, needs no finish
+ * @clock: borrowed
+ * @ops: borrowed
+ * @arg: first argument of each callback
+ */
+void crash_check_init(struct crash_check *check, const struct clock *clock,
+		      const struct crash_check_ops *ops, void *arg);
+
+/**
+ * crash_check_start() - a connection broke while a request ran on it
+ * @check: nothing changes if it runs already
+ */
+void crash_check_start(struct crash_check *check);
+
+/**
+ * crash_check_probed() - the probe ended
+ * @check: nothing changes unless it waits for a probe
+ * @evidence: what the probe met
+ */
+void crash_check_probed(struct crash_check *check,
+			enum crash_evidence evidence);
+
+/**
+ * crash_check_tick() - go on with a check at its @wake_at
+ * @check: nothing changes before that time
+ */
+void crash_check_tick(struct crash_check *check);
+
+#endif
--- a/home_net.c
+++ b/home_net.c
@@ -10,14 +10,12 @@
 
 #include "catalog.h"
 #include "log.h"
+#include "lost_jobs.h"
 #include "mem.h"
 #include "run.h"
 #include "server_pool.h"
 #include "share.h"
 
-/* Time for the other connections of a crashed server to break, too. */
-#define LOST_REPORT_DELAY_MS 3
-#define PROBE_TIMEOUT_MS 50
 /* Consecutive failed requests for holdings. */
 #define UNREACHABLE_FAILURES 3
 #define ETAG_SIZE 40
@@ -39,12 +37,7 @@
  * @reachable: it answers requests for holdings: false at the start and after
  *	UNREACHABLE_FAILURES failures
  * @has_draining_answer: unused
- * @lost_jobs: jobs whose connections broke, reported after a delay, owned
- * @n_lost: entries in @lost_jobs
- * @cap_lost: allocated entries of @lost_jobs
- * @lost_timer: ends that delay, or the wait for the probe
- * @lost_at: when the first of @lost_jobs broke, microseconds
- * @probing: a probe for whether the server accepts connections is running
+ * @lost: jobs whose connections broke
  */
 struct server_link {
 	struct home_net *net;
@@ -59,12 +52,7 @@
 	bool request_pending;
 	bool reachable;
 	bool has_draining_answer;
-	struct home_job **lost_jobs;
-	int n_lost;
-	int cap_lost;
-	struct event *lost_timer;
-	int64_t lost_at;
-	bool probing;
+	struct lost_jobs lost;
 };
 
 static struct server_link *link_of(const struct home_server *server)
@@ -305,96 +293,13 @@
 	tick_and_rearm(arg);
 }
 
-static void log_verdict(const struct server_link *link, bool crashed,
-			const char *evidence)
-{
-	LOG_INFO("lost_jobs_judged", LOG_TEXT("server", link->server->name),
-		 LOG_U64("crashed", crashed), LOG_TEXT("evidence", evidence),
-		 LOG_U64("connected",
-			 !server_pool_is_disconnected(&link->pool)),
-		 LOG_I64("after_ms",
-			 (clock_now(link->net->board->clock) - link->lost_at) /
-				 USEC_PER_MSEC),
-		 LOG_I64("jobs", link->n_lost));
-}
-
-static void report_lost_jobs(struct server_link *link, bool crashed,
-			     const char *evidence)
-{
-	struct home_net *net = link->net;
-	struct str none = {NULL, 0};
-	int n = link->n_lost;
-	int i;
-
-	log_verdict(link, crashed, evidence);
-	link->probing = false;
-	evtimer_del(link->lost_timer);
-	if (crashed)
-		poison_server_lost(&net->board->poison,
-				   str_from(link->server->name));
-	link->n_lost = 0;
-	for (i = 0; i < n; i++)
-		home_job_done(&net->home, link->lost_jobs[i], ERR_LOST, true, 0,
-			      none);
-}
-
-static void on_probe(void *arg, const struct server_reply *reply)
-{
-	struct server_link *link = arg;
-
-	if (link->probing)
-		report_lost_jobs(link, reply->code == ERR_CONNECT,
-				 error_name(reply->code));
-}
-
-/*
- * A server has crashed if all its connections broke, one after the other, and
- * it refuses a new one; a server that only closed connections accepts it. The
- * requests that ran there are marked as suspects before they are reported as
- * lost: otherwise an entry could retry the one that caused the crash on the
- * next server before any instance knew of it.
- */
-static void on_lost_timer(evutil_socket_t fd, short what, void *arg)
-{
-	static const struct timeval most = {0,
-					    PROBE_TIMEOUT_MS * USEC_PER_MSEC};
-	struct server_link *link = arg;
-	int ret;
-
-	(void)fd;
-	(void)what;
-	if (link->probing) {
-		report_lost_jobs(link, true, "silent");
-		return;
-	}
-	if (!server_pool_is_disconnected(&link->pool)) {
-		report_lost_jobs(link, false, "other_connection");
-		return;
-	}
-	link->probing = true;
-	evtimer_add(link->lost_timer, &most);
-	ret = server_pool_get(&link->pool, "/v1/holdings", NULL, on_probe,
-			      link);
-	if (ret)
-		report_lost_jobs(link, ret == ERR_CONNECT, "not_probed");
-}
-
 /* Return: whether the job is kept to be reported later as lost. */
 static bool delay_lost_job(struct home_job *job, int code, bool sent)
 {
-	static const struct timeval moment = {0, LOST_REPORT_DELAY_MS *
-							 USEC_PER_MSEC};
-	struct server_link *link = link_of(job->server);
-
 	if (code != ERR_LOST || !sent || !job->query->message->fingerprint)
 		return false;
-	MEM_GROW(link->lost_jobs, link->n_lost, link->cap_lost);
-	if (!link->n_lost)
-		link->lost_at = clock_now(link->net->board->clock);
-	link->lost_jobs[link->n_lost++] = job;
 	job->handle = NULL;
-	if (!evtimer_pending(link->lost_timer, NULL))
-		evtimer_add(link->lost_timer, &moment);
+	lost_jobs_add(&link_of(job->server)->lost, job);
 	return true;
 }
 
@@ -753,7 +658,7 @@
 	str_copy(server->service, sizeof(server->service),
 		 str_from(row->service));
 	server_pool_init(&link->pool, net->board, &row->address, connections);
-	link->lost_timer = evtimer_new(net->board->base, on_lost_timer, link);
+	lost_jobs_init(&link->lost, &net->home, server, &link->pool);
 	return server;
 }
 
@@ -801,8 +706,7 @@
 	server_pool_finish(&link->pool);
 	if (link->holdings)
 		backend__holdings__free_unpacked(link->holdings, NULL);
-	event_free(link->lost_timer);
-	free(link->lost_jobs);
+	lost_jobs_finish(&link->lost);
 	free(link);
 	home_remove_server(&net->home, server);
 }
@@ -911,8 +815,7 @@
 		server_pool_finish(&link->pool);
 		if (link->holdings)
 			backend__holdings__free_unpacked(link->holdings, NULL);
-		event_free(link->lost_timer);
-		free(link->lost_jobs);
+		lost_jobs_finish(&link->lost);
 		free(link);
 	}
 	home_finish(&net->home);
--- a/server_pool.c
+++ b/server_pool.c
@@ -121,6 +121,7 @@
 	struct server_conn *conn;
 	struct server_conn *next;
 
+	server_pool_end_probe(pool);
 	DL_FOREACH_SAFE (pool->conns, conn, next) {
 		conn->done = NULL;
 		conn->state = CONN_DEAD;
@@ -477,6 +478,42 @@
 	return true;
 }
 
+static void on_probed(void *arg, enum crash_evidence evidence)
+{
+	struct server_pool *pool = arg;
+
+	server_pool_end_probe(pool);
+	pool->probe_done(pool->probe_arg, evidence);
+}
+
+int server_pool_probe(struct server_pool *pool, server_probe_cb done, void *arg)
+{
+	struct server_conn *place = acquire_conn(pool);
+	int ret;
+
+	if (!place)
+		return ERR_NO_SLOT;
+	ret = server_probe_start(&pool->probe, pool->board->base,
+				 &pool->address, on_probed, pool);
+	if (ret)
+		return ret;
+	place->state = CONN_BUSY;
+	pool->probe_place = place;
+	pool->probe_done = done;
+	pool->probe_arg = arg;
+	return 0;
+}
+
+void server_pool_end_probe(struct server_pool *pool)
+{
+	if (!pool->probe_place)
+		return;
+	server_probe_finish(&pool->probe);
+	pool->probe_place->state = CONN_IDLE;
+	pool->probe_place = NULL;
+	schedule_reap(pool);
+}
+
 static void ignore_reply(void *arg, const struct server_reply *reply)
 {
 	(void)arg;
--- a/server_pool.h
+++ b/server_pool.h
@@ -11,6 +11,7 @@
 #include "address.h"
 #include "backend.pb-c.h"
 #include "blackboard.h"
+#include "server_probe.h"
 
 struct evbuffer;
 struct event;
@@ -45,6 +46,11 @@
  * @n_conns: number of @conns
  * @max: share of the server's connections; idle ones above it are closed
  * @reaper: event that frees connections
+ * @probe: see server_pool_probe()
+ * @probe_place: in @conns, keeps the place of the connection that @probe opens;
+ *	NULL if none runs
+ * @probe_done: callback of @probe
+ * @probe_arg: passed to @probe_done
  */
 struct server_pool {
 	struct blackboard *board;
@@ -54,6 +60,10 @@
 	uint32_t n_conns;
 	uint32_t max;
 	struct event *reaper;
+	struct server_probe probe;
+	struct server_conn *probe_place;
+	server_probe_cb probe_done;
+	void *probe_arg;
 };
 
 void server_pool_init(struct server_pool *pool, struct blackboard *board,
@@ -102,6 +112,26 @@
  */
 bool server_pool_is_disconnected(const struct server_pool *pool);
 
+/**
+ * server_pool_probe() - see whether the server accepts a connection
+ * @pool: the pool; no probe is running
+ * @done: called with what was met, see server_probe_start()
+ * @arg: passed to @done
+ *
+ * The connection counts towards the share until it is closed, before @done.
+ *
+ * Return: 0, and @done is called, but not during this call; or ERR_NO_SLOT if
+ * no connection is free, ERR_SYSTEM if none can be made.
+ */
+int server_pool_probe(struct server_pool *pool, server_probe_cb done,
+		      void *arg);
+
+/**
+ * server_pool_end_probe() - end a probe, if one runs, without calling back
+ * @pool: the pool
+ */
+void server_pool_end_probe(struct server_pool *pool);
+
 /**
  * server_pool_abandon() - abandon a request in progress
  * @pool: the pool
--- /dev/null
+++ b/server_probe.c
@@ -0,0 +1,73 @@
+#include "server_probe.h"
+
+#include <errno.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <event2/event.h>
+
+#include "error.h"
+
+static enum crash_evidence evidence_of(int error)
+{
+	switch (error) {
+	case 0:
+	/* It was accepted, then reset. */
+	case ECONNRESET:
+		return CRASH_EVIDENCE_LISTENS;
+	case ECONNREFUSED:
+		return CRASH_EVIDENCE_REFUSED;
+	case EHOSTUNREACH:
+	case ETIMEDOUT:
+		return CRASH_EVIDENCE_UNREACHED;
+	default:
+		return CRASH_EVIDENCE_UNKNOWN;
+	}
+}
+
+static void on_connected(evutil_socket_t fd, short what, void *arg)
+{
+	struct server_probe *probe = arg;
+	int error = probe->error;
+	socklen_t len = sizeof(error);
+
+	(void)what;
+	if (!error && getsockopt(fd, SOL_SOCKET, SO_ERROR, &error, &len))
+		error = errno;
+	server_probe_finish(probe);
+	probe->done(probe->arg, evidence_of(error));
+}
+
+int server_probe_start(struct server_probe *probe, struct event_base *base,
+		       const struct address *address, server_probe_cb done,
+		       void *arg)
+{
+	struct sockaddr_in sin = address_sockaddr(address);
+
+	probe->done = done;
+	probe->arg = arg;
+	probe->error = 0;
+	probe->fd =
+		socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	if (probe->fd < 0)
+		return ERR_SYSTEM;
+	if (connect(probe->fd, (struct sockaddr *)&sin, sizeof(sin)) &&
+	    errno != EINPROGRESS)
+		probe->error = errno;
+	probe->event =
+		event_new(base, probe->fd, EV_WRITE, on_connected, probe);
+	if (probe->error)
+		event_active(probe->event, EV_WRITE, 1);
+	else
+		event_add(probe->event, NULL);
+	return 0;
+}
+
+void server_probe_finish(struct server_probe *probe)
+{
+	if (!probe->event)
+		return;
+	event_free(probe->event);
+	probe->event = NULL;
+	close(probe->fd);
+}
--- /dev/null
+++ b/tests/test_slow_servers.py
@@ -0,0 +1,120 @@
+"""Backend servers that are slow: what they must not cost callers.
+
+usage: test_slow_servers.py BUILD [--seeds FIRST-LAST] [unittest options]
+
+Delays are drawn from the seed and the name of the case. CI plays the default
+seeds; more are played by hand.
+"""
+
+import argparse
+import pathlib
+import random
+import sys
+import threading
+import time
+import unittest
+
+TESTS_DIR = pathlib.Path(__file__).resolve().parent
+sys.path.insert(0, str(TESTS_DIR))
+sys.path.insert(0, str(TESTS_DIR.parent / "bench"))
+
+import experiment  # noqa: E402
+import test_bad_input as bad_input  # noqa: E402
+from fake_server import FakeServer  # noqa: E402
+
+DEFAULT_SEEDS = (9, 21)
+SEEDS = DEFAULT_SEEDS
+SERVICE = bad_input.SERVICE
+
+HOLDINGS_DELAY_MAX_S = 0.12
+SEARCH_DELAYS_S = (0, 0.02, 0.7)
+SEARCH_DEADLINE_MS = 600
+
+
+class Delays:
+    """Delays of one server in one case, the same for the same seed."""
+
+    def __init__(self, seed, case):
+        self.random = random.Random(f"{seed}/{case}")
+        self.lock = threading.Lock()
+
+    def sleep_before_holdings(self):
+        with self.lock:
+            slow = self.random.random() < 0.5
+            delay = self.random.uniform(0, HOLDINGS_DELAY_MAX_S)
+        if slow:
+            time.sleep(delay)
+
+    def sleep_before_search(self):
+        with self.lock:
+            most = self.random.choice(SEARCH_DELAYS_S)
+            delay = self.random.uniform(0, most) if most > 0.1 else most
+        time.sleep(delay)
+
+    def wrap_holdings(self, server, body):
+        self.sleep_before_holdings()
+        return FakeServer.valid_holdings(server, body)
+
+    def wrap_search(self, search):
+        def delayed(server, body):
+            self.sleep_before_search()
+            return search(server, body)
+
+        return delayed
+
+
+class SlowServers(bad_input.InstanceTest):
+    def start_halves(self, **options):
+        """Start a server for each half of the data, and an instance."""
+        bad = self.server("b1", shard_indexes=[0])
+        good = self.server("b2", shard_indexes=[1])
+        instance = self.start(bad, good, **options)
+        self.wait_full_coverage(instance)
+        return bad, good, instance
+
+    def check_other_half(self, status, answer):
+        """Check that the answer has the half of b2, and lists that of b1."""
+        self.assertEqual(status, 200, answer)
+        self.assertEqual(answer["count"], 1, answer)
+        self.assertEqual(answer["coverage"]["covered"], 10, answer)
+        missing = answer["coverage"]["missing"]
+        self.assertEqual([m["lo"] for m in missing], [0])
+        self.assertTrue(missing[0]["reason"])
+
+    def play_slow_wrong_answers(self, seed):
+        bad, _, instance = self.start_halves()
+        for name, search in bad_input.WRONG_ANSWERS.items():
+            with self.subTest(name, seed=seed):
+                delays = Delays(seed, name)
+                bad.close_after = name in bad_input.ENDED_BY_CLOSE
+                bad.holdings = delays.wrap_holdings
+                bad.search = delays.wrap_search(search)
+                self.check_other_half(*instance.search(
+                    {"service": SERVICE, "deadline_ms": SEARCH_DEADLINE_MS}
+                ))
+            bad.holdings = FakeServer.valid_holdings
+            bad.search = FakeServer.valid_search
+            bad.close_after = False
+
+    def test_slow_is_not_crashed(self):
+        """Guards against a slow server being taken for a crashed one, which
+        costs callers the half of the data that is whole."""
+        for seed in SEEDS:
+            self.play_slow_wrong_answers(seed)
+
+
+def main():
+    global SEEDS
+    parser = argparse.ArgumentParser()
+    parser.add_argument("build")
+    parser.add_argument("--seeds", help="FIRST-LAST")
+    options, rest = parser.parse_known_args()
+    if options.seeds:
+        first, _, last = options.seeds.partition("-")
+        SEEDS = range(int(first), int(last or first) + 1)
+    bad_input.BUILD = options.build
+    unittest.main(argv=[sys.argv[0], *rest], verbosity=2)
+
+
+if __name__ == "__main__":
+    main()
