poison: end the trial of a suspect at a server that does not answer

What callers saw: a search that had lost a server, for a good reason, got 504 at its deadline and then 503 no_slot (not run) though half of the data lay on a server that nobody doubts.

Cause: a search that is a suspect asks one server at a time and waited for each to the end, and its home refused it elsewhere as long as any run of it was registered, those given up included. One slow server took the time of the search, and the next searches were refused for 250 ms more. Within a search the server that had failed it was picked again before the others.

Now a suspect is on trial on a server for twice as long as it had run where it crashed one, 50 ms at least, and for half of its time at most; then the next server is asked and the first may still answer. Reports carry that time. Runs of a suspect may share a server, and servers that failed a search come last. A consistent crasher falls within its trial, so that no more servers are lost.

A crash that two runs of one search share counts once, whatever the clock reads.

--- a/crash_watch.c
+++ b/crash_watch.c
@@ -15,7 +15,8 @@
 	char life[REGISTRY_INCARNATION_SIZE];
 	struct str name = registry_incarnation(server, life);
 
-	if (poison_begin(poison, &watch->run, fingerprint, name, name, false)) {
+	if (poison_begin(poison, &watch->run, fingerprint, name, name, false,
+			 INT64_MAX)) {
 		free(watch);
 		return NULL;
 	}
--- a/home.c
+++ b/home.c
@@ -221,6 +221,11 @@
 	return row < 0 ? STR("") : str_from(table->servers[row].replica_set);
 }
 
+static int64_t time_left(const struct home_query *query)
+{
+	return query->deadline_at - clock_now(query->home->board->clock);
+}
+
 /* A non-repeatable request runs on one server only, so it counts as watched. */
 static int begin_poison(struct home *home, struct home_job *job)
 {
@@ -232,7 +237,8 @@
 			    query->message->fingerprint,
 			    str_from(job->server->name),
 			    replica_set_of(home, job->server),
-			    query->run || query->message->watched);
+			    query->run || query->message->watched,
+			    time_left(query));
 }
 
 /* Names the run that keeps a suspect from running. */
@@ -243,7 +249,8 @@
 	const struct poison_run *run =
 		poison_blocking_run(&home->board->poison,
 				    query->message->fingerprint,
-				    str_from(job->server->name));
+				    str_from(job->server->name),
+				    time_left(query));
 	const struct home_job *other;
 
 	if (!run)
--- a/peer.pb-c.c
+++ b/peer.pb-c.c
@@ -4253,7 +4253,7 @@
   (ProtobufCMessageInit) peer__view_state__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__fingerprint__field_descriptors[7] =
+static const ProtobufCFieldDescriptor peer__fingerprint__field_descriptors[8] =
 {
   {
     "hash",
@@ -4339,12 +4339,25 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "ran_ms",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Fingerprint, ran_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__fingerprint__field_indices_by_name[] = {
   3,   /* field[3] = banned */
   1,   /* field[1] = crashes */
   2,   /* field[2] = expires_ms */
   0,   /* field[0] = hash */
+  7,   /* field[7] = ran_ms */
   5,   /* field[5] = replica_set */
   4,   /* field[4] = servers */
   6,   /* field[6] = was_safe */
@@ -4352,7 +4365,7 @@
 static const ProtobufCIntRange peer__fingerprint__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor peer__fingerprint__descriptor =
 {
@@ -4362,7 +4375,7 @@
   "Peer__Fingerprint",
   "peer",
   sizeof(Peer__Fingerprint),
-  7,
+  8,
   peer__fingerprint__field_descriptors,
   peer__fingerprint__field_indices_by_name,
   1,  peer__fingerprint__number_ranges,
--- a/peer.pb-c.h
+++ b/peer.pb-c.h
@@ -624,10 +624,14 @@
    * ran well before it was lost with a server among others
    */
   protobuf_c_boolean was_safe;
+  /*
+   * longest that it had run on a server when that was lost
+   */
+  uint32_t ran_ms;
 };
 #define PEER__FINGERPRINT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__fingerprint__descriptor) \
-    , 0, 0, 0, 0, 0,NULL, 0, 0 }
+    , 0, 0, 0, 0, 0,NULL, 0, 0, 0 }
 
 
 struct  Peer__Fingerprints
--- a/poison.c
+++ b/poison.c
@@ -12,10 +12,16 @@
 
 /* Fingerprints known to be safe that are stored per suspect or ban. */
 #define SAFE_PER_ENTRY 4
-/* Leaves the two highest bits of a rank for the flags below. */
-#define RANK_SHIFT 2
-#define RANK_CRASHED_BEFORE (1ULL << 63)
-#define RANK_OTHER_REPLICA_SET (1ULL << 62)
+/* Leaves the three highest bits of a rank for the flags below. */
+#define RANK_SHIFT 3
+#define RANK_TRIED (1ULL << 63)
+#define RANK_CRASHED_BEFORE (1ULL << 62)
+#define RANK_OTHER_REPLICA_SET (1ULL << 61)
+/* A trial lasts this many times as long as the run that ended in a crash. */
+#define TRIAL_FACTOR 2
+#define TRIAL_MIN MSEC(50)
+/* Part of the time left that a trial takes at most: 1/2. */
+#define TRIAL_LEFT_DIVISOR 2
 
 struct poison_entry {
 	uint64_t hash;
@@ -25,6 +31,7 @@
 	int n_servers;
 	uint64_t servers[POISON_SERVERS_MAX];
 	uint64_t replica_set;
+	int64_t ran;
 	int64_t updated;
 	int64_t expires;
 	UT_hash_handle hh;
@@ -166,6 +173,7 @@
 		.was_safe = entry->was_safe,
 		.n_servers = entry->n_servers,
 		.replica_set = entry->replica_set,
+		.ran = entry->ran,
 		.banned = entry->banned,
 		.remaining = entry->expires - clock_now(poison->clock),
 	};
@@ -256,17 +264,35 @@
 	return is_known_safe(poison, hash) ? POISON_KNOWN_SAFE : POISON_CANARY;
 }
 
+int64_t poison_trial_time(const struct poison *poison, uint64_t hash,
+			  int64_t left)
+{
+	const struct poison_entry *entry = find_entry(poison, hash);
+	int64_t most = left / TRIAL_LEFT_DIVISOR;
+	int64_t trial;
+
+	if (!entry || !entry->ran)
+		return most;
+	trial = TRIAL_FACTOR * entry->ran;
+	if (trial < TRIAL_MIN)
+		trial = TRIAL_MIN;
+	return trial < most ? trial : most;
+}
+
 static uint64_t rank_server(const struct poison *poison, uint64_t hash,
-			    struct str server, struct str replica_set)
+			    const struct poison_candidate *candidate)
 {
 	const struct poison_entry *entry = find_entry(poison, hash);
-	uint64_t rank = str_hash_mix(hash, str_hash(server)) >> RANK_SHIFT;
+	uint64_t server = str_hash(candidate->server);
+	uint64_t rank = str_hash_mix(hash, server) >> RANK_SHIFT;
 
+	if (candidate->tried)
+		rank |= RANK_TRIED;
 	if (!entry)
 		return rank;
-	if (entry->replica_set != str_hash(replica_set))
+	if (entry->replica_set != str_hash(candidate->replica_set))
 		rank |= RANK_OTHER_REPLICA_SET;
-	if (has_server(entry, str_hash(server)))
+	if (has_server(entry, server))
 		rank |= RANK_CRASHED_BEFORE;
 	return rank;
 }
@@ -294,8 +320,7 @@
 	int i;
 
 	for (i = 0; i < n; i++) {
-		uint64_t rank = rank_server(poison, hash, candidates[i].server,
-					    candidates[i].replica_set);
+		uint64_t rank = rank_server(poison, hash, &candidates[i]);
 
 		if (rank >= least)
 			continue;
@@ -338,10 +363,22 @@
 
 /*
  * A crash can be attributed to a suspect only if no other one runs on the same
- * server, and a suspect running on two servers could crash both.
+ * server, and a suspect on trial on two servers could crash both.
  */
+static bool blocks(const struct poison *poison, const struct poison_run *run,
+		   uint64_t hash, uint64_t server, int64_t left)
+{
+	int64_t ran = clock_now(poison->clock) - run->started;
+
+	if (run->hash != hash)
+		return run->suspect && run->server->name == server;
+	return run->server->name != server &&
+	       ran < poison_trial_time(poison, hash, left);
+}
+
 const struct poison_run *poison_blocking_run(const struct poison *poison,
-					     uint64_t hash, struct str server)
+					     uint64_t hash, struct str server,
+					     int64_t left)
 {
 	const struct poison_server *other;
 	const struct poison_run *run;
@@ -349,8 +386,7 @@
 
 	for (other = poison->servers; other; other = other->hh.next) {
 		DL_FOREACH (other->runs, run) {
-			if (run->hash == hash ||
-			    (run->suspect && other->name == name))
+			if (blocks(poison, run, hash, name, left))
 				return run;
 		}
 	}
@@ -358,7 +394,8 @@
 }
 
 int poison_begin(struct poison *poison, struct poison_run *run, uint64_t hash,
-		 struct str server, struct str replica_set, bool watched)
+		 struct str server, struct str replica_set, bool watched,
+		 int64_t left)
 {
 	const struct poison_entry *entry = find_live_entry(poison, hash);
 	uint64_t name = str_hash(server);
@@ -368,7 +405,7 @@
 	if (entry && !watched && !poison->no_canaries)
 		return ERR_SHED;
 	if (entry && !poison->no_canaries &&
-	    poison_blocking_run(poison, hash, server))
+	    poison_blocking_run(poison, hash, server, left))
 		return ERR_NO_SLOT;
 	run->hash = hash;
 	run->replica_set = str_hash(replica_set);
@@ -421,6 +458,12 @@
 	poison_mark_safe(poison, run->hash);
 }
 
+static void raise_ran(struct poison_entry *entry, int64_t ran)
+{
+	if (ran > entry->ran)
+		entry->ran = ran;
+}
+
 static void add_unwatched_crash(struct poison_entry *entry, bool was_safe)
 {
 	entry->was_safe =
@@ -433,15 +476,17 @@
 			 uint64_t server)
 {
 	struct poison_entry *entry = find_live_entry(poison, run->hash);
+	int64_t ran = clock_now(poison->clock) - run->started;
 	bool was_banned;
 
 	if (!entry)
 		entry = add_entry(poison, run->hash);
+	raise_ran(entry, ran);
 	if (poison->no_canaries)
 		add_server(entry, server);
 	else if (!run->watched)
 		add_unwatched_crash(entry, run->safe);
-	else if (has_server(entry, server) && run->started >= entry->updated)
+	else if (has_server(entry, server) && run->started > entry->updated)
 		/* The same server restarted and crashed again. */
 		add_server(entry, str_hash_mix(server, 1));
 	else
@@ -548,6 +593,7 @@
 	entry->banned = entry->banned || report->banned;
 	for (i = 0; i < report->n_servers && i < POISON_SERVERS_MAX; i++)
 		add_server(entry, report->servers[i]);
+	raise_ran(entry, report->ran);
 	if (!evidence_differs(entry, &before))
 		return false;
 	entry->replica_set = report->replica_set;
--- a/poison.h
+++ b/poison.h
@@ -54,6 +54,8 @@
  * @n_servers: number of servers that crashed while running it watched
  * @servers: hashes of their names
  * @replica_set: hash of the replica set of the server that crashed last
+ * @ran: the longest time that it had run on a server when that crashed,
+ *	microseconds; 0 if not known
  * @banned: refused on all instances
  * @remaining: time until it expires, microseconds
  *
@@ -67,6 +69,7 @@
 	int n_servers;
 	uint64_t servers[POISON_SERVERS_MAX];
 	uint64_t replica_set;
+	int64_t ran;
 	bool banned;
 	int64_t remaining;
 };
@@ -192,12 +195,14 @@
  * @replica_set: name of its replica set
  * @reachable: whether this entry instance can reach it
  * @changed: time of the last change of @reachable, microseconds
+ * @tried: the request has run there without success
  */
 struct poison_candidate {
 	struct str server;
 	struct str replica_set;
 	bool reachable;
 	int64_t changed;
+	bool tried;
 };
 
 /**
@@ -210,7 +215,8 @@
  * All instances choose the same server, so that one server runs the request
  * first even if many callers send it at the same time. For a suspect, servers
  * of the replica set that crashed last are preferred, as they hold the same
- * records; servers that it has crashed before are used last.
+ * records; servers that it has crashed before are used last, but for those that
+ * the request has been tried on.
  *
  * Return: index of the candidate; ERR_NO_REPLICA if none is reachable;
  * ERR_NO_SLOT for a suspect whose preferred server became unreachable less
@@ -220,6 +226,20 @@
 int poison_pick(const struct poison *poison, uint64_t hash,
 		const struct poison_candidate *candidates, int n);
 
+/**
+ * poison_trial_time() - how long a watched request is on trial on a server
+ * @poison: state of this instance
+ * @hash: fingerprint of the request
+ * @left: time until the request's deadline, microseconds
+ *
+ * After it, another server may run the request, though the first still does: it
+ * has run for longer there than where it crashed, or half of its time is up.
+ *
+ * Return: microseconds.
+ */
+int64_t poison_trial_time(const struct poison *poison, uint64_t hash,
+			  int64_t left);
+
 /**
  * poison_home_rank() - rank a home of the chosen server
  * @hash: fingerprint of the request
@@ -238,26 +258,30 @@
  * @server: name of the server
  * @replica_set: name of its replica set
  * @watched: the entry instance sent it as a canary or on probation
+ * @left: time until its deadline, microseconds
  *
  * Return: 0; on error the request must not be sent, and @run is unchanged:
  * ERR_BANNED: the fingerprint is banned;
  * ERR_SHED: a suspect here, but the entry instance sent it unwatched;
  * ERR_NO_SLOT: a suspect, and either another suspect runs on this server or
- * the same request runs on any server.
+ * the same request is on trial on another one.
  */
 int poison_begin(struct poison *poison, struct poison_run *run, uint64_t hash,
-		 struct str server, struct str replica_set, bool watched);
+		 struct str server, struct str replica_set, bool watched,
+		 int64_t left);
 
 /**
  * poison_blocking_run() - find the run that a suspect has to wait for
  * @poison: state of this instance
  * @hash: fingerprint of the suspect
  * @server: name of the server that it is to run on
+ * @left: time until its deadline, microseconds
  *
  * Return: the run because of which poison_begin() returns ERR_NO_SLOT, or NULL.
  */
 const struct poison_run *poison_blocking_run(const struct poison *poison,
-					     uint64_t hash, struct str server);
+					     uint64_t hash, struct str server,
+					     int64_t left);
 
 /**
  * poison_end() - a request ended without a crash of its server
--- a/poison_net.c
+++ b/poison_net.c
@@ -6,6 +6,11 @@
 
 #include "log.h"
 
+static uint32_t round_up_ms(int64_t usec)
+{
+	return (uint32_t)((usec + USEC_PER_MSEC - 1) / USEC_PER_MSEC);
+}
+
 static void fill_message(const struct poison_report *report,
 			 Peer__Fingerprint *out)
 {
@@ -22,6 +27,7 @@
 	out->n_servers = (size_t)report->n_servers;
 	out->servers = (uint64_t *)report->servers;
 	out->replica_set = report->replica_set;
+	out->ran_ms = round_up_ms(report->ran);
 }
 
 static void send_reports(struct peer_link *link,
@@ -84,6 +90,7 @@
 				     ? (int)entry->n_servers
 				     : POISON_SERVERS_MAX,
 		.replica_set = entry->replica_set,
+		.ran = MSEC(entry->ran_ms),
 		.banned = entry->banned,
 		.remaining = MSEC(entry->expires_ms),
 	};
--- a/search.c
+++ b/search.c
@@ -478,6 +478,13 @@
 	}
 }
 
+static void wake_at_trial_end(struct search *search,
+			      const struct search_part *part)
+{
+	if (part->trial_until > search_now(search))
+		search_wake(search, part->trial_until);
+}
+
 static void update_wake_at(struct search *search)
 {
 	int i;
@@ -489,8 +496,10 @@
 	if (search->move_wait_until)
 		search_wake(search, search->move_wait_until);
 	for (i = 0; i < search->n_parts; i++) {
-		if (!search->parts[i].is_done)
+		if (!search->parts[i].is_done) {
 			search_wake(search, search->parts[i].hedge_at);
+			wake_at_trial_end(search, &search->parts[i]);
+		}
 		search_wake(search, search->parts[i].retry_at);
 	}
 	for (i = 0; i < search->map->n_shards; i++) {
--- a/search.h
+++ b/search.h
@@ -86,6 +86,8 @@
  * @hedge_after: time in flight after which it is late; INT64_MAX: never
  * @hedge_at: when a hedge is considered next
  * @retry_at: when the retry budget is asked again
+ * @trial_until: for a search with @single_server, when the next server may be
+ *	asked though this one has not answered
  * @is_hedge: sent as a hedge of another part
  * @is_late: in flight for @hedge_after, or reported late by its home
  * @is_cancelled: cancelled, and its home's result has not been handled
@@ -105,6 +107,7 @@
 	int64_t hedge_after;
 	int64_t hedge_at;
 	int64_t retry_at;
+	int64_t trial_until;
 	bool is_hedge;
 	bool is_late;
 	bool is_cancelled;
--- a/search_poison.c
+++ b/search_poison.c
@@ -60,6 +60,20 @@
 	return best;
 }
 
+/* Whether a part of the search has failed there. */
+static bool was_tried(const struct search *search,
+		      const struct catalog_server *server)
+{
+	int i;
+
+	for (i = 0; i < search->n_parts; i++) {
+		if (search->parts[i].server == server &&
+		    search->parts[i].is_done && search->parts[i].code)
+			return true;
+	}
+	return false;
+}
+
 static int pick_server(const struct search_round *round,
 		       struct search_choice *choice)
 {
@@ -75,6 +89,7 @@
 			.server = str_from(servers[i]->name),
 			.replica_set = replica_set_of(search, servers[i]),
 			.reachable = preferred_home(search, servers[i]),
+			.tried = was_tried(search, servers[i]),
 		};
 	}
 	ret = poison_pick(&search->searches->board->poison, search->fingerprint,
@@ -117,6 +132,16 @@
 	}
 }
 
+void search_poison_begin_trial(struct search *search, struct search_part *part)
+{
+	int64_t left = search->deadline_at - part->sent_at;
+
+	part->trial_until = part->sent_at +
+			    poison_trial_time(&search->searches->board->poison,
+					      search->fingerprint, left);
+	search_wake(search, part->trial_until);
+}
+
 bool search_poison_check(struct search *search)
 {
 	struct blackboard *board = search->searches->board;
--- a/search_poison.h
+++ b/search_poison.h
@@ -13,10 +13,16 @@
  */
 bool search_poison_check(struct search *search);
 
+/**
+ * search_poison_begin_trial() - a part is sent that is asked for alone
+ */
+void search_poison_begin_trial(struct search *search, struct search_part *part);
+
 /**
  * search_poison_plan() - plan a round that uses one server only
  *
- * Due shards that the server does not hold wait for its answer.
+ * Due shards that the server does not hold wait for its answer, or the end of
+ * its trial.
  */
 void search_poison_plan(struct search_round *round);
 
--- a/search_round.c
+++ b/search_round.c
@@ -136,6 +136,8 @@
 	int n = search_plan_replicas(round, part->shards[0], false);
 
 	part->sent_at = search_now(search);
+	if (search->single_server)
+		search_poison_begin_trial(search, part);
 	search_trace_sent(search, part, round->is_retry);
 	part->observed_server =
 		observe_server(&policy->observe, str_from(part->server->name));
@@ -195,12 +197,13 @@
 	free(queries);
 }
 
-static bool has_part_in_flight(const struct search *search)
+static bool has_part_on_trial(const struct search *search)
 {
 	int i;
 
 	for (i = 0; i < search->n_parts; i++) {
-		if (!search->parts[i].is_done)
+		if (!search->parts[i].is_done &&
+		    search_now(search) < search->parts[i].trial_until)
 			return true;
 	}
 	return false;
@@ -210,8 +213,8 @@
 {
 	int i;
 
-	/* A possible poison request runs on one server at a time. */
-	if (search->single_server && has_part_in_flight(search))
+	/* A possible poison request is on trial on one server at a time. */
+	if (search->single_server && has_part_on_trial(search))
 		return false;
 
 	for (i = 0; i < search->map->n_shards; i++) {
--- a/tests/fake_server.py
+++ b/tests/fake_server.py
@@ -89,10 +89,16 @@
         self.searches = 0
         self.connections = set()
         self.lock = threading.Lock()
-        self.listener = socket.create_server(("127.0.0.1", 0), backlog=BACKLOG)
+        self.port = 0
+        self.listen()
+
+    def listen(self):
+        """Listen, after close() on the same port as before."""
+        self.listener = socket.create_server(("127.0.0.1", self.port),
+                                             backlog=BACKLOG)
         self.port = self.listener.getsockname()[1]
-        self.thread = threading.Thread(target=self.accept, daemon=True)
-        self.thread.start()
+        threading.Thread(target=self.accept, args=(self.listener,),
+                         daemon=True).start()
 
     def row(self, data_centre):
         """Return its row of the servers table."""
@@ -140,10 +146,10 @@
     def valid_search(self, body):
         return http_response(self.answer(body))
 
-    def accept(self):
+    def accept(self, listener):
         while True:
             try:
-                conn, _ = self.listener.accept()
+                conn, _ = listener.accept()
             except OSError:
                 return
             conn.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
--- a/tests/test_crash_check.c
+++ b/tests/test_crash_check.c
@@ -70,7 +70,8 @@
 	poison_init(&f->poison, &f->clock, on_changed, f);
 	poison_set_tunables(&f->poison, &tunables);
 	crash_check_init(&f->check, &f->clock, &ops, f);
-	poison_begin(&f->poison, &f->run, HASH, SERVER, SERVER, false);
+	poison_begin(&f->poison, &f->run, HASH, SERVER, SERVER, false,
+		     INT64_MAX);
 	crash_check_start(&f->check);
 }
 
--- a/tests/test_poison.c
+++ b/tests/test_poison.c
@@ -55,7 +55,7 @@
 {
 	clock_advance(&f->clock, 1);
 	return poison_begin(&f->poison, run, hash, str_from(server),
-			    REPLICA_SET, watched);
+			    REPLICA_SET, watched, INT64_MAX);
 }
 
 static void lose_server(struct fixture *f, const char *server)
@@ -246,6 +246,98 @@
 	poison_finish(&f.poison);
 }
 
+/* Makes A a suspect that crashed b1 after 20 ms, so that a trial takes 50 ms.
+ */
+static void make_suspect(struct fixture *f)
+{
+	struct poison_run run;
+
+	begin(f, &run, HASH_A, "b1", false);
+	clock_advance(&f->clock, MSEC(20));
+	lose_server(f, "b1");
+}
+
+/* Guards against a server that does not answer holding a suspect for good. */
+static void test_trial_ends(void)
+{
+	struct poison_run runs[3];
+	struct fixture peer;
+	struct fixture f;
+
+	setup(&f);
+	setup(&peer);
+	make_suspect(&f);
+	CU_ASSERT_EQUAL(begin(&f, &runs[0], HASH_A, "b2", true), 0);
+	clock_advance(&f.clock, MSEC(49));
+	CU_ASSERT_EQUAL(begin(&f, &runs[1], HASH_A, "b3", true), ERR_NO_SLOT);
+	clock_advance(&f.clock, MSEC(1));
+	CU_ASSERT_EQUAL(begin(&f, &runs[1], HASH_A, "b3", true), 0);
+	/* The run on b2 is still watched. */
+	lose_server(&f, "b2");
+	CU_ASSERT_EQUAL(f.last.n_servers, 1);
+	CU_ASSERT(f.last.banned);
+	CU_ASSERT(poison_apply_report(&peer.poison, &f.last));
+	CU_ASSERT_EQUAL(poison_trial_time(&peer.poison, HASH_A, INT64_MAX),
+			poison_trial_time(&f.poison, HASH_A, INT64_MAX));
+	poison_finish(&f.poison);
+	poison_finish(&peer.poison);
+}
+
+/* Guards against callers of one suspect refusing each other the same server. */
+static void test_same_server_again(void)
+{
+	struct poison_run runs[2];
+	struct fixture f;
+
+	setup(&f);
+	make_suspect(&f);
+	CU_ASSERT_EQUAL(begin(&f, &runs[0], HASH_A, "b2", true), 0);
+	CU_ASSERT_EQUAL(begin(&f, &runs[1], HASH_A, "b2", true), 0);
+	lose_server(&f, "b2");
+	CU_ASSERT_EQUAL(f.last.n_servers, 1);
+	poison_finish(&f.poison);
+}
+
+static void test_trial_time(void)
+{
+	struct fixture f;
+
+	setup(&f);
+	CU_ASSERT_EQUAL(poison_trial_time(&f.poison, HASH_A, MSEC(600)),
+			MSEC(300));
+	make_suspect(&f);
+	CU_ASSERT_EQUAL(poison_trial_time(&f.poison, HASH_A, MSEC(600)),
+			MSEC(50));
+	CU_ASSERT_EQUAL(poison_trial_time(&f.poison, HASH_A, MSEC(60)),
+			MSEC(30));
+	poison_finish(&f.poison);
+}
+
+/* Guards against a suspect that stays at a server which only fails it. */
+static void test_tried_server_is_last(void)
+{
+	struct poison_candidate candidates[] = {
+		{STR("b2"), REPLICA_SET, true, MSEC(-1000)},
+		{STR("b3"), REPLICA_SET, true, MSEC(-1000)},
+		{STR("c1"), STR("r2"), true, MSEC(-1000)},
+	};
+	struct fixture f;
+	int first;
+	int second;
+
+	setup(&f);
+	make_suspect(&f);
+	first = poison_pick(&f.poison, HASH_A, candidates, 3);
+	candidates[first].tried = true;
+	second = poison_pick(&f.poison, HASH_A, candidates, 3);
+	CU_ASSERT_EQUAL(first + second, 1);
+	candidates[second].tried = true;
+	CU_ASSERT_EQUAL(poison_pick(&f.poison, HASH_A, candidates, 3), 2);
+	candidates[2].tried = true;
+	CU_ASSERT_EQUAL(poison_pick(&f.poison, HASH_A, candidates, 3), first);
+	poison_finish(&f.poison);
+}
+
 /*
  * A search crashes on the records of one replica set and completes on another.
  * That must not clear it, and its next run goes to the replica set where it
@@ -266,7 +358,7 @@
 	begin(&f, &run, HASH_A, "b1", true);
 	lose_server(&f, "b1");
 	CU_ASSERT_EQUAL(poison_begin(&f.poison, &run, HASH_A, STR("c1"),
-				     STR("r2"), true),
+				     STR("r2"), true, INT64_MAX),
 			0);
 	poison_end(&f.poison, &run, true);
 	CU_ASSERT_EQUAL(verdict(&f, HASH_A), POISON_PROBATION);
@@ -710,7 +802,7 @@
 	if (!is_up(model, event->server) ||
 	    (!model->plain && poison_begin(poison, &event->run, query->hash,
 					   str_from(server->name), STR("set"),
-					   event->watched))) {
+					   event->watched, INT64_MAX))) {
 		end_part(model, query, event->server, false);
 		free(event);
 		return;
@@ -959,6 +1051,10 @@
 	{"crashes merged from two homes", test_learned_together},
 	{"same server crashed twice", test_same_server},
 	{"one suspect at a time", test_one_at_a_time},
+	{"a trial ends", test_trial_ends},
+	{"same server again", test_same_server_again},
+	{"trial time", test_trial_time},
+	{"tried server is last", test_tried_server_is_last},
 	{"cleared only on the same replica set", test_replica_set},
 	{"servers restarted one after the other", test_restarts_in_a_row},
 	{"cleared by another home", test_cleared_elsewhere},
--- a/tests/test_search.c
+++ b/tests/test_search.c
@@ -1130,6 +1130,78 @@
 	tear_down(&fixture);
 }
 
+/* Marks the search of start() as a suspect that is on trial for 50 ms. */
+static void make_suspect(struct fixture *fixture)
+{
+	static const struct poison_tunables tunables = {
+		.max_entries = 64,
+		.suspect_ttl = MSEC(60000),
+	};
+	struct poison_report report = {
+		.hash = poison_fingerprint(STR(FIXTURE_SERVICE), STR("{}"),
+					   REQUEST_COUNT),
+		.unwatched_crash = true,
+		.ran = MSEC(20),
+		.remaining = MSEC(60000),
+	};
+
+	poison_set_tunables(&fixture->path.board.poison, &tunables);
+	poison_apply_report(&fixture->path.board.poison, &report);
+}
+
+static void set_up_halves(struct fixture *fixture)
+{
+	set_up(fixture, 2);
+	board_fixture_put_server(&fixture->path, "h1", "b1", 1, 2, "0");
+	board_fixture_put_server(&fixture->path, "h1", "b2", 1, 2, "1");
+	make_suspect(fixture);
+	start(fixture);
+	CU_ASSERT_EQUAL_FATAL(fixture->n_sent, 1);
+	CU_ASSERT_EQUAL(fixture->sent[0].query->n_parts, 1);
+	CU_ASSERT(fixture->sent[0].query->watched);
+}
+
+static const char *server_sent(const struct fixture *fixture, int sent)
+{
+	return fixture->sent[sent].query->parts[0]->server;
+}
+
+/*
+ * Guards against a suspect that gets nothing, since the server that it is tried
+ * on first does not answer.
+ */
+static void test_suspect_moves_on_after_trial(void)
+{
+	struct fixture fixture;
+
+	set_up_halves(&fixture);
+	advance_ms(&fixture, 49);
+	CU_ASSERT_EQUAL(fixture.n_sent, 1);
+	advance_ms(&fixture, 1);
+	CU_ASSERT_EQUAL_FATAL(fixture.n_sent, 2);
+	CU_ASSERT_STRING_NOT_EQUAL(server_sent(&fixture, 0),
+				   server_sent(&fixture, 1));
+	CU_ASSERT_EQUAL(fixture.n_cancels, 0);
+	answer(&fixture, 1, 0);
+	advance_to_deadline(&fixture);
+	CU_ASSERT_EQUAL(fixture.code, 0);
+	CU_ASSERT_EQUAL(fixture.covered, FIXTURE_SHARD_RECORDS);
+	tear_down(&fixture);
+}
+
+/* Guards against a suspect that stays at a server which only fails it. */
+static void test_suspect_goes_on_after_failure(void)
+{
+	struct fixture fixture;
+
+	set_up_halves(&fixture);
+	fail_part(&fixture, 0, 0, ERR_LOST, false);
+	CU_ASSERT_EQUAL_FATAL(fixture.n_sent, 2);
+	CU_ASSERT_STRING_NOT_EQUAL(server_sent(&fixture, 0),
+				   server_sent(&fixture, 1));
+	tear_down(&fixture);
+}
+
 static const struct unit_test tests[] = {
 	{"counts of all servers are added", test_counts_add_over_servers},
 	{"records of all servers are merged", test_records_merge},
@@ -1169,6 +1241,10 @@
 	 test_trace_explains_missing_shard},
 	{"trace of a complete search", test_trace_of_complete_search},
 	{"a refusal uses error budget", test_refusal_uses_budget},
+	{"a suspect moves on after its trial",
+	 test_suspect_moves_on_after_trial},
+	{"a suspect goes on after a failure",
+	 test_suspect_goes_on_after_failure},
 	{"an unknown service uses no error budget",
 	 test_unknown_service_uses_no_budget},
 };
--- a/tests/test_slow_servers.py
+++ b/tests/test_slow_servers.py
@@ -30,6 +30,12 @@
 SEARCH_DELAYS_S = (0, 0.02, 0.7)
 SEARCH_DEADLINE_MS = 600
 
+LONGER_THAN_DEADLINE_S = 0.7
+SUSPECTS = 2
+SEARCHES_IN_A_ROW = 3
+CALLERS = 4
+CALLER_GAP_S = 0.03
+
 
 class Delays:
     """Delays of one server in one case, the same for the same seed."""
@@ -63,6 +69,12 @@
         return delayed
 
 
+def too_slow(server, body):
+    """Answer a search after the deadline of its caller."""
+    time.sleep(LONGER_THAN_DEADLINE_S)
+    return server.valid_search(body)
+
+
 class SlowServers(bad_input.InstanceTest):
     def start_halves(self, **options):
         """Start a server for each half of the data, and an instance."""
@@ -102,6 +114,87 @@
         for seed in SEEDS:
             self.play_slow_wrong_answers(seed)
 
+    def crash_on(self, bad, instance, search):
+        """Let b1 crash by a search, so that this becomes a suspect, and
+        restart it."""
+
+        def crash(server, _):
+            server.close()
+
+        bad.search = crash
+        self.check_other_half(*instance.search(search))
+        bad.search = FakeServer.valid_search
+        bad.listen()
+        self.wait_full_coverage(instance)
+
+    def test_suspect_keeps_the_other_half(self):
+        """Guards against a suspect that gets nothing, since the server that it
+        is tried on first does not answer."""
+        bad, _, instance = self.start_halves()
+        for seed in SEEDS:
+            for number in range(SUSPECTS):
+                search = {
+                    "service": SERVICE,
+                    "where": {"n": 1000 * seed + number},
+                    "deadline_ms": SEARCH_DEADLINE_MS,
+                }
+                self.crash_on(bad, instance, search)
+                bad.search = too_slow
+                for again in range(SEARCHES_IN_A_ROW):
+                    with self.subTest(search["where"], again=again):
+                        self.check_other_half(*instance.search(search))
+                bad.search = FakeServer.valid_search
+
+    def name_replica_sets(self, *servers):
+        """Publish a table in which each server is a replica set of its own, so
+        that an answer of one does not clear what crashed another."""
+        table = bad_input.table(servers)
+        table["servers"]["columns"].append("replica_set")
+        for row in table["servers"]["rows"]:
+            row.append(f"set-{row[0]}")
+        self.platform.publish(table)
+
+    def test_suspect_of_many_callers_keeps_the_other_half(self):
+        """Guards against callers of one suspect search keeping each other from
+        the half that is whole."""
+        bad, good, instance = self.start_halves()
+        self.name_replica_sets(bad, good)
+        self.wait_full_coverage(instance)
+        for seed in SEEDS:
+            for number in range(SUSPECTS):
+                search = {
+                    "service": SERVICE,
+                    "where": {"n": 1000 * seed + number},
+                    "deadline_ms": SEARCH_DEADLINE_MS,
+                }
+                self.crash_on(bad, instance, search)
+                bad.search = too_slow
+                with self.subTest(search["where"]):
+                    for status, answer in self.search_at_once(
+                            [instance] * CALLERS, search):
+                        self.check_other_half(status, answer)
+                bad.search = FakeServer.valid_search
+
+    def search_at_once(self, instances, search):
+        """Send a search to each of the instances, from a caller each, several
+        times in a row; returns all answers."""
+        answers = []
+
+        def call(instance, delay):
+            time.sleep(delay)
+            for _ in range(SEARCHES_IN_A_ROW):
+                answers.append(instance.search(search))
+
+        callers = [
+            threading.Thread(target=call, args=(instance, i * CALLER_GAP_S))
+            for i, instance in enumerate(instances)
+        ]
+        for caller in callers:
+            caller.start()
+        for caller in callers:
+            caller.join()
+        return answers
+
 
 def main():
     global SEEDS
