search: wait for the run that holds a suspect back

What callers saw: 503 no_slot with a Retry-After of 100 ms while the run in the way lasted longer, or ended well before their deadline.

Cause: a home that refused a suspect did not say for how long, and its entry took that for a failure: it asked again after a few milliseconds, four times at most, and gave the shards up. The refusals also counted as a sign of load for admission, which then refused callers of other searches.

Now the home says when to ask again, by the run that poison_begin() found in the way; the entry asks other servers meanwhile, waits, and does not count what was never sent as an attempt. If the deadline is sooner it gives up at once; a search that got nothing passes that time on as its Retry-After. Older instances ignore it, and from older homes none comes.

Measured: the first of the two new cases of test_search fails on the commit before.

--- a/clock.h
+++ b/clock.h
@@ -8,6 +8,11 @@
 #define USEC_PER_SEC 1000000
 #define MSEC(n) ((int64_t)(n)*USEC_PER_MSEC)
 
+static inline int64_t msec_round_up(int64_t usec)
+{
+	return (usec + USEC_PER_MSEC - 1) / USEC_PER_MSEC;
+}
+
 struct clock;
 
 /**
--- a/home.c
+++ b/home.c
@@ -241,20 +241,21 @@
 			    time_left(query));
 }
 
-/* Names the run that keeps a suspect from running. */
-static void log_held_suspect(const struct home *home,
-			     const struct home_job *job)
+/* Tells the entry when to try again, and the log which run is in the way. */
+static void hold_suspect(const struct home *home, struct home_job *job)
 {
 	const struct home_query *query = job->query;
+	int64_t wait = 0;
 	const struct poison_run *run =
 		poison_blocking_run(&home->board->poison,
 				    query->message->fingerprint,
 				    str_from(job->server->name),
-				    time_left(query));
+				    time_left(query), &wait);
 	const struct home_job *other;
 
 	if (!run)
 		return;
+	job->retry_after_ms = (uint32_t)msec_round_up(wait);
 	other = (const struct home_job *)((const char *)run -
 					  offsetof(struct home_job, poison));
 	LOG_INFO("suspect_held",
@@ -266,7 +267,8 @@
 		 LOG_I64("for_ms",
 			 (clock_now(home->board->clock) - other->started_at) /
 				 USEC_PER_MSEC),
-		 LOG_U64("given_up", other->is_given_up));
+		 LOG_U64("given_up", other->is_given_up),
+		 LOG_U64("retry_after_ms", job->retry_after_ms));
 }
 
 static void start_job(struct home_job *job)
@@ -277,7 +279,7 @@
 	count_dequeued(job);
 	ret = begin_poison(home, job);
 	if (ret == ERR_NO_SLOT)
-		log_held_suspect(home, job);
+		hold_suspect(home, job);
 	if (ret) {
 		finish_job(job, ret);
 		return;
--- a/home.h
+++ b/home.h
@@ -60,7 +60,7 @@
  * @late_unreported: it is late and the entry was not told yet
  * @code: 0 or an error
  * @sent: bytes may have reached the server
- * @retry_after_ms: from the server, milliseconds
+ * @retry_after_ms: from the server, or for a suspect that is held, milliseconds
  * @answer: unmodified answer of the server, owned; NULL unless @code is 0
  * @answer_len: bytes in @answer
  * @item: entry in the server's queue
--- a/poison.c
+++ b/poison.c
@@ -22,6 +22,8 @@
 #define TRIAL_MIN MSEC(50)
 /* Part of the time left that a trial takes at most: 1/2. */
 #define TRIAL_LEFT_DIVISOR 2
+/* How long another suspect runs on a server isn't known. */
+#define OTHER_SUSPECT_RETRY MSEC(20)
 
 struct poison_entry {
 	uint64_t hash;
@@ -364,21 +366,26 @@
 /*
  * A crash can be attributed to a suspect only if no other one runs on the same
  * server, and a suspect on trial on two servers could crash both.
+ *
+ * Return: how long the run blocks another, microseconds; 0: it doesn't.
  */
-static bool blocks(const struct poison *poison, const struct poison_run *run,
-		   uint64_t hash, uint64_t server, int64_t left)
+static int64_t blocking_time(const struct poison *poison,
+			     const struct poison_run *run, uint64_t hash,
+			     uint64_t server, int64_t left)
 {
 	int64_t ran = clock_now(poison->clock) - run->started;
+	int64_t trial = poison_trial_time(poison, hash, left);
 
 	if (run->hash != hash)
-		return run->suspect && run->server->name == server;
-	return run->server->name != server &&
-	       ran < poison_trial_time(poison, hash, left);
+		return run->suspect && run->server->name == server
+			       ? OTHER_SUSPECT_RETRY
+			       : 0;
+	return run->server->name != server && ran < trial ? trial - ran : 0;
 }
 
 const struct poison_run *poison_blocking_run(const struct poison *poison,
 					     uint64_t hash, struct str server,
-					     int64_t left)
+					     int64_t left, int64_t *wait)
 {
 	const struct poison_server *other;
 	const struct poison_run *run;
@@ -386,7 +393,8 @@
 
 	for (other = poison->servers; other; other = other->hh.next) {
 		DL_FOREACH (other->runs, run) {
-			if (blocks(poison, run, hash, name, left))
+			*wait = blocking_time(poison, run, hash, name, left);
+			if (*wait)
 				return run;
 		}
 	}
@@ -399,13 +407,14 @@
 {
 	const struct poison_entry *entry = find_live_entry(poison, hash);
 	uint64_t name = str_hash(server);
+	int64_t wait;
 
 	if (entry && entry->banned)
 		return ERR_BANNED;
 	if (entry && !watched && !poison->no_canaries)
 		return ERR_SHED;
 	if (entry && !poison->no_canaries &&
-	    poison_blocking_run(poison, hash, server, left))
+	    poison_blocking_run(poison, hash, server, left, &wait))
 		return ERR_NO_SLOT;
 	run->hash = hash;
 	run->replica_set = str_hash(replica_set);
--- a/poison.h
+++ b/poison.h
@@ -276,12 +276,13 @@
  * @hash: fingerprint of the suspect
  * @server: name of the server that it is to run on
  * @left: time until its deadline, microseconds
+ * @wait: set with the result: when to try again, in microseconds from now
  *
  * Return: the run because of which poison_begin() returns ERR_NO_SLOT, or NULL.
  */
 const struct poison_run *poison_blocking_run(const struct poison *poison,
 					     uint64_t hash, struct str server,
-					     int64_t left);
+					     int64_t left, int64_t *wait);
 
 /**
  * poison_end() - a request ended without a crash of its server
--- a/poison_net.c
+++ b/poison_net.c
@@ -6,11 +6,6 @@
 
 #include "log.h"
 
-static uint32_t round_up_ms(int64_t usec)
-{
-	return (uint32_t)((usec + USEC_PER_MSEC - 1) / USEC_PER_MSEC);
-}
-
 static void fill_message(const struct poison_report *report,
 			 Peer__Fingerprint *out)
 {
@@ -27,7 +22,7 @@
 	out->n_servers = (size_t)report->n_servers;
 	out->servers = (uint64_t *)report->servers;
 	out->replica_set = report->replica_set;
-	out->ran_ms = round_up_ms(report->ran);
+	out->ran_ms = (uint32_t)msec_round_up(report->ran);
 }
 
 static void send_reports(struct peer_link *link,
--- a/search.c
+++ b/search.c
@@ -145,11 +145,14 @@
 
 static void complete(struct search *search)
 {
+	int code = 0;
+
 	record_duration(search);
-	if (search->covered || !search->map->total)
-		finish(search, 0);
-	else
-		finish(search, refusal_code(search));
+	if (!search->covered && search->map->total)
+		code = refusal_code(search);
+	if (code == ERR_NO_SLOT)
+		search->retry_after_ms = msec_round_up(search->held_for);
+	finish(search, code);
 }
 
 /* Whether servers of the service switched to another map recently. */
--- a/search.h
+++ b/search.h
@@ -88,6 +88,8 @@
  * @retry_at: when the retry budget is asked again
  * @trial_until: for a search with @single_server, when the next server may be
  *	asked though this one has not answered
+ * @held_for: its home kept it from its server for this long, microseconds; 0
+ *	otherwise
  * @is_hedge: sent as a hedge of another part
  * @is_late: in flight for @hedge_after, or reported late by its home
  * @is_cancelled: cancelled, and its home's result has not been handled
@@ -108,6 +110,7 @@
 	int64_t hedge_at;
 	int64_t retry_at;
 	int64_t trial_until;
+	int64_t held_for;
 	bool is_hedge;
 	bool is_late;
 	bool is_cancelled;
@@ -141,6 +144,8 @@
  * @n_restarts: how often it restarted on another snapshot
  * @fingerprint: see poison.h
  * @single_server: it must run on one server at a time, see poison.h
+ * @held_for: how long its home last kept it from a server as a suspect,
+ *	microseconds; 0: never
  * @n_results: parts that homes answered
  * @n_shed: of these, refused because of load
  * @wait_us: sum of their queueing times at homes, microseconds
@@ -181,6 +186,7 @@
 	int n_restarts;
 	uint64_t fingerprint;
 	bool single_server;
+	int64_t held_for;
 	int n_results;
 	int n_shed;
 	int64_t wait_us;
--- a/search_part.c
+++ b/search_part.c
@@ -113,6 +113,29 @@
 	search_wake(search, when);
 }
 
+/* It was not sent, so that it counts as no attempt. */
+static void forget_attempt(struct search *search,
+			   const struct search_part *part)
+{
+	int i;
+
+	for (i = 0; i < part->n_shards; i++)
+		search->shards[part->shards[i]].attempts--;
+}
+
+/* Asks again when the run in the way is over, or gives up at once. */
+static void retry_held(struct search *search, int index)
+{
+	struct search_part *part = &search->parts[index];
+	int64_t when = search_now(search) + part->held_for;
+
+	search->held_for = part->held_for;
+	part->held_for = 0;
+	forget_attempt(search, part);
+	end_retry_wait(search, index,
+		       when < search->deadline_at ? 0 : ERR_NO_SLOT, when);
+}
+
 void search_part_retry(struct search *search, int index)
 {
 	struct search_part *part = &search->parts[index];
@@ -128,6 +151,10 @@
 	int ret = ERR_NO_SERVICE;
 
 	part->retry_at = INT64_MAX;
+	if (part->held_for) {
+		retry_held(search, index);
+		return;
+	}
 	if (service)
 		ret = policy->ops->retry(policy, service, &failure, &when);
 	if (ret == ERR_BUDGET && when != INT64_MAX) {
@@ -138,6 +165,12 @@
 	end_retry_wait(search, index, ret, when);
 }
 
+bool search_part_is_held(const struct observe_result *result)
+{
+	return result->code == ERR_NO_SLOT && !result->sent &&
+	       result->retry_after_us;
+}
+
 void search_part_failed(struct search *search, int index,
 			const struct observe_result *result)
 {
@@ -148,6 +181,8 @@
 	search_part_end(search, part, result);
 	part->code = result->code;
 	part->was_sent = result->sent;
+	if (search_part_is_held(result))
+		part->held_for = result->retry_after_us;
 	for (i = 0; i < part->n_shards; i++) {
 		struct search_shard *shard = &search->shards[part->shards[i]];
 
--- a/search_part.h
+++ b/search_part.h
@@ -49,6 +49,12 @@
 void search_part_failed(struct search *search, int index,
 			const struct observe_result *result);
 
+/**
+ * search_part_is_held() - whether a home kept a suspect from its server, for
+ * the time in the result's @retry_after_us
+ */
+bool search_part_is_held(const struct observe_result *result);
+
 /**
  * search_part_lost() - as search_part_failed(), without a result from its home
  */
--- a/search_result.c
+++ b/search_result.c
@@ -170,8 +170,11 @@
 	out->retry_after_us = MSEC(result->retry_after_ms);
 }
 
-static bool is_shed(const Peer__ServerResult *result)
+/* That a suspect has to wait for another run says nothing about load. */
+static bool is_shed(const struct observe_result *result)
 {
+	if (search_part_is_held(result))
+		return false;
 	return result->code == ERR_SHED || result->code == ERR_OVERLOAD ||
 	       result->code == ERR_NO_SLOT ||
 	       (result->code == ERR_TOO_LATE && !result->sent);
@@ -179,10 +182,11 @@
 
 /* Statistics for admission control. */
 static void record_queueing(struct search *search,
-			    const Peer__ServerResult *result)
+			    const Peer__ServerResult *result,
+			    const struct observe_result *observed)
 {
 	search->n_results++;
-	search->n_shed += is_shed(result);
+	search->n_shed += is_shed(observed);
 	search->wait_us += result->wait_us;
 }
 
@@ -222,9 +226,9 @@
 	}
 	if (may_have_run(result))
 		search->maybe_ran = true;
-	record_queueing(search, result);
-	search_trace_times(search, (int)result->part, result);
 	fill_observed(search, part, result, &observed);
+	record_queueing(search, result, &observed);
+	search_trace_times(search, (int)result->part, result);
 	arena_reset(arena);
 	if (!observed.code)
 		answer = backend__search_answer__unpack(&arena->allocator,
--- a/tests/test_poison.c
+++ b/tests/test_poison.c
@@ -263,6 +263,7 @@
 	struct poison_run runs[3];
 	struct fixture peer;
 	struct fixture f;
+	int64_t wait = 0;
 
 	setup(&f);
 	setup(&peer);
@@ -270,7 +271,11 @@
 	CU_ASSERT_EQUAL(begin(&f, &runs[0], HASH_A, "b2", true), 0);
 	clock_advance(&f.clock, MSEC(49));
 	CU_ASSERT_EQUAL(begin(&f, &runs[1], HASH_A, "b3", true), ERR_NO_SLOT);
-	clock_advance(&f.clock, MSEC(1));
+	CU_ASSERT_PTR_EQUAL(poison_blocking_run(&f.poison, HASH_A, STR("b3"),
+						INT64_MAX, &wait),
+			    &runs[0]);
+	CU_ASSERT_EQUAL(wait, MSEC(1) - 1);
+	clock_advance(&f.clock, wait);
 	CU_ASSERT_EQUAL(begin(&f, &runs[1], HASH_A, "b3", true), 0);
 	/* The run on b2 is still watched. */
 	lose_server(&f, "b2");
--- a/tests/test_search.c
+++ b/tests/test_search.c
@@ -36,6 +36,8 @@
 	uint64_t covered;
 	uint64_t total;
 	int n_restarts;
+	int64_t retry_after_ms;
+	int n_shed;
 	int n_records;
 	char first_key[32];
 	int reasons[REASONS_MAX];
@@ -86,6 +88,8 @@
 	fixture->code = search->code;
 	fixture->outcome = answer_outcome(search->code, search->maybe_ran);
 	fixture->n_restarts = search->n_restarts;
+	fixture->retry_after_ms = search->retry_after_ms;
+	fixture->n_shed = search->n_shed;
 	if (!search->map)
 		return;
 	fixture->version = search->map->version;
@@ -154,6 +158,7 @@
  * @version: 0: that of the query
  * @code: error of the whole part
  * @unsent: the home did not send it to the server
+ * @retry_after_ms: with @code
  * @status: of each shard
  * @held: 0: FIXTURE_SHARD_RECORDS
  * @count: 0: 1
@@ -171,6 +176,7 @@
 	uint64_t version;
 	int code;
 	bool unsent;
+	uint32_t retry_after_ms;
 	int status;
 	uint64_t held;
 	uint64_t count;
@@ -255,6 +261,7 @@
 	item.part = asked->part;
 	item.code = reply.code;
 	item.sent = !reply.unsent;
+	item.retry_after_ms = reply.retry_after_ms;
 	answer.request_id = (char *)(reply.request_id ? reply.request_id
 						      : query->request_id);
 	answer.server = (char *)(reply.server ? reply.server : asked->server);
@@ -1202,6 +1209,61 @@
 	tear_down(&fixture);
 }
 
+static void hold_part(struct fixture *fixture, int sent, uint32_t ms)
+{
+	answer_with(fixture, sent, 0,
+		    (struct reply){.code = ERR_NO_SLOT,
+				   .unsent = true,
+				   .retry_after_ms = ms});
+}
+
+/*
+ * Guards against a suspect that is refused although the run in its way ends
+ * well before its deadline.
+ */
+static void test_held_suspect_waits(void)
+{
+	struct fixture fixture;
+	int i;
+
+	set_up_halves(&fixture);
+	/* More often than a search may be retried. */
+	for (i = 0; i < 8; i++) {
+		hold_part(&fixture, 2 * i, 30);
+		CU_ASSERT_EQUAL_FATAL(fixture.n_sent, 2 * i + 2);
+		CU_ASSERT_STRING_NOT_EQUAL(server_sent(&fixture, 2 * i),
+					   server_sent(&fixture, 2 * i + 1));
+		hold_part(&fixture, 2 * i + 1, 30);
+		advance_ms(&fixture, 29);
+		CU_ASSERT_EQUAL(fixture.n_sent, 2 * i + 2);
+		advance_ms(&fixture, 1);
+		CU_ASSERT_EQUAL_FATAL(fixture.n_sent, 2 * i + 3);
+	}
+	answer(&fixture, 16, 0);
+	CU_ASSERT_EQUAL_FATAL(fixture.n_sent, 18);
+	answer(&fixture, 17, 0);
+	CU_ASSERT_EQUAL(fixture.code, 0);
+	CU_ASSERT_EQUAL(fixture.covered, 2 * FIXTURE_SHARD_RECORDS);
+	CU_ASSERT_EQUAL(fixture.n_shed, 0);
+	tear_down(&fixture);
+}
+
+/* Guards against a wait until the deadline where the refusal is known before.
+ */
+static void test_suspect_held_past_deadline(void)
+{
+	struct fixture fixture;
+
+	set_up_halves(&fixture);
+	hold_part(&fixture, 0, FIXTURE_DEADLINE_MS);
+	hold_part(&fixture, 1, FIXTURE_DEADLINE_MS + 1);
+	CU_ASSERT_EQUAL(fixture.n_done, 1);
+	CU_ASSERT_EQUAL(fixture.code, ERR_NO_SLOT);
+	CU_ASSERT_STRING_EQUAL(fixture.outcome, "not_run");
+	CU_ASSERT_EQUAL(fixture.retry_after_ms, FIXTURE_DEADLINE_MS + 1);
+	tear_down(&fixture);
+}
+
 static const struct unit_test tests[] = {
 	{"counts of all servers are added", test_counts_add_over_servers},
 	{"records of all servers are merged", test_records_merge},
@@ -1245,6 +1307,9 @@
 	 test_suspect_moves_on_after_trial},
 	{"a suspect goes on after a failure",
 	 test_suspect_goes_on_after_failure},
+	{"a held suspect waits", test_held_suspect_waits},
+	{"a suspect is held past its deadline",
+	 test_suspect_held_past_deadline},
 	{"an unknown service uses no error budget",
 	 test_unknown_service_uses_no_budget},
 };
