crash_watch: blame nobody when a server can't be checked from here

What callers would see: 503 crashes_servers for requests that crashed nothing.

A gateway checks a server whose connection broke under a request by a new connection. If none could be opened at once, for want of descriptors, ports or a route, the server was held for crashed, though that says nothing about it; three servers ban the request on all gateways.

Now only a refusal, or no answer in time, counts; server_crashed says which.

--- a/crash_watch.c
+++ b/crash_watch.c
@@ -33,16 +33,17 @@
 	free(watch);
 }
 
-static void on_server_checked(void *arg, bool listens)
+static void on_server_checked(void *arg, enum crash_evidence evidence)
 {
 	struct crash_watch *watch = arg;
 	char life[REGISTRY_INCARNATION_SIZE];
 	struct str name = registry_incarnation(watch->server, life);
 
 	/* Another watch may have reported this crash already. */
-	if (!listens && watch->run.server) {
+	if (crash_evidence_is_crash(evidence) && watch->run.server) {
 		LOG_WARN("server_crashed", LOG_STR("server", name),
-			 LOG_U64("fingerprint", watch->run.hash));
+			 LOG_U64("fingerprint", watch->run.hash),
+			 LOG_TEXT("evidence", crash_evidence_name(evidence)));
 		poison_server_lost(watch->poison, name);
 	}
 	free_watch(watch);
@@ -56,5 +57,5 @@
 	}
 	if (upstream_check(watch->upstream, watch->server, on_server_checked,
 			   watch))
-		on_server_checked(watch, false);
+		on_server_checked(watch, CRASH_EVIDENCE_UNKNOWN);
 }
--- a/crash_watch.h
+++ b/crash_watch.h
@@ -1,7 +1,7 @@
 /*
  * Detects requests of a gateway that crash the backend servers running them. A
  * connection that breaks while a request runs isn't enough evidence; a server
- * whose port refuses connections right afterwards has crashed.
+ * that takes no connection right afterwards has crashed.
  */
 #ifndef CRASH_WATCH_H
 #define CRASH_WATCH_H
--- a/gateway_outage.c
+++ b/gateway_outage.c
@@ -18,12 +18,13 @@
 	wake_timer_move(&gateway->outage_timer, outage_due(&gateway->outage));
 }
 
-static void on_check_done(void *arg, bool listens)
+static void on_check_done(void *arg, enum crash_evidence evidence)
 {
 	struct open_check *open = arg;
 	struct gateway *gateway = open->gateway;
 
-	outage_check_done(&gateway->outage, open->check, listens);
+	outage_check_done(&gateway->outage, open->check,
+			  evidence == CRASH_EVIDENCE_LISTENS);
 	free(open);
 	gateway_outage_arm_timer(gateway);
 }
--- a/upstream.c
+++ b/upstream.c
@@ -281,14 +281,14 @@
 }
 
 /* Return: whether the connection was opened by upstream_check(). */
-static bool end_check(struct upstream_conn *conn, bool listens)
+static bool end_check(struct upstream_conn *conn, enum crash_evidence evidence)
 {
 	upstream_check_cb check = conn->check;
 
 	if (!check)
 		return false;
 	conn->check = NULL;
-	check(conn->check_arg, listens);
+	check(conn->check_arg, evidence);
 	return true;
 }
 
@@ -336,7 +336,7 @@
 	/* Nothing is sent, and the connection is kept. */
 	server = registry_server_ref(conn->server);
 	end_exchange(conn, &result);
-	end_check(conn, true);
+	end_check(conn, CRASH_EVIDENCE_LISTENS);
 	conn->message.keep_alive = true;
 	keep_or_close(conn);
 	notify_released(upstream, server);
@@ -356,7 +356,7 @@
 		presume_cold(conn->server, SUSPECTED_RESTART_COLD_TIME,
 			     clock_now(conn->upstream->clock),
 			     "all_connections_reset");
-	if (end_check(conn, false)) {
+	if (end_check(conn, CRASH_EVIDENCE_REFUSED)) {
 		free_conn(conn);
 		return;
 	}
@@ -382,7 +382,7 @@
 	(void)fd;
 	(void)what;
 	if (!conn->exchange) {
-		end_check(conn, false);
+		end_check(conn, CRASH_EVIDENCE_UNREACHED);
 		free_conn(conn);
 		return;
 	}
@@ -503,7 +503,7 @@
 			drop_undelivered(conn);
 		if (conn->exchange)
 			free_exchange(conn->exchange);
-		end_check(conn, true);
+		end_check(conn, CRASH_EVIDENCE_LISTENS);
 		free_conn(conn);
 	}
 }
--- a/upstream.h
+++ b/upstream.h
@@ -10,6 +10,7 @@
 #include <stdint.h>
 
 #include "clock.h"
+#include "crash_check.h"
 #include "http_message.h"
 #include "registry.h"
 #include "str.h"
@@ -178,16 +179,17 @@
  */
 int upstream_in_flight(const struct registry_server *server);
 
-typedef void (*upstream_check_cb)(void *arg, bool listens);
+typedef void (*upstream_check_cb)(void *arg, enum crash_evidence evidence);
 
 /**
  * upstream_check() - check whether a server accepts connections
- * @cb: called once, after this function has returned
+ * @cb: called once, after this function has returned, with
+ *	CRASH_EVIDENCE_LISTENS, _REFUSED or _UNREACHED
  *
  * If it does, the connection is kept for the next request.
  *
- * Return: 0; or ERR_CONNECT if the connection was refused at once, with @cb
- * not called.
+ * Return: 0; or ERR_CONNECT if none can be opened here, for want of
+ * descriptors, ports or a route, with @cb not called.
  */
 int upstream_check(struct upstream *upstream, struct registry_server *server,
 		   upstream_check_cb cb, void *arg);
