--- a/tests/test_slow_servers.py
+++ b/tests/test_slow_servers.py
@@ -34,6 +34,7 @@
 LONGER_THAN_DEADLINE_S = 0.7
 SUSPECTS = 2
 SEARCHES_IN_A_ROW = 3
+CANARIES = 4
 CALLERS = 4
 INSTANCES = 3
 CALLER_GAP_S = 0.03
@@ -147,6 +148,21 @@
                         self.check_other_half(*instance.search(search))
                 bad.search = FakeServer.valid_search
 
+    def test_canary_keeps_the_other_half(self):
+        """Guards against a new search that gets nothing, since the server that
+        it runs on first does not answer."""
+        bad, _, instance = self.start_halves(canary="on")
+        bad.search = too_slow
+        for seed in SEEDS:
+            for number in range(CANARIES):
+                search = {
+                    "service": SERVICE,
+                    "where": {"n": 1000 * seed + number},
+                    "deadline_ms": SEARCH_DEADLINE_MS,
+                }
+                with self.subTest(search["where"]):
+                    self.check_other_half(*instance.search(search))
+
     def name_replica_sets(self, *servers):
         """Publish a table in which each server is a replica set of its own, so
         that an answer of one does not clear what crashed another."""
