--- a/dispatch_load.c
+++ b/dispatch_load.c
@@ -244,7 +244,6 @@
 		return outage_retry_after(dispatch->limits->outage,
 					  dispatch->outage_since);
 	if (dispatch->capacity_delay > 0)
-		return (dispatch->capacity_delay + USEC_PER_MSEC - 1) /
-		       USEC_PER_MSEC;
+		return msec_round_up(dispatch->capacity_delay);
 	return RETRY_AFTER_MS;
 }
--- a/gateway_load.c
+++ b/gateway_load.c
@@ -225,5 +225,5 @@
 	log_promise(request, &ask, &entry, wait);
 	load_share_add_return(&gateway->load.load_share, &entry);
 	gateway_load_arm_timer(gateway);
-	return (wait + USEC_PER_MSEC - 1) / USEC_PER_MSEC;
+	return msec_round_up(wait);
 }
--- a/gateway_request.c
+++ b/gateway_request.c
@@ -288,7 +288,7 @@
 {
 	int64_t left = at - clock_now(&gateway->clock);
 
-	return (left + USEC_PER_MSEC - 1) / USEC_PER_MSEC;
+	return msec_round_up(left);
 }
 
 static void start_or_refuse(struct gateway *gateway, struct inbound_conn *conn,
