--- a/home.h
+++ b/home.h
@@ -131,7 +131,6 @@
  * @queue: jobs waiting for a slot
  * @run_times: durations of jobs that were answered or timed out as silent
  * @latency_us: exponentially weighted mean of answered jobs, microseconds
- * @backoff_until: unused
  * @transport: connection state, owned by home_net
  * @in_table: for home_net: the table in force has it at the same address
  * @hh: in struct home.servers
@@ -147,7 +146,6 @@
 	struct slot_queue queue;
 	struct sketch run_times;
 	int64_t latency_us;
-	int64_t backoff_until;
 	void *transport;
 	bool in_table;
 	UT_hash_handle hh;
