server_link: split the link to a server from home_net

What it knows of a server, its holdings and the state that entries are told, is server_link now, and is freed in one place instead of two. server_pool_is_disconnected() was only asked negated and is server_pool_is_connected(). A field that nothing used is gone.

--- a/home_net.c
+++ b/home_net.c
@@ -1,4 +1,3 @@
-#define LOG_MODULE "home_net"
 #include "home_net.h"
 
 #include <inttypes.h>
@@ -8,262 +7,16 @@
 #include <event2/buffer.h>
 #include <event2/event.h>
 
-#include "catalog.h"
-#include "log.h"
-#include "lost_jobs.h"
 #include "mem.h"
 #include "run.h"
-#include "server_pool.h"
+#include "server_link.h"
 #include "share.h"
 
-/* Consecutive failed requests for holdings. */
-#define UNREACHABLE_FAILURES 3
-#define ETAG_SIZE 40
-#define VERSION_SWITCH_WINDOW_US MSEC(500)
-#define HOLDINGS_MIN_INTERVAL_US MSEC(10)
-
-/**
- * struct server_link - connections and holdings of one backend server
- * @net: the owner
- * @server: the server, owned by struct home
- * @pool: connections
- * @holdings: last received, owned; NULL before
- * @digests: of the maps of @holdings
- * @etag: of @holdings
- * @requested_at: when @holdings were last requested, microseconds
- * @failures: consecutive failed requests for holdings
- * @row: in the table in force; -1 if it was removed
- * @request_pending: a request for holdings is running
- * @reachable: it answers requests for holdings: false at the start and after
- *	UNREACHABLE_FAILURES failures
- * @has_draining_answer: unused
- * @lost: jobs whose connections broke
- */
-struct server_link {
-	struct home_net *net;
-	struct home_server *server;
-	struct server_pool pool;
-	Backend__Holdings *holdings;
-	uint64_t digests[CATALOG_VERSIONS_MAX];
-	char etag[ETAG_SIZE];
-	int64_t requested_at;
-	int failures;
-	int row;
-	bool request_pending;
-	bool reachable;
-	bool has_draining_answer;
-	struct lost_jobs lost;
-};
-
 static struct server_link *link_of(const struct home_server *server)
 {
 	return server->transport;
 }
 
-/* Sending server states to entries. */
-
-static uint64_t snapshot_digest(const Backend__Holdings *holdings,
-				const Backend__Snapshot *snapshot)
-{
-	return catalog_map_digest(str_from(holdings->service),
-				  snapshot->version, snapshot->map,
-				  snapshot->n_map);
-}
-
-static void pack_held(const struct server_link *link, Peer__ServerState *state)
-{
-	const Backend__Holdings *holdings = link->holdings;
-	size_t n = holdings->n_snapshots;
-	Peer__Held *held = mem_zalloc(n * sizeof(*held));
-	size_t i;
-
-	state->held = mem_zalloc((n + 1) * sizeof(*state->held));
-	state->n_held = n;
-	for (i = 0; i < n; i++) {
-		const Backend__Snapshot *snapshot = holdings->snapshots[i];
-
-		peer__held__init(&held[i]);
-		held[i].version = snapshot->version;
-		held[i].map_digest = link->digests[i];
-		held[i].n_here = snapshot->n_here;
-		held[i].here = snapshot->here;
-		state->held[i] = &held[i];
-	}
-	/* free_state() frees the array by state->held[0]. */
-	if (!n)
-		free(held);
-}
-
-static void pack_state(const struct server_link *link, Peer__ServerState *state)
-{
-	struct home_server *server = link->server;
-
-	peer__server_state__init(state);
-	state->server = server->name;
-	state->service = server->service;
-	state->slots = server->slots;
-	state->connections = server->connections;
-	state->in_flight = server->in_flight;
-	state->latency_us = (uint32_t)server->latency_us;
-	state->reachable = link->reachable && link->holdings;
-	if (!link->holdings)
-		return;
-	state->draining = link->holdings->draining;
-	state->cold = link->holdings->cold;
-	pack_held(link, state);
-}
-
-static void free_state(Peer__ServerState *state)
-{
-	if (state->n_held)
-		free(state->held[0]);
-	free(state->held);
-}
-
-static void send_state(struct server_link *link, struct peer_link *to)
-{
-	Peer__ServerStates states = PEER__SERVER_STATES__INIT;
-	Peer__ServerState state;
-	Peer__ServerState *pointer = &state;
-
-	pack_state(link, &state);
-	states.n_states = 1;
-	states.states = &pointer;
-	peer_send(to, FRAME_SERVER_STATES, &states.base);
-	free_state(&state);
-}
-
-static void push_state(struct server_link *link)
-{
-	struct peer_link *to;
-
-	for (to = link->net->peers->links; to; to = to->next) {
-		if (!to->outgoing && to->up)
-			send_state(link, to);
-	}
-}
-
-/* Polling the holdings of servers. */
-
-static bool is_valid_holdings(const struct server_link *link,
-			      const Backend__Holdings *holdings)
-{
-	size_t i;
-	size_t k;
-
-	if (strcmp(holdings->server, link->server->name) ||
-	    strcmp(holdings->service, link->server->service) ||
-	    holdings->n_snapshots > CATALOG_VERSIONS_MAX)
-		return false;
-	for (i = 0; i < holdings->n_snapshots; i++) {
-		for (k = 0; k < holdings->snapshots[i]->n_map; k++) {
-			if (!holdings->snapshots[i]->map[k]->shard)
-				return false;
-		}
-	}
-	return true;
-}
-
-static int unpack_holdings(struct server_link *link,
-			   const struct server_reply *reply)
-{
-	size_t len = evbuffer_get_length(reply->body);
-	Backend__Holdings *holdings =
-		backend__holdings__unpack(NULL, len,
-					  evbuffer_pullup(reply->body, -1));
-	size_t i;
-
-	if (!holdings)
-		return ERR_PROTOCOL;
-	if (!is_valid_holdings(link, holdings)) {
-		backend__holdings__free_unpacked(holdings, NULL);
-		return ERR_FOREIGN;
-	}
-	if (link->holdings)
-		backend__holdings__free_unpacked(link->holdings, NULL);
-	link->holdings = holdings;
-	for (i = 0; i < holdings->n_snapshots; i++)
-		link->digests[i] =
-			snapshot_digest(holdings, holdings->snapshots[i]);
-	str_copy(link->etag, sizeof(link->etag),
-		 str_from(reply->etag ? reply->etag : ""));
-	return 0;
-}
-
-static void holdings_failed(struct server_link *link, int code)
-{
-	link->failures++;
-	if (!link->reachable || link->failures < UNREACHABLE_FAILURES)
-		return;
-	link->reachable = false;
-	LOG_WARN("server_unreachable", LOG_TEXT("server", link->server->name),
-		 LOG_TEXT("error", error_name(code)));
-	push_state(link);
-}
-
-static void on_holdings(void *arg, const struct server_reply *reply)
-{
-	struct server_link *link = arg;
-	bool changed = !link->reachable;
-	int code = reply->code;
-
-	link->request_pending = false;
-	if (!code && reply->status == 200) {
-		code = unpack_holdings(link, reply);
-		changed = true;
-	}
-	if (code) {
-		holdings_failed(link, code);
-		return;
-	}
-	link->failures = 0;
-	link->reachable = true;
-	if (changed)
-		push_state(link);
-}
-
-static void request_holdings(struct server_link *link)
-{
-	if (link->request_pending || !link->server->slots)
-		return;
-	link->requested_at = clock_now(link->net->board->clock);
-	link->request_pending = !server_pool_get(&link->pool, "/v1/holdings",
-						 link->etag, on_holdings, link);
-}
-
-static bool has_snapshot(const struct server_link *link, uint64_t digest)
-{
-	size_t i;
-
-	for (i = 0; link->holdings && i < link->holdings->n_snapshots; i++) {
-		if (link->digests[i] == digest)
-			return true;
-	}
-	return false;
-}
-
-/*
- * Servers of a service switch versions at about the same time. When the first
- * one reports the new version, possibly to another home, the others are polled
- * at once: otherwise neither version would be complete for searches until the
- * next regular poll.
- */
-static void follow_version_switch(struct server_link *link)
-{
-	const struct blackboard *board = link->net->board;
-	const struct catalog_service *service =
-		catalog_find_service(&board->catalog,
-				     str_from(link->server->service));
-	int64_t now = clock_now(board->clock);
-
-	if (!service || !service->new_map_digest ||
-	    has_snapshot(link, service->new_map_digest) ||
-	    now - service->new_map_at > VERSION_SWITCH_WINDOW_US ||
-	    now - link->requested_at < HOLDINGS_MIN_INTERVAL_US)
-		return;
-	request_holdings(link);
-}
-
 static void on_catalog(void *arg)
 {
 	struct home_net *net = arg;
@@ -271,7 +24,7 @@
 	struct home_server *next;
 
 	HASH_ITER (hh, net->home.servers, server, next)
-		follow_version_switch(link_of(server));
+		server_link_follow_version_switch(link_of(server));
 }
 
 /* Running jobs. */
@@ -321,8 +74,8 @@
 		code = ERR_PROTOCOL;
 	/* Entries need the server's new state for their next queries. */
 	if (code == ERR_WRONG_VERSION || code == ERR_DRAINING)
-		request_holdings(link);
-	home_job_done(&link->net->home, job, code, reply->sent,
+		server_link_request_holdings(link);
+	home_job_done(job->query->home, job, code, reply->sent,
 		      reply->retry_after_ms, answer);
 }
 
@@ -401,8 +154,8 @@
 		body = (struct str){(char *)answer->body.data,
 				    answer->body.len};
 	if (code == ERR_NOT_HELD || code == ERR_WRONG_VERSION)
-		request_holdings(link);
-	home_job_done(&link->net->home, job, code, reply->sent,
+		server_link_request_holdings(link);
+	home_job_done(job->query->home, job, code, reply->sent,
 		      reply->retry_after_ms, body);
 	if (answer)
 		backend__run_answer__free_unpacked(answer, NULL);
@@ -607,7 +360,7 @@
 	if (link->outgoing)
 		return;
 	HASH_ITER (hh, net->home.servers, server, next)
-		send_state(link_of(server), link);
+		server_link_send_state(link_of(server), link);
 }
 
 static void on_link_down(void *arg, struct peer_link *link)
@@ -650,15 +403,12 @@
 
 	if (server->transport)
 		return server;
-	link = mem_zalloc(sizeof(*link));
-	link->net = net;
-	link->server = server;
-	server->transport = link;
 	server->address = row->address;
 	str_copy(server->service, sizeof(server->service),
 		 str_from(row->service));
-	server_pool_init(&link->pool, net->board, &row->address, connections);
-	lost_jobs_init(&link->lost, &net->home, server, &link->pool);
+	link = mem_zalloc(sizeof(*link));
+	server_link_init(link, &net->home, server, net->peers, connections);
+	server->transport = link;
 	return server;
 }
 
@@ -685,8 +435,8 @@
 		return;
 	home_set_share(&net->home, server, slots, connections);
 	server_pool_set_max(&link->pool, connections);
-	push_state(link);
-	request_holdings(link);
+	server_link_push_state(link);
+	server_link_request_holdings(link);
 }
 
 static void drop_server(struct home_net *net, struct home_server *server)
@@ -695,7 +445,7 @@
 
 	if (server->slots) {
 		home_set_share(&net->home, server, 0, 0);
-		push_state(link);
+		server_link_push_state(link);
 	}
 	/* Removed by a later sync_servers(), once its jobs have ended. */
 	home_flush(&net->home);
@@ -703,10 +453,7 @@
 		net->has_removed_servers = true;
 		return;
 	}
-	server_pool_finish(&link->pool);
-	if (link->holdings)
-		backend__holdings__free_unpacked(link->holdings, NULL);
-	lost_jobs_finish(&link->lost);
+	server_link_finish(link);
 	free(link);
 	home_remove_server(&net->home, server);
 }
@@ -771,7 +518,7 @@
 	if (net->has_removed_servers)
 		sync_servers(net);
 	HASH_ITER (hh, net->home.servers, server, next)
-		request_holdings(link_of(server));
+		server_link_request_holdings(link_of(server));
 	evtimer_add(net->poll_timer, &tv);
 }
 
@@ -812,10 +559,7 @@
 	HASH_ITER (hh, net->home.servers, server, next) {
 		struct server_link *link = link_of(server);
 
-		server_pool_finish(&link->pool);
-		if (link->holdings)
-			backend__holdings__free_unpacked(link->holdings, NULL);
-		lost_jobs_finish(&link->lost);
+		server_link_finish(link);
 		free(link);
 	}
 	home_finish(&net->home);
--- a/lost_jobs.c
+++ b/lost_jobs.c
@@ -12,7 +12,7 @@
 {
 	const struct lost_jobs *lost = arg;
 
-	return !server_pool_is_disconnected(lost->pool);
+	return server_pool_is_connected(lost->pool);
 }
 
 static void on_probed(void *arg, enum crash_evidence evidence)
--- a/server_pool.c
+++ b/server_pool.c
@@ -467,15 +467,15 @@
 	return ret;
 }
 
-bool server_pool_is_disconnected(const struct server_pool *pool)
+bool server_pool_is_connected(const struct server_pool *pool)
 {
 	const struct server_conn *conn;
 
 	DL_FOREACH (pool->conns, conn) {
 		if (conn->state != CONN_DEAD && is_connected(conn))
-			return false;
+			return true;
 	}
-	return true;
+	return false;
 }
 
 static void on_probed(void *arg, enum crash_evidence evidence)
--- a/server_pool.h
+++ b/server_pool.h
@@ -107,10 +107,10 @@
 		     void *arg, void **handle);
 
 /**
- * server_pool_is_disconnected() - whether no connection is open
+ * server_pool_is_connected() - whether any connection is open
  * @pool: the pool
  */
-bool server_pool_is_disconnected(const struct server_pool *pool);
+bool server_pool_is_connected(const struct server_pool *pool);
 
 /**
  * server_pool_probe() - see whether the server accepts a connection
