tests: a full queue of new connections is held for a crash

A server that closed all connections and then accepts none for 50 ms, since its queue of new connections is full, answers no attempt to connect, as a machine that is gone. It is held for crashed, as before. What nobody answers can't be told apart from outside in that time; a longer wait would leave a search that takes its machine down unwatched for as long. Callers get the other half all the same.

--- a/tests/test_slow_servers.py
+++ b/tests/test_slow_servers.py
@@ -130,6 +130,28 @@
         bad.listen()
         self.wait_full_coverage(instance)
 
+    def test_full_accept_queue_is_not_crashed(self):
+        """Guards against a server that accepts no connection for a moment
+        being held for crashed."""
+        bad = self.server("b1", shard_indexes=[0], backlog=1)
+        good = self.server("b2", shard_indexes=[1])
+        instance = self.start(bad, good)
+        self.wait_full_coverage(instance)
+        filling = []
+
+        def close_all(server, _):
+            filling.extend(server.fill_accept_queue())
+            server.close_connections()
+
+        bad.search = close_all
+        self.check_other_half(*instance.search(
+            {"service": SERVICE, "deadline_ms": SEARCH_DEADLINE_MS}))
+        bad.may_accept.set()
+        for sock in filling:
+            sock.close()
+        self.assertNotIn("fingerprint_changed",
+                         instance.log_path.read_text())
+
     def test_suspect_keeps_the_other_half(self):
         """Guards against a suspect that gets nothing, since the server that it
         is tried on first does not answer."""
