connect_probe: one attempt to connect for homes and membership

member_net had its own copy of what server_probe does: connect and see whether that is refused. It has a name of its own and a time limit now. An immediate failure other than a refusal changes nothing, as before.

--- a/server_probe.c
+++ b/connect_probe.c
@@ -1,4 +1,4 @@
-#include "server_probe.h"
+#include "connect_probe.h"
 
 #include <errno.h>
 #include <sys/socket.h>
@@ -27,21 +27,23 @@
 
 static void on_connected(evutil_socket_t fd, short what, void *arg)
 {
-	struct server_probe *probe = arg;
+	struct connect_probe *probe = arg;
 	int error = probe->error;
 	socklen_t len = sizeof(error);
 
-	(void)what;
-	if (!error && getsockopt(fd, SOL_SOCKET, SO_ERROR, &error, &len))
+	if (what & EV_TIMEOUT)
+		error = ETIMEDOUT;
+	else if (!error && getsockopt(fd, SOL_SOCKET, SO_ERROR, &error, &len))
 		error = errno;
-	server_probe_finish(probe);
+	connect_probe_finish(probe);
 	probe->done(probe->arg, evidence_of(error));
 }
 
-int server_probe_start(struct server_probe *probe, struct event_base *base,
-		       const struct address *address, server_probe_cb done,
-		       void *arg)
+int connect_probe_start(struct connect_probe *probe, struct event_base *base,
+			const struct address *address, int64_t timeout,
+			connect_probe_cb done, void *arg)
 {
+	struct timeval tv = {timeout / USEC_PER_SEC, timeout % USEC_PER_SEC};
 	struct sockaddr_in sin = address_sockaddr(address);
 
 	probe->done = done;
@@ -59,11 +61,11 @@
 	if (probe->error)
 		event_active(probe->event, EV_WRITE, 1);
 	else
-		event_add(probe->event, NULL);
+		event_add(probe->event, timeout ? &tv : NULL);
 	return 0;
 }
 
-void server_probe_finish(struct server_probe *probe)
+void connect_probe_finish(struct connect_probe *probe)
 {
 	if (!probe->event)
 		return;
--- a/member_net.c
+++ b/member_net.c
@@ -8,12 +8,13 @@
 #include <arpa/inet.h>
 #include <utlist.h>
 
+#include "connect_probe.h"
 #include "mem.h"
 #include "peer.pb-c.h"
 #include "table_sync.h"
 
 #define DATAGRAMS_PER_EVENT 64
-#define CHECK_TIMEOUT_S 1
+#define CHECK_TIMEOUT MSEC(1000)
 #define TICKS_PER_PERIOD 8
 #define TICK_MIN_MS 5
 #define TICK_MAX_MS 50
@@ -23,8 +24,7 @@
 	struct member_net *net;
 	char instance[FLEET_NAME_SIZE];
 	uint64_t incarnation;
-	evutil_socket_t fd;
-	struct event *event;
+	struct connect_probe probe;
 	struct member_check *prev;
 	struct member_check *next;
 };
@@ -123,21 +123,16 @@
 static void end_check(struct member_check *check)
 {
 	DL_DELETE(check->net->checks, check);
-	event_free(check->event);
-	evutil_closesocket(check->fd);
+	connect_probe_finish(&check->probe);
 	free(check);
 }
 
-static void on_check(evutil_socket_t fd, short what, void *arg)
+static void on_check(void *arg, enum crash_evidence evidence)
 {
 	struct member_check *check = arg;
 	struct member_net *net = check->net;
-	socklen_t len = sizeof(int);
-	int error = 0;
 
-	(void)what;
-	getsockopt(fd, SOL_SOCKET, SO_ERROR, &error, &len);
-	if (error == ECONNREFUSED)
+	if (evidence == CRASH_EVIDENCE_REFUSED)
 		member_table_connection_refused(&net->members, check->instance,
 						check->incarnation);
 	end_check(check);
@@ -158,28 +153,22 @@
 
 static void check_address(void *arg, const struct member *member)
 {
-	static const struct timeval timeout = {CHECK_TIMEOUT_S, 0};
 	struct member_net *net = arg;
-	struct sockaddr_in sin = address_sockaddr(&member->peer_address);
 	struct member_check *check;
-	evutil_socket_t fd;
 
 	if (find_check(net, member))
 		return;
-	fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-	if (fd < 0)
-		return;
 	check = mem_zalloc(sizeof(*check));
+	if (connect_probe_start(&check->probe, net->board->base,
+				&member->peer_address, CHECK_TIMEOUT, on_check,
+				check)) {
+		free(check);
+		return;
+	}
 	check->net = net;
-	check->fd = fd;
 	check->incarnation = member->incarnation;
 	str_copy(check->instance, sizeof(check->instance),
 		 str_from(member->instance));
-	/* The event reports immediate failures as well. */
-	(void)connect(fd, (struct sockaddr *)&sin, sizeof(sin));
-	check->event =
-		event_new(net->board->base, fd, EV_WRITE, on_check, check);
-	event_add(check->event, &timeout);
 	DL_APPEND(net->checks, check);
 }
 
--- a/server_pool.c
+++ b/server_pool.c
@@ -486,15 +486,16 @@
 	pool->probe_done(pool->probe_arg, evidence);
 }
 
-int server_pool_probe(struct server_pool *pool, server_probe_cb done, void *arg)
+int server_pool_probe(struct server_pool *pool, connect_probe_cb done,
+		      void *arg)
 {
 	struct server_conn *place = acquire_conn(pool);
 	int ret;
 
 	if (!place)
 		return ERR_NO_SLOT;
-	ret = server_probe_start(&pool->probe, pool->board->base,
-				 &pool->address, on_probed, pool);
+	ret = connect_probe_start(&pool->probe, pool->board->base,
+				  &pool->address, 0, on_probed, pool);
 	if (ret)
 		return ret;
 	place->state = CONN_BUSY;
@@ -508,7 +509,7 @@
 {
 	if (!pool->probe_place)
 		return;
-	server_probe_finish(&pool->probe);
+	connect_probe_finish(&pool->probe);
 	pool->probe_place->state = CONN_IDLE;
 	pool->probe_place = NULL;
 	schedule_reap(pool);
--- a/server_pool.h
+++ b/server_pool.h
@@ -11,7 +11,7 @@
 #include "address.h"
 #include "backend.pb-c.h"
 #include "blackboard.h"
-#include "server_probe.h"
+#include "connect_probe.h"
 
 struct evbuffer;
 struct event;
@@ -60,9 +60,9 @@
 	uint32_t n_conns;
 	uint32_t max;
 	struct event *reaper;
-	struct server_probe probe;
+	struct connect_probe probe;
 	struct server_conn *probe_place;
-	server_probe_cb probe_done;
+	connect_probe_cb probe_done;
 	void *probe_arg;
 };
 
@@ -115,7 +115,7 @@
 /**
  * server_pool_probe() - see whether the server accepts a connection
  * @pool: the pool; no probe is running
- * @done: called with what was met, see server_probe_start()
+ * @done: called with what was met, see connect_probe_start()
  * @arg: passed to @done
  *
  * The connection counts towards the share until it is closed, before @done.
@@ -123,7 +123,7 @@
  * Return: 0, and @done is called, but not during this call; or ERR_NO_SLOT if
  * no connection is free, ERR_SYSTEM if none can be made.
  */
-int server_pool_probe(struct server_pool *pool, server_probe_cb done,
+int server_pool_probe(struct server_pool *pool, connect_probe_cb done,
 		      void *arg);
 
 /**
