search: earn nothing for what a home holds back

A part of a suspect that its home held back was never sent; asked for again, it was counted as another request needed, and earned budget for retries and hedges. After a hold the rest of that search earns nothing. The new case of test_search fails without the change.

--- a/search_round.c
+++ b/search_round.c
@@ -256,7 +256,8 @@
 
 	if (!n_new)
 		return;
-	if (round->hedged_part < 0 && round->service)
+	/* What a home held back is asked for again, but needed only once. */
+	if (round->hedged_part < 0 && round->service && !search->held_for)
 		policy_count_needed(&search->searches->policy, round->service,
 				    count_first_attempts(round));
 	search_round_wire_id(search, search->n_rounds, round->wire_id);
--- a/tests/test_search.c
+++ b/tests/test_search.c
@@ -1248,6 +1248,31 @@
 	tear_down(&fixture);
 }
 
+static uint64_t needed(struct fixture *fixture)
+{
+	const struct observe_service *service =
+		observe_service(&fixture->searches.policy.observe,
+				STR(FIXTURE_SERVICE));
+
+	return service->retries.needed;
+}
+
+/* Guards against retries being earned by requests that were never sent. */
+static void test_held_suspect_earns_once(void)
+{
+	struct fixture fixture;
+	uint64_t before;
+
+	set_up_halves(&fixture);
+	hold_part(&fixture, 0, 1);
+	before = needed(&fixture);
+	hold_part(&fixture, 1, 1);
+	advance_ms(&fixture, 1);
+	CU_ASSERT_EQUAL(fixture.n_sent, 3);
+	CU_ASSERT_EQUAL(needed(&fixture), before);
+	tear_down(&fixture);
+}
+
 /* Guards against a wait until the deadline where the refusal is known before.
  */
 static void test_suspect_held_past_deadline(void)
@@ -1308,6 +1333,7 @@
 	{"a suspect goes on after a failure",
 	 test_suspect_goes_on_after_failure},
 	{"a held suspect waits", test_held_suspect_waits},
+	{"a held suspect earns once", test_held_suspect_earns_once},
 	{"a suspect is held past its deadline",
 	 test_suspect_held_past_deadline},
 	{"an unknown service uses no error budget",
