--- a/tests/test_slow_servers.py
+++ b/tests/test_slow_servers.py
@@ -29,6 +29,8 @@
 
 HOLDINGS_DELAY_MAX_S = 0.12
 SEARCH_DELAYS_S = (0, 0.02, 0.7)
+# Longer ones are upper limits.
+FIXED_DELAY_MAX_S = 0.1
 SEARCH_DEADLINE_MS = 600
 
 LONGER_THAN_DEADLINE_S = 0.7
@@ -57,7 +59,9 @@
     def sleep_before_search(self):
         with self.lock:
             most = self.random.choice(SEARCH_DELAYS_S)
-            delay = self.random.uniform(0, most) if most > 0.1 else most
+            delay = most
+            if most > FIXED_DELAY_MAX_S:
+                delay = self.random.uniform(0, most)
         time.sleep(delay)
 
     def wrap_holdings(self, server, body):
@@ -72,6 +76,17 @@
         return delayed
 
 
+def new_searches(per_seed):
+    """Searches that no server has seen before."""
+    for seed in SEEDS:
+        for i in range(per_seed):
+            yield {
+                "service": SERVICE,
+                "where": {"n": 1000 * seed + i},
+                "deadline_ms": SEARCH_DEADLINE_MS,
+            }
+
+
 def too_slow(server, body):
     """Answer a search after the deadline of its caller."""
     time.sleep(LONGER_THAN_DEADLINE_S)
@@ -156,34 +171,22 @@
         """Guards against a suspect that gets nothing, since the server that it
         is tried on first does not answer."""
         bad, _, instance = self.start_halves()
-        for seed in SEEDS:
-            for number in range(SUSPECTS):
-                search = {
-                    "service": SERVICE,
-                    "where": {"n": 1000 * seed + number},
-                    "deadline_ms": SEARCH_DEADLINE_MS,
-                }
-                self.crash_on(bad, instance, search)
-                bad.search = too_slow
-                for again in range(SEARCHES_IN_A_ROW):
-                    with self.subTest(search["where"], again=again):
-                        self.check_other_half(*instance.search(search))
-                bad.search = FakeServer.valid_search
+        for search in new_searches(SUSPECTS):
+            self.crash_on(bad, instance, search)
+            bad.search = too_slow
+            for again in range(SEARCHES_IN_A_ROW):
+                with self.subTest(search["where"], again=again):
+                    self.check_other_half(*instance.search(search))
+            bad.search = FakeServer.valid_search
 
     def test_canary_keeps_the_other_half(self):
         """Guards against a new search that gets nothing, since the server that
         it runs on first does not answer."""
         bad, _, instance = self.start_halves(canary="on")
         bad.search = too_slow
-        for seed in SEEDS:
-            for number in range(CANARIES):
-                search = {
-                    "service": SERVICE,
-                    "where": {"n": 1000 * seed + number},
-                    "deadline_ms": SEARCH_DEADLINE_MS,
-                }
-                with self.subTest(search["where"]):
-                    self.check_other_half(*instance.search(search))
+        for search in new_searches(CANARIES):
+            with self.subTest(search["where"]):
+                self.check_other_half(*instance.search(search))
 
     def name_replica_sets(self, *servers):
         """Publish a table in which each server is a replica set of its own, so
@@ -200,20 +203,14 @@
         bad, good, instance = self.start_halves()
         self.name_replica_sets(bad, good)
         self.wait_full_coverage(instance)
-        for seed in SEEDS:
-            for number in range(SUSPECTS):
-                search = {
-                    "service": SERVICE,
-                    "where": {"n": 1000 * seed + number},
-                    "deadline_ms": SEARCH_DEADLINE_MS,
-                }
-                self.crash_on(bad, instance, search)
-                bad.search = too_slow
-                with self.subTest(search["where"]):
-                    for status, answer in self.search_at_once(
-                            [instance] * CALLERS, search):
-                        self.check_other_half(status, answer)
-                bad.search = FakeServer.valid_search
+        for search in new_searches(SUSPECTS):
+            self.crash_on(bad, instance, search)
+            bad.search = too_slow
+            with self.subTest(search["where"]):
+                for status, answer in self.search_at_once(
+                        [instance] * CALLERS, search):
+                    self.check_other_half(status, answer)
+            bad.search = FakeServer.valid_search
 
     def search_at_once(self, instances, search):
         """Send a search to each of the instances, from a caller each, several
