poison: try a suspect with one run, and first where it would have gone before

What callers would have seen: more false bans of a popular search while servers are restarted one after the other. Since several callers' runs of a suspect shared a server, and a search went on from a server that it had lost or that refused it; so a watched run was more often on the next server to go.

Now a suspect is on trial by one run at a time wherever it is; once the oldest run on a server has outlasted its trial others may go there and elsewhere. Only a server that failed the search on trial, after it was reached, comes last.

The test of the server that is shared checks the new rule: not within the trial, and after it.

--- a/clock.h
+++ b/clock.h
@@ -8,6 +8,7 @@
 #define USEC_PER_SEC 1000000
 #define MSEC(n) ((int64_t)(n)*USEC_PER_MSEC)
 
+/* For delays told to others: they must not come back too early. */
 static inline int64_t msec_round_up(int64_t usec)
 {
 	return (usec + USEC_PER_MSEC - 1) / USEC_PER_MSEC;
--- a/poison.c
+++ b/poison.c
@@ -363,42 +363,57 @@
 	return server;
 }
 
-/*
- * A crash can be attributed to a suspect only if no other one runs on the same
- * server, and a suspect on trial on two servers could crash both.
- *
- * Return: how long the run blocks another, microseconds; 0: it doesn't.
- */
-static int64_t blocking_time(const struct poison *poison,
-			     const struct poison_run *run, uint64_t hash,
-			     uint64_t server, int64_t left)
+static const struct poison_run *
+find_oldest_run(const struct poison_server *server, uint64_t hash)
 {
-	int64_t ran = clock_now(poison->clock) - run->started;
-	int64_t trial = poison_trial_time(poison, hash, left);
+	const struct poison_run *oldest = NULL;
+	const struct poison_run *run;
+
+	DL_FOREACH (server->runs, run) {
+		if (run->hash == hash &&
+		    (!oldest || run->started < oldest->started))
+			oldest = run;
+	}
+	return oldest;
+}
+
+/* A crash can be attributed to a suspect only if no other one runs there. */
+static const struct poison_run *
+find_other_suspect(const struct poison_server *server, uint64_t hash)
+{
+	const struct poison_run *run;
 
-	if (run->hash != hash)
-		return run->suspect && run->server->name == server
-			       ? OTHER_SUSPECT_RETRY
-			       : 0;
-	return run->server->name != server && ran < trial ? trial - ran : 0;
+	DL_FOREACH (server->runs, run) {
+		if (run->suspect && run->hash != hash)
+			return run;
+	}
+	return NULL;
 }
 
+/*
+ * A suspect on trial on two servers could crash both. Its trial on a server
+ * ends with that of its oldest run there.
+ */
 const struct poison_run *poison_blocking_run(const struct poison *poison,
 					     uint64_t hash, struct str server,
 					     int64_t left, int64_t *wait)
 {
+	int64_t trial = poison_trial_time(poison, hash, left);
+	const struct poison_server *target =
+		find_server(poison, str_hash(server));
 	const struct poison_server *other;
 	const struct poison_run *run;
-	uint64_t name = str_hash(server);
 
-	for (other = poison->servers; other; other = other->hh.next) {
-		DL_FOREACH (other->runs, run) {
-			*wait = blocking_time(poison, run, hash, name, left);
-			if (*wait)
-				return run;
-		}
+	*wait = OTHER_SUSPECT_RETRY;
+	run = target ? find_other_suspect(target, hash) : NULL;
+	for (other = poison->servers; other && !run; other = other->hh.next) {
+		run = find_oldest_run(other, hash);
+		*wait = run ? run->started + trial - clock_now(poison->clock)
+			    : 0;
+		if (*wait <= 0)
+			run = NULL;
 	}
-	return NULL;
+	return run;
 }
 
 int poison_begin(struct poison *poison, struct poison_run *run, uint64_t hash,
--- a/poison.h
+++ b/poison.h
@@ -264,7 +264,7 @@
  * ERR_BANNED: the fingerprint is banned;
  * ERR_SHED: a suspect here, but the entry instance sent it unwatched;
  * ERR_NO_SLOT: a suspect, and either another suspect runs on this server or
- * the same request is on trial on another one.
+ * the same request is on trial anywhere.
  */
 int poison_begin(struct poison *poison, struct poison_run *run, uint64_t hash,
 		 struct str server, struct str replica_set, bool watched,
--- a/search_poison.c
+++ b/search_poison.c
@@ -60,15 +60,17 @@
 	return best;
 }
 
-/* Whether a part of the search has failed there. */
+/* Whether the search has failed there on trial, after it had reached it. */
 static bool was_tried(const struct search *search,
 		      const struct catalog_server *server)
 {
 	int i;
 
 	for (i = 0; i < search->n_parts; i++) {
-		if (search->parts[i].server == server &&
-		    search->parts[i].is_done && search->parts[i].code)
+		const struct search_part *part = &search->parts[i];
+
+		if (part->server == server && part->trial_until &&
+		    part->is_done && part->code && part->was_sent)
 			return true;
 	}
 	return false;
--- a/tests/test_poison.c
+++ b/tests/test_poison.c
@@ -288,16 +288,23 @@
 	poison_finish(&peer.poison);
 }
 
-/* Guards against callers of one suspect refusing each other the same server. */
-static void test_same_server_again(void)
+/*
+ * Guards against callers of one suspect refusing each other a server that is
+ * only slow, and against one crash there that counts twice.
+ */
+static void test_same_server_after_trial(void)
 {
-	struct poison_run runs[2];
+	struct poison_run runs[3];
 	struct fixture f;
 
 	setup(&f);
 	make_suspect(&f);
 	CU_ASSERT_EQUAL(begin(&f, &runs[0], HASH_A, "b2", true), 0);
+	CU_ASSERT_EQUAL(begin(&f, &runs[1], HASH_A, "b2", true), ERR_NO_SLOT);
+	clock_advance(&f.clock, MSEC(50));
+	/* The oldest run decides: a younger one starts no new trial. */
 	CU_ASSERT_EQUAL(begin(&f, &runs[1], HASH_A, "b2", true), 0);
+	CU_ASSERT_EQUAL(begin(&f, &runs[2], HASH_A, "b3", true), 0);
 	lose_server(&f, "b2");
 	CU_ASSERT_EQUAL(f.last.n_servers, 1);
 	poison_finish(&f.poison);
@@ -1057,7 +1064,7 @@
 	{"same server crashed twice", test_same_server},
 	{"one suspect at a time", test_one_at_a_time},
 	{"a trial ends", test_trial_ends},
-	{"same server again", test_same_server_again},
+	{"same server after its trial", test_same_server_after_trial},
 	{"trial time", test_trial_time},
 	{"tried server is last", test_tried_server_is_last},
 	{"cleared only on the same replica set", test_replica_set},
