--- a/bench/soak_suspects.py
+++ b/bench/soak_suspects.py
@@ -279,6 +279,8 @@
 
 def play_seed(options, seed):
     """Play one seed; return its report."""
+    # Forked workers would choose the same ports.
+    random.seed()
     run = Run(options, seed)
     try:
         run.play()
