gateway: log what a request's ban and a lost run's verdict rest on

The logs could not tell why a request that crashes servers is taken for another one at its next sending, nor how a run whose connection broke was judged, nor how many runs nobody watched any more.

request and request_refused name the caller and the fingerprint, lost_run_judged the verdict and its evidence for each run whose connection broke, and runs_unwatched_total counts sends that were given up before it was known whether they crash the server.

--- a/crash_watch.c
+++ b/crash_watch.c
@@ -39,6 +39,10 @@
 	char life[REGISTRY_INCARNATION_SIZE];
 	struct str name = registry_incarnation(watch->server, life);
 
+	LOG_INFO("lost_run_judged", LOG_STR("server", name),
+		 LOG_U64("fingerprint", watch->run.hash),
+		 LOG_TEXT("evidence", crash_evidence_name(evidence)),
+		 LOG_I64("crashed", crash_evidence_is_crash(evidence)));
 	/* Another watch may have reported this crash already. */
 	if (crash_evidence_is_crash(evidence) && watch->run.server) {
 		LOG_WARN("server_crashed", LOG_STR("server", name),
--- a/gateway_answer.c
+++ b/gateway_answer.c
@@ -32,6 +32,8 @@
 
 	metric_histogram_add(&gateway->counters.request_time.histogram, took);
 	LOG_INFO("request", LOG_STR("request", request->request.id),
+		 LOG_TEXT("caller", inbound_conn_ip(request->conn)),
+		 LOG_U64("fingerprint", request->fingerprint),
 		 LOG_TEXT("route", request->route->name
 					   ? request->route->name
 					   : request->route->prefix),
--- a/gateway_request.c
+++ b/gateway_request.c
@@ -254,6 +254,8 @@
 			 http_message_field(
 				 message, gateway->names->upstream.request_id)),
 		 LOG_I64("status", status), LOG_TEXT("why", why),
+		 LOG_TEXT("caller", inbound_conn_ip(conn)),
+		 LOG_U64("fingerprint", fingerprint_of(conn, message)),
 		 LOG_STR("host", host_of(message)),
 		 LOG_STR("target", http_message_target(message)),
 		 LOG_U64("routes_version",
--- a/gateway_stats.h
+++ b/gateway_stats.h
@@ -76,6 +76,8 @@
 	  "sends refused by the server and not run")                           \
 	X(sends_lost, METRIC_COUNTER, "garnetreach_sends_lost_total",          \
 	  "sends without a complete answer")                                   \
+	X(runs_unwatched, METRIC_COUNTER, "garnetreach_runs_unwatched_total",  \
+	  "sends given up before it was known whether they crash the server")  \
 	X(parts_left_out, METRIC_COUNTER, "garnetreach_parts_left_out_total",  \
 	  "parts not sent: their answers were expected too late")              \
 	X(resends_left_out, METRIC_COUNTER,                                    \
--- a/server_queue_net.c
+++ b/server_queue_net.c
@@ -35,7 +35,9 @@
 static void abandon(void *arg, struct server_job *job, int64_t linger,
 		    struct delivery *delivery)
 {
-	(void)arg;
+	struct server_queue_net *net = arg;
+
+	metric_inc(&net->queues.stats->runs_unwatched);
 	crash_watch_end(job->watch, false);
 	exchange_abandon(job->handle, linger, delivery);
 }
