gateway: tell a request that crashes servers by its text, not its caller

Callers saw servers of all shards gone again and again: a request that had crashed three servers was banned, and crashed as many more when its caller sent it from another address.

Cause: the fingerprint held the caller's IP address. A caller that moves, has several addresses or comes through another machine got a new one, and with it three more servers.

Method, host, path and body are the fingerprint now: what crashes a server is in these, whoever sends them. The key under which a refused caller's return is scheduled keeps the address, since the room is promised to one caller.

--- a/gateway_load.c
+++ b/gateway_load.c
@@ -157,7 +157,7 @@
 
 enum return_state gateway_load_check_return(struct gateway *gateway,
 					    const struct route *route,
-					    uint64_t fingerprint, struct str id,
+					    uint64_t return_key, struct str id,
 					    struct scheduled_return *out)
 {
 	const struct scheduled_return *entry;
@@ -166,7 +166,7 @@
 	if (!gateway->settings->load_control.returns)
 		return RETURN_NONE;
 	entry = return_schedule_find(&gateway->load.return_schedule,
-				     fingerprint);
+				     return_key);
 	state = return_schedule_check(&gateway->load.return_schedule, entry);
 	if (state == RETURN_NONE)
 		return RETURN_NONE;
@@ -204,7 +204,7 @@
 	const struct dispatch *dispatch = &request->dispatch;
 	int64_t now = clock_now(&gateway->clock);
 	const struct return_request ask = {
-		.fingerprint = request->fingerprint,
+		.fingerprint = request->return_key,
 		.service = str_hash(str_from(dispatch->parts[0].service->name)),
 		.level = dispatch->level,
 		.cost = dispatch->cost,
--- a/gateway_load.h
+++ b/gateway_load.h
@@ -43,7 +43,7 @@
 /**
  * gateway_load_check_return() - check whether a request was refused before and
  * may be admitted now
- * @fingerprint: identifies the request when it is retried
+ * @return_key: identifies the request and its caller
  * @id: request ID for the log
  * @out: set if the request is known
  *
@@ -52,7 +52,7 @@
  */
 enum return_state gateway_load_check_return(struct gateway *gateway,
 					    const struct route *route,
-					    uint64_t fingerprint, struct str id,
+					    uint64_t return_key, struct str id,
 					    struct scheduled_return *out);
 
 /**
--- a/gateway_request.c
+++ b/gateway_request.c
@@ -189,16 +189,24 @@
 	return host;
 }
 
-/* Equal for retries of a request: same caller, method, host, path and body. */
-static uint64_t fingerprint_of(const struct inbound_conn *conn,
-			       const struct http_message *message)
+/*
+ * Equal for retries of a request: same method, host, path and body. What
+ * crashes a server is in these, whichever address the caller has.
+ */
+static uint64_t fingerprint_of(const struct http_message *message)
 {
-	uint64_t hash = str_hash(http_message_body(message));
+	return poison_fingerprint(
+		host_of(message), http_message_target(message),
+		str_hash_mix(str_hash(http_message_body(message)),
+			     message->parser.method));
+}
 
-	hash = str_hash_mix(hash, str_hash(host_of(message)));
-	hash = str_hash_mix(hash, message->parser.method);
-	return poison_fingerprint(str_from(inbound_conn_ip(conn)),
-				  http_message_target(message), hash);
+/* Equal for retries of a request by the same caller. */
+static uint64_t return_key_of(const struct inbound_conn *conn,
+			      uint64_t fingerprint)
+{
+	return str_hash_mix(fingerprint,
+			    str_hash(str_from(inbound_conn_ip(conn))));
 }
 
 /* @due: capacity reserved for this retry, or NULL */
@@ -217,6 +225,7 @@
 	request->routes = route_set_ref(gateway->sync.routes);
 	request->route = route;
 	request->fingerprint = fingerprint;
+	request->return_key = return_key_of(conn, fingerprint);
 	request->on_outcome = handle_outcome;
 	request->head = evbuffer_new();
 	request->timer = evtimer_new(gateway->base, on_timer, request);
@@ -255,7 +264,7 @@
 				 message, gateway->names->upstream.request_id)),
 		 LOG_I64("status", status), LOG_TEXT("why", why),
 		 LOG_TEXT("caller", inbound_conn_ip(conn)),
-		 LOG_U64("fingerprint", fingerprint_of(conn, message)),
+		 LOG_U64("fingerprint", fingerprint_of(message)),
 		 LOG_STR("host", host_of(message)),
 		 LOG_STR("target", http_message_target(message)),
 		 LOG_U64("routes_version",
@@ -301,7 +310,7 @@
 	enum return_state state;
 
 	state = gateway_load_check_return(
-		gateway, route, fingerprint,
+		gateway, route, return_key_of(conn, fingerprint),
 		http_message_field(message,
 				   gateway->names->upstream.request_id),
 		&entry);
@@ -341,7 +350,7 @@
 		refuse_no_route(gateway, conn, message);
 		return;
 	}
-	fingerprint = fingerprint_of(conn, message);
+	fingerprint = fingerprint_of(message);
 	if (poison_check(&gateway->fleet.board.poison, fingerprint,
 			 &retry_after_ms) == POISON_BANNED)
 		refuse_request(gateway, conn, message,
--- a/gateway_request_private.h
+++ b/gateway_request_private.h
@@ -30,6 +30,7 @@
  * @saved: used by routes that are not sharded
  * @relay: sends made through relays
  * @fingerprint: identifies the request if it crashes servers
+ * @return_key: identifies the request and its caller, see return_schedule.h
  * @on_outcome: called after each change of the dispatch; answers and frees the
  *	request if @outcome is final
  * @prev: in the gateway's list of open requests
@@ -47,6 +48,7 @@
 	struct saved_answer saved;
 	struct relay_client relay;
 	uint64_t fingerprint;
+	uint64_t return_key;
 	void (*on_outcome)(struct gateway_request *request,
 			   enum dispatch_outcome outcome);
 	struct gateway_request *prev;
