crash_watch: judge a lost run by what its server shows later

Callers saw servers crash under one request again and again without a ban: a run's connection broke, and the gateway checked at once whether the server takes connections. A process that ends closes its sockets one by one, so that the check met a listening socket that was about to go. "Listens" was final, and nobody was blamed.

Class: a verdict from one look at a fixed moment. A longer wait would be the same fault with another number.

A lost run now keeps its server in doubt until there is evidence. It has crashed if a connection is refused or not answered, or if its entry is gone or another server is at its address; it lives if it answers something sent after the break. An accepted connection proves nothing: it stays open, and when it breaks the next one is tried, up to 200 ms apart; where none can be opened it is tried again. While other connections are open none is: their end, or an answer on them, tells. After 10 s without evidence nobody is blamed, which lost_run_judged and lost_runs_unjudged say. A server that drains is not blamed on its requests.

crash_watch does no I/O any more; upstream tells an observer what its connections show.

--- a/connect_probe.c
+++ b/connect_probe.c
@@ -8,23 +8,6 @@
 
 #include "error.h"
 
-static enum crash_evidence evidence_of(int error)
-{
-	switch (error) {
-	case 0:
-	/* It was accepted, then reset. */
-	case ECONNRESET:
-		return CRASH_EVIDENCE_LISTENS;
-	case ECONNREFUSED:
-		return CRASH_EVIDENCE_REFUSED;
-	case EHOSTUNREACH:
-	case ETIMEDOUT:
-		return CRASH_EVIDENCE_UNREACHED;
-	default:
-		return CRASH_EVIDENCE_UNKNOWN;
-	}
-}
-
 static void on_connected(evutil_socket_t fd, short what, void *arg)
 {
 	struct connect_probe *probe = arg;
@@ -36,7 +19,7 @@
 	else if (!error && getsockopt(fd, SOL_SOCKET, SO_ERROR, &error, &len))
 		error = errno;
 	connect_probe_finish(probe);
-	probe->done(probe->arg, evidence_of(error));
+	probe->done(probe->arg, crash_evidence_of(error));
 }
 
 int connect_probe_start(struct connect_probe *probe, struct event_base *base,
--- a/crash_check.c
+++ b/crash_check.c
@@ -1,5 +1,6 @@
 #include "crash_check.h"
 
+#include <errno.h>
 #include <string.h>
 
 const char *crash_evidence_name(enum crash_evidence evidence)
@@ -10,11 +11,30 @@
 		[CRASH_EVIDENCE_REFUSED] = "refused",
 		[CRASH_EVIDENCE_UNREACHED] = "unreached",
 		[CRASH_EVIDENCE_UNKNOWN] = "unknown",
+		[CRASH_EVIDENCE_ANSWERED] = "answered",
+		[CRASH_EVIDENCE_GONE] = "gone",
 	};
 
 	return names[evidence];
 }
 
+enum crash_evidence crash_evidence_of(int error)
+{
+	switch (error) {
+	case 0:
+	/* It was accepted, then reset. */
+	case ECONNRESET:
+		return CRASH_EVIDENCE_LISTENS;
+	case ECONNREFUSED:
+		return CRASH_EVIDENCE_REFUSED;
+	case EHOSTUNREACH:
+	case ETIMEDOUT:
+		return CRASH_EVIDENCE_UNREACHED;
+	default:
+		return CRASH_EVIDENCE_UNKNOWN;
+	}
+}
+
 /*
  * A machine that is gone counts: what crashed may have taken its address with
  * it.
@@ -22,7 +42,8 @@
 bool crash_evidence_is_crash(enum crash_evidence evidence)
 {
 	return evidence == CRASH_EVIDENCE_REFUSED ||
-	       evidence == CRASH_EVIDENCE_UNREACHED;
+	       evidence == CRASH_EVIDENCE_UNREACHED ||
+	       evidence == CRASH_EVIDENCE_GONE;
 }
 
 void crash_check_init(struct crash_check *check, const struct clock *clock,
--- a/crash_check.h
+++ b/crash_check.h
@@ -26,6 +26,9 @@
  * @CRASH_EVIDENCE_UNREACHED: its machine did not answer, or can't be reached
  * @CRASH_EVIDENCE_UNKNOWN: it could not be probed, for want of a connection or
  *	of resources of this machine
+ * @CRASH_EVIDENCE_ANSWERED: it answered what was sent after the connections
+ *	broke
+ * @CRASH_EVIDENCE_GONE: its entry is gone, or another server is at its address
  */
 enum crash_evidence {
 	CRASH_EVIDENCE_OTHER_CONNECTION,
@@ -33,6 +36,8 @@
 	CRASH_EVIDENCE_REFUSED,
 	CRASH_EVIDENCE_UNREACHED,
 	CRASH_EVIDENCE_UNKNOWN,
+	CRASH_EVIDENCE_ANSWERED,
+	CRASH_EVIDENCE_GONE,
 };
 
 /**
@@ -40,6 +45,12 @@
  */
 const char *crash_evidence_name(enum crash_evidence evidence);
 
+/**
+ * crash_evidence_of() - what an attempt to connect shows
+ * @error: errno of the attempt, 0 if it succeeded
+ */
+enum crash_evidence crash_evidence_of(int error);
+
 /**
  * crash_evidence_is_crash() - whether the server is held for crashed
  */
--- a/crash_watch.c
+++ b/crash_watch.c
@@ -2,64 +2,296 @@
 #include "crash_watch.h"
 
 #include <stdlib.h>
+#include <string.h>
+
+#include <utlist.h>
 
 #include "log.h"
 #include "mem.h"
 
-struct crash_watch *crash_watch_new(struct poison *poison,
-				    struct upstream *upstream,
-				    struct registry_server *server,
-				    uint64_t fingerprint)
+/* Delay of the first probe: the other connections break meanwhile. */
+#define PROBE_DELAY_MIN MSEC(3)
+/* Each probe of a server that stays in doubt waits twice as long as before. */
+#define PROBE_DELAY_MAX MSEC(200)
+/* The entry of a server that crashed is gone or replaced within this time. */
+#define DOUBT_MAX MSEC(10000)
+
+/**
+ * struct watched_server - a server with watched runs
+ * @server: holds a reference
+ * @runs: that run, or that are lost and not judged yet
+ * @probing: a probe is connecting
+ * @probe_at: when to probe, microseconds; INT64_MAX: not
+ * @probe_delay: before the next probe, microseconds
+ */
+struct watched_server {
+	struct registry_server *server;
+	struct watched_run *runs;
+	bool probing;
+	int64_t probe_at;
+	int64_t probe_delay;
+	struct watched_server *prev;
+	struct watched_server *next;
+};
+
+void crash_watch_init(struct crash_watch *watch, const struct clock *clock,
+		      struct poison *poison, const struct crash_watch_ops *ops,
+		      void *arg)
+{
+	memset(watch, 0, sizeof(*watch));
+	watch->clock = clock;
+	watch->poison = poison;
+	watch->ops = ops;
+	watch->arg = arg;
+}
+
+static struct watched_server *get_server(struct crash_watch *watch,
+					 struct registry_server *server)
+{
+	struct watched_server *watched = server->watched;
+
+	if (watched)
+		return watched;
+	watched = mem_zalloc(sizeof(*watched));
+	watched->server = registry_server_ref(server);
+	watched->probe_at = INT64_MAX;
+	watched->probe_delay = PROBE_DELAY_MIN;
+	server->watched = watched;
+	DL_APPEND(watch->servers, watched);
+	return watched;
+}
+
+static void free_server_if_unused(struct crash_watch *watch,
+				  struct watched_server *watched)
+{
+	if (watched->runs)
+		return;
+	DL_DELETE(watch->servers, watched);
+	watched->server->watched = NULL;
+	registry_server_unref(watched->server);
+	free(watched);
+}
+
+static void free_run(struct crash_watch *watch, struct watched_run *run,
+		     bool answered)
+{
+	poison_end(watch->poison, &run->run, answered);
+	DL_DELETE(run->server->runs, run);
+	free(run);
+}
+
+void crash_watch_finish(struct crash_watch *watch)
+{
+	while (watch->servers) {
+		struct watched_server *watched = watch->servers;
+
+		while (watched->runs)
+			free_run(watch, watched->runs, false);
+		free_server_if_unused(watch, watched);
+	}
+}
+
+struct watched_run *crash_watch_begin(struct crash_watch *watch,
+				      struct registry_server *server,
+				      uint64_t fingerprint)
 {
-	struct crash_watch *watch = mem_zalloc(sizeof(*watch));
+	struct watched_run *run = mem_zalloc(sizeof(*run));
 	char life[REGISTRY_INCARNATION_SIZE];
 	struct str name = registry_incarnation(server, life);
 
-	if (poison_begin(poison, &watch->run, fingerprint, name, name, false,
-			 INT64_MAX)) {
-		free(watch);
+	if (poison_begin(watch->poison, &run->run, fingerprint, name, name,
+			 false, INT64_MAX)) {
+		free(run);
 		return NULL;
 	}
-	watch->poison = poison;
-	watch->upstream = upstream;
-	watch->server = registry_server_ref(server);
-	return watch;
+	run->watch = watch;
+	run->server = get_server(watch, server);
+	DL_APPEND(run->server->runs, run);
+	return run;
 }
 
-static void free_watch(struct crash_watch *watch)
+static bool is_in_doubt(const struct watched_server *watched)
 {
-	poison_end(watch->poison, &watch->run, false);
-	registry_server_unref(watch->server);
-	free(watch);
+	const struct watched_run *run;
+
+	DL_FOREACH (watched->runs, run) {
+		if (run->lost_at)
+			return true;
+	}
+	return false;
 }
 
-static void on_server_checked(void *arg, enum crash_evidence evidence)
+/*
+ * While a connection is open, its end or an answer will tell; otherwise one is
+ * opened, and its end tells.
+ */
+static void schedule_probe(struct crash_watch *watch,
+			   struct watched_server *watched)
 {
-	struct crash_watch *watch = arg;
-	char life[REGISTRY_INCARNATION_SIZE];
-	struct str name = registry_incarnation(watch->server, life);
+	if (watched->probing || watched->probe_at != INT64_MAX ||
+	    watched->server->n_conns || !is_in_doubt(watched))
+		return;
+	watched->probe_at = clock_now(watch->clock) + watched->probe_delay;
+	watched->probe_delay *= 2;
+	if (watched->probe_delay > PROBE_DELAY_MAX)
+		watched->probe_delay = PROBE_DELAY_MAX;
+	watch->ops->wake(watch->arg, watched->probe_at);
+}
 
-	LOG_INFO("lost_run_judged", LOG_STR("server", name),
-		 LOG_U64("fingerprint", watch->run.hash),
+static void log_judged(const struct crash_watch *watch,
+		       const struct watched_run *run,
+		       enum crash_evidence evidence)
+{
+	LOG_INFO("lost_run_judged",
+		 LOG_TEXT("server", run->server->server->entry.id),
+		 LOG_U64("fingerprint", run->run.hash),
+		 LOG_I64("crashed", crash_evidence_is_crash(evidence)),
 		 LOG_TEXT("evidence", crash_evidence_name(evidence)),
-		 LOG_I64("crashed", crash_evidence_is_crash(evidence)));
-	/* Another watch may have reported this crash already. */
-	if (crash_evidence_is_crash(evidence) && watch->run.server) {
-		LOG_WARN("server_crashed", LOG_STR("server", name),
-			 LOG_U64("fingerprint", watch->run.hash),
-			 LOG_TEXT("evidence", crash_evidence_name(evidence)));
-		poison_server_lost(watch->poison, name);
+		 LOG_I64("after_ms", (clock_now(watch->clock) - run->lost_at) /
+					     USEC_PER_MSEC));
+}
+
+/* Ends the lost runs of a server that were lost before @before. */
+static void judge(struct crash_watch *watch, struct watched_server *watched,
+		  enum crash_evidence evidence, int64_t before)
+{
+	struct watched_run *run;
+	struct watched_run *next;
+
+	DL_FOREACH_SAFE (watched->runs, run, next) {
+		if (!run->lost_at || run->lost_at >= before)
+			continue;
+		log_judged(watch, run, evidence);
+		free_run(watch, run, false);
 	}
-	free_watch(watch);
+	free_server_if_unused(watch, watched);
 }
 
-void crash_watch_end(struct crash_watch *watch, bool broke)
+static void judge_crashed(struct crash_watch *watch,
+			  struct watched_server *watched,
+			  enum crash_evidence evidence)
 {
-	if (!broke || !watch->run.server) {
-		free_watch(watch);
+	char life[REGISTRY_INCARNATION_SIZE];
+	struct str name = registry_incarnation(watched->server, life);
+
+	LOG_WARN("server_crashed", LOG_STR("server", name),
+		 LOG_TEXT("evidence", crash_evidence_name(evidence)));
+	poison_server_lost(watch->poison, name);
+	watched->probe_at = INT64_MAX;
+	watched->probe_delay = PROBE_DELAY_MIN;
+	judge(watch, watched, evidence, INT64_MAX);
+}
+
+void watched_run_end(struct watched_run *run, enum run_end end)
+{
+	struct watched_server *watched = run->server;
+	struct crash_watch *watch = run->watch;
+
+	/* A server that leaves may close connections. */
+	if (end == RUN_LOST && run->run.server &&
+	    !watched->server->entry.draining) {
+		run->lost_at = clock_now(watch->clock);
+		watch->ops->wake(watch->arg, run->lost_at + DOUBT_MAX);
+		schedule_probe(watch, watched);
 		return;
 	}
-	if (upstream_check(watch->upstream, watch->server, on_server_checked,
-			   watch))
-		on_server_checked(watch, CRASH_EVIDENCE_UNKNOWN);
+	free_run(watch, run, false);
+	free_server_if_unused(watch, watched);
+}
+
+void crash_watch_answered(struct crash_watch *watch,
+			  struct registry_server *server, int64_t sent_at)
+{
+	if (server->watched)
+		judge(watch, server->watched, CRASH_EVIDENCE_ANSWERED, sent_at);
+}
+
+void crash_watch_broke(struct crash_watch *watch,
+		       struct registry_server *server)
+{
+	if (server->watched)
+		schedule_probe(watch, server->watched);
+}
+
+void crash_watch_connected(struct crash_watch *watch,
+			   struct registry_server *server,
+			   enum crash_evidence evidence)
+{
+	struct watched_server *watched = server->watched;
+
+	if (!watched)
+		return;
+	watched->probing = false;
+	if (!is_in_doubt(watched))
+		return;
+	if (crash_evidence_is_crash(evidence))
+		judge_crashed(watch, watched, evidence);
+	else
+		schedule_probe(watch, watched);
+}
+
+void crash_watch_gone(struct crash_watch *watch, struct registry_server *server)
+{
+	if (server->watched && is_in_doubt(server->watched))
+		judge_crashed(watch, server->watched, CRASH_EVIDENCE_GONE);
+}
+
+static void expire_runs(struct crash_watch *watch,
+			struct watched_server *watched)
+{
+	int64_t now = clock_now(watch->clock);
+	struct watched_run *run;
+	struct watched_run *next;
+
+	DL_FOREACH_SAFE (watched->runs, run, next) {
+		if (!run->lost_at || run->lost_at + DOUBT_MAX > now)
+			continue;
+		watch->n_unjudged++;
+		log_judged(watch, run, CRASH_EVIDENCE_UNKNOWN);
+		free_run(watch, run, false);
+	}
+}
+
+static void probe_if_due(struct crash_watch *watch,
+			 struct watched_server *watched)
+{
+	if (clock_now(watch->clock) < watched->probe_at)
+		return;
+	watched->probe_at = INT64_MAX;
+	if (watched->server->n_conns || !is_in_doubt(watched))
+		return;
+	watched->probing = !watch->ops->probe(watch->arg, watched->server);
+	schedule_probe(watch, watched);
+}
+
+static int64_t next_due(const struct watched_server *watched)
+{
+	int64_t due = watched->probe_at;
+	const struct watched_run *run;
+
+	DL_FOREACH (watched->runs, run) {
+		if (run->lost_at && run->lost_at + DOUBT_MAX < due)
+			due = run->lost_at + DOUBT_MAX;
+	}
+	return due;
+}
+
+void crash_watch_tick(struct crash_watch *watch)
+{
+	struct watched_server *watched;
+	struct watched_server *next;
+	int64_t due = INT64_MAX;
+
+	DL_FOREACH_SAFE (watch->servers, watched, next) {
+		expire_runs(watch, watched);
+		if (!watched->runs) {
+			free_server_if_unused(watch, watched);
+			continue;
+		}
+		probe_if_due(watch, watched);
+		if (next_due(watched) < due)
+			due = next_due(watched);
+	}
+	if (due != INT64_MAX)
+		watch->ops->wake(watch->arg, due);
 }
--- a/gateway.c
+++ b/gateway.c
@@ -187,6 +187,8 @@
 
 	upstream_close_idle(server);
 	server_queue_close(&gateway->server_queues.queues, server);
+	if (server->gone)
+		server_queue_net_server_gone(&gateway->server_queues, server);
 }
 
 /* Shutdown. */
@@ -350,6 +352,7 @@
 	relay_serve_finish(&gateway->relay_serve);
 	relay_ask_finish(&gateway->relay_ask);
 	upstream_finish(&gateway->upstream);
+	server_queue_net_finish(&gateway->server_queues);
 	gateway_outage_finish(gateway);
 	gateway_load_finish(gateway);
 	gateway_second_sends_finish(gateway);
@@ -360,7 +363,6 @@
 	wake_timer_finish(&gateway->store_timer);
 	event_free(gateway->stop_timer);
 	registry_finish(&gateway->registry);
-	server_queue_net_finish(&gateway->server_queues);
 	HASH_ITER (hh, gateway->route_stats, stats, next) {
 		HASH_DEL(gateway->route_stats, stats);
 		free(stats);
--- a/gateway_pages.c
+++ b/gateway_pages.c
@@ -120,6 +120,8 @@
 		   (int64_t)gateway->upstream.bad_loads);
 	metric_set(&counters->cordons, gateway->registry.cordons.n);
 	metric_set(&counters->caller_connections, gateway->inbound.n);
+	metric_set(&counters->lost_runs_unjudged,
+		   (int64_t)gateway->server_queues.watch.n_unjudged);
 	metric_set(&counters->second_sends_refused,
 		   gateway_second_sends_refused(gateway));
 	metric_set(&counters->second_sends_unread,
--- a/registry.h
+++ b/registry.h
@@ -27,6 +27,7 @@
 struct server_queue;
 struct upstream_conn;
 struct registry_service;
+struct watched_server;
 
 #define REGISTRY_NAME_SIZE 128
 
@@ -72,6 +73,7 @@
  * @slow_changed_at: when @is_slow last changed, microseconds
  * @queue: requests of this instance that are queued for the server, or NULL;
  *	owned by server_queue
+ * @watched: the runs there that may crash it, or NULL; owned by crash_watch
  * @cold_until: end of the cold period, microseconds
  * @cold_sends: requests that this instance sent during the cold period, or NULL
  * @score: results of this instance's own requests
@@ -96,6 +98,7 @@
 	bool is_slow;
 	int64_t slow_changed_at;
 	struct server_queue *queue;
+	struct watched_server *watched;
 	int64_t cold_until;
 	struct warmup_sends *cold_sends;
 	struct server_score score;
--- a/server_queue_net.c
+++ b/server_queue_net.c
@@ -1,13 +1,19 @@
 #include "server_queue_net.h"
 
-#include "crash_watch.h"
 #include "error.h"
 
+static enum run_end run_end_of(const struct exchange_result *result)
+{
+	if (!result->code)
+		return RUN_ANSWERED;
+	return result->code == ERR_LOST ? RUN_LOST : RUN_HARMLESS;
+}
+
 static void on_result(void *arg, const struct exchange_result *result)
 {
 	struct server_job *job = arg;
 
-	crash_watch_end(job->watch, result->code == ERR_LOST);
+	watched_run_end(job->watch, run_end_of(result));
 	server_job_done(job, result);
 }
 
@@ -15,21 +21,24 @@
 static int send_job(void *arg, struct server_job *job)
 {
 	struct server_queue_net *net = arg;
+	struct watched_run *run;
 	struct exchange *exchange;
 	int ret;
 
-	job->watch = crash_watch_new(net->poison, net->upstream, job->server,
-				     job->request->fingerprint);
-	if (!job->watch)
+	run = crash_watch_begin(&net->watch, job->server,
+				job->request->fingerprint);
+	if (!run)
 		return ERR_BANNED;
 	ret = upstream_send(net->upstream, job->server, job->request,
 			    job->deadline, job->connections_max, on_result, job,
 			    &exchange);
-	if (ret)
-		crash_watch_end(job->watch, false);
-	else
-		job->handle = exchange;
-	return ret;
+	if (ret) {
+		watched_run_end(run, RUN_HARMLESS);
+		return ret;
+	}
+	job->watch = run;
+	job->handle = exchange;
+	return 0;
 }
 
 static void abandon(void *arg, struct server_job *job, int64_t linger,
@@ -38,7 +47,7 @@
 	struct server_queue_net *net = arg;
 
 	metric_inc(&net->queues.stats->runs_unwatched);
-	crash_watch_end(job->watch, false);
+	watched_run_end(job->watch, RUN_HARMLESS);
 	exchange_abandon(job->handle, linger, delivery);
 }
 
@@ -69,6 +78,74 @@
 	.wake = wake,
 };
 
+/* The observer is told of the result. */
+static int probe(void *arg, struct registry_server *server)
+{
+	struct server_queue_net *net = arg;
+
+	return upstream_check(net->upstream, server, NULL, NULL);
+}
+
+static void wake_watch(void *arg, int64_t at)
+{
+	struct server_queue_net *net = arg;
+
+	wake_timer_arm(&net->watch_timer, at);
+}
+
+static const struct crash_watch_ops watch_ops = {
+	.probe = probe,
+	.wake = wake_watch,
+};
+
+static void on_watch_timer(void *arg)
+{
+	struct server_queue_net *net = arg;
+
+	crash_watch_tick(&net->watch);
+}
+
+static void on_answered(void *arg, struct registry_server *server,
+			int64_t sent_at)
+{
+	struct server_queue_net *net = arg;
+
+	crash_watch_answered(&net->watch, server, sent_at);
+}
+
+static void on_connected(void *arg, struct registry_server *server,
+			 enum crash_evidence evidence)
+{
+	struct server_queue_net *net = arg;
+
+	crash_watch_connected(&net->watch, server, evidence);
+}
+
+static void on_broke(void *arg, struct registry_server *server)
+{
+	struct server_queue_net *net = arg;
+
+	crash_watch_broke(&net->watch, server);
+}
+
+void server_queue_net_server_gone(struct server_queue_net *net,
+				  struct registry_server *server)
+{
+	crash_watch_gone(&net->watch, server);
+}
+
+static void on_replaced(void *arg, struct registry_server *server)
+{
+	server_queue_net_server_gone(arg, server);
+}
+
+static const struct upstream_observer observer = {
+	.answered = on_answered,
+	.connected = on_connected,
+	.broke = on_broke,
+	.replaced = on_replaced,
+};
+
 static void on_freed(void *arg, struct registry_server *server)
 {
 	struct server_queue_net *net = arg;
@@ -88,9 +165,13 @@
 			   struct poison *poison, struct gateway_stats *stats)
 {
 	net->upstream = upstream;
-	net->poison = poison;
+	crash_watch_init(&net->watch, upstream->clock, poison, &watch_ops, net);
 	server_queues_init(&net->queues, upstream->clock, &ops, net, stats);
 	wake_timer_init(&net->timer, base, upstream->clock, on_timer, net);
+	wake_timer_init(&net->watch_timer, base, upstream->clock,
+			on_watch_timer, net);
+	upstream->observer = &observer;
+	upstream->observer_arg = net;
 	upstream->on_released = on_freed;
 	upstream->on_released_arg = net;
 }
@@ -98,5 +179,8 @@
 void server_queue_net_finish(struct server_queue_net *net)
 {
 	net->upstream->on_released = NULL;
+	net->upstream->observer = NULL;
+	crash_watch_finish(&net->watch);
 	wake_timer_finish(&net->timer);
+	wake_timer_finish(&net->watch_timer);
 }
--- a/tests/test_crash_watch.c
+++ b/tests/test_crash_watch.c
@@ -1,40 +1,54 @@
+/* Runs of one gateway on one server, on a paused clock without network. */
 #include <string.h>
-#include <sys/resource.h>
-#include <sys/socket.h>
-#include <unistd.h>
-
-#include <event2/event.h>
 
 #include "crash_watch.h"
+#include "error.h"
 #include "mem.h"
 #include "unit.h"
 
 #define HASH 101
+#define OTHER_HASH 202
 
-/* A gateway's connections to one server at a loopback address. */
 struct fixture {
-	struct event_base *base;
 	struct clock clock;
 	struct poison poison;
-	struct upstream upstream;
+	struct crash_watch watch;
 	struct registry_server *server;
-	struct crash_watch *watch;
-	int listener;
+	struct watched_run *run;
+	int64_t wake_at;
+	int probe_error;
+	int n_probes;
 };
 
-static void listen_anywhere(struct fixture *f)
+static int on_probe(void *arg, struct registry_server *server)
+{
+	struct fixture *f = arg;
+
+	(void)server;
+	f->n_probes++;
+	return f->probe_error;
+}
+
+static void on_wake(void *arg, int64_t at)
 {
-	struct sockaddr_in sin = {.sin_family = AF_INET};
-	socklen_t len = sizeof(sin);
+	struct fixture *f = arg;
 
-	sin.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-	f->listener = socket(AF_INET, SOCK_STREAM, 0);
-	CU_ASSERT_EQUAL(bind(f->listener, (struct sockaddr *)&sin, len), 0);
-	CU_ASSERT_EQUAL(listen(f->listener, 1), 0);
-	getsockname(f->listener, (struct sockaddr *)&sin, &len);
-	str_copy(f->server->entry.address.ip,
-		 sizeof(f->server->entry.address.ip), STR("127.0.0.1"));
-	f->server->entry.address.port = ntohs(sin.sin_port);
+	if (at < f->wake_at)
+		f->wake_at = at;
+}
+
+static const struct crash_watch_ops ops = {
+	.probe = on_probe,
+	.wake = on_wake,
+};
+
+static struct registry_server *new_server(const char *id)
+{
+	struct registry_server *server =
+		registry_server_ref(mem_zalloc(sizeof(*server)));
+
+	str_copy(server->entry.id, sizeof(server->entry.id), str_from(id));
+	return server;
 }
 
 static void setup(struct fixture *f)
@@ -44,44 +58,46 @@
 		.suspect_ttl = MSEC(60000),
 		.ban_ttl = MSEC(600000),
 	};
-	static const struct upstream_header_names names;
 
 	memset(f, 0, sizeof(*f));
-	f->base = event_base_new();
-	clock_init(&f->clock);
+	clock_init_paused(&f->clock, MSEC(1000));
 	poison_init(&f->poison, &f->clock, NULL, NULL);
 	poison_set_tunables(&f->poison, &tunables);
 	f->poison.no_canaries = true;
-	upstream_init(&f->upstream, f->base, &f->clock, &names);
-	f->server = registry_server_ref(mem_zalloc(sizeof(*f->server)));
-	str_copy(f->server->entry.id, sizeof(f->server->entry.id), STR("b1"));
-	listen_anywhere(f);
-	f->watch = crash_watch_new(&f->poison, &f->upstream, f->server, HASH);
-	CU_ASSERT_PTR_NOT_NULL_FATAL(f->watch);
+	crash_watch_init(&f->watch, &f->clock, &f->poison, &ops, f);
+	f->wake_at = INT64_MAX;
+	f->server = new_server("b1");
+	f->run = crash_watch_begin(&f->watch, f->server, HASH);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(f->run);
 }
 
 static void finish(struct fixture *f)
 {
-	upstream_finish(&f->upstream);
+	crash_watch_finish(&f->watch);
 	registry_server_unref(f->server);
 	poison_finish(&f->poison);
-	event_base_free(f->base);
-	close(f->listener);
 }
 
-static bool is_suspect(struct fixture *f)
+static bool is_suspect(struct fixture *f, uint64_t hash)
 {
 	uint32_t retry;
 
-	return poison_check(&f->poison, HASH, &retry) == POISON_PROBATION;
+	return poison_check(&f->poison, hash, &retry) == POISON_PROBATION;
 }
 
-/* The connection of the watched request breaks. */
-static void break_connection(struct fixture *f)
+/* Lets time pass, and the owner call back whenever it was asked to. */
+static void advance(struct fixture *f, int64_t usec)
 {
-	crash_watch_end(f->watch, true);
-	while (f->poison.servers)
-		event_base_loop(f->base, EVLOOP_ONCE);
+	int64_t until = clock_now(&f->clock) + usec;
+
+	while (f->wake_at <= until) {
+		if (f->wake_at > clock_now(&f->clock))
+			clock_advance(&f->clock,
+				      f->wake_at - clock_now(&f->clock));
+		f->wake_at = INT64_MAX;
+		crash_watch_tick(&f->watch);
+	}
+	clock_advance(&f->clock, until - clock_now(&f->clock));
 }
 
 /* Guards against a crash that goes unseen: the port refuses connections. */
@@ -90,45 +106,213 @@
 	struct fixture f;
 
 	setup(&f);
-	shutdown(f.listener, SHUT_RDWR);
-	break_connection(&f);
-	CU_ASSERT(is_suspect(&f));
+	watched_run_end(f.run, RUN_LOST);
+	advance(&f, MSEC(10));
+	CU_ASSERT_EQUAL(f.n_probes, 1);
+	crash_watch_connected(&f.watch, f.server, CRASH_EVIDENCE_REFUSED);
+	CU_ASSERT(is_suspect(&f, HASH));
+	finish(&f);
+}
+
+/* Guards against a crash that goes unseen: its machine is gone. */
+static void test_unreached_is_a_crash(void)
+{
+	struct fixture f;
+
+	setup(&f);
+	watched_run_end(f.run, RUN_LOST);
+	advance(&f, MSEC(10));
+	crash_watch_connected(&f.watch, f.server, CRASH_EVIDENCE_UNREACHED);
+	CU_ASSERT(is_suspect(&f, HASH));
 	finish(&f);
 }
 
+/* Guards against a verdict that a socket which is about to close decides. */
+static void test_listening_socket_closes_later(void)
+{
+	static const int64_t gaps[] = {MSEC(1), MSEC(50), MSEC(2000)};
+	struct fixture f;
+	size_t i;
+
+	for (i = 0; i < sizeof(gaps) / sizeof(*gaps); i++) {
+		setup(&f);
+		watched_run_end(f.run, RUN_LOST);
+		advance(&f, MSEC(10));
+		f.server->n_conns = 1;
+		crash_watch_connected(&f.watch, f.server,
+				      CRASH_EVIDENCE_LISTENS);
+		CU_ASSERT_FALSE(is_suspect(&f, HASH));
+		advance(&f, gaps[i]);
+		f.server->n_conns = 0;
+		crash_watch_broke(&f.watch, f.server);
+		advance(&f, MSEC(200));
+		CU_ASSERT_EQUAL(f.n_probes, 2);
+		crash_watch_connected(&f.watch, f.server,
+				      CRASH_EVIDENCE_REFUSED);
+		CU_ASSERT(is_suspect(&f, HASH));
+		finish(&f);
+	}
+}
+
 /* Guards against a server that only closed a connection being blamed for it. */
-static void test_listening_is_no_crash(void)
+static void test_answer_is_no_crash(void)
+{
+	struct fixture f;
+
+	setup(&f);
+	watched_run_end(f.run, RUN_LOST);
+	advance(&f, MSEC(10));
+	f.server->n_conns = 1;
+	crash_watch_connected(&f.watch, f.server, CRASH_EVIDENCE_LISTENS);
+	crash_watch_answered(&f.watch, f.server, clock_now(&f.clock));
+	CU_ASSERT_PTR_NULL(f.watch.servers);
+	crash_watch_connected(&f.watch, f.server, CRASH_EVIDENCE_REFUSED);
+	CU_ASSERT_FALSE(is_suspect(&f, HASH));
+	finish(&f);
+}
+
+/* Guards against an answer that was sent before the crash hiding it. */
+static void test_earlier_answer_proves_nothing(void)
+{
+	struct fixture f;
+
+	setup(&f);
+	advance(&f, MSEC(5));
+	watched_run_end(f.run, RUN_LOST);
+	crash_watch_answered(&f.watch, f.server, clock_now(&f.clock) - MSEC(1));
+	advance(&f, MSEC(10));
+	crash_watch_connected(&f.watch, f.server, CRASH_EVIDENCE_REFUSED);
+	CU_ASSERT(is_suspect(&f, HASH));
+	finish(&f);
+}
+
+/* Guards against probes of a server whose open connections will tell. */
+static void test_open_connection_is_awaited(void)
+{
+	struct fixture f;
+
+	setup(&f);
+	f.server->n_conns = 1;
+	watched_run_end(f.run, RUN_LOST);
+	advance(&f, MSEC(500));
+	CU_ASSERT_EQUAL(f.n_probes, 0);
+	f.server->n_conns = 0;
+	crash_watch_broke(&f.watch, f.server);
+	advance(&f, MSEC(10));
+	CU_ASSERT_EQUAL(f.n_probes, 1);
+	finish(&f);
+}
+
+/* Guards against a shortage of this machine being blamed on a server. */
+static void test_failed_probe_is_no_crash(void)
+{
+	struct fixture f;
+
+	setup(&f);
+	f.probe_error = ERR_CONNECT;
+	watched_run_end(f.run, RUN_LOST);
+	advance(&f, MSEC(1000));
+	CU_ASSERT_FALSE(is_suspect(&f, HASH));
+	/* Once connections can be opened again, the crash is still seen. */
+	f.probe_error = 0;
+	advance(&f, MSEC(300));
+	crash_watch_connected(&f.watch, f.server, CRASH_EVIDENCE_REFUSED);
+	CU_ASSERT(is_suspect(&f, HASH));
+	finish(&f);
+}
+
+/* Guards against probes without end of a server that resets each of them. */
+static void test_probes_get_rarer(void)
+{
+	struct fixture f;
+	int i;
+
+	setup(&f);
+	watched_run_end(f.run, RUN_LOST);
+	for (i = 0; i < 1000; i++) {
+		int before = f.n_probes;
+
+		advance(&f, MSEC(10));
+		if (f.n_probes == before)
+			continue;
+		crash_watch_connected(&f.watch, f.server,
+				      CRASH_EVIDENCE_LISTENS);
+		crash_watch_broke(&f.watch, f.server);
+	}
+	CU_ASSERT(f.n_probes < 60);
+	CU_ASSERT_EQUAL(f.watch.n_unjudged, 1);
+	CU_ASSERT_PTR_NULL(f.watch.servers);
+	CU_ASSERT_FALSE(is_suspect(&f, HASH));
+	finish(&f);
+}
+
+/* Guards against a crash that goes unseen: the server is back at once. */
+static void test_entry_gone_is_a_crash(void)
+{
+	struct fixture f;
+
+	setup(&f);
+	watched_run_end(f.run, RUN_LOST);
+	advance(&f, MSEC(10));
+	f.server->n_conns = 1;
+	crash_watch_connected(&f.watch, f.server, CRASH_EVIDENCE_LISTENS);
+	advance(&f, MSEC(2000));
+	crash_watch_gone(&f.watch, f.server);
+	CU_ASSERT(is_suspect(&f, HASH));
+	finish(&f);
+}
+
+/* Guards against requests being blamed that a leaving server cut off. */
+static void test_draining_server_is_no_crash(void)
 {
 	struct fixture f;
 
 	setup(&f);
-	break_connection(&f);
-	CU_ASSERT_FALSE(is_suspect(&f));
+	f.server->entry.draining = true;
+	watched_run_end(f.run, RUN_LOST);
+	CU_ASSERT_PTR_NULL(f.watch.servers);
+	crash_watch_gone(&f.watch, f.server);
+	CU_ASSERT_FALSE(is_suspect(&f, HASH));
 	finish(&f);
 }
 
-/* Guards against a gateway without descriptors holding servers for crashed. */
-static void test_no_descriptors_is_no_crash(void)
+/* Guards against a run that ended well being blamed for a later crash. */
+static void test_only_runs_at_the_crash_are_blamed(void)
 {
-	struct rlimit before;
-	struct rlimit none;
+	struct watched_run *answered;
+	struct watched_run *running;
 	struct fixture f;
 
 	setup(&f);
-	getrlimit(RLIMIT_NOFILE, &before);
-	none = before;
-	none.rlim_cur = 0;
-	setrlimit(RLIMIT_NOFILE, &none);
-	break_connection(&f);
-	setrlimit(RLIMIT_NOFILE, &before);
-	CU_ASSERT_FALSE(is_suspect(&f));
+	answered = crash_watch_begin(&f.watch, f.server, OTHER_HASH);
+	running = crash_watch_begin(&f.watch, f.server, OTHER_HASH + 1);
+	watched_run_end(answered, RUN_ANSWERED);
+	watched_run_end(f.run, RUN_LOST);
+	advance(&f, MSEC(10));
+	crash_watch_connected(&f.watch, f.server, CRASH_EVIDENCE_REFUSED);
+	CU_ASSERT(is_suspect(&f, HASH));
+	CU_ASSERT_FALSE(is_suspect(&f, OTHER_HASH));
+	CU_ASSERT(is_suspect(&f, OTHER_HASH + 1));
+	/* Its connection breaks a moment later: still one crash. */
+	watched_run_end(running, RUN_LOST);
+	advance(&f, MSEC(10));
+	CU_ASSERT_PTR_NULL(f.watch.servers);
 	finish(&f);
 }
 
 static const struct unit_test tests[] = {
 	{"refused is a crash", test_refused_is_a_crash},
-	{"listening is no crash", test_listening_is_no_crash},
-	{"no descriptors is no crash", test_no_descriptors_is_no_crash},
+	{"unreached is a crash", test_unreached_is_a_crash},
+	{"listening socket closes later", test_listening_socket_closes_later},
+	{"answer is no crash", test_answer_is_no_crash},
+	{"earlier answer proves nothing", test_earlier_answer_proves_nothing},
+	{"open connection is awaited", test_open_connection_is_awaited},
+	{"failed probe is no crash", test_failed_probe_is_no_crash},
+	{"probes get rarer", test_probes_get_rarer},
+	{"entry gone is a crash", test_entry_gone_is_a_crash},
+	{"draining server is no crash", test_draining_server_is_no_crash},
+	{"only runs at the crash are blamed",
+	 test_only_runs_at_the_crash_are_blamed},
 };
 
 UNIT_MAIN("crash_watch", tests)
--- a/upstream.c
+++ b/upstream.c
@@ -115,6 +115,22 @@
 	free_exchange(exchange);
 }
 
+static void observe_broken(struct upstream *upstream,
+			   struct registry_server *server)
+{
+	if (upstream->observer)
+		upstream->observer->broke(upstream->observer_arg, server);
+}
+
+static void observe_connected(struct upstream *upstream,
+			      struct registry_server *server,
+			      enum crash_evidence evidence)
+{
+	if (upstream->observer)
+		upstream->observer->connected(upstream->observer_arg, server,
+					      evidence);
+}
+
 /* Consumes a reference to @server. */
 static void notify_released(struct upstream *upstream,
 			    struct registry_server *server)
@@ -207,6 +223,20 @@
 	return 0;
 }
 
+static void observe_answer(const struct upstream *upstream,
+			   struct registry_server *server, int code,
+			   int64_t sent_at)
+{
+	const struct upstream_observer *observer = upstream->observer;
+
+	if (!observer)
+		return;
+	if (code == ERR_FOREIGN)
+		observer->replaced(upstream->observer_arg, server);
+	else
+		observer->answered(upstream->observer_arg, server, sent_at);
+}
+
 /*
  * Handles a complete message.
  *
@@ -218,6 +248,7 @@
 	struct exchange_result result = {.code = 0};
 	struct upstream *upstream = conn->upstream;
 	struct registry_server *server;
+	int64_t sent_at;
 
 	if (conn->message.parser.status_code / 100 == 1) {
 		expect_next_message(conn);
@@ -230,7 +261,9 @@
 		conn->server->gone = true;
 	event_del(conn->timer);
 	server = registry_server_ref(conn->server);
+	sent_at = conn->exchange->sent_at;
 	end_exchange(conn, &result);
+	observe_answer(upstream, server, result.code, sent_at);
 	keep_or_close(conn);
 	notify_released(upstream, server);
 	return 1;
@@ -283,12 +316,11 @@
 /* Return: whether the connection was opened by upstream_check(). */
 static bool end_check(struct upstream_conn *conn, enum crash_evidence evidence)
 {
-	upstream_check_cb check = conn->check;
-
-	if (!check)
+	if (!conn->is_check)
 		return false;
-	conn->check = NULL;
-	check(conn->check_arg, evidence);
+	conn->is_check = false;
+	if (conn->check)
+		conn->check(conn->check_arg, evidence);
 	return true;
 }
 
@@ -328,6 +360,7 @@
 		presume_cold(conn->server,
 			     conn->server->service->warmup.cold_for,
 			     clock_now(conn->upstream->clock), "reached_again");
+	observe_connected(upstream, conn->server, CRASH_EVIDENCE_LISTENS);
 	result.code = check_may_write(conn);
 	if (!result.code) {
 		write_request(conn);
@@ -342,37 +375,70 @@
 	notify_released(upstream, server);
 }
 
+static void fail_connect(struct upstream_conn *conn, int code,
+			 enum crash_evidence evidence)
+{
+	struct registry_server *server = registry_server_ref(conn->server);
+	struct upstream *upstream = conn->upstream;
+
+	if (end_check(conn, evidence))
+		free_conn(conn);
+	/* Without an exchange: inside open_conn(), which frees it. */
+	else if (conn->exchange)
+		fail_conn(conn, code);
+	observe_connected(upstream, server, evidence);
+	registry_server_unref(server);
+}
+
+/* The server closed or reset an open connection. */
+static void end_broken(struct upstream_conn *conn, bool in_order)
+{
+	if (!conn->exchange) {
+		free_conn(conn);
+		return;
+	}
+	/* Without a length, only an orderly close marks the end. */
+	if (in_order && http_message_eof(&conn->message) == 1 &&
+	    handle_message(conn))
+		return;
+	fail_conn(conn, ERR_LOST);
+}
+
 static void on_event(struct bufferevent *bev, short what, void *arg)
 {
 	struct upstream_conn *conn = arg;
+	struct upstream *upstream = conn->upstream;
+	struct registry_server *server;
 
 	(void)bev;
 	if (what & BEV_EVENT_CONNECTED) {
 		on_connected(conn);
 		return;
 	}
-	if (what & BEV_EVENT_ERROR && conn->state != CONN_CONNECTING &&
-	    conn->server->n_conns == 1)
-		presume_cold(conn->server, SUSPECTED_RESTART_COLD_TIME,
-			     clock_now(conn->upstream->clock),
-			     "all_connections_reset");
-	if (end_check(conn, CRASH_EVIDENCE_REFUSED)) {
-		free_conn(conn);
-		return;
-	}
-	if (!conn->exchange) {
-		/* Refused inside open_conn(), which frees the connection. */
-		if (conn->state != CONN_CONNECTING)
-			free_conn(conn);
-		return;
-	}
-	/* Without a length, only an orderly close marks the end. */
-	if (what & BEV_EVENT_EOF && http_message_eof(&conn->message) == 1) {
-		if (!handle_message(conn))
-			fail_conn(conn, ERR_LOST);
+	if (conn->state == CONN_CONNECTING) {
+		fail_connect(conn, ERR_CONNECT,
+			     crash_evidence_of(EVUTIL_SOCKET_ERROR()));
 		return;
 	}
-	fail_conn(conn, conn->exchange->written ? ERR_LOST : ERR_CONNECT);
+	if (what & BEV_EVENT_ERROR && conn->server->n_conns == 1)
+		presume_cold(conn->server, SUSPECTED_RESTART_COLD_TIME,
+			     clock_now(upstream->clock),
+			     "all_connections_reset");
+	server = registry_server_ref(conn->server);
+	end_broken(conn, what & BEV_EVENT_EOF);
+	observe_broken(upstream, server);
+	registry_server_unref(server);
+}
+
+static void log_silent(const struct upstream_conn *conn)
+{
+	const struct exchange *exchange = conn->exchange;
+
+	LOG_INFO("server_silent", LOG_TEXT("server", conn->server->entry.id),
+		 LOG_STR("request",
+			 ((struct str){exchange->id, exchange->id_len})),
+		 LOG_TEXT("state", conn->state == CONN_CONNECTING ? "connecting"
+								  : "waiting"));
 }
 
 static void on_timer(evutil_socket_t fd, short what, void *arg)
@@ -381,18 +447,16 @@
 
 	(void)fd;
 	(void)what;
-	if (!conn->exchange) {
-		end_check(conn, CRASH_EVIDENCE_UNREACHED);
-		free_conn(conn);
-		return;
+	if (conn->exchange) {
+		conn->upstream->silent++;
+		log_silent(conn);
 	}
-	conn->upstream->silent++;
-	LOG_INFO("server_silent", LOG_TEXT("server", conn->server->entry.id),
-		 LOG_STR("request", ((struct str){conn->exchange->id,
-						  conn->exchange->id_len})),
-		 LOG_TEXT("state", conn->state == CONN_CONNECTING ? "connecting"
-								  : "waiting"));
-	fail_conn(conn, ERR_SILENT);
+	if (conn->state == CONN_CONNECTING)
+		fail_connect(conn, ERR_SILENT, CRASH_EVIDENCE_UNREACHED);
+	else if (conn->exchange)
+		fail_conn(conn, ERR_SILENT);
+	else
+		free_conn(conn);
 }
 
 static struct upstream_conn *open_conn(struct upstream *upstream,
@@ -515,6 +579,7 @@
 
 	if (!conn)
 		return ERR_CONNECT;
+	conn->is_check = true;
 	conn->check = cb;
 	conn->check_arg = arg;
 	set_timer(conn, upstream->limits.connect_timeout);
--- a/upstream.h
+++ b/upstream.h
@@ -85,6 +85,22 @@
 
 typedef void (*exchange_cb)(void *arg, const struct exchange_result *result);
 
+/**
+ * struct upstream_observer - told what connections show of the servers
+ * @answered: a server answered what was sent at @sent_at, microseconds
+ * @connected: an attempt to connect ended
+ * @broke: the server closed or reset an open connection
+ * @replaced: another server answers at its address
+ */
+struct upstream_observer {
+	void (*answered)(void *arg, struct registry_server *server,
+			 int64_t sent_at);
+	void (*connected)(void *arg, struct registry_server *server,
+			  enum crash_evidence evidence);
+	void (*broke)(void *arg, struct registry_server *server);
+	void (*replaced)(void *arg, struct registry_server *server);
+};
+
 /**
  * struct upstream_limits - limits of connections
  * @share_local: share of the connections of a server in the own data centre
@@ -106,6 +122,8 @@
  * @conns: open connections
  * @on_released: a connection to a server became idle or was closed; may be
  *	NULL, set by the owner
+ * @observer: may be NULL, set by the owner
+ * @observer_arg: first argument of its callbacks
  * @opened: number of connections opened
  * @foreign: number of dropped answers to other requests
  * @silent: number of time-outs while connecting or waiting for an answer
@@ -120,6 +138,8 @@
 	struct upstream_conn *conns;
 	void (*on_released)(void *arg, struct registry_server *server);
 	void *on_released_arg;
+	const struct upstream_observer *observer;
+	void *observer_arg;
 	uint64_t opened;
 	uint64_t foreign;
 	uint64_t silent;
@@ -183,8 +203,8 @@
 
 /**
  * upstream_check() - check whether a server accepts connections
- * @cb: called once, after this function has returned, with
- *	CRASH_EVIDENCE_LISTENS, _REFUSED or _UNREACHED
+ * @cb: called once, after this function has returned, with what it met; NULL:
+ *	only the observer is told
  *
  * If it does, the connection is kept for the next request.
  *
--- a/upstream_private.h
+++ b/upstream_private.h
@@ -18,6 +18,7 @@
  * @timer: of the connection attempt, the exchange or the idle time
  * @message: answer being read
  * @exchange: in progress, owned, or NULL
+ * @is_check: opened by upstream_check(), and not connected yet
  * @check: callback of upstream_check(), or NULL
  * @idle_since: when it became idle, microseconds
  * @idle_for: how long it may stay idle, microseconds
@@ -31,6 +32,7 @@
 	struct http_message message;
 	enum conn_state state;
 	struct exchange *exchange;
+	bool is_check;
 	upstream_check_cb check;
 	void *check_arg;
 	int64_t idle_since;
