crash_watch: watch a run that was given up until it can't crash its server

Callers who left or searches that another shard had ended saw nothing, but the servers went: what was abandoned (caller gone, search decided, time-out, hedge that lost, a relay's cancelled job) ended its watch with "not broken". The server went on, crashed, and nobody was blamed, so that the request came again without a ban.

Class: what a run did is judged only while somebody happens to look.

The watch now belongs to the exchange, which tells its end whether or not its callback is still wanted. If the connection is closed here, the run stays watched until its server answers something sent after the run's deadline, the server is judged, or 10 s after that deadline; the newest 64 for each server. If no connection is left, one is opened, unless the request is known to be safe: its end shows the crash at once. Without a broken run only a refused connection counts, so that a cut or an expired entry is not blamed on what was given up.

--- a/crash_watch.c
+++ b/crash_watch.c
@@ -15,11 +15,14 @@
 #define PROBE_DELAY_MAX MSEC(200)
 /* The entry of a server that crashed is gone or replaced within this time. */
 #define DOUBT_MAX MSEC(10000)
+/* Runs that were given up and are watched at one server, the newest ones. */
+#define GIVEN_UP_RUNS_MAX 64
 
 /**
  * struct watched_server - a server with watched runs
  * @server: holds a reference
- * @runs: that run, or that are lost and not judged yet
+ * @runs: that run, or that ended and are not judged yet
+ * @n_given_up: number of @runs that were given up
  * @probing: a probe is connecting
  * @probe_at: when to probe, microseconds; INT64_MAX: not
  * @probe_delay: before the next probe, microseconds
@@ -27,6 +30,7 @@
 struct watched_server {
 	struct registry_server *server;
 	struct watched_run *runs;
+	int n_given_up;
 	bool probing;
 	int64_t probe_at;
 	int64_t probe_delay;
@@ -76,6 +80,8 @@
 		     bool answered)
 {
 	poison_end(watch->poison, &run->run, answered);
+	if (run->ended_at && run->end == RUN_GIVEN_UP)
+		run->server->n_given_up--;
 	DL_DELETE(run->server->runs, run);
 	free(run);
 }
@@ -93,7 +99,7 @@
 
 struct watched_run *crash_watch_begin(struct crash_watch *watch,
 				      struct registry_server *server,
-				      uint64_t fingerprint)
+				      uint64_t fingerprint, int64_t deadline)
 {
 	struct watched_run *run = mem_zalloc(sizeof(*run));
 	char life[REGISTRY_INCARNATION_SIZE];
@@ -105,17 +111,36 @@
 		return NULL;
 	}
 	run->watch = watch;
+	run->deadline = deadline;
 	run->server = get_server(watch, server);
 	DL_APPEND(run->server->runs, run);
 	return run;
 }
 
+/* Whether a run is lost, and not only given up. */
+static bool has_lost_run(const struct watched_server *watched)
+{
+	const struct watched_run *run;
+
+	DL_FOREACH (watched->runs, run) {
+		if (run->ended_at && run->end == RUN_LOST)
+			return true;
+	}
+	return false;
+}
+
 static bool is_in_doubt(const struct watched_server *watched)
+{
+	return watched->n_given_up || has_lost_run(watched);
+}
+
+/* A request that is known to be safe needs no connection to watch its end. */
+static bool needs_connection(const struct watched_server *watched)
 {
 	const struct watched_run *run;
 
 	DL_FOREACH (watched->runs, run) {
-		if (run->lost_at)
+		if (run->ended_at && (run->end == RUN_LOST || !run->run.safe))
 			return true;
 	}
 	return false;
@@ -129,29 +154,39 @@
 			   struct watched_server *watched)
 {
 	if (watched->probing || watched->probe_at != INT64_MAX ||
-	    watched->server->n_conns || !is_in_doubt(watched))
+	    !needs_connection(watched))
 		return;
 	watched->probe_at = clock_now(watch->clock) + watched->probe_delay;
-	watched->probe_delay *= 2;
-	if (watched->probe_delay > PROBE_DELAY_MAX)
-		watched->probe_delay = PROBE_DELAY_MAX;
 	watch->ops->wake(watch->arg, watched->probe_at);
 }
 
+/* When a run can no longer crash its server. */
+static int64_t latest_end(const struct watched_run *run)
+{
+	if (run->end == RUN_GIVEN_UP && run->deadline > run->ended_at)
+		return run->deadline;
+	return run->ended_at;
+}
+
 static void log_judged(const struct crash_watch *watch,
 		       const struct watched_run *run,
 		       enum crash_evidence evidence)
 {
+	bool crashed = crash_evidence_is_crash(evidence);
+
+	if (run->end == RUN_GIVEN_UP && !crashed)
+		return;
 	LOG_INFO("lost_run_judged",
 		 LOG_TEXT("server", run->server->server->entry.id),
 		 LOG_U64("fingerprint", run->run.hash),
-		 LOG_I64("crashed", crash_evidence_is_crash(evidence)),
+		 LOG_I64("given_up", run->end == RUN_GIVEN_UP),
+		 LOG_I64("crashed", crashed),
 		 LOG_TEXT("evidence", crash_evidence_name(evidence)),
-		 LOG_I64("after_ms", (clock_now(watch->clock) - run->lost_at) /
+		 LOG_I64("after_ms", (clock_now(watch->clock) - run->ended_at) /
 					     USEC_PER_MSEC));
 }
 
-/* Ends the lost runs of a server that were lost before @before. */
+/* Ends the runs that could not crash their server after @before. */
 static void judge(struct crash_watch *watch, struct watched_server *watched,
 		  enum crash_evidence evidence, int64_t before)
 {
@@ -159,7 +194,7 @@
 	struct watched_run *next;
 
 	DL_FOREACH_SAFE (watched->runs, run, next) {
-		if (!run->lost_at || run->lost_at >= before)
+		if (!run->ended_at || latest_end(run) >= before)
 			continue;
 		log_judged(watch, run, evidence);
 		free_run(watch, run, false);
@@ -182,17 +217,42 @@
 	judge(watch, watched, evidence, INT64_MAX);
 }
 
+static void drop_oldest_given_up(struct crash_watch *watch,
+				 struct watched_server *watched)
+{
+	struct watched_run *run;
+
+	DL_FOREACH (watched->runs, run) {
+		if (run->ended_at && run->end == RUN_GIVEN_UP) {
+			free_run(watch, run, false);
+			return;
+		}
+	}
+}
+
+static void keep_in_doubt(struct watched_run *run, enum run_end end)
+{
+	struct watched_server *watched = run->server;
+	struct crash_watch *watch = run->watch;
+
+	if (end == RUN_GIVEN_UP && watched->n_given_up == GIVEN_UP_RUNS_MAX)
+		drop_oldest_given_up(watch, watched);
+	run->end = end;
+	run->ended_at = clock_now(watch->clock);
+	watched->n_given_up += end == RUN_GIVEN_UP;
+	watch->ops->wake(watch->arg, latest_end(run) + DOUBT_MAX);
+	schedule_probe(watch, watched);
+}
+
 void watched_run_end(struct watched_run *run, enum run_end end)
 {
 	struct watched_server *watched = run->server;
 	struct crash_watch *watch = run->watch;
+	bool open = end == RUN_LOST || end == RUN_GIVEN_UP;
 
 	/* A server that leaves may close connections. */
-	if (end == RUN_LOST && run->run.server &&
-	    !watched->server->entry.draining) {
-		run->lost_at = clock_now(watch->clock);
-		watch->ops->wake(watch->arg, run->lost_at + DOUBT_MAX);
-		schedule_probe(watch, watched);
+	if (open && run->run.server && !watched->server->entry.draining) {
+		keep_in_doubt(run, end);
 		return;
 	}
 	free_run(watch, run, false);
@@ -213,6 +273,19 @@
 		schedule_probe(watch, server->watched);
 }
 
+/*
+ * Without a broken connection, an address that can't be reached or an entry
+ * that is gone does not show that the process has ended.
+ */
+static bool is_crashed(const struct watched_server *watched,
+		       enum crash_evidence evidence)
+{
+	if (watched->server->entry.draining || !is_in_doubt(watched))
+		return false;
+	return evidence == CRASH_EVIDENCE_REFUSED ||
+	       (crash_evidence_is_crash(evidence) && has_lost_run(watched));
+}
+
 void crash_watch_connected(struct crash_watch *watch,
 			   struct registry_server *server,
 			   enum crash_evidence evidence)
@@ -222,9 +295,7 @@
 	if (!watched)
 		return;
 	watched->probing = false;
-	if (!is_in_doubt(watched))
-		return;
-	if (crash_evidence_is_crash(evidence))
+	if (is_crashed(watched, evidence))
 		judge_crashed(watch, watched, evidence);
 	else
 		schedule_probe(watch, watched);
@@ -232,7 +303,7 @@
 
 void crash_watch_gone(struct crash_watch *watch, struct registry_server *server)
 {
-	if (server->watched && is_in_doubt(server->watched))
+	if (server->watched && is_crashed(server->watched, CRASH_EVIDENCE_GONE))
 		judge_crashed(watch, server->watched, CRASH_EVIDENCE_GONE);
 }
 
@@ -244,9 +315,9 @@
 	struct watched_run *next;
 
 	DL_FOREACH_SAFE (watched->runs, run, next) {
-		if (!run->lost_at || run->lost_at + DOUBT_MAX > now)
+		if (!run->ended_at || latest_end(run) + DOUBT_MAX > now)
 			continue;
-		watch->n_unjudged++;
+		watch->n_unjudged += run->end == RUN_LOST;
 		log_judged(watch, run, CRASH_EVIDENCE_UNKNOWN);
 		free_run(watch, run, false);
 	}
@@ -258,8 +329,11 @@
 	if (clock_now(watch->clock) < watched->probe_at)
 		return;
 	watched->probe_at = INT64_MAX;
-	if (watched->server->n_conns || !is_in_doubt(watched))
+	if (watched->server->n_conns || !needs_connection(watched))
 		return;
+	watched->probe_delay *= 2;
+	if (watched->probe_delay > PROBE_DELAY_MAX)
+		watched->probe_delay = PROBE_DELAY_MAX;
 	watched->probing = !watch->ops->probe(watch->arg, watched->server);
 	schedule_probe(watch, watched);
 }
@@ -270,8 +344,8 @@
 	const struct watched_run *run;
 
 	DL_FOREACH (watched->runs, run) {
-		if (run->lost_at && run->lost_at + DOUBT_MAX < due)
-			due = run->lost_at + DOUBT_MAX;
+		if (run->ended_at && latest_end(run) + DOUBT_MAX < due)
+			due = latest_end(run) + DOUBT_MAX;
 	}
 	return due;
 }
--- a/crash_watch.h
+++ b/crash_watch.h
@@ -5,7 +5,8 @@
  * evidence: the server has crashed if nobody listens at its address any more or
  * its entry is gone, and lives if it answers something that was sent after the
  * break. An accepted connection is no evidence, as a process that ends closes
- * its sockets one by one.
+ * its sockets one by one. A run that was given up here may go on and crash the
+ * server later, up to its deadline.
  *
  * Does no I/O: the owner makes the connections and passes in what it sees.
  */
@@ -39,6 +40,7 @@
 	RUN_ANSWERED, /* the server answered */
 	RUN_HARMLESS, /* it did not run, or its end does not matter */
 	RUN_LOST,     /* the connection broke before an answer */
+	RUN_GIVEN_UP, /* the connection was closed here; it may run on */
 };
 
 /**
@@ -46,13 +48,17 @@
  * @watch: all runs
  * @server: where it runs
  * @run: the attempt as poison knows it
- * @lost_at: when its connection broke, microseconds; 0: it runs
+ * @deadline: when it ends at the latest if it is given up, microseconds
+ * @end: RUN_LOST or RUN_GIVEN_UP once it has ended so
+ * @ended_at: when it ended so, microseconds; 0: it runs
  */
 struct watched_run {
 	struct crash_watch *watch;
 	struct watched_server *server;
 	struct poison_run run;
-	int64_t lost_at;
+	int64_t deadline;
+	enum run_end end;
+	int64_t ended_at;
 	struct watched_run *prev;
 	struct watched_run *next;
 };
@@ -97,13 +103,14 @@
  * @watch: all runs
  * @server: the run takes its own reference
  * @fingerprint: hash that identifies the request
+ * @deadline: the server stops it then, microseconds
  *
  * Return: the run, to be ended with watched_run_end(); NULL if the request is
  * banned.
  */
 struct watched_run *crash_watch_begin(struct crash_watch *watch,
 				      struct registry_server *server,
-				      uint64_t fingerprint);
+				      uint64_t fingerprint, int64_t deadline);
 
 /**
  * watched_run_end() - a run ended
--- a/gateway_stats.h
+++ b/gateway_stats.h
@@ -76,8 +76,6 @@
 	  "sends refused by the server and not run")                           \
 	X(sends_lost, METRIC_COUNTER, "garnetreach_sends_lost_total",          \
 	  "sends without a complete answer")                                   \
-	X(runs_unwatched, METRIC_COUNTER, "garnetreach_runs_unwatched_total",  \
-	  "sends given up before it was known whether they crash the server")  \
 	X(lost_runs_unjudged, METRIC_GAUGE, "garnetreach_lost_runs_unjudged",  \
 	  "broken runs of which it stayed unknown whether the server crashed") \
 	X(parts_left_out, METRIC_COUNTER, "garnetreach_parts_left_out_total",  \
--- a/server_queue.h
+++ b/server_queue.h
@@ -50,7 +50,6 @@
  * @cb: called with the result
  * @arg: passed to @cb
  * @handle: for the owner of the operations, while the request is sent
- * @watch: the same
  * @state: see enum server_job_state
  * @queued_at: when it was passed to the queue, microseconds
  * @sent_at: when it was sent, microseconds
@@ -70,7 +69,6 @@
 	exchange_cb cb;
 	void *arg;
 	void *handle;
-	void *watch;
 	enum server_job_state state;
 	int64_t queued_at;
 	int64_t sent_at;
--- a/server_queue_net.c
+++ b/server_queue_net.c
@@ -6,15 +6,19 @@
 {
 	if (!result->code)
 		return RUN_ANSWERED;
-	return result->code == ERR_LOST ? RUN_LOST : RUN_HARMLESS;
+	if (result->not_run || result->code == ERR_CANCELLED)
+		return RUN_HARMLESS;
+	return result->code == ERR_LOST ? RUN_LOST : RUN_GIVEN_UP;
 }
 
-static void on_result(void *arg, const struct exchange_result *result)
+static void on_run_ended(void *arg, const struct exchange_result *result)
 {
-	struct server_job *job = arg;
+	watched_run_end(arg, run_end_of(result));
+}
 
-	watched_run_end(job->watch, run_end_of(result));
-	server_job_done(job, result);
+static void on_result(void *arg, const struct exchange_result *result)
+{
+	server_job_done(arg, result);
 }
 
 /* Queued requests are not watched: they can't crash the server. */
@@ -26,7 +30,7 @@
 	int ret;
 
 	run = crash_watch_begin(&net->watch, job->server,
-				job->request->fingerprint);
+				job->request->fingerprint, job->deadline);
 	if (!run)
 		return ERR_BANNED;
 	ret = upstream_send(net->upstream, job->server, job->request,
@@ -36,7 +40,7 @@
 		watched_run_end(run, RUN_HARMLESS);
 		return ret;
 	}
-	job->watch = run;
+	exchange_on_end(exchange, on_run_ended, run);
 	job->handle = exchange;
 	return 0;
 }
@@ -44,10 +48,7 @@
 static void abandon(void *arg, struct server_job *job, int64_t linger,
 		    struct delivery *delivery)
 {
-	struct server_queue_net *net = arg;
-
-	metric_inc(&net->queues.stats->runs_unwatched);
-	watched_run_end(job->watch, RUN_HARMLESS);
+	(void)arg;
 	exchange_abandon(job->handle, linger, delivery);
 }
 
--- a/tests/test_crash_watch.c
+++ b/tests/test_crash_watch.c
@@ -8,6 +8,7 @@
 
 #define HASH 101
 #define OTHER_HASH 202
+#define DEADLINE MSEC(2000)
 
 struct fixture {
 	struct clock clock;
@@ -67,7 +68,8 @@
 	crash_watch_init(&f->watch, &f->clock, &f->poison, &ops, f);
 	f->wake_at = INT64_MAX;
 	f->server = new_server("b1");
-	f->run = crash_watch_begin(&f->watch, f->server, HASH);
+	f->run = crash_watch_begin(&f->watch, f->server, HASH,
+				   clock_now(&f->clock) + DEADLINE);
 	CU_ASSERT_PTR_NOT_NULL_FATAL(f->run);
 }
 
@@ -284,8 +286,9 @@
 	struct fixture f;
 
 	setup(&f);
-	answered = crash_watch_begin(&f.watch, f.server, OTHER_HASH);
-	running = crash_watch_begin(&f.watch, f.server, OTHER_HASH + 1);
+	answered = crash_watch_begin(&f.watch, f.server, OTHER_HASH, INT64_MAX);
+	running = crash_watch_begin(&f.watch, f.server, OTHER_HASH + 1,
+				    INT64_MAX);
 	watched_run_end(answered, RUN_ANSWERED);
 	watched_run_end(f.run, RUN_LOST);
 	advance(&f, MSEC(10));
@@ -300,6 +303,82 @@
 	finish(&f);
 }
 
+/* Guards against a crash that goes unseen: the run was given up before it. */
+static void test_given_up_run_crashes_later(void)
+{
+	struct fixture f;
+
+	setup(&f);
+	watched_run_end(f.run, RUN_GIVEN_UP);
+	advance(&f, MSEC(10));
+	CU_ASSERT_EQUAL(f.n_probes, 1);
+	f.server->n_conns = 1;
+	crash_watch_connected(&f.watch, f.server, CRASH_EVIDENCE_LISTENS);
+	advance(&f, MSEC(300));
+	/* What it answers before the deadline shows nothing of the run. */
+	crash_watch_answered(&f.watch, f.server, clock_now(&f.clock));
+	advance(&f, MSEC(900));
+	f.server->n_conns = 0;
+	crash_watch_broke(&f.watch, f.server);
+	advance(&f, MSEC(200));
+	CU_ASSERT_EQUAL(f.n_probes, 2);
+	crash_watch_connected(&f.watch, f.server, CRASH_EVIDENCE_REFUSED);
+	CU_ASSERT(is_suspect(&f, HASH));
+	finish(&f);
+}
+
+/* Guards against a run being blamed that its server has outlived. */
+static void test_given_up_run_ends_with_its_deadline(void)
+{
+	struct fixture f;
+
+	setup(&f);
+	watched_run_end(f.run, RUN_GIVEN_UP);
+	advance(&f, DEADLINE + MSEC(1));
+	crash_watch_answered(&f.watch, f.server, clock_now(&f.clock));
+	CU_ASSERT_PTR_NULL(f.watch.servers);
+	finish(&f);
+}
+
+/* Guards against a network cut being blamed on what was given up. */
+static void test_given_up_run_and_cut(void)
+{
+	struct fixture f;
+
+	setup(&f);
+	watched_run_end(f.run, RUN_GIVEN_UP);
+	advance(&f, MSEC(10));
+	crash_watch_connected(&f.watch, f.server, CRASH_EVIDENCE_UNREACHED);
+	crash_watch_gone(&f.watch, f.server);
+	CU_ASSERT_FALSE(is_suspect(&f, HASH));
+	advance(&f, MSEC(60000));
+	CU_ASSERT_PTR_NULL(f.watch.servers);
+	CU_ASSERT_EQUAL(f.watch.n_unjudged, 0);
+	finish(&f);
+}
+
+/* Guards against a memory that grows with the sends that are given up. */
+static void test_given_up_runs_are_bounded(void)
+{
+	const struct watched_run *oldest;
+	struct watched_run *run;
+	struct fixture f;
+	int n = 0;
+	int i;
+
+	setup(&f);
+	for (i = 0; i < 1000; i++) {
+		run = crash_watch_begin(&f.watch, f.server, OTHER_HASH,
+					INT64_MAX / 2);
+		watched_run_end(run, RUN_GIVEN_UP);
+	}
+	for (oldest = f.run; oldest; oldest = oldest->next)
+		n++;
+	CU_ASSERT_EQUAL(n, 65);
+	watched_run_end(f.run, RUN_ANSWERED);
+	finish(&f);
+}
+
 static const struct unit_test tests[] = {
 	{"refused is a crash", test_refused_is_a_crash},
 	{"unreached is a crash", test_unreached_is_a_crash},
@@ -313,6 +392,11 @@
 	{"draining server is no crash", test_draining_server_is_no_crash},
 	{"only runs at the crash are blamed",
 	 test_only_runs_at_the_crash_are_blamed},
+	{"given up run crashes later", test_given_up_run_crashes_later},
+	{"given up run ends with its deadline",
+	 test_given_up_run_ends_with_its_deadline},
+	{"given up run and cut", test_given_up_run_and_cut},
+	{"given up runs are bounded", test_given_up_runs_are_bounded},
 };
 
 UNIT_MAIN("crash_watch", tests)
--- a/upstream.c
+++ b/upstream.c
@@ -110,6 +110,8 @@
 	result->took = clock_now(conn->upstream->clock) - exchange->sent_at;
 	record_result(conn, result);
 	record_delivery(conn, exchange, result);
+	if (exchange->ended)
+		exchange->ended(exchange->ended_arg, result);
 	if (!exchange->abandoned)
 		exchange->cb(exchange->arg, result);
 	free_exchange(exchange);
@@ -546,6 +548,12 @@
 	return 0;
 }
 
+void exchange_on_end(struct exchange *exchange, exchange_cb ended, void *arg)
+{
+	exchange->ended = ended;
+	exchange->ended_arg = arg;
+}
+
 void exchange_abandon(struct exchange *exchange, int64_t linger,
 		      struct delivery *delivery)
 {
@@ -558,15 +566,28 @@
 		set_timer(conn, linger);
 }
 
+static void cancel_exchange(struct upstream_conn *conn)
+{
+	static const struct exchange_result cancelled = {
+		.code = ERR_CANCELLED,
+		.stamp = STR(""),
+	};
+	struct exchange *exchange = conn->exchange;
+
+	if (exchange->written)
+		drop_undelivered(conn);
+	if (exchange->ended)
+		exchange->ended(exchange->ended_arg, &cancelled);
+	free_exchange(exchange);
+}
+
 void upstream_finish(struct upstream *upstream)
 {
 	while (upstream->conns) {
 		struct upstream_conn *conn = upstream->conns;
 
-		if (conn->exchange && conn->exchange->written)
-			drop_undelivered(conn);
 		if (conn->exchange)
-			free_exchange(conn->exchange);
+			cancel_exchange(conn);
 		end_check(conn, CRASH_EVIDENCE_LISTENS);
 		free_conn(conn);
 	}
--- a/upstream.h
+++ b/upstream.h
@@ -173,6 +173,13 @@
 		  int64_t connections_max, exchange_cb cb, void *arg,
 		  struct exchange **out);
 
+/**
+ * exchange_on_end() - be told of the end of an exchange, abandoned or not
+ * @ended: called once, before the callback of upstream_send(); with
+ *	ERR_CANCELLED from upstream_finish()
+ */
+void exchange_on_end(struct exchange *exchange, exchange_cb ended, void *arg);
+
 /**
  * exchange_abandon() - drop the callback of an exchange
  * @linger: time until the connection is closed without an answer, microseconds
--- a/upstream_private.h
+++ b/upstream_private.h
@@ -55,6 +55,7 @@
  * @counted_cold: it was counted as a send to a cold server
  * @sent_at: time of upstream_send(), microseconds
  * @deadline: microseconds
+ * @ended: see exchange_on_end(), may be NULL
  */
 struct exchange {
 	struct upstream_conn *conn;
@@ -71,6 +72,8 @@
 	int64_t deadline;
 	exchange_cb cb;
 	void *arg;
+	exchange_cb ended;
+	void *ended_arg;
 };
 
 /**
