poison: clear a gateway's request by an answer, count nothing for safe ones

Callers of a popular search got 503 crashes_servers for ten minutes because three servers had crashed of their own while it ran there: gateways counted each crash against all requests that ran on the server, and what ran well counted for nothing.

As in serve: an answer from a server of the same service clears a suspect if its run began after the crash, and tells all instances; a crash under a request that was known to be safe makes it a suspect, but is not counted. A request that crashes every server never gets an answer, so that nothing changes for it.

--- a/crash_watch.c
+++ b/crash_watch.c
@@ -105,8 +105,8 @@
 	char life[REGISTRY_INCARNATION_SIZE];
 	struct str name = registry_incarnation(server, life);
 
-	if (poison_begin(watch->poison, &run->run, fingerprint, name, name,
-			 false, INT64_MAX)) {
+	if (poison_begin(watch->poison, &run->run, fingerprint, name,
+			 str_from(server->entry.service), false, INT64_MAX)) {
 		free(run);
 		return NULL;
 	}
@@ -255,7 +255,7 @@
 		keep_in_doubt(run, end);
 		return;
 	}
-	free_run(watch, run, false);
+	free_run(watch, run, end == RUN_ANSWERED);
 	free_server_if_unused(watch, watched);
 }
 
--- a/poison.c
+++ b/poison.c
@@ -506,9 +506,7 @@
 	if (!entry)
 		entry = add_entry(poison, run->hash);
 	raise_ran(entry, ran);
-	if (poison->no_canaries)
-		add_server(entry, server);
-	else if (!run->watched)
+	if (!run->watched && (run->safe || !poison->no_canaries))
 		add_unwatched_crash(entry, run->safe);
 	else if (has_server(entry, server) && run->started > entry->updated)
 		/* The same server restarted and crashed again. */
--- a/poison.h
+++ b/poison.h
@@ -122,9 +122,9 @@
  * @servers: servers with running requests, by hash of the name
  * @ban_after: number of crashes that lead to a ban; set by the owner, at most
  *	POISON_SERVERS_MAX, default POISON_BAN_AFTER_CRASHES
- * @no_canaries: set by the owner where requests can't be tried on one server
+ * @no_canaries: set by the owner where new requests aren't tried on one server
  *	first: suspects run without restriction, and each crash counts against
- *	all requests running on that server
+ *	all requests running on that server that are not known to be safe
  * @changed: called when an entry changed here and peers should be informed;
  *	may be NULL
  * @ctx: argument of @changed
--- a/tests/test_poison.c
+++ b/tests/test_poison.c
@@ -1053,6 +1053,65 @@
 	model_finish(&model);
 }
 
+/* As gateways use it: nothing new is tried on one server first. */
+static void setup_without_canaries(struct fixture *f)
+{
+	setup(f);
+	f->poison.no_canaries = true;
+	f->poison.ban_after = 3;
+}
+
+/*
+ * Guards against a ban of a popular request because servers crash of their own
+ * while it runs there.
+ */
+static void test_popular_beside_crashes(void)
+{
+	struct poison_run on_crashed;
+	struct poison_run on_other;
+	struct fixture f;
+	char server[8];
+	int i;
+
+	setup_without_canaries(&f);
+	begin(&f, &on_other, HASH_A, "b0", false);
+	poison_end(&f.poison, &on_other, true);
+	for (i = 1; i < 20; i++) {
+		snprintf(server, sizeof(server), "b%d", i);
+		CU_ASSERT_EQUAL(begin(&f, &on_crashed, HASH_A, server, false),
+				0);
+		lose_server(&f, server);
+		CU_ASSERT_EQUAL(verdict(&f, HASH_A), POISON_PROBATION);
+		CU_ASSERT_EQUAL(begin(&f, &on_other, HASH_A, "b0", false), 0);
+		poison_end(&f.poison, &on_other, true);
+		CU_ASSERT_EQUAL(verdict(&f, HASH_A), POISON_KNOWN_SAFE);
+	}
+	poison_finish(&f.poison);
+}
+
+/* Guards against a ban because a rack goes down under a popular request. */
+static void test_popular_on_a_rack(void)
+{
+	struct poison_run runs[8];
+	struct fixture f;
+	char server[8];
+	int i;
+
+	setup_without_canaries(&f);
+	begin(&f, &runs[0], HASH_A, "b0", false);
+	poison_end(&f.poison, &runs[0], true);
+	for (i = 0; i < 8; i++) {
+		snprintf(server, sizeof(server), "b%d", i);
+		begin(&f, &runs[i], HASH_A, server, false);
+	}
+	for (i = 0; i < 8; i++) {
+		snprintf(server, sizeof(server), "b%d", i);
+		lose_server(&f, server);
+	}
+	CU_ASSERT_EQUAL(verdict(&f, HASH_A), POISON_PROBATION);
+	poison_finish(&f.poison);
+}
+
 static const struct unit_test tests[] = {
 	{"two crashes", test_two_crashes},
 	{"suspect cleared by a later run", test_cleared},
@@ -1071,6 +1130,8 @@
 	{"servers restarted one after the other", test_restarts_in_a_row},
 	{"cleared by another home", test_cleared_elsewhere},
 	{"known safe at one home only", test_safe_elsewhere_only},
+	{"popular request beside crashes", test_popular_beside_crashes},
+	{"popular request on a rack", test_popular_on_a_rack},
 	{"bounds", test_bounds},
 	{"expiry of a received ban", test_learned_expiry},
 	{"simulation, crashing request", test_model_poison},
