gateway: try a suspect on one server before all others

Callers of new searches got 503 crashes_servers for ten minutes because they had run beside a search that crashed the servers of all shards at once: both had three crashes counted. And each sending of the search that did crash them took a server of each shard.

Cause: gateways let suspects run without restriction, and counted a crash against all that ran on the server, so that nothing told the two apart.

A request that is a suspect on arrival now runs on one server first, of the service that it crashed last, without hedge or retry once it may have run; the other shards follow when that has answered, which clears it. A ban takes three servers, one of them on such a trial. Until then a request that crashed three runs nowhere but on trial. For a request to a single server each send after the first crash is a trial. Relays are told whether a send is a trial (PartRequest.trial), and instances that a crash was on one (Fingerprint.crashed_on_trial); older ones ignore both and ban after three.

--- a/crash_watch.c
+++ b/crash_watch.c
@@ -8,6 +8,7 @@
 
 #include "log.h"
 #include "mem.h"
+#include "upstream.h"
 
 /* Delay of the first probe: the other connections break meanwhile. */
 #define PROBE_DELAY_MIN MSEC(3)
@@ -99,14 +100,16 @@
 
 struct watched_run *crash_watch_begin(struct crash_watch *watch,
 				      struct registry_server *server,
-				      uint64_t fingerprint, int64_t deadline)
+				      const struct upstream_request *request,
+				      int64_t deadline)
 {
 	struct watched_run *run = mem_zalloc(sizeof(*run));
 	char life[REGISTRY_INCARNATION_SIZE];
 	struct str name = registry_incarnation(server, life);
 
-	if (poison_begin(watch->poison, &run->run, fingerprint, name,
-			 str_from(server->entry.service), false, INT64_MAX)) {
+	if (poison_begin(watch->poison, &run->run, request->fingerprint, name,
+			 str_from(server->entry.service), request->trial,
+			 INT64_MAX)) {
 		free(run);
 		return NULL;
 	}
--- a/crash_watch.h
+++ b/crash_watch.h
@@ -22,6 +22,7 @@
 #include "registry.h"
 
 struct crash_watch;
+struct upstream_request;
 struct watched_server;
 
 /**
@@ -102,15 +103,16 @@
  * crash_watch_begin() - a request is about to be sent to a server
  * @watch: all runs
  * @server: the run takes its own reference
- * @fingerprint: hash that identifies the request
+ * @request: its fingerprint and trial are used
  * @deadline: the server stops it then, microseconds
  *
  * Return: the run, to be ended with watched_run_end(); NULL if the request is
- * banned.
+ * banned, or must be tried on one server first.
  */
 struct watched_run *crash_watch_begin(struct crash_watch *watch,
 				      struct registry_server *server,
-				      uint64_t fingerprint, int64_t deadline);
+				      const struct upstream_request *request,
+				      int64_t deadline);
 
 /**
  * watched_run_end() - a run ended
--- a/dispatch.c
+++ b/dispatch.c
@@ -227,6 +227,17 @@
 	end_dispatch(dispatch, ran ? DISPATCH_FAILED : DISPATCH_REFUSED, code);
 }
 
+int64_t dispatch_servers_max(const struct dispatch *dispatch)
+{
+	return dispatch->trial_part ? 1 : dispatch->route->servers_max;
+}
+
+static bool has_failed_trial(const struct dispatch *dispatch)
+{
+	return dispatch->trial_part &&
+	       dispatch->trial_part->state == PART_FAILED;
+}
+
 /* Ends the request if its answer is ready or can no longer be reached. */
 static void check_outcome(struct dispatch *dispatch)
 {
@@ -244,6 +255,8 @@
 			 dispatch->n_parts &&
 		 has_min_coverage(dispatch))
 		end_dispatch(dispatch, DISPATCH_PARTIAL, 0);
+	else if (has_failed_trial(dispatch))
+		fail_all(dispatch, dispatch->trial_part->code);
 	else if (!can_reach_min_coverage(dispatch) &&
 		 !dispatch_send_left_out(dispatch))
 		fail_all(dispatch, first_failure_code(dispatch));
@@ -323,10 +336,68 @@
 		schedule_retry_or_fail(part, ret);
 }
 
-enum dispatch_outcome dispatch_start(struct dispatch *dispatch)
+static void send_pending(struct dispatch *dispatch)
 {
 	int i;
 
+	for (i = 0; i < dispatch->n_parts && can_reach_min_coverage(dispatch);
+	     i++)
+		send_first(&dispatch->parts[i]);
+}
+
+static struct dispatch_part *pick_trial_part(struct dispatch *dispatch)
+{
+	struct dispatch_part *picked = NULL;
+	int i;
+
+	for (i = 0; i < dispatch->n_parts; i++) {
+		struct dispatch_part *part = &dispatch->parts[i];
+
+		if (part->state != PART_PENDING)
+			continue;
+		if (str_hash(str_from(part->service->name)) ==
+		    dispatch->trial_service)
+			return part;
+		if (!picked)
+			picked = part;
+	}
+	return picked;
+}
+
+/* A part that did not run anywhere is followed by another one. */
+static void continue_trial(struct dispatch *dispatch)
+{
+	while (has_failed_trial(dispatch) &&
+	       !dispatch->trial_part->n_maybe_run &&
+	       dispatch->trial_part->code != ERR_BANNED) {
+		struct dispatch_part *part = pick_trial_part(dispatch);
+
+		if (!part)
+			return;
+		dispatch->trial_part = part;
+		send_first(part);
+	}
+}
+
+void dispatch_begin_trial(struct dispatch *dispatch, uint64_t service)
+{
+	dispatch->trial_service = service;
+	dispatch->trial_part = &dispatch->parts[0];
+}
+
+static void start_trial(struct dispatch *dispatch)
+{
+	struct dispatch_part *part = pick_trial_part(dispatch);
+
+	if (!part)
+		return;
+	dispatch->trial_part = part;
+	send_first(part);
+	continue_trial(dispatch);
+}
+
+enum dispatch_outcome dispatch_start(struct dispatch *dispatch)
+{
 	fail_unreachable_parts(dispatch);
 	if (can_reach_min_coverage(dispatch))
 		dispatch_load_add_demand(dispatch);
@@ -335,9 +406,10 @@
 		end_dispatch(dispatch, DISPATCH_REFUSED, ERR_OVERLOAD);
 		return dispatch->outcome;
 	}
-	for (i = 0; i < dispatch->n_parts && can_reach_min_coverage(dispatch);
-	     i++)
-		send_first(&dispatch->parts[i]);
+	if (dispatch->trial_part)
+		start_trial(dispatch);
+	else
+		send_pending(dispatch);
 	check_outcome(dispatch);
 	return dispatch->outcome;
 }
@@ -367,6 +439,12 @@
 	abandon_sends(part);
 }
 
+static void pass_trial(struct dispatch *dispatch)
+{
+	dispatch->trial_part = NULL;
+	send_pending(dispatch);
+}
+
 static void retry_part(struct dispatch_part *part)
 {
 	struct dispatch *dispatch = part->dispatch;
@@ -453,9 +531,12 @@
 		latency_add(dispatch->latency, answer->took);
 		dispatch_forecast_update(send, answer->took);
 		accept_answer(part, answer);
+		if (part == dispatch->trial_part)
+			pass_trial(dispatch);
 	} else {
 		part->code = answer->code ? answer->code : ERR_UNKNOWN;
 		retry_part(part);
+		continue_trial(dispatch);
 	}
 	check_outcome(dispatch);
 	return dispatch->outcome;
@@ -501,7 +582,8 @@
 		return;
 	part->hedge_at = INT64_MAX;
 	queued = dispatch_part_queued_send(part);
-	if (!queued && part->n_maybe_run >= part->dispatch->route->servers_max)
+	if (!queued &&
+	    part->n_maybe_run >= dispatch_servers_max(part->dispatch))
 		return;
 	ret = ERR_BUDGET;
 	if (queued)
--- a/dispatch.h
+++ b/dispatch.h
@@ -185,6 +185,9 @@
  * @n_failed: parts that are not sent any more, including the next two
  * @n_unreachable: parts without a reachable server on arrival
  * @n_left_out: parts not sent as their answers would be too late
+ * @trial_service: hash of the name of the service whose part is sent first, see
+ *	dispatch_begin_trial()
+ * @trial_part: the only part that is sent, until it is answered; NULL: all are
  * @outage_since: start of the most recent outage among the unreachable parts,
  *	microseconds
  * @n_sends: all sends
@@ -221,6 +224,8 @@
 	int n_failed;
 	int n_unreachable;
 	int n_left_out;
+	uint64_t trial_service;
+	struct dispatch_part *trial_part;
 	int64_t outage_since;
 	int n_sends;
 	int n_extra;
@@ -257,6 +262,16 @@
 		   int64_t deadline, int64_t soft_timeout);
 void dispatch_finish(struct dispatch *dispatch);
 
+/**
+ * dispatch_begin_trial() - run the request on one server before any other
+ * @service: hash of the name of the service to try first; another one is tried
+ *	if it has no server
+ *
+ * To be called before dispatch_start(). The other parts are sent once the first
+ * is answered. If it runs and brings no answer, the request fails.
+ */
+void dispatch_begin_trial(struct dispatch *dispatch, uint64_t service);
+
 /**
  * dispatch_start() - send all parts for the first time
  *
--- a/dispatch_private.h
+++ b/dispatch_private.h
@@ -15,6 +15,11 @@
  */
 void dispatch_part_count_unread(struct dispatch_part *part);
 
+/**
+ * dispatch_servers_max() - number of servers that may run a part
+ */
+int64_t dispatch_servers_max(const struct dispatch *dispatch);
+
 /**
  * dispatch_part_fail() - mark a pending part as failed
  */
--- a/dispatch_send.c
+++ b/dispatch_send.c
@@ -221,7 +221,7 @@
 	int ret;
 
 	collect_tried(part, &tried);
-	if (part->n_maybe_run >= dispatch->route->servers_max ||
+	if (part->n_maybe_run >= dispatch_servers_max(dispatch) ||
 	    !unused_send(part))
 		return ERR_NO_REPLICA;
 	if (!pick_untried(part, &tried, hedge))
--- a/gateway_request.c
+++ b/gateway_request.c
@@ -209,6 +209,20 @@
 			    str_hash(str_from(inbound_conn_ip(conn))));
 }
 
+static void begin_trial_if_suspect(struct gateway_request *request)
+{
+	uint64_t service =
+		poison_suspect_set(&request->gateway->fleet.board.poison,
+				   request->fingerprint);
+
+	if (!service)
+		return;
+	request->suspect = true;
+	dispatch_begin_trial(&request->dispatch, service);
+	LOG_INFO("suspect_tried", LOG_STR("request", request->request.id),
+		 LOG_U64("fingerprint", request->fingerprint));
+}
+
 /* @due: capacity reserved for this retry, or NULL */
 static void start_request(struct gateway *gateway, struct inbound_conn *conn,
 			  const struct http_message *message,
@@ -248,6 +262,7 @@
 		      get_answer_timeout(gateway, conn, route, stats,
 					 timeout_ms));
 	request->dispatch.promised = due;
+	begin_trial_if_suspect(request);
 	gateway_send_init(request);
 	handle_outcome(request, dispatch_start(&request->dispatch));
 	gateway_outage_arm_timer(gateway);
--- a/gateway_request_private.h
+++ b/gateway_request_private.h
@@ -31,6 +31,7 @@
  * @relay: sends made through relays
  * @fingerprint: identifies the request if it crashes servers
  * @return_key: identifies the request and its caller, see return_schedule.h
+ * @suspect: it was a suspect on arrival, so that it runs on one server first
  * @on_outcome: called after each change of the dispatch; answers and frees the
  *	request if @outcome is final
  * @prev: in the gateway's list of open requests
@@ -49,6 +50,7 @@
 	struct relay_client relay;
 	uint64_t fingerprint;
 	uint64_t return_key;
+	bool suspect;
 	void (*on_outcome)(struct gateway_request *request,
 			   enum dispatch_outcome outcome);
 	struct gateway_request *prev;
--- a/gateway_send.c
+++ b/gateway_send.c
@@ -227,6 +227,24 @@
 	return ret;
 }
 
+/*
+ * A request to a single server runs on one at a time in any case, so that its
+ * retry is a trial if it has become a suspect meanwhile.
+ */
+static enum poison_trial trial_of(const struct gateway_request *request)
+{
+	const struct poison *poison = &request->gateway->fleet.board.poison;
+
+	if (request->dispatch.trial_part)
+		return POISON_ON_TRIAL;
+	if (request->suspect)
+		return POISON_TRIAL_PASSED;
+	if (!request->route->sharded &&
+	    poison_suspect_set(poison, request->fingerprint))
+		return POISON_ON_TRIAL;
+	return POISON_NOT_TRIED;
+}
+
 static int send_part(void *arg, struct dispatch_send *send, int64_t deadline)
 {
 	struct gateway_request *request = arg;
@@ -238,6 +256,7 @@
 	struct server_job *turn;
 	int ret;
 
+	request->request.trial = trial_of(request);
 	if (!relay_part(request, send))
 		return 0;
 	ret = server_queue_send(&gateway->server_queues.queues, send->server,
--- a/peer.pb-c.c
+++ b/peer.pb-c.c
@@ -4253,7 +4253,7 @@
   (ProtobufCMessageInit) peer__view_state__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__fingerprint__field_descriptors[8] =
+static const ProtobufCFieldDescriptor peer__fingerprint__field_descriptors[9] =
 {
   {
     "hash",
@@ -4351,9 +4351,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "crashed_on_trial",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Fingerprint, crashed_on_trial),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__fingerprint__field_indices_by_name[] = {
   3,   /* field[3] = banned */
+  8,   /* field[8] = crashed_on_trial */
   1,   /* field[1] = crashes */
   2,   /* field[2] = expires_ms */
   0,   /* field[0] = hash */
@@ -4365,7 +4378,7 @@
 static const ProtobufCIntRange peer__fingerprint__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor peer__fingerprint__descriptor =
 {
@@ -4375,7 +4388,7 @@
   "Peer__Fingerprint",
   "peer",
   sizeof(Peer__Fingerprint),
-  8,
+  9,
   peer__fingerprint__field_descriptors,
   peer__fingerprint__field_indices_by_name,
   1,  peer__fingerprint__number_ranges,
@@ -5295,7 +5308,7 @@
   (ProtobufCMessageInit) peer__part_send__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__part_request__field_descriptors[14] =
+static const ProtobufCFieldDescriptor peer__part_request__field_descriptors[15] =
 {
   {
     "id",
@@ -5465,6 +5478,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "trial",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__PartRequest, trial),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__part_request__field_indices_by_name[] = {
   3,   /* field[3] = body */
@@ -5481,11 +5506,12 @@
   1,   /* field[1] = request_id */
   9,   /* field[9] = sends */
   13,   /* field[13] = sent_at_us */
+  14,   /* field[14] = trial */
 };
 static const ProtobufCIntRange peer__part_request__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 14 }
+  { 0, 15 }
 };
 const ProtobufCMessageDescriptor peer__part_request__descriptor =
 {
@@ -5495,7 +5521,7 @@
   "Peer__PartRequest",
   "peer",
   sizeof(Peer__PartRequest),
-  14,
+  15,
   peer__part_request__field_descriptors,
   peer__part_request__field_indices_by_name,
   1,  peer__part_request__number_ranges,
--- a/peer.pb-c.h
+++ b/peer.pb-c.h
@@ -628,10 +628,14 @@
    * longest that it had run on a server when that was lost
    */
   uint32_t ran_ms;
+  /*
+   * lost a server while it ran on that one only
+   */
+  protobuf_c_boolean crashed_on_trial;
 };
 #define PEER__FINGERPRINT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__fingerprint__descriptor) \
-    , 0, 0, 0, 0, 0,NULL, 0, 0, 0 }
+    , 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0 }
 
 
 struct  Peer__Fingerprints
@@ -907,10 +911,14 @@
    * by the sender's monotonic clock
    */
   uint64_t sent_at_us;
+  /*
+   * of a suspect: 1 it runs on this server only, 2 it has
+   */
+  uint32_t trial;
 };
 #define PEER__PART_REQUEST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__part_request__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, {0,NULL}, {0,NULL}, 0, 0, 0, 0, 0, 0,NULL, {0,NULL}, 0, 0, 0 }
+    , 0, (char *)protobuf_c_empty_string, {0,NULL}, {0,NULL}, 0, 0, 0, 0, 0, 0,NULL, {0,NULL}, 0, 0, 0, 0 }
 
 
 struct  Peer__PartDone
--- a/poison.c
+++ b/poison.c
@@ -34,6 +34,7 @@
 	uint64_t servers[POISON_SERVERS_MAX];
 	uint64_t replica_set;
 	int64_t ran;
+	bool crashed_on_trial;
 	int64_t updated;
 	int64_t expires;
 	UT_hash_handle hh;
@@ -149,6 +150,12 @@
 		entry->servers[entry->n_servers++] = server;
 }
 
+static bool has_crashed_enough(const struct poison *poison,
+			       const struct poison_entry *entry)
+{
+	return count_crashes(entry) >= poison->ban_after;
+}
+
 /* Bans a fingerprint that has crashed enough servers, and renews its expiry. */
 static void update_ban(struct poison *poison, struct poison_entry *entry)
 {
@@ -158,7 +165,8 @@
 
 	if (safe_entry)
 		drop_safe_entry(poison, safe_entry);
-	if (count_crashes(entry) >= poison->ban_after)
+	if (has_crashed_enough(poison, entry) &&
+	    (entry->crashed_on_trial || !poison->no_canaries))
 		entry->banned = true;
 	entry->updated = now;
 	entry->expires = now + (entry->banned ? poison->tunables.ban_ttl
@@ -176,6 +184,7 @@
 		.n_servers = entry->n_servers,
 		.replica_set = entry->replica_set,
 		.ran = entry->ran,
+		.crashed_on_trial = entry->crashed_on_trial,
 		.banned = entry->banned,
 		.remaining = entry->expires - clock_now(poison->clock),
 	};
@@ -416,9 +425,23 @@
 	return run;
 }
 
+uint64_t poison_suspect_set(const struct poison *poison, uint64_t hash)
+{
+	const struct poison_entry *entry = find_entry(poison, hash);
+
+	return entry ? entry->replica_set : 0;
+}
+
+/* Without canaries: it may run on one server only. */
+static bool must_be_tried(const struct poison *poison,
+			  const struct poison_entry *entry)
+{
+	return poison->no_canaries && has_crashed_enough(poison, entry);
+}
+
 int poison_begin(struct poison *poison, struct poison_run *run, uint64_t hash,
-		 struct str server, struct str replica_set, bool watched,
-		 int64_t left)
+		 struct str server, struct str replica_set,
+		 enum poison_trial trial, int64_t left)
 {
 	const struct poison_entry *entry = find_live_entry(poison, hash);
 	uint64_t name = str_hash(server);
@@ -426,14 +449,16 @@
 
 	if (entry && entry->banned)
 		return ERR_BANNED;
-	if (entry && !watched && !poison->no_canaries)
+	if (entry && !trial && must_be_tried(poison, entry))
+		return ERR_BANNED;
+	if (entry && !trial && !poison->no_canaries)
 		return ERR_SHED;
 	if (entry && !poison->no_canaries &&
 	    poison_blocking_run(poison, hash, server, left, &wait))
 		return ERR_NO_SLOT;
 	run->hash = hash;
 	run->replica_set = str_hash(replica_set);
-	run->watched = watched;
+	run->watched = trial == POISON_ON_TRIAL;
 	run->suspect = entry;
 	run->safe = is_known_safe(poison, hash);
 	run->started = clock_now(poison->clock);
@@ -513,6 +538,7 @@
 		add_server(entry, str_hash_mix(server, 1));
 	else
 		add_server(entry, server);
+	entry->crashed_on_trial |= run->watched;
 	entry->replica_set = run->replica_set;
 	was_banned = entry->banned;
 	update_ban(poison, entry);
@@ -536,10 +562,12 @@
 	}
 	/*
 	 * If any watched request ran there, only the watched ones are blamed,
-	 * as all others are known to be safe. Otherwise all are blamed.
+	 * as all others are known to be safe. Without canaries, new ones are
+	 * not. Otherwise all are blamed.
 	 */
 	DL_FOREACH (runs, run) {
-		if (run->watched || !watched)
+		if (run->watched || !watched ||
+		    (poison->no_canaries && !run->safe))
 			record_crash(poison, run, server->name);
 	}
 	HASH_DEL(poison->servers, server);
@@ -586,6 +614,7 @@
 	return entry->banned != before->banned ||
 	       entry->n_servers != before->n_servers ||
 	       entry->unwatched_crash != before->unwatched_crash ||
+	       entry->crashed_on_trial != before->crashed_on_trial ||
 	       entry->was_safe != before->was_safe;
 }
 
@@ -613,6 +642,7 @@
 	if (report->unwatched_crash)
 		add_unwatched_crash(entry, report->was_safe);
 	entry->banned = entry->banned || report->banned;
+	entry->crashed_on_trial |= report->crashed_on_trial;
 	for (i = 0; i < report->n_servers && i < POISON_SERVERS_MAX; i++)
 		add_server(entry, report->servers[i]);
 	raise_ran(entry, report->ran);
--- a/poison.h
+++ b/poison.h
@@ -44,6 +44,18 @@
 	POISON_BANNED,
 };
 
+/**
+ * enum poison_trial - whether a suspect was tried on one server first
+ * @POISON_NOT_TRIED: no, or it is none
+ * @POISON_ON_TRIAL: it runs on this server only
+ * @POISON_TRIAL_PASSED: it ran well on one server, and now runs on others
+ */
+enum poison_trial {
+	POISON_NOT_TRIED,
+	POISON_ON_TRIAL,
+	POISON_TRIAL_PASSED,
+};
+
 /**
  * struct poison_report - state of a fingerprint, exchanged between instances
  * @hash: the fingerprint
@@ -56,6 +68,7 @@
  * @replica_set: hash of the replica set of the server that crashed last
  * @ran: the longest time that it had run on a server when that crashed,
  *	microseconds; 0 if not known
+ * @crashed_on_trial: one of @servers crashed while it ran on that one only
  * @banned: refused on all instances
  * @remaining: time until it expires, microseconds
  *
@@ -70,6 +83,7 @@
 	uint64_t servers[POISON_SERVERS_MAX];
 	uint64_t replica_set;
 	int64_t ran;
+	bool crashed_on_trial;
 	bool banned;
 	int64_t remaining;
 };
@@ -122,9 +136,10 @@
  * @servers: servers with running requests, by hash of the name
  * @ban_after: number of crashes that lead to a ban; set by the owner, at most
  *	POISON_SERVERS_MAX, default POISON_BAN_AFTER_CRASHES
- * @no_canaries: set by the owner where new requests aren't tried on one server
- *	first: suspects run without restriction, and each crash counts against
- *	all requests running on that server that are not known to be safe
+ * @no_canaries: set by the owner where only suspects are tried on one server
+ *	first: each crash counts against all requests running on that server
+ *	that are not known to be safe, and a ban takes a crash on trial, as only
+ *	that one can't be another request's
  * @changed: called when an entry changed here and peers should be informed;
  *	may be NULL
  * @ctx: argument of @changed
@@ -257,18 +272,29 @@
  * @hash: fingerprint of the request
  * @server: name of the server
  * @replica_set: name of its replica set
- * @watched: the entry instance sent it as a canary or on probation
+ * @trial: whether the entry instance sent it as a canary or on probation
  * @left: time until its deadline, microseconds
  *
  * Return: 0; on error the request must not be sent, and @run is unchanged:
- * ERR_BANNED: the fingerprint is banned;
+ * ERR_BANNED: the fingerprint is banned, or, without canaries, has crashed
+ *	@ban_after servers and must be tried on one first;
  * ERR_SHED: a suspect here, but the entry instance sent it unwatched;
  * ERR_NO_SLOT: a suspect, and either another suspect runs on this server or
  * the same request is on trial anywhere.
  */
 int poison_begin(struct poison *poison, struct poison_run *run, uint64_t hash,
-		 struct str server, struct str replica_set, bool watched,
-		 int64_t left);
+		 struct str server, struct str replica_set,
+		 enum poison_trial trial, int64_t left);
+
+/**
+ * poison_suspect_set() - hash of the name of the replica set that a suspect
+ * crashed last
+ * @poison: state of this instance
+ * @hash: fingerprint of the request
+ *
+ * Return: 0 if it is no suspect.
+ */
+uint64_t poison_suspect_set(const struct poison *poison, uint64_t hash);
 
 /**
  * poison_blocking_run() - find the run that a suspect has to wait for
--- a/poison_net.c
+++ b/poison_net.c
@@ -22,6 +22,7 @@
 	out->n_servers = (size_t)report->n_servers;
 	out->servers = (uint64_t *)report->servers;
 	out->replica_set = report->replica_set;
+	out->crashed_on_trial = report->crashed_on_trial;
 	out->ran_ms = (uint32_t)msec_round_up(report->ran);
 }
 
@@ -86,6 +87,7 @@
 				     : POISON_SERVERS_MAX,
 		.replica_set = entry->replica_set,
 		.ran = MSEC(entry->ran_ms),
+		.crashed_on_trial = entry->crashed_on_trial,
 		.banned = entry->banned,
 		.remaining = MSEC(entry->expires_ms),
 	};
--- a/relay_ask.c
+++ b/relay_ask.c
@@ -176,6 +176,7 @@
 	message.flush_ms = (uint32_t)(client->flush_after / USEC_PER_MSEC);
 	message.records_max = (uint32_t)client->records_max;
 	message.fingerprint = client->fingerprint;
+	message.trial = client->request->trial;
 	message.connections_max = (uint32_t)client->connections_max;
 	message.priority = (uint32_t)client->priority;
 	if (client->goal_at > now)
--- a/relay_serve.c
+++ b/relay_serve.c
@@ -325,6 +325,12 @@
 	return held > stall ? held : stall;
 }
 
+static enum poison_trial read_trial(uint32_t trial)
+{
+	return trial <= POISON_TRIAL_PASSED ? (enum poison_trial)trial
+					    : POISON_NOT_TRIED;
+}
+
 /* Copies what queued sends need, as they outlive the message. */
 static void copy_request(struct relay_job *job,
 			 const Peer__PartRequest *message)
@@ -339,6 +345,7 @@
 	request->body.data = mem_dup_len(message->body.data, message->body.len);
 	request->id = str_from(mem_dup(message->request_id));
 	request->fingerprint = message->fingerprint;
+	request->trial = read_trial(message->trial);
 	job->rank.priority = message->priority;
 	job->rank.goal_at = now + MSEC((int64_t)message->goal_ms) - held;
 	job->deadline = now + MSEC((int64_t)message->deadline_ms) - held;
--- a/server_queue_net.c
+++ b/server_queue_net.c
@@ -29,8 +29,8 @@
 	struct exchange *exchange;
 	int ret;
 
-	run = crash_watch_begin(&net->watch, job->server,
-				job->request->fingerprint, job->deadline);
+	run = crash_watch_begin(&net->watch, job->server, job->request,
+				job->deadline);
 	if (!run)
 		return ERR_BANNED;
 	ret = upstream_send(net->upstream, job->server, job->request,
--- a/tests/test_crash_watch.c
+++ b/tests/test_crash_watch.c
@@ -5,6 +5,7 @@
 #include "error.h"
 #include "mem.h"
 #include "unit.h"
+#include "upstream.h"
 
 #define HASH 101
 #define OTHER_HASH 202
@@ -52,6 +53,14 @@
 	return server;
 }
 
+static struct watched_run *begin(struct fixture *f, uint64_t fingerprint,
+				 int64_t deadline)
+{
+	const struct upstream_request request = {.fingerprint = fingerprint};
+
+	return crash_watch_begin(&f->watch, f->server, &request, deadline);
+}
+
 static void setup(struct fixture *f)
 {
 	static const struct poison_tunables tunables = {
@@ -68,8 +77,7 @@
 	crash_watch_init(&f->watch, &f->clock, &f->poison, &ops, f);
 	f->wake_at = INT64_MAX;
 	f->server = new_server("b1");
-	f->run = crash_watch_begin(&f->watch, f->server, HASH,
-				   clock_now(&f->clock) + DEADLINE);
+	f->run = begin(f, HASH, clock_now(&f->clock) + DEADLINE);
 	CU_ASSERT_PTR_NOT_NULL_FATAL(f->run);
 }
 
@@ -286,9 +294,8 @@
 	struct fixture f;
 
 	setup(&f);
-	answered = crash_watch_begin(&f.watch, f.server, OTHER_HASH, INT64_MAX);
-	running = crash_watch_begin(&f.watch, f.server, OTHER_HASH + 1,
-				    INT64_MAX);
+	answered = begin(&f, OTHER_HASH, INT64_MAX);
+	running = begin(&f, OTHER_HASH + 1, INT64_MAX);
 	watched_run_end(answered, RUN_ANSWERED);
 	watched_run_end(f.run, RUN_LOST);
 	advance(&f, MSEC(10));
@@ -368,8 +375,7 @@
 
 	setup(&f);
 	for (i = 0; i < 1000; i++) {
-		run = crash_watch_begin(&f.watch, f.server, OTHER_HASH,
-					INT64_MAX / 2);
+		run = begin(&f, OTHER_HASH, INT64_MAX / 2);
 		watched_run_end(run, RUN_GIVEN_UP);
 	}
 	for (oldest = f.run; oldest; oldest = oldest->next)
--- a/tests/test_poison.c
+++ b/tests/test_poison.c
@@ -1112,6 +1112,89 @@
 	poison_finish(&f.poison);
 }
 
+/* A search and another one run on servers that crash. */
+static void crash_four(struct fixture *f)
+{
+	static const char *const servers[] = {"b1", "b2", "b3", "b4"};
+	struct poison_run runs[4][2];
+	int i;
+
+	for (i = 0; i < 4; i++) {
+		CU_ASSERT_EQUAL(begin(f, &runs[i][0], HASH_A, servers[i],
+				      POISON_NOT_TRIED),
+				0);
+		begin(f, &runs[i][1], HASH_B, servers[i], POISON_NOT_TRIED);
+	}
+	for (i = 0; i < 4; i++)
+		lose_server(f, servers[i]);
+}
+
+/*
+ * Guards against a ban of a request that ran only beside the one which crashes
+ * servers; the latter loses one more server, and no second one.
+ */
+static void test_trial_tells_apart(void)
+{
+	struct poison_run run;
+	struct fixture peer;
+	struct fixture f;
+
+	setup_without_canaries(&f);
+	setup_without_canaries(&peer);
+	crash_four(&f);
+	CU_ASSERT_EQUAL(verdict(&f, HASH_A), POISON_PROBATION);
+	CU_ASSERT_EQUAL(verdict(&f, HASH_B), POISON_PROBATION);
+	CU_ASSERT_EQUAL(poison_suspect_set(&f.poison, HASH_A),
+			str_hash(REPLICA_SET));
+	CU_ASSERT_EQUAL(begin(&f, &run, HASH_A, "b5", POISON_NOT_TRIED),
+			ERR_BANNED);
+	CU_ASSERT_EQUAL(begin(&f, &run, HASH_A, "b5", POISON_ON_TRIAL), 0);
+	lose_server(&f, "b5");
+	CU_ASSERT_EQUAL(verdict(&f, HASH_A), POISON_BANNED);
+	CU_ASSERT(poison_apply_report(&peer.poison, &f.last));
+	CU_ASSERT_EQUAL(verdict(&peer, HASH_A), POISON_BANNED);
+	CU_ASSERT_EQUAL(begin(&f, &run, HASH_B, "b6", POISON_ON_TRIAL), 0);
+	poison_end(&f.poison, &run, true);
+	CU_ASSERT_EQUAL(verdict(&f, HASH_B), POISON_KNOWN_SAFE);
+	CU_ASSERT_EQUAL(begin(&f, &run, HASH_B, "b7", POISON_NOT_TRIED), 0);
+	poison_end(&f.poison, &run, true);
+	poison_finish(&f.poison);
+	poison_finish(&peer.poison);
+}
+
+/* Guards against a trial on one instance being forgotten on the others. */
+static void test_trial_and_crashes_of_two_instances(void)
+{
+	struct poison_run run;
+	struct fixture peer;
+	struct fixture f;
+
+	setup_without_canaries(&f);
+	setup_without_canaries(&peer);
+	begin(&peer, &run, HASH_A, "b5", POISON_ON_TRIAL);
+	lose_server(&peer, "b5");
+	CU_ASSERT_EQUAL(verdict(&peer, HASH_A), POISON_PROBATION);
+	crash_four(&f);
+	CU_ASSERT(poison_apply_report(&f.poison, &peer.last));
+	CU_ASSERT_EQUAL(verdict(&f, HASH_A), POISON_BANNED);
+	CU_ASSERT_EQUAL(verdict(&f, HASH_B), POISON_PROBATION);
+	poison_finish(&f.poison);
+	poison_finish(&peer.poison);
+}
+
+/* Guards against parts that are refused after the trial of their search. */
+static void test_passed_trial_runs_everywhere(void)
+{
+	struct poison_run run;
+	struct fixture f;
+
+	setup_without_canaries(&f);
+	crash_four(&f);
+	CU_ASSERT_EQUAL(begin(&f, &run, HASH_B, "b6", POISON_TRIAL_PASSED), 0);
+	poison_end(&f.poison, &run, false);
+	poison_finish(&f.poison);
+}
+
 static const struct unit_test tests[] = {
 	{"two crashes", test_two_crashes},
 	{"suspect cleared by a later run", test_cleared},
@@ -1132,6 +1215,10 @@
 	{"known safe at one home only", test_safe_elsewhere_only},
 	{"popular request beside crashes", test_popular_beside_crashes},
 	{"popular request on a rack", test_popular_on_a_rack},
+	{"trial tells apart", test_trial_tells_apart},
+	{"trial and crashes of two instances",
+	 test_trial_and_crashes_of_two_instances},
+	{"passed trial runs everywhere", test_passed_trial_runs_everywhere},
 	{"bounds", test_bounds},
 	{"expiry of a received ban", test_learned_expiry},
 	{"simulation, crashing request", test_model_poison},
--- a/upstream.h
+++ b/upstream.h
@@ -12,6 +12,7 @@
 #include "clock.h"
 #include "crash_check.h"
 #include "http_message.h"
+#include "poison.h"
 #include "registry.h"
 #include "str.h"
 
@@ -49,6 +50,7 @@
  * @body: complete body
  * @id: request id
  * @fingerprint: identifies requests that crash servers
+ * @trial: of a suspect
  * @is_head: the method is HEAD, so that the answer has no body
  * @needs_recent_conn: reuse only connections that were idle so briefly that
  *	the server is not closing them
@@ -58,6 +60,7 @@
 	struct str body;
 	struct str id;
 	uint64_t fingerprint;
+	enum poison_trial trial;
 	bool is_head;
 	bool needs_recent_conn;
 };
