poison: hold a suspect back while it is on trial on any instance

Callers saw more servers go than a trial should take: a request that crashes its server 2 s after it began, sent to three instances each 0.65 s by a caller who leaves, was on trial on all of them and several times on each before the first server had crashed.

Cause: a trial was known only to the instance that began it, and ended there when its caller left.

A suspect that has crashed enough servers for a ban is announced with its trial (Fingerprint.trial_ms), and held back on all instances until it is cleared, banned or the trial's deadline has passed: 503 suspect_on_trial, not run, with the time after which the trial should be decided as Retry-After. A trial keeps its connection to its deadline though its caller has left.

--- a/gateway_request.c
+++ b/gateway_request.c
@@ -219,6 +219,8 @@
 		return;
 	request->suspect = true;
 	dispatch_begin_trial(&request->dispatch, service);
+	poison_start_trial(&request->gateway->fleet.board.poison,
+			   request->fingerprint, request->dispatch.deadline);
 	LOG_INFO("suspect_tried", LOG_STR("request", request->request.id),
 		 LOG_U64("fingerprint", request->fingerprint));
 }
@@ -342,6 +344,7 @@
 		       const struct http_message *message)
 {
 	struct gateway *gateway = arg;
+	struct poison *poison = &gateway->fleet.board.poison;
 	const struct route *route;
 	uint64_t fingerprint;
 	uint32_t retry_after_ms;
@@ -366,11 +369,16 @@
 		return;
 	}
 	fingerprint = fingerprint_of(message);
-	if (poison_check(&gateway->fleet.board.poison, fingerprint,
-			 &retry_after_ms) == POISON_BANNED)
+	if (poison_check(poison, fingerprint, &retry_after_ms) == POISON_BANNED)
 		refuse_request(gateway, conn, message,
 			       HTTP_STATUS_SERVICE_UNAVAILABLE, retry_after_ms,
 			       "crashes_servers");
+	else if (poison_trial_wait(poison, fingerprint))
+		refuse_request(gateway, conn, message,
+			       HTTP_STATUS_SERVICE_UNAVAILABLE,
+			       msec_round_up(
+				       poison_trial_wait(poison, fingerprint)),
+			       "suspect_on_trial");
 	else
 		start_or_refuse(gateway, conn, message, route, fingerprint);
 }
--- a/peer.pb-c.c
+++ b/peer.pb-c.c
@@ -4253,7 +4253,7 @@
   (ProtobufCMessageInit) peer__view_state__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__fingerprint__field_descriptors[9] =
+static const ProtobufCFieldDescriptor peer__fingerprint__field_descriptors[10] =
 {
   {
     "hash",
@@ -4363,6 +4363,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "trial_ms",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Fingerprint, trial_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__fingerprint__field_indices_by_name[] = {
   3,   /* field[3] = banned */
@@ -4373,12 +4385,13 @@
   7,   /* field[7] = ran_ms */
   5,   /* field[5] = replica_set */
   4,   /* field[4] = servers */
+  9,   /* field[9] = trial_ms */
   6,   /* field[6] = was_safe */
 };
 static const ProtobufCIntRange peer__fingerprint__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor peer__fingerprint__descriptor =
 {
@@ -4388,7 +4401,7 @@
   "Peer__Fingerprint",
   "peer",
   sizeof(Peer__Fingerprint),
-  9,
+  10,
   peer__fingerprint__field_descriptors,
   peer__fingerprint__field_indices_by_name,
   1,  peer__fingerprint__number_ranges,
--- a/peer.pb-c.h
+++ b/peer.pb-c.h
@@ -632,10 +632,14 @@
    * lost a server while it ran on that one only
    */
   protobuf_c_boolean crashed_on_trial;
+  /*
+   * it runs on one server for that much longer
+   */
+  uint32_t trial_ms;
 };
 #define PEER__FINGERPRINT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__fingerprint__descriptor) \
-    , 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0, 0 }
 
 
 struct  Peer__Fingerprints
--- a/poison.c
+++ b/poison.c
@@ -35,6 +35,7 @@
 	uint64_t replica_set;
 	int64_t ran;
 	bool crashed_on_trial;
+	int64_t trial_until;
 	int64_t updated;
 	int64_t expires;
 	UT_hash_handle hh;
@@ -177,6 +178,8 @@
 			const struct poison_entry *entry,
 			struct poison_report *report)
 {
+	int64_t now = clock_now(poison->clock);
+
 	*report = (struct poison_report){
 		.hash = entry->hash,
 		.unwatched_crash = entry->unwatched_crash,
@@ -185,8 +188,10 @@
 		.replica_set = entry->replica_set,
 		.ran = entry->ran,
 		.crashed_on_trial = entry->crashed_on_trial,
+		.trial =
+			entry->trial_until > now ? entry->trial_until - now : 0,
 		.banned = entry->banned,
-		.remaining = entry->expires - clock_now(poison->clock),
+		.remaining = entry->expires - now,
 	};
 	memcpy(report->servers, entry->servers, sizeof(report->servers));
 }
@@ -439,6 +444,39 @@
 	return poison->no_canaries && has_crashed_enough(poison, entry);
 }
 
+/*
+ * A trial that is known already stays as it is: reports of it arrive on several
+ * ways, and each would seem to end a little later.
+ */
+static bool note_trial(const struct poison *poison, struct poison_entry *entry,
+		       int64_t until)
+{
+	if (until <= clock_now(poison->clock) ||
+	    entry->trial_until > clock_now(poison->clock))
+		return false;
+	entry->trial_until = until;
+	return true;
+}
+
+void poison_start_trial(struct poison *poison, uint64_t hash, int64_t until)
+{
+	struct poison_entry *entry = find_live_entry(poison, hash);
+
+	if (entry && must_be_tried(poison, entry) &&
+	    note_trial(poison, entry, until))
+		notify_changed(poison, entry);
+}
+
+int64_t poison_trial_wait(const struct poison *poison, uint64_t hash)
+{
+	const struct poison_entry *entry = find_entry(poison, hash);
+	int64_t now = clock_now(poison->clock);
+
+	if (!entry || entry->trial_until <= now)
+		return 0;
+	return poison_trial_time(poison, hash, entry->trial_until - now);
+}
+
 int poison_begin(struct poison *poison, struct poison_run *run, uint64_t hash,
 		 struct str server, struct str replica_set,
 		 enum poison_trial trial, int64_t left)
@@ -624,6 +662,7 @@
 	int64_t now = clock_now(poison->clock);
 	struct poison_entry *entry = find_live_entry(poison, report->hash);
 	struct poison_entry before = {0};
+	bool new_trial;
 	int i;
 
 	if (!report->unwatched_crash && !report->n_servers && !report->banned) {
@@ -646,8 +685,10 @@
 	for (i = 0; i < report->n_servers && i < POISON_SERVERS_MAX; i++)
 		add_server(entry, report->servers[i]);
 	raise_ran(entry, report->ran);
+	new_trial =
+		report->trial && note_trial(poison, entry, now + report->trial);
 	if (!evidence_differs(entry, &before))
-		return false;
+		return new_trial;
 	entry->replica_set = report->replica_set;
 	update_ban(poison, entry);
 	entry->expires = now + bounded_remaining(poison, report);
--- a/poison.h
+++ b/poison.h
@@ -69,6 +69,7 @@
  * @ran: the longest time that it had run on a server when that crashed,
  *	microseconds; 0 if not known
  * @crashed_on_trial: one of @servers crashed while it ran on that one only
+ * @trial: it may be on trial for that much longer, microseconds; 0: it is not
  * @banned: refused on all instances
  * @remaining: time until it expires, microseconds
  *
@@ -84,6 +85,7 @@
 	uint64_t replica_set;
 	int64_t ran;
 	bool crashed_on_trial;
+	int64_t trial;
 	bool banned;
 	int64_t remaining;
 };
@@ -296,6 +298,26 @@
  */
 uint64_t poison_suspect_set(const struct poison *poison, uint64_t hash);
 
+/**
+ * poison_start_trial() - a suspect is about to run on one server
+ * @poison: state of this instance
+ * @hash: fingerprint of the request
+ * @until: its deadline, microseconds
+ *
+ * If it has crashed enough servers for a ban, all instances are told, so that
+ * they don't try it at the same time.
+ */
+void poison_start_trial(struct poison *poison, uint64_t hash, int64_t until);
+
+/**
+ * poison_trial_wait() - how long to hold a suspect back that is on trial
+ * @poison: state of this instance
+ * @hash: fingerprint of the request
+ *
+ * Return: microseconds; 0 if it may run now.
+ */
+int64_t poison_trial_wait(const struct poison *poison, uint64_t hash);
+
 /**
  * poison_blocking_run() - find the run that a suspect has to wait for
  * @poison: state of this instance
--- a/poison_net.c
+++ b/poison_net.c
@@ -23,6 +23,7 @@
 	out->servers = (uint64_t *)report->servers;
 	out->replica_set = report->replica_set;
 	out->crashed_on_trial = report->crashed_on_trial;
+	out->trial_ms = (uint32_t)msec_round_up(report->trial);
 	out->ran_ms = (uint32_t)msec_round_up(report->ran);
 }
 
@@ -88,6 +89,7 @@
 		.replica_set = entry->replica_set,
 		.ran = MSEC(entry->ran_ms),
 		.crashed_on_trial = entry->crashed_on_trial,
+		.trial = MSEC(entry->trial_ms),
 		.banned = entry->banned,
 		.remaining = MSEC(entry->expires_ms),
 	};
--- a/server_queue_net.c
+++ b/server_queue_net.c
@@ -45,17 +45,30 @@
 	return 0;
 }
 
+/* A trial goes on without its caller: otherwise another one would be needed. */
+static int64_t linger_of(const struct server_queue_net *net,
+			 const struct server_job *job, int64_t linger)
+{
+	int64_t left = job->deadline - clock_now(net->upstream->clock);
+
+	if (job->request->trial != POISON_ON_TRIAL || left <= linger)
+		return linger;
+	return left;
+}
+
 static void abandon(void *arg, struct server_job *job, int64_t linger,
 		    struct delivery *delivery)
 {
-	(void)arg;
-	exchange_abandon(job->handle, linger, delivery);
+	struct server_queue_net *net = arg;
+
+	exchange_abandon(job->handle, linger_of(net, job, linger), delivery);
 }
 
 static void hurry(void *arg, struct server_job *job, int64_t linger)
 {
-	(void)arg;
-	exchange_set_timeout(job->handle, linger);
+	struct server_queue_net *net = arg;
+
+	exchange_set_timeout(job->handle, linger_of(net, job, linger));
 }
 
 static int under_way(void *arg, const struct registry_server *server)
--- a/tests/test_poison.c
+++ b/tests/test_poison.c
@@ -1195,6 +1195,63 @@
 	poison_finish(&f.poison);
 }
 
+/*
+ * Guards against a suspect that is tried on many instances at once and crashes
+ * a server on each.
+ */
+static void test_one_trial_at_a_time(void)
+{
+	int64_t deadline;
+	struct fixture peer;
+	struct fixture f;
+	int reports;
+
+	setup_without_canaries(&f);
+	setup_without_canaries(&peer);
+	crash_four(&f);
+	poison_apply_report(&peer.poison, &f.last);
+	deadline = clock_now(&f.clock) + MSEC(2000);
+	CU_ASSERT_EQUAL(poison_trial_wait(&f.poison, f.last.hash), 0);
+	poison_start_trial(&f.poison, f.last.hash, deadline);
+	CU_ASSERT(poison_apply_report(&peer.poison, &f.last));
+	CU_ASSERT_EQUAL(poison_trial_wait(&peer.poison, f.last.hash), MSEC(50));
+	/* The same report on another way is not passed on again. */
+	clock_advance(&peer.clock, MSEC(1));
+	CU_ASSERT_FALSE(poison_apply_report(&peer.poison, &f.last));
+	reports = f.reports;
+	poison_start_trial(&f.poison, f.last.hash, deadline + MSEC(100));
+	CU_ASSERT_EQUAL(f.reports, reports);
+	clock_advance(&f.clock, MSEC(2000));
+	CU_ASSERT_EQUAL(poison_trial_wait(&f.poison, f.last.hash), 0);
+	poison_finish(&f.poison);
+	poison_finish(&peer.poison);
+}
+
+/* Guards against a cleared request that goes on waiting for its trial. */
+static void test_trial_ends_with_an_answer(void)
+{
+	struct poison_run run;
+	struct fixture peer;
+	struct fixture f;
+
+	setup_without_canaries(&f);
+	setup_without_canaries(&peer);
+	crash_four(&f);
+	poison_apply_report(&peer.poison, &f.last);
+	poison_start_trial(&peer.poison, f.last.hash,
+			   clock_now(&peer.clock) + MSEC(2000));
+	/* The report of the trial arrives after its run has begun. */
+	begin(&f, &run, f.last.hash, "b6", POISON_ON_TRIAL);
+	clock_advance(&f.clock, MSEC(1));
+	CU_ASSERT(poison_apply_report(&f.poison, &peer.last));
+	poison_end(&f.poison, &run, true);
+	CU_ASSERT_EQUAL(verdict(&f, peer.last.hash), POISON_KNOWN_SAFE);
+	CU_ASSERT(poison_apply_report(&peer.poison, &f.last));
+	CU_ASSERT_EQUAL(poison_trial_wait(&peer.poison, f.last.hash), 0);
+	poison_finish(&f.poison);
+	poison_finish(&peer.poison);
+}
+
 static const struct unit_test tests[] = {
 	{"two crashes", test_two_crashes},
 	{"suspect cleared by a later run", test_cleared},
@@ -1219,6 +1276,8 @@
 	{"trial and crashes of two instances",
 	 test_trial_and_crashes_of_two_instances},
 	{"passed trial runs everywhere", test_passed_trial_runs_everywhere},
+	{"one trial at a time", test_one_trial_at_a_time},
+	{"trial ends with an answer", test_trial_ends_with_an_answer},
 	{"bounds", test_bounds},
 	{"expiry of a received ban", test_learned_expiry},
 	{"simulation, crashing request", test_model_poison},
