crash_check: take an answer, not an accepted connection, for a sign of life

A process that closes its listening socket 30 ms after its connections crashed unseen, and the search crashed the next one.

A server that takes connections is now asked for its holdings, which it answers without a free slot. An answer shows that it lives; if that connection breaks too, it is tried again. Runs in doubt hold no suspect back.

Three cases of test_crash_check and one of test_poison are new.

--- a/crash_check.c
+++ b/crash_check.c
@@ -72,10 +72,25 @@
 	check->ops->judged(check->arg, evidence);
 }
 
+/* It takes connections: whether it lives, an answer tells. */
+static void confirm(struct crash_check *check, enum crash_evidence evidence)
+{
+	int64_t until = check->started_at + CRASH_CHECK_CONFIRM_TIMEOUT;
+
+	if (clock_now(check->clock) >= until ||
+	    check->ops->confirm(check->arg)) {
+		judge(check, evidence);
+		return;
+	}
+	check->evidence = evidence;
+	check->state = CRASH_CHECK_CONFIRMING;
+	check->wake_at = until;
+}
+
 static void probe(struct crash_check *check)
 {
 	if (check->ops->is_connected(check->arg)) {
-		judge(check, CRASH_EVIDENCE_OTHER_CONNECTION);
+		confirm(check, CRASH_EVIDENCE_OTHER_CONNECTION);
 		return;
 	}
 	if (check->ops->probe(check->arg)) {
@@ -88,16 +103,34 @@
 
 void crash_check_probed(struct crash_check *check, enum crash_evidence evidence)
 {
-	if (check->state == CRASH_CHECK_PROBING)
+	if (check->state != CRASH_CHECK_PROBING)
+		return;
+	if (evidence == CRASH_EVIDENCE_LISTENS)
+		confirm(check, evidence);
+	else
 		judge(check, evidence);
 }
 
+void crash_check_confirmed(struct crash_check *check, bool answered)
+{
+	if (check->state != CRASH_CHECK_CONFIRMING)
+		return;
+	if (answered) {
+		judge(check, CRASH_EVIDENCE_ANSWERED);
+		return;
+	}
+	check->state = CRASH_CHECK_DELAYED;
+	check->wake_at = clock_now(check->clock) + CRASH_CHECK_DELAY;
+}
+
 void crash_check_tick(struct crash_check *check)
 {
 	if (clock_now(check->clock) < check->wake_at)
 		return;
 	if (check->state == CRASH_CHECK_DELAYED)
 		probe(check);
+	else if (check->state == CRASH_CHECK_CONFIRMING)
+		judge(check, check->evidence);
 	else if (check->ops->is_connected(check->arg))
 		judge(check, CRASH_EVIDENCE_OTHER_CONNECTION);
 	else
--- a/crash_check.h
+++ b/crash_check.h
@@ -2,8 +2,9 @@
  * Decides whether a backend server whose connections broke has crashed. The
  * module does no I/O: its owner probes the server and passes in what it met.
  *
- * Only a server at which nobody listens is held for crashed. One that accepts a
- * connection is alive, however long it takes to answer.
+ * Only a server at which nobody listens is held for crashed, however long one
+ * takes to answer. An accepted connection is no proof that it lives, as a
+ * process that ends closes its sockets one by one: only an answer is.
  */
 #ifndef CRASH_CHECK_H
 #define CRASH_CHECK_H
@@ -17,6 +18,8 @@
 #define CRASH_CHECK_DELAY MSEC(3)
 /* A server that accepts connections does so within a round trip. */
 #define CRASH_CHECK_PROBE_TIMEOUT MSEC(50)
+/* How long to wait for an answer of a server that accepts connections. */
+#define CRASH_CHECK_CONFIRM_TIMEOUT MSEC(50)
 
 /**
  * enum crash_evidence - what is known of a server whose connections broke
@@ -59,6 +62,9 @@
 /**
  * struct crash_check_ops - I/O callbacks
  * @is_connected: whether any connection to the server is open
+ * @confirm: ask the server for something that it answers at once, and report to
+ *	crash_check_confirmed(), not during the call; returns 0, or a negative
+ *	error if that isn't possible
  * @probe: open a new connection and report to crash_check_probed(), not during
  *	the call; returns 0, or a negative error if that isn't possible
  * @judged: the check has ended; the probe, if one runs, is no longer needed
@@ -66,6 +72,7 @@
 struct crash_check_ops {
 	bool (*is_connected)(void *arg);
 	int (*probe)(void *arg);
+	int (*confirm)(void *arg);
 	void (*judged)(void *arg, enum crash_evidence evidence);
 };
 
@@ -73,6 +80,7 @@
 	CRASH_CHECK_IDLE,
 	CRASH_CHECK_DELAYED,
 	CRASH_CHECK_PROBING,
+	CRASH_CHECK_CONFIRMING,
 };
 
 /**
@@ -81,6 +89,7 @@
  * @ops: borrowed, called with @arg
  * @state: see enum crash_check_state
  * @started_at: when the first connection broke, microseconds
+ * @evidence: of the server taking connections, while confirming
  * @wake_at: when crash_check_tick() is due, microseconds; INT64_MAX: not
  */
 struct crash_check {
@@ -89,6 +98,7 @@
 	void *arg;
 	enum crash_check_state state;
 	int64_t started_at;
+	enum crash_evidence evidence;
 	int64_t wake_at;
 };
 
@@ -116,6 +126,14 @@
 void crash_check_probed(struct crash_check *check,
 			enum crash_evidence evidence);
 
+/**
+ * crash_check_confirmed() - the server answered, or failed to
+ * @check: nothing changes unless it waits for that
+ * @answered: it answered what was sent after the check began; otherwise the
+ *	connection broke
+ */
+void crash_check_confirmed(struct crash_check *check, bool answered);
+
 /**
  * crash_check_tick() - go on with a check at its @wake_at
  * @check: nothing changes before that time
--- a/poison.c
+++ b/poison.c
@@ -384,7 +384,7 @@
 	const struct poison_run *run;
 
 	DL_FOREACH (server->runs, run) {
-		if (run->hash == hash &&
+		if (run->hash == hash && !run->in_doubt &&
 		    (!oldest || run->started < oldest->started))
 			oldest = run;
 	}
@@ -398,7 +398,7 @@
 	const struct poison_run *run;
 
 	DL_FOREACH (server->runs, run) {
-		if (run->suspect && run->hash != hash)
+		if (run->suspect && run->hash != hash && !run->in_doubt)
 			return run;
 	}
 	return NULL;
@@ -499,12 +499,23 @@
 	run->watched = trial == POISON_ON_TRIAL;
 	run->suspect = entry;
 	run->safe = is_known_safe(poison, hash);
+	run->in_doubt = false;
 	run->started = clock_now(poison->clock);
 	run->server = get_server(poison, name);
 	DL_APPEND(run->server->runs, run);
 	return 0;
 }
 
+void poison_move_in_doubt(struct poison_run *run, struct poison_run *in_doubt)
+{
+	*in_doubt = *run;
+	in_doubt->in_doubt = true;
+	if (!run->server)
+		return;
+	DL_REPLACE_ELEM(run->server->runs, run, in_doubt);
+	run->server = NULL;
+}
+
 static void drop_run(struct poison *poison, struct poison_run *run)
 {
 	struct poison_server *server = run->server;
--- a/poison.h
+++ b/poison.h
@@ -97,6 +97,7 @@
  * @watched: sent as a canary or on probation
  * @suspect: the fingerprint was a suspect at the start
  * @safe: the fingerprint was known to be safe at the start
+ * @in_doubt: its connection broke, and its server may have crashed
  * @started: time of the start, microseconds
  * @server: where it runs; NULL once the server is lost
  * @prev: previous run on @server
@@ -110,6 +111,7 @@
 	bool watched;
 	bool suspect;
 	bool safe;
+	bool in_doubt;
 	int64_t started;
 	struct poison_server *server;
 	struct poison_run *prev;
@@ -332,6 +334,14 @@
 					     uint64_t hash, struct str server,
 					     int64_t left, int64_t *wait);
 
+/**
+ * poison_move_in_doubt() - keep a run although its request has ended
+ * @run: as ended by poison_end() afterwards
+ * @in_doubt: takes its place until poison_end() or poison_server_lost(); it is
+ *	blamed if its server turns out to have crashed, and holds nobody back
+ */
+void poison_move_in_doubt(struct poison_run *run, struct poison_run *in_doubt);
+
 /**
  * poison_end() - a request ended without a crash of its server
  * @poison: state of this instance
--- a/server_link.c
+++ b/server_link.c
@@ -6,6 +6,7 @@
 
 #include <event2/buffer.h>
 
+#include "error.h"
 #include "log.h"
 #include "mem.h"
 
@@ -14,6 +15,15 @@
 #define VERSION_SWITCH_WINDOW_US MSEC(500)
 #define HOLDINGS_MIN_INTERVAL_US MSEC(10)
 
+/* The server answers a request for its holdings without a free slot. */
+static int confirm_life(void *arg)
+{
+	struct server_link *link = arg;
+
+	server_link_request_holdings(link);
+	return link->request_pending ? 0 : ERR_NO_SLOT;
+}
+
 void server_link_init(struct server_link *link, struct home *home,
 		      struct home_server *server, struct peers *peers,
 		      uint32_t connections)
@@ -24,7 +34,8 @@
 	link->server = server;
 	server_pool_init(&link->pool, home->board, &server->address,
 			 connections);
-	lost_jobs_init(&link->lost, home, server, &link->pool);
+	lost_jobs_init(&link->lost, home, server, &link->pool, confirm_life,
+		       link);
 }
 
 void server_link_finish(struct server_link *link)
@@ -183,6 +194,7 @@
 	int code = reply->code;
 
 	link->request_pending = false;
+	lost_jobs_confirmed(&link->lost, link->requested_at, reply->status);
 	if (!code && reply->status == 200) {
 		code = unpack_holdings(link, reply);
 		changed = true;
--- a/tests/test_crash_check.c
+++ b/tests/test_crash_check.c
@@ -16,7 +16,9 @@
 	struct crash_check check;
 	bool is_connected;
 	int probe_error;
+	int confirm_error;
 	int n_probes;
+	int n_confirms;
 	int n_judged;
 	enum crash_evidence evidence;
 	int n_reports; /* to peers */
@@ -35,6 +37,14 @@
 	return f->probe_error;
 }
 
+static int on_confirm(void *arg)
+{
+	struct fixture *f = arg;
+
+	f->n_confirms++;
+	return f->confirm_error;
+}
+
 static void on_judged(void *arg, enum crash_evidence evidence)
 {
 	struct fixture *f = arg;
@@ -54,6 +64,7 @@
 static const struct crash_check_ops ops = {
 	.is_connected = is_connected,
 	.probe = on_probe,
+	.confirm = on_confirm,
 	.judged = on_judged,
 };
 
@@ -190,6 +201,8 @@
 	/* The second connection to break joins the check that runs. */
 	crash_check_start(&f.check);
 	advance(&f, 1);
+	CU_ASSERT_EQUAL(f.n_confirms, 1);
+	advance(&f, CRASH_CHECK_CONFIRM_TIMEOUT - CRASH_CHECK_DELAY);
 	CU_ASSERT_EQUAL(f.evidence, CRASH_EVIDENCE_OTHER_CONNECTION);
 	CU_ASSERT_EQUAL(f.n_probes, 0);
 	CU_ASSERT_FALSE(is_suspect(&f));
@@ -200,6 +213,60 @@
 	finish(&f);
 }
 
+/* Guards against callers who wait although the server has shown that it lives.
+ */
+static void test_answer_ends_the_check(void)
+{
+	struct fixture f;
+
+	setup(&f);
+	advance(&f, CRASH_CHECK_DELAY);
+	crash_check_probed(&f.check, CRASH_EVIDENCE_LISTENS);
+	CU_ASSERT_EQUAL(f.n_judged, 0);
+	crash_check_confirmed(&f.check, true);
+	CU_ASSERT_EQUAL(f.n_judged, 1);
+	CU_ASSERT_EQUAL(f.evidence, CRASH_EVIDENCE_ANSWERED);
+	CU_ASSERT_FALSE(is_suspect(&f));
+	finish(&f);
+}
+
+/* Guards against a verdict that a socket which is about to close decides. */
+static void test_listening_socket_closes_later(void)
+{
+	struct fixture f;
+
+	setup(&f);
+	advance(&f, CRASH_CHECK_DELAY);
+	crash_check_probed(&f.check, CRASH_EVIDENCE_LISTENS);
+	advance(&f, MSEC(10));
+	crash_check_confirmed(&f.check, false);
+	CU_ASSERT_EQUAL(f.n_judged, 0);
+	advance(&f, CRASH_CHECK_DELAY);
+	CU_ASSERT_EQUAL(f.n_probes, 2);
+	crash_check_probed(&f.check, CRASH_EVIDENCE_REFUSED);
+	CU_ASSERT(is_suspect(&f));
+	finish(&f);
+}
+
+/* Guards against a check without end of a server that breaks each connection.
+ */
+static void test_broken_confirmations_end(void)
+{
+	struct fixture f;
+	int i;
+
+	setup(&f);
+	for (i = 0; i < 100 && !f.n_judged; i++) {
+		advance(&f, CRASH_CHECK_DELAY);
+		crash_check_probed(&f.check, CRASH_EVIDENCE_LISTENS);
+		crash_check_confirmed(&f.check, false);
+	}
+	CU_ASSERT(i < 20);
+	CU_ASSERT_EQUAL(f.evidence, CRASH_EVIDENCE_LISTENS);
+	CU_ASSERT_FALSE(is_suspect(&f));
+	finish(&f);
+}
+
 static const struct unit_test tests[] = {
 	{"silent server is no crash", test_silent_server_is_no_crash},
 	{"connected at the timeout is no crash",
@@ -208,6 +275,9 @@
 	{"machine gone is a crash", test_machine_gone_is_a_crash},
 	{"failed probe is no crash", test_failed_probe_is_no_crash},
 	{"other connection is no crash", test_other_connection_is_no_crash},
+	{"answer ends the check", test_answer_ends_the_check},
+	{"listening socket closes later", test_listening_socket_closes_later},
+	{"broken confirmations end", test_broken_confirmations_end},
 };
 
 UNIT_MAIN("crash_check", tests)
--- a/tests/test_crashing_searches.py
+++ b/tests/test_crashing_searches.py
@@ -30,11 +30,15 @@
         crashed = set()
         self.is_bad = False
 
+        def say_nothing(_server, _body):
+            time.sleep(2 * listener_after_s)
+
         def crash(server, body):
             if not self.is_bad:
                 return server.valid_search(body)
             crashed.add(server.name)
             time.sleep(RUN_S)
+            server.holdings = server.search = say_nothing
             server.close_connections()
             time.sleep(listener_after_s)
             server.close()
--- a/tests/test_poison.c
+++ b/tests/test_poison.c
@@ -1252,6 +1252,26 @@
 	poison_finish(&peer.poison);
 }
 
+/* Guards against a suspect that is held back by a run which has ended. */
+static void test_run_in_doubt(void)
+{
+	struct poison_run doubt;
+	struct poison_run run;
+	struct fixture f;
+	int64_t wait;
+
+	setup(&f);
+	begin(&f, &run, HASH_A, "b1", true);
+	poison_move_in_doubt(&run, &doubt);
+	poison_end(&f.poison, &run, false);
+	CU_ASSERT_PTR_NULL(poison_blocking_run(&f.poison, HASH_A, STR("b1"),
+					       MSEC(600), &wait));
+	lose_server(&f, "b1");
+	CU_ASSERT_EQUAL(verdict(&f, HASH_A), POISON_PROBATION);
+	poison_end(&f.poison, &doubt, false);
+	poison_finish(&f.poison);
+}
+
 static const struct unit_test tests[] = {
 	{"two crashes", test_two_crashes},
 	{"suspect cleared by a later run", test_cleared},
@@ -1278,6 +1298,7 @@
 	{"passed trial runs everywhere", test_passed_trial_runs_everywhere},
 	{"one trial at a time", test_one_trial_at_a_time},
 	{"trial ends with an answer", test_trial_ends_with_an_answer},
+	{"run in doubt", test_run_in_doubt},
 	{"bounds", test_bounds},
 	{"expiry of a received ban", test_learned_expiry},
 	{"simulation, crashing request", test_model_poison},
