--- a/dispatch.c
+++ b/dispatch.c
@@ -227,17 +227,6 @@
 	end_dispatch(dispatch, ran ? DISPATCH_FAILED : DISPATCH_REFUSED, code);
 }
 
-int64_t dispatch_servers_max(const struct dispatch *dispatch)
-{
-	return dispatch->trial_part ? 1 : dispatch->route->servers_max;
-}
-
-static bool has_failed_trial(const struct dispatch *dispatch)
-{
-	return dispatch->trial_part &&
-	       dispatch->trial_part->state == PART_FAILED;
-}
-
 /* Ends the request if its answer is ready or can no longer be reached. */
 static void check_outcome(struct dispatch *dispatch)
 {
@@ -255,7 +244,7 @@
 			 dispatch->n_parts &&
 		 has_min_coverage(dispatch))
 		end_dispatch(dispatch, DISPATCH_PARTIAL, 0);
-	else if (has_failed_trial(dispatch))
+	else if (dispatch_has_failed_trial(dispatch))
 		fail_all(dispatch, dispatch->trial_part->code);
 	else if (!can_reach_min_coverage(dispatch) &&
 		 !dispatch_send_left_out(dispatch))
@@ -325,7 +314,7 @@
 	}
 }
 
-static void send_first(struct dispatch_part *part)
+void dispatch_start_part(struct dispatch_part *part)
 {
 	int ret;
 
@@ -342,58 +331,7 @@
 
 	for (i = 0; i < dispatch->n_parts && can_reach_min_coverage(dispatch);
 	     i++)
-		send_first(&dispatch->parts[i]);
-}
-
-static struct dispatch_part *pick_trial_part(struct dispatch *dispatch)
-{
-	struct dispatch_part *picked = NULL;
-	int i;
-
-	for (i = 0; i < dispatch->n_parts; i++) {
-		struct dispatch_part *part = &dispatch->parts[i];
-
-		if (part->state != PART_PENDING)
-			continue;
-		if (str_hash(str_from(part->service->name)) ==
-		    dispatch->trial_service)
-			return part;
-		if (!picked)
-			picked = part;
-	}
-	return picked;
-}
-
-/* A part that did not run anywhere is followed by another one. */
-static void continue_trial(struct dispatch *dispatch)
-{
-	while (has_failed_trial(dispatch) &&
-	       !dispatch->trial_part->n_maybe_run &&
-	       dispatch->trial_part->code != ERR_BANNED) {
-		struct dispatch_part *part = pick_trial_part(dispatch);
-
-		if (!part)
-			return;
-		dispatch->trial_part = part;
-		send_first(part);
-	}
-}
-
-void dispatch_begin_trial(struct dispatch *dispatch, uint64_t service)
-{
-	dispatch->trial_service = service;
-	dispatch->trial_part = &dispatch->parts[0];
-}
-
-static void start_trial(struct dispatch *dispatch)
-{
-	struct dispatch_part *part = pick_trial_part(dispatch);
-
-	if (!part)
-		return;
-	dispatch->trial_part = part;
-	send_first(part);
-	continue_trial(dispatch);
+		dispatch_start_part(&dispatch->parts[i]);
 }
 
 enum dispatch_outcome dispatch_start(struct dispatch *dispatch)
@@ -407,7 +345,7 @@
 		return dispatch->outcome;
 	}
 	if (dispatch->trial_part)
-		start_trial(dispatch);
+		dispatch_start_trial(dispatch);
 	else
 		send_pending(dispatch);
 	check_outcome(dispatch);
@@ -439,12 +377,6 @@
 	abandon_sends(part);
 }
 
-static void pass_trial(struct dispatch *dispatch)
-{
-	dispatch->trial_part = NULL;
-	send_pending(dispatch);
-}
-
 static void retry_part(struct dispatch_part *part)
 {
 	struct dispatch *dispatch = part->dispatch;
@@ -531,12 +463,14 @@
 		latency_add(dispatch->latency, answer->took);
 		dispatch_forecast_update(send, answer->took);
 		accept_answer(part, answer);
-		if (part == dispatch->trial_part)
-			pass_trial(dispatch);
+		if (part == dispatch->trial_part) {
+			dispatch->trial_part = NULL;
+			send_pending(dispatch);
+		}
 	} else {
 		part->code = answer->code ? answer->code : ERR_UNKNOWN;
 		retry_part(part);
-		continue_trial(dispatch);
+		dispatch_continue_trial(dispatch);
 	}
 	check_outcome(dispatch);
 	return dispatch->outcome;
--- a/dispatch_private.h
+++ b/dispatch_private.h
@@ -15,6 +15,27 @@
  */
 void dispatch_part_count_unread(struct dispatch_part *part);
 
+/**
+ * dispatch_start_part() - send a part for the first time, unless it has failed
+ */
+void dispatch_start_part(struct dispatch_part *part);
+
+/**
+ * dispatch_start_trial() - send the only part that is sent before the others
+ */
+void dispatch_start_trial(struct dispatch *dispatch);
+
+/**
+ * dispatch_continue_trial() - try another part if the one before failed without
+ * having run
+ */
+void dispatch_continue_trial(struct dispatch *dispatch);
+
+/**
+ * dispatch_has_failed_trial() - whether the part that was sent first failed
+ */
+bool dispatch_has_failed_trial(const struct dispatch *dispatch);
+
 /**
  * dispatch_servers_max() - number of servers that may run a part
  */
