--- a/bench/soak_crashing.py
+++ b/bench/soak_crashing.py
@@ -9,10 +9,8 @@
 Prints a JSON line for each run. The exit status is 1 if one failed.
 """
 
-import argparse
 import asyncio
 import collections
-import concurrent.futures
 import json
 import pathlib
 import random
@@ -22,6 +20,7 @@
 import time
 
 import experiment
+import soak_seeds
 
 sys.path.insert(0, str(experiment.ROOT / "tests"))
 
@@ -157,16 +156,23 @@
                       f"Content-Length: {len(body)}\r\n\r\n").encode() + body)
         return True
 
+    @staticmethod
+    async def caller_leaves(reader, within_s):
+        try:
+            await asyncio.wait_for(reader.read(1), within_s)
+        except asyncio.TimeoutError:
+            return False
+        except OSError:
+            pass
+        return True
+
     async def run_bad(self, bad, reader):
         bad.arrivals.append(time.monotonic())
         started = self.starts
-        left = asyncio.ensure_future(reader.read(1))
-        await asyncio.wait([left], timeout=bad.after_s)
-        if left.done() and self.run.plan.drops_left:
-            return
-        if left.done():
+        if await self.caller_leaves(reader, bad.after_s):
+            if self.run.plan.drops_left:
+                return
             await asyncio.sleep(bad.after_s)
-        left.cancel()
         if self.listener and started == self.starts:
             bad.crashes.append(time.monotonic())
             self.run.spawn(self.crash(self.run.plan.down_s))
@@ -333,25 +339,8 @@
     return run.report()
 
 
-def parse_seeds(text):
-    first, _, last = text.partition("-")
-    return range(int(first), int(last or first) + 1)
-
-
 def main():
-    parser = argparse.ArgumentParser(description=__doc__.split("\n\n")[0])
-    parser.add_argument("build")
-    parser.add_argument("--seeds", type=parse_seeds, default=range(1, 3))
-    parser.add_argument("--jobs", type=int, default=2)
-    parser.add_argument("--gateways", type=int, default=4)
-    options = parser.parse_args()
-    failed = False
-    with concurrent.futures.ProcessPoolExecutor(options.jobs) as pool:
-        for report in pool.map(play_seed, [options] * len(options.seeds),
-                               options.seeds):
-            failed = failed or bool(report["failed"])
-            print(json.dumps(report), flush=True)
-    return 1 if failed else 0
+    return soak_seeds.main(__doc__, play_seed, "--gateways")
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/bench/soak_seeds.py
@@ -0,0 +1,33 @@
+"""Plays the seeds of a soak, several at a time."""
+
+import argparse
+import concurrent.futures
+import json
+
+PROCESSES = 4
+
+
+def parse_seeds(text):
+    first, _, last = text.partition("-")
+    return range(int(first), int(last or first) + 1)
+
+
+def main(doc, play_seed, processes_option):
+    """Print the report of each run, a JSON line; return the exit status.
+
+    `play_seed` takes the options and a seed, and returns a report whose
+    "failed" is empty if the run kept the rules.
+    """
+    parser = argparse.ArgumentParser(description=doc.split("\n\n")[0])
+    parser.add_argument("build")
+    parser.add_argument("--seeds", type=parse_seeds, default=range(1, 3))
+    parser.add_argument("--jobs", type=int, default=2)
+    parser.add_argument(processes_option, type=int, default=PROCESSES)
+    options = parser.parse_args()
+    failed = False
+    with concurrent.futures.ProcessPoolExecutor(options.jobs) as pool:
+        for report in pool.map(play_seed, [options] * len(options.seeds),
+                               options.seeds):
+            failed = failed or bool(report["failed"])
+            print(json.dumps(report), flush=True)
+    return 1 if failed else 0
--- a/bench/soak_suspects.py
+++ b/bench/soak_suspects.py
@@ -9,9 +9,7 @@
 left alone. Prints a JSON line for each run. The exit status is 1 if one failed.
 """
 
-import argparse
 import collections
-import concurrent.futures
 import datetime
 import http.client
 import json
@@ -22,6 +20,7 @@
 import time
 
 import experiment
+import soak_seeds
 
 DC = "be1"
 SERVICE = "fanout"
@@ -294,27 +293,8 @@
     return run.report()
 
 
-def parse_seeds(text):
-    first, _, last = text.partition("-")
-    return range(int(first), int(last or first) + 1)
-
-
 def main():
-    parser = argparse.ArgumentParser(description=__doc__.split("\n\n")[0])
-    parser.add_argument("build")
-    parser.add_argument("--seeds", type=parse_seeds, default=range(1, 3))
-    parser.add_argument("--jobs", type=int, default=2)
-    parser.add_argument("--instances", type=int, default=4)
-    options = parser.parse_args()
-    failed = False
-    with concurrent.futures.ProcessPoolExecutor(options.jobs) as pool:
-        runs = [pool.submit(play_seed, options, seed)
-                for seed in options.seeds]
-        for run in runs:
-            report = run.result()
-            failed = failed or bool(report["failed"])
-            print(json.dumps(report), flush=True)
-    return 1 if failed else 0
+    return soak_seeds.main(__doc__, play_seed, "--instances")
 
 
 if __name__ == "__main__":
