poison: try a suspect when the servers around it have stopped crashing

While a search crashed the servers of all shards within 100 ms, the popular one, a suspect by then, had its trials on servers that were about to go, three in a row.

A server that crashes a third time under the same name is counted a third time.

--- a/poison.c
+++ b/poison.c
@@ -157,6 +157,14 @@
 	return count_crashes(entry) >= poison->ban_after;
 }
 
+/* A hash for one more crash of a server that is back under the same name. */
+static uint64_t next_life(const struct poison_entry *entry, uint64_t server)
+{
+	while (has_server(entry, server))
+		server = str_hash_mix(server, 1);
+	return server;
+}
+
 /* Bans a fingerprint that has crashed enough servers, and renews its expiry. */
 static void update_ban(struct poison *poison, struct poison_entry *entry)
 {
@@ -462,7 +470,7 @@
 {
 	struct poison_entry *entry = find_live_entry(poison, hash);
 
-	if (entry && must_be_tried(poison, entry) &&
+	if (entry && poison->no_canaries && count_crashes(entry) &&
 	    note_trial(poison, entry, until))
 		notify_changed(poison, entry);
 }
@@ -471,10 +479,18 @@
 {
 	const struct poison_entry *entry = find_entry(poison, hash);
 	int64_t now = clock_now(poison->clock);
+	int64_t calm_at;
 
-	if (!entry || entry->trial_until <= now)
+	if (!entry || !count_crashes(entry))
 		return 0;
-	return poison_trial_time(poison, hash, entry->trial_until - now);
+	/* Servers that crash at the same time would seem to crash by trials. */
+	calm_at = entry->updated + POISON_REPORT_WAIT;
+	if (calm_at > now)
+		return calm_at - now;
+	return entry->trial_until > now
+		       ? poison_trial_time(poison, hash,
+					   entry->trial_until - now)
+		       : 0;
 }
 
 int poison_begin(struct poison *poison, struct poison_run *run, uint64_t hash,
@@ -498,7 +514,7 @@
 	run->replica_set = str_hash(replica_set);
 	run->watched = trial == POISON_ON_TRIAL;
 	run->suspect = entry;
-	run->safe = is_known_safe(poison, hash);
+	run->safe = is_known_safe(poison, hash) || trial == POISON_TRIAL_PASSED;
 	run->in_doubt = false;
 	run->started = clock_now(poison->clock);
 	run->server = get_server(poison, name);
@@ -584,7 +600,7 @@
 		add_unwatched_crash(entry, run->safe);
 	else if (has_server(entry, server) && run->started > entry->updated)
 		/* The same server restarted and crashed again. */
-		add_server(entry, str_hash_mix(server, 1));
+		add_server(entry, next_life(entry, server));
 	else
 		add_server(entry, server);
 	entry->crashed_on_trial |= run->watched;
--- a/poison.h
+++ b/poison.h
@@ -96,7 +96,8 @@
  * @replica_set: hash of the name of the server's replica set
  * @watched: sent as a canary or on probation
  * @suspect: the fingerprint was a suspect at the start
- * @safe: the fingerprint was known to be safe at the start
+ * @safe: the fingerprint was known to be safe at the start, or has passed its
+ *	trial
  * @in_doubt: its connection broke, and its server may have crashed
  * @started: time of the start, microseconds
  * @server: where it runs; NULL once the server is lost
@@ -306,13 +307,14 @@
  * @hash: fingerprint of the request
  * @until: its deadline, microseconds
  *
- * If it has crashed enough servers for a ban, all instances are told, so that
- * they don't try it at the same time.
+ * Unless it was known to be safe before, all instances are told, so that they
+ * don't try it at the same time.
  */
 void poison_start_trial(struct poison *poison, uint64_t hash, int64_t until);
 
 /**
- * poison_trial_wait() - how long to hold a suspect back that is on trial
+ * poison_trial_wait() - how long to hold a suspect back that is on trial, or
+ * under which a server crashed less than POISON_REPORT_WAIT ago
  * @poison: state of this instance
  * @hash: fingerprint of the request
  *
--- a/tests/test_poison.c
+++ b/tests/test_poison.c
@@ -51,11 +51,11 @@
 }
 
 static int begin(struct fixture *f, struct poison_run *run, uint64_t hash,
-		 const char *server, bool watched)
+		 const char *server, enum poison_trial trial)
 {
 	clock_advance(&f->clock, 1);
 	return poison_begin(&f->poison, run, hash, str_from(server),
-			    REPLICA_SET, watched, INT64_MAX);
+			    REPLICA_SET, trial, INT64_MAX);
 }
 
 static void lose_server(struct fixture *f, const char *server)
@@ -1210,6 +1210,10 @@
 	setup_without_canaries(&peer);
 	crash_four(&f);
 	poison_apply_report(&peer.poison, &f.last);
+	CU_ASSERT_EQUAL(poison_trial_wait(&f.poison, f.last.hash),
+			POISON_REPORT_WAIT);
+	clock_advance(&f.clock, POISON_REPORT_WAIT);
+	clock_advance(&peer.clock, POISON_REPORT_WAIT + 4);
 	deadline = clock_now(&f.clock) + MSEC(2000);
 	CU_ASSERT_EQUAL(poison_trial_wait(&f.poison, f.last.hash), 0);
 	poison_start_trial(&f.poison, f.last.hash, deadline);
@@ -1272,6 +1276,48 @@
 	poison_finish(&f.poison);
 }
 
+/* Guards against crashes that go uncounted: the servers are back as before. */
+static void test_same_server_three_times(void)
+{
+	struct poison_run run;
+	struct fixture f;
+	int i;
+
+	setup_without_canaries(&f);
+	for (i = 0; i < 3; i++) {
+		CU_ASSERT_EQUAL(verdict(&f, HASH_A) == POISON_BANNED, false);
+		begin(&f, &run, HASH_A, "b1", POISON_ON_TRIAL);
+		lose_server(&f, "b1");
+	}
+	CU_ASSERT_EQUAL(verdict(&f, HASH_A), POISON_BANNED);
+	poison_finish(&f.poison);
+}
+
+/*
+ * Guards against a ban of a request that runs well on one server each time, and
+ * then on others which crash of their own.
+ */
+static void test_crashes_after_the_trial(void)
+{
+	struct poison_run run;
+	struct fixture f;
+	char server[8];
+	int i;
+
+	setup_without_canaries(&f);
+	begin(&f, &run, HASH_A, "b0", POISON_ON_TRIAL);
+	lose_server(&f, "b0");
+	for (i = 1; i < 10; i++) {
+		snprintf(server, sizeof(server), "b%d", i);
+		CU_ASSERT_EQUAL(begin(&f, &run, HASH_A, server,
+				      POISON_TRIAL_PASSED),
+				0);
+		lose_server(&f, server);
+	}
+	CU_ASSERT_EQUAL(verdict(&f, HASH_A), POISON_PROBATION);
+	poison_finish(&f.poison);
+}
+
 static const struct unit_test tests[] = {
 	{"two crashes", test_two_crashes},
 	{"suspect cleared by a later run", test_cleared},
@@ -1299,6 +1345,8 @@
 	{"one trial at a time", test_one_trial_at_a_time},
 	{"trial ends with an answer", test_trial_ends_with_an_answer},
 	{"run in doubt", test_run_in_doubt},
+	{"same server three times", test_same_server_three_times},
+	{"crashes after the trial", test_crashes_after_the_trial},
 	{"bounds", test_bounds},
 	{"expiry of a received ban", test_learned_expiry},
 	{"simulation, crashing request", test_model_poison},
