--- a/bench/soak_seeds.py
+++ b/bench/soak_seeds.py
@@ -23,6 +23,8 @@
     parser.add_argument("--seeds", type=parse_seeds, default=range(1, 3))
     parser.add_argument("--jobs", type=int, default=2)
     parser.add_argument(processes_option, type=int, default=PROCESSES)
+    parser.add_argument("--keep-logs", action="store_true",
+                        help="of failed runs, in the current directory")
     options = parser.parse_args()
     failed = False
     with concurrent.futures.ProcessPoolExecutor(options.jobs) as pool:
