caller_conn: close callers' connections at the end of the process

Instances that were stopped while callers kept connections open exited with a leak report in sanitizer builds: nobody freed the connections that were still open. They are listed now and freed before the HTTP server is.

--- a/caller.c
+++ b/caller.c
@@ -419,5 +419,6 @@
 {
 	accept_backoff_finish(&caller->accept_backoff);
 	evhtp_unbind_socket(caller->http);
+	caller_conns_finish(&caller->conns);
 	evhtp_free(caller->http);
 }
--- a/caller_conn.c
+++ b/caller_conn.c
@@ -4,6 +4,7 @@
 
 #include <event2/buffer.h>
 #include <event2/event.h>
+#include <utlist.h>
 
 #include "mem.h"
 
@@ -25,6 +26,8 @@
  * @refusal_code: why the current request is refused, or 0
  * @is_refused: the connection exceeds callers_max
  * @was_paused: the request was being processed when the timer last expired
+ * @prev: in the list of open connections
+ * @next: same
  */
 struct caller_conn {
 	struct caller_conns *conns;
@@ -35,6 +38,8 @@
 	int refusal_code;
 	bool is_refused;
 	bool was_paused;
+	struct caller_conn *prev;
+	struct caller_conn *next;
 };
 
 static void start_request_timer(struct caller_conn *conn)
@@ -154,6 +159,7 @@
 
 	/* evhtp calls the last request's hook after this one. */
 	evhtp_connection_unset_hook(evhtp, evhtp_hook_on_request_fini);
+	DL_DELETE(conn->conns->open, conn);
 	conn->conns->n_open--;
 	event_free(conn->request_timer);
 	free(conn);
@@ -193,6 +199,7 @@
 	conn->is_refused = conns->n_open >= tunables->callers_max;
 	conn->request_timer =
 		evtimer_new(conns->board->base, on_request_timer, conn);
+	DL_APPEND(conns->open, conn);
 	conns->n_open++;
 	evhtp_connection_set_max_body_size(evhtp,
 					   (uint64_t)tunables->body_max_bytes *
@@ -207,7 +214,14 @@
 		       void (*send_refusal)(evhtp_request_t *http, int code))
 {
 	conns->board = board;
+	conns->open = NULL;
 	conns->n_open = 0;
 	conns->send_refusal = send_refusal;
 	evhtp_set_post_accept_cb(http, on_accept, conns);
 }
+
+void caller_conns_finish(struct caller_conns *conns)
+{
+	while (conns->open)
+		evhtp_connection_free(conns->open->evhtp);
+}
--- a/caller_conn.h
+++ b/caller_conn.h
@@ -11,13 +11,17 @@
 
 #include "blackboard.h"
 
+struct caller_conn;
+
 /**
  * struct caller_conns - all connections of callers
- * @n_open: number of open connections
+ * @open: the open connections
+ * @n_open: number of them
  * @send_refusal: sends the response to a refused request, with an error code
  */
 struct caller_conns {
 	struct blackboard *board;
+	struct caller_conn *open;
 	int64_t n_open;
 	void (*send_refusal)(evhtp_request_t *http, int code);
 };
@@ -31,4 +35,9 @@
 		       evhtp_t *http,
 		       void (*send_refusal)(evhtp_request_t *http, int code));
 
+/**
+ * caller_conns_finish() - close all connections
+ */
+void caller_conns_finish(struct caller_conns *conns);
+
 #endif
