crash_check: hold a server that takes no connection for crashed after 1 s, not 50 ms

Callers of serve got nothing for a search, and it became a suspect, when a living server closed its connections while its queue of new connections was full: 50 ms without a reply to a new one counted as a machine that is gone. Nothing tells the two apart in that time, but a full queue passes. The lost jobs are reported after 50 ms as before, their runs stay in doubt, and the server is checked again until it takes a connection, refuses one, or has left all unanswered for 1 s.

What a machine that is lost with its server costs: its verdict comes 1 s later. Of gateways, which need a trial for a ban, nothing changes.

--- a/crash_check.c
+++ b/crash_check.c
@@ -9,6 +9,7 @@
 		[CRASH_EVIDENCE_OTHER_CONNECTION] = "other_connection",
 		[CRASH_EVIDENCE_LISTENS] = "listens",
 		[CRASH_EVIDENCE_REFUSED] = "refused",
+		[CRASH_EVIDENCE_NO_REPLY] = "no_reply",
 		[CRASH_EVIDENCE_UNREACHED] = "unreached",
 		[CRASH_EVIDENCE_UNKNOWN] = "unknown",
 		[CRASH_EVIDENCE_ANSWERED] = "answered",
@@ -69,6 +70,8 @@
 
 static void judge(struct crash_check *check, enum crash_evidence evidence)
 {
+	if (evidence != CRASH_EVIDENCE_NO_REPLY)
+		check->no_reply_since = 0;
 	check->state = CRASH_CHECK_IDLE;
 	check->wake_at = INT64_MAX;
 	check->ops->judged(check->arg, evidence);
@@ -125,6 +128,17 @@
 	check->wake_at = clock_now(check->clock) + CRASH_CHECK_DELAY;
 }
 
+static void judge_no_reply(struct crash_check *check)
+{
+	int64_t now = clock_now(check->clock);
+
+	if (!check->no_reply_since)
+		check->no_reply_since = check->started_at;
+	judge(check, now - check->no_reply_since < CRASH_CHECK_NO_REPLY_MIN
+			     ? CRASH_EVIDENCE_NO_REPLY
+			     : CRASH_EVIDENCE_UNREACHED);
+}
+
 void crash_check_tick(struct crash_check *check)
 {
 	if (clock_now(check->clock) < check->wake_at)
@@ -136,5 +150,5 @@
 	else if (check->ops->is_connected(check->arg))
 		judge(check, CRASH_EVIDENCE_OTHER_CONNECTION);
 	else
-		judge(check, CRASH_EVIDENCE_UNREACHED);
+		judge_no_reply(check);
 }
--- a/crash_check.h
+++ b/crash_check.h
@@ -3,8 +3,9 @@
  * module does no I/O: its owner probes the server and passes in what it met.
  *
  * Only a server at which nobody listens is held for crashed, however long one
- * takes to answer. An accepted connection is no proof that it lives, as a
- * process that ends closes its sockets one by one: only an answer is.
+ * takes to answer; one that neither takes nor refuses connections, after a
+ * time. An accepted connection is no proof that it lives, as a process that
+ * ends closes its sockets one by one: only an answer is.
  */
 #ifndef CRASH_CHECK_H
 #define CRASH_CHECK_H
@@ -18,6 +19,8 @@
 #define CRASH_CHECK_DELAY MSEC(3)
 /* A server that accepts connections does so within a round trip. */
 #define CRASH_CHECK_PROBE_TIMEOUT MSEC(50)
+/* A living server's queue of new connections is full for less. */
+#define CRASH_CHECK_NO_REPLY_MIN MSEC(1000)
 /* How long to wait for an answer of a server that accepts connections. */
 #define CRASH_CHECK_CONFIRM_TIMEOUT MSEC(50)
 
@@ -26,7 +29,10 @@
  * @CRASH_EVIDENCE_OTHER_CONNECTION: another connection to it is still open
  * @CRASH_EVIDENCE_LISTENS: it accepted a new connection
  * @CRASH_EVIDENCE_REFUSED: its machine refused a new connection
- * @CRASH_EVIDENCE_UNREACHED: its machine did not answer, or can't be reached
+ * @CRASH_EVIDENCE_NO_REPLY: its machine has not answered yet: it may be gone,
+ *or the server's queue of new connections is full
+ * @CRASH_EVIDENCE_UNREACHED: its machine did not answer for long, or can't be
+ *	reached
  * @CRASH_EVIDENCE_UNKNOWN: it could not be probed, for want of a connection or
  *	of resources of this machine
  * @CRASH_EVIDENCE_ANSWERED: it answered what was sent after the connections
@@ -38,6 +44,7 @@
 	CRASH_EVIDENCE_OTHER_CONNECTION,
 	CRASH_EVIDENCE_LISTENS,
 	CRASH_EVIDENCE_REFUSED,
+	CRASH_EVIDENCE_NO_REPLY,
 	CRASH_EVIDENCE_UNREACHED,
 	CRASH_EVIDENCE_UNKNOWN,
 	CRASH_EVIDENCE_ANSWERED,
@@ -86,12 +93,14 @@
 };
 
 /**
- * struct crash_check - the check of one server
+ * struct crash_check - the checks of one server
  * @clock: borrowed
  * @ops: borrowed, called with @arg
  * @state: see enum crash_check_state
  * @started_at: when the first connection broke, microseconds
  * @evidence: of the server taking connections, while confirming
+ * @no_reply_since: when the first of the checks began that met no reply, one
+ *	after the other, microseconds; 0: the last one met something else
  * @wake_at: when crash_check_tick() is due, microseconds; INT64_MAX: not
  */
 struct crash_check {
@@ -101,6 +110,7 @@
 	enum crash_check_state state;
 	int64_t started_at;
 	enum crash_evidence evidence;
+	int64_t no_reply_since;
 	int64_t wake_at;
 };
 
--- a/tests/test_crash_check.c
+++ b/tests/test_crash_check.c
@@ -158,7 +158,7 @@
 }
 
 /* Guards against a machine that is gone keeping its lost jobs waiting. */
-static void test_machine_gone_is_a_crash(void)
+static void test_machine_gone_is_judged_in_time(void)
 {
 	struct fixture f;
 
@@ -167,11 +167,62 @@
 	advance(&f, CRASH_CHECK_PROBE_TIMEOUT - 1);
 	CU_ASSERT_EQUAL(f.n_judged, 0);
 	advance(&f, 1);
+	CU_ASSERT_EQUAL(f.n_judged, 1);
+	CU_ASSERT_EQUAL(f.evidence, CRASH_EVIDENCE_NO_REPLY);
+	crash_check_probed(&f.check, CRASH_EVIDENCE_LISTENS);
+	CU_ASSERT_EQUAL(f.n_judged, 1);
+	finish(&f);
+}
+
+static void check_without_reply(struct fixture *f)
+{
+	crash_check_start(&f->check);
+	advance(f, CRASH_CHECK_DELAY);
+	advance(f, CRASH_CHECK_PROBE_TIMEOUT);
+}
+
+/* Guards against a crash that goes unseen: its machine is gone with it. */
+static void test_machine_gone_is_a_crash(void)
+{
+	int64_t gone_at;
+	struct fixture f;
+
+	setup(&f);
+	gone_at = clock_now(&f.clock);
+	while (clock_now(&f.clock) < gone_at + CRASH_CHECK_NO_REPLY_MIN) {
+		CU_ASSERT_FALSE(is_suspect(&f));
+		check_without_reply(&f);
+	}
 	CU_ASSERT_EQUAL(f.evidence, CRASH_EVIDENCE_UNREACHED);
 	CU_ASSERT(is_suspect(&f));
 	CU_ASSERT_EQUAL(f.n_reports, 1);
-	crash_check_probed(&f.check, CRASH_EVIDENCE_LISTENS);
-	CU_ASSERT_EQUAL(f.n_judged, 1);
+	CU_ASSERT(clock_now(&f.clock) - gone_at <
+		  CRASH_CHECK_NO_REPLY_MIN + CRASH_CHECK_DELAY +
+			  CRASH_CHECK_PROBE_TIMEOUT);
+	finish(&f);
+}
+
+/* Guards against pauses of a living server adding up to a crash. */
+static void test_full_accept_queue_is_no_crash(void)
+{
+	struct fixture f;
+	int i;
+
+	setup(&f);
+	for (i = 0; i < 3; i++) {
+		int64_t until =
+			clock_now(&f.clock) + CRASH_CHECK_NO_REPLY_MIN / 2;
+
+		while (clock_now(&f.clock) < until)
+			check_without_reply(&f);
+		crash_check_start(&f.check);
+		advance(&f, CRASH_CHECK_DELAY);
+		crash_check_probed(&f.check, CRASH_EVIDENCE_LISTENS);
+		crash_check_confirmed(&f.check, true);
+	}
+	CU_ASSERT_EQUAL(f.evidence, CRASH_EVIDENCE_ANSWERED);
+	CU_ASSERT_FALSE(is_suspect(&f));
+	CU_ASSERT_EQUAL(f.n_reports, 0);
 	finish(&f);
 }
 
@@ -272,7 +323,9 @@
 	{"connected at the timeout is no crash",
 	 test_connected_at_the_timeout_is_no_crash},
 	{"refused is a crash", test_refused_is_a_crash},
+	{"machine gone is judged in time", test_machine_gone_is_judged_in_time},
 	{"machine gone is a crash", test_machine_gone_is_a_crash},
+	{"full accept queue is no crash", test_full_accept_queue_is_no_crash},
 	{"failed probe is no crash", test_failed_probe_is_no_crash},
 	{"other connection is no crash", test_other_connection_is_no_crash},
 	{"answer ends the check", test_answer_ends_the_check},
