dispatch: hold retries back of what may have crashed its servers

What callers saw: one search that crashes servers took its whole kind down for 3 s. Each of its parts was sent again 0.1 to 0.7 ms after the connection to its server broke, 4 ms before the verdict, and crashed the second server of its shard: three of twenty shards had none left, so that every search of the kind was refused as shards_lost.

A retry of a request that nobody has answered now waits for evidence: an answer to any part, or of a server after the break, lets it go; two servers held for crashed end the request. A request to a single service waits only for its last server, and goes on as a trial when the crash is known.

--- a/dispatch.c
+++ b/dispatch.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "dispatch_forecast.h"
+#include "dispatch_hold.h"
 #include "error.h"
 #include "mem.h"
 
@@ -246,6 +247,8 @@
 		end_dispatch(dispatch, DISPATCH_PARTIAL, 0);
 	else if (dispatch_has_failed_trial(dispatch))
 		fail_all(dispatch, dispatch->trial_part->code);
+	else if (dispatch_hold_is_hopeless(dispatch))
+		fail_all(dispatch, ERR_LOST);
 	else if (!can_reach_min_coverage(dispatch) &&
 		 !dispatch_send_left_out(dispatch))
 		fail_all(dispatch, first_failure_code(dispatch));
@@ -375,6 +378,7 @@
 	if (dispatch->route->sharded)
 		records_add(&dispatch->records, answer->body, 0);
 	abandon_sends(part);
+	dispatch_hold_end(dispatch);
 }
 
 static void retry_part(struct dispatch_part *part)
@@ -383,6 +387,8 @@
 	int ret = ERR_NO_REPLICA;
 
 	part->retry_at = INT64_MAX;
+	if (dispatch->route->repeatable && dispatch_hold_back(part))
+		return;
 	if (dispatch->route->repeatable || !part->n_maybe_run)
 		ret = dispatch_part_send_again(part, "retry", false);
 	if (ret && !dispatch_part_in_flight(part))
@@ -448,6 +454,8 @@
 
 	send->state = SEND_ENDED;
 	record_delivery(send, answer);
+	if (answer->broke)
+		dispatch_hold_note_break(send);
 	if (is_server_busy(dispatch, answer))
 		send->busy_until = clock_now(dispatch->clock) +
 				   (answer->code == ERR_COLD ? COLD_RETRY_DELAY
--- a/dispatch.h
+++ b/dispatch.h
@@ -25,6 +25,7 @@
 
 struct dispatch;
 struct dispatch_part;
+struct dispatch_send;
 struct forecast;
 struct forecast_part;
 struct load_control;
@@ -49,6 +50,7 @@
  * @why: for logs: "first", "hedge", "retry" or "moved"
  * @charged: it took a token from the service's budget
  * @unknown: it ended without a sign that the server received it
+ * @broke: the connection to the server broke under it
  * @delivery: while it is abandoned: what the owner tells how the send ends, see
  *	delivery_add(); NULL if that does not matter
  */
@@ -63,6 +65,7 @@
 	const char *why;
 	bool charged;
 	bool unknown;
+	bool broke;
 	struct delivery *delivery;
 };
 
@@ -83,6 +86,9 @@
  * @hedge_at: when to hedge, microseconds; INT64_MAX: not
  * @retry_at: when to retry after a failure, microseconds; INT64_MAX: not
  * @suppressed: another send was not made as its answer would be too late
+ * @broke: the connection to a server broke under one of its sends
+ * @held_since: when its retry was held back, microseconds; 0: it is not, see
+ *	dispatch_hold.h
  * @code: last error
  * @stamp: server's signature of the accepted answer, owned
  */
@@ -101,6 +107,8 @@
 	int64_t hedge_at;
 	int64_t retry_at;
 	bool suppressed;
+	bool broke;
+	int64_t held_since;
 	int code;
 	char *stamp;
 };
@@ -112,6 +120,7 @@
  * @not_run: the server certainly did not run the request
  * @stamp: server's signature of the answer
  * @body: complete body
+ * @broke: the connection to the server broke
  * @took: time from the send to the answer, microseconds
  * @delivery: whether the server received it
  */
@@ -119,6 +128,7 @@
 	int code;
 	bool success;
 	bool not_run;
+	bool broke;
 	struct str stamp;
 	struct str body;
 	int64_t took;
@@ -134,6 +144,23 @@
 	DISPATCH_CANCELLED, /* the caller disconnected */
 };
 
+/**
+ * struct dispatch_evidence - what the owner knows of servers that run a request
+ * @is_safe: the request is known to run well
+ * @lives: the server of a send whose connection broke has answered since
+ * @n_crashed: number of servers that are held for crashed by the request
+ * @held: a part's retry is held back, for the log
+ * @let_go: it no longer is, after @held_for microseconds, for the log
+ */
+struct dispatch_evidence {
+	bool (*is_safe)(void *arg);
+	bool (*lives)(void *arg, const struct dispatch_send *send);
+	int (*n_crashed)(void *arg);
+	void (*held)(const struct dispatch_part *part);
+	void (*let_go)(const struct dispatch_part *part, const char *why,
+		       int64_t held_for);
+};
+
 /**
  * struct dispatch_ops - callbacks of the owner
  * @send: send a part to a server. Return: 0 with @send->handle set; or an
@@ -147,6 +174,7 @@
  *	log; may be NULL
  * @send_suppressed: another send of a part was not made as its answer would be
  *	too late, for the log; may be NULL
+ * @evidence: NULL: no retry is held back
  */
 struct dispatch_ops {
 	int (*send)(void *arg, struct dispatch_send *send, int64_t deadline);
@@ -157,6 +185,7 @@
 	void (*forecast_decided)(void *arg, const struct forecast *forecast);
 	void (*send_suppressed)(void *arg, const struct dispatch_part *part,
 				const struct forecast_part *expected);
+	const struct dispatch_evidence *evidence;
 };
 
 /**
@@ -188,6 +217,9 @@
  * @trial_service: hash of the name of the service whose part is sent first, see
  *	dispatch_begin_trial()
  * @trial_part: the only part that is sent, until it is answered; NULL: all are
+ * @n_broke: parts with @broke
+ * @release_at: when a retry that is held back goes on without evidence,
+ *	microseconds; 0: none was held back
  * @outage_since: start of the most recent outage among the unreachable parts,
  *	microseconds
  * @n_sends: all sends
@@ -226,6 +258,8 @@
 	int n_left_out;
 	uint64_t trial_service;
 	struct dispatch_part *trial_part;
+	int n_broke;
+	int64_t release_at;
 	int64_t outage_since;
 	int n_sends;
 	int n_extra;
--- a/dispatch_private.h
+++ b/dispatch_private.h
@@ -55,6 +55,12 @@
 struct registry_server *dispatch_part_pick(const struct dispatch_part *part,
 					   bool preferred_only);
 
+/**
+ * dispatch_part_has_spare_server() - whether the part could be sent to two more
+ * servers, none of which should rather be avoided
+ */
+bool dispatch_part_has_spare_server(const struct dispatch_part *part);
+
 /**
  * dispatch_is_temporary() - whether to wait until a server accepts the part
  * @code: why it does not now: no connection is free, it is cold, or it cannot
--- a/dispatch_send.c
+++ b/dispatch_send.c
@@ -115,6 +115,19 @@
 	return pick_untried(part, &tried, preferred_only);
 }
 
+bool dispatch_part_has_spare_server(const struct dispatch_part *part)
+{
+	struct registry_server *next;
+	struct tried_servers tried;
+
+	collect_tried(part, &tried);
+	next = pick_untried(part, &tried, true);
+	if (!next || tried.n == DISPATCH_SENDS_MAX)
+		return false;
+	tried.servers[tried.n++] = next;
+	return pick_untried(part, &tried, true);
+}
+
 /* Return: 0 if the part was sent to the server; or an error. */
 static int send_to(struct dispatch_part *part, struct registry_server *server,
 		   const char *why)
--- a/gateway_send.c
+++ b/gateway_send.c
@@ -15,6 +15,11 @@
 #define RELAY_ROUND_TRIP MSEC(6)
 #define RELAY_FLUSH_MIN MSEC(4)
 
+static struct poison *poison_of(const struct gateway_request *request)
+{
+	return &request->gateway->fleet.board.poison;
+}
+
 static void copy_fields(const struct http_message *message,
 			struct evbuffer *fields)
 {
@@ -92,6 +97,7 @@
 	struct dispatch_answer answer = {
 		.code = result->code,
 		.not_run = result->not_run,
+		.broke = result->code == ERR_LOST,
 		.stamp = result->stamp,
 		.took = result->took,
 		.delivery = delivery_outcome_of(result->code, result->not_run),
@@ -233,7 +239,7 @@
  */
 static enum poison_trial trial_of(const struct gateway_request *request)
 {
-	const struct poison *poison = &request->gateway->fleet.board.poison;
+	const struct poison *poison = poison_of(request);
 
 	if (request->dispatch.trial_part)
 		return POISON_ON_TRIAL;
@@ -339,6 +345,60 @@
 		 LOG_I64("parts", request->dispatch.n_parts));
 }
 
+static bool is_safe(void *arg)
+{
+	const struct gateway_request *request = arg;
+	uint32_t retry_after_ms;
+
+	return poison_check(poison_of(request), request->fingerprint,
+			    &retry_after_ms) == POISON_KNOWN_SAFE;
+}
+
+/* Of what relays send, only crashes are reported here. */
+static bool server_lives(void *arg, const struct dispatch_send *send)
+{
+	(void)arg;
+	return !send->relayed && !send->server->broke_at;
+}
+
+static int count_crashed(void *arg)
+{
+	const struct gateway_request *request = arg;
+
+	return poison_n_crashed(poison_of(request), request->fingerprint);
+}
+
+static void log_held(const struct dispatch_part *part)
+{
+	struct gateway_request *request = part->dispatch->arg;
+
+	metric_inc(&request->gateway->counters.retries_held);
+	LOG_INFO("retry_held", LOG_STR("request", request->request.id),
+		 LOG_U64("fingerprint", request->fingerprint),
+		 LOG_TEXT("service", part->service->name),
+		 LOG_I64("broke", part->dispatch->n_broke),
+		 LOG_I64("parts", part->dispatch->n_parts),
+		 LOG_I64("crashed", count_crashed(request)));
+}
+
+static void log_let_go(const struct dispatch_part *part, const char *why,
+		       int64_t held_for)
+{
+	const struct gateway_request *request = part->dispatch->arg;
+
+	LOG_INFO("retry_let_go", LOG_STR("request", request->request.id),
+		 LOG_TEXT("service", part->service->name), LOG_TEXT("why", why),
+		 LOG_I64("held_us", held_for));
+}
+
+static const struct dispatch_evidence evidence = {
+	.is_safe = is_safe,
+	.lives = server_lives,
+	.n_crashed = count_crashed,
+	.held = log_held,
+	.let_go = log_let_go,
+};
+
 const struct dispatch_ops gateway_send_ops = {
 	.send = send_part,
 	.abandon = abandon_send,
@@ -347,6 +407,7 @@
 	.limit_lowered = log_limit_lowered,
 	.forecast_decided = gateway_report_forecast,
 	.send_suppressed = gateway_report_resend_left_out,
+	.evidence = &evidence,
 };
 
 /*
--- a/gateway_stats.h
+++ b/gateway_stats.h
@@ -53,6 +53,8 @@
 	  "requests that match no route")                                      \
 	X(sends, METRIC_COUNTER, "garnetreach_sends_total",                    \
 	  "requests sent to backend servers")                                  \
+	X(retries_held, METRIC_COUNTER, "garnetreach_retries_held_total",      \
+	  "retries held back until it is known what became of a server")       \
 	X(retries, METRIC_COUNTER, "garnetreach_sends_retry_total",            \
 	  "sends that retry a failed one")                                     \
 	X(hedges, METRIC_COUNTER, "garnetreach_sends_hedge_total",             \
--- a/poison.c
+++ b/poison.c
@@ -338,6 +338,13 @@
 	return entry && count_crashes(entry) ? entry->replica_set : 0;
 }
 
+int poison_n_crashed(const struct poison *poison, uint64_t hash)
+{
+	const struct poison_entry *entry = poison_find_entry(poison, hash);
+
+	return entry ? count_crashes(entry) : 0;
+}
+
 /* Without canaries: it ran well until servers began to crash just now. */
 static bool is_still_safe(const struct poison *poison,
 			  const struct poison_entry *entry)
--- a/poison.h
+++ b/poison.h
@@ -309,6 +309,13 @@
  */
 uint64_t poison_suspect_set(const struct poison *poison, uint64_t hash);
 
+/**
+ * poison_n_crashed() - number of crashes that count against a fingerprint
+ * @poison: state of this instance
+ * @hash: fingerprint of the request
+ */
+int poison_n_crashed(const struct poison *poison, uint64_t hash);
+
 /**
  * poison_start_trial() - a suspect is about to run on one server
  * @poison: state of this instance
--- a/tests/dispatch_fixture.h
+++ b/tests/dispatch_fixture.h
@@ -27,6 +27,11 @@
  * @deliveries: of abandoned sends, with @keep_deliveries
  * @send_error: error that each send fails with, or 0
  * @queued_send: send that is in the queue of its server, or NULL
+ * @safe: the request is known to run well
+ * @living: send whose server has answered since its connection broke, or NULL
+ * @n_crashed: servers that are held for crashed by the request
+ * @n_held: retries that were held back
+ * @let_go: why the last of them was let go, or NULL
  */
 struct fixture {
 	struct clock clock;
@@ -46,6 +51,11 @@
 	struct delivery *deliveries[SENDS_MAX];
 	int send_error;
 	struct dispatch_send *queued_send;
+	bool safe;
+	const struct dispatch_send *living;
+	int n_crashed;
+	int n_held;
+	const char *let_go;
 };
 
 static inline int on_send(void *arg, struct dispatch_send *send,
@@ -78,10 +88,50 @@
 	return send == fixture->queued_send;
 }
 
+static inline bool on_is_safe(void *arg)
+{
+	return ((const struct fixture *)arg)->safe;
+}
+
+static inline bool on_lives(void *arg, const struct dispatch_send *send)
+{
+	return ((const struct fixture *)arg)->living == send;
+}
+
+static inline int on_n_crashed(void *arg)
+{
+	return ((const struct fixture *)arg)->n_crashed;
+}
+
+static inline void on_held(const struct dispatch_part *part)
+{
+	struct fixture *fixture = part->dispatch->arg;
+
+	fixture->n_held++;
+}
+
+static inline void on_let_go(const struct dispatch_part *part, const char *why,
+			     int64_t held_for)
+{
+	struct fixture *fixture = part->dispatch->arg;
+
+	(void)held_for;
+	fixture->let_go = why;
+}
+
+static const struct dispatch_evidence evidence = {
+	.is_safe = on_is_safe,
+	.lives = on_lives,
+	.n_crashed = on_n_crashed,
+	.held = on_held,
+	.let_go = on_let_go,
+};
+
 static const struct dispatch_ops ops = {
 	.send = on_send,
 	.abandon = on_abandon,
 	.is_queued = on_is_queued,
+	.evidence = &evidence,
 };
 
 static inline void on_check(void *arg, struct registry_server *server,
@@ -132,6 +182,7 @@
 	int i;
 
 	memset(fixture, 0, sizeof(*fixture));
+	fixture->safe = true;
 	clock_init_paused(&fixture->clock, MSEC(1000000));
 	registry_init(&fixture->registry, STR("dc0"), on_closing, NULL);
 	for (i = 0; i < 4; i++) {
@@ -191,6 +242,7 @@
 		.code = code,
 		.success = !code,
 		.not_run = not_run,
+		.broke = code == ERR_LOST,
 		.stamp = str_from(stamp),
 		.body = STR("0123456789abcdef"),
 	};
