dispatch: leave a service's last server to what is known to run well

A hedge of a request that nobody has answered yet goes out before its first server crashes, and takes the second as well. Parts of sharded requests were never hedged before half of the others were answered, so that only requests to a single service are concerned: these are no longer hedged to the last server that is not to be avoided. Services with another one left are hedged as before, and so is everything that has been answered in the last minute.

test_dispatch_hold, "hedge leaves the last server", failed before.

--- a/dispatch.c
+++ b/dispatch.c
@@ -530,7 +530,8 @@
 	ret = ERR_BUDGET;
 	if (queued)
 		ret = dispatch_part_move(part, queued);
-	else if (is_straggler(part->dispatch))
+	else if (is_straggler(part->dispatch) &&
+		 !dispatch_hold_forbids_hedge(part))
 		ret = dispatch_part_send_again(part, "hedge", true);
 	if (ret)
 		part->hedge_at = now + RETRY_DELAY;
--- a/dispatch_hold.c
+++ b/dispatch_hold.c
@@ -119,6 +119,13 @@
 	return true;
 }
 
+bool dispatch_hold_forbids_hedge(const struct dispatch_part *part)
+{
+	return part->dispatch->n_parts == 1 &&
+	       may_crash_servers(part->dispatch) &&
+	       !dispatch_part_has_spare_server(part);
+}
+
 void dispatch_hold_end(struct dispatch *dispatch)
 {
 	int64_t now = clock_now(dispatch->clock);
--- a/dispatch_hold.h
+++ b/dispatch_hold.h
@@ -21,6 +21,14 @@
  */
 bool dispatch_hold_back(struct dispatch_part *part);
 
+/**
+ * dispatch_hold_forbids_hedge() - whether a hedge could crash the last server
+ * of a service
+ *
+ * Parts of sharded requests are hedged only once others were answered.
+ */
+bool dispatch_hold_forbids_hedge(const struct dispatch_part *part);
+
 /**
  * dispatch_hold_end() - let all parts go that are held back
  */
--- a/tests/test_dispatch_hold.c
+++ b/tests/test_dispatch_hold.c
@@ -142,6 +142,28 @@
 	fixture_finish(&fixture);
 }
 
+/* Guards against a hedge that crashes the last server of a service as well. */
+static void test_hedge_leaves_the_last_server(void)
+{
+	struct fixture fixture;
+
+	start_new_request(&fixture, "/any/");
+	advance(&fixture, 60);
+	CU_ASSERT_EQUAL(fixture.n_sent, 1);
+	fixture.safe = true;
+	advance(&fixture, 5);
+	CU_ASSERT_EQUAL(fixture.n_sent, 2);
+	fixture_finish(&fixture);
+
+	fixture_init(&fixture);
+	fixture.safe = false;
+	add_server(&fixture, "s0", 2);
+	start_dispatch(&fixture, "/any/");
+	advance(&fixture, 60);
+	CU_ASSERT_EQUAL(fixture.n_sent, 2);
+	fixture_finish(&fixture);
+}
+
 /* Guards against a delay where the service has servers to spare. */
 static void test_service_with_more_servers(void)
 {
@@ -164,6 +186,7 @@
 	{"all connections break", test_all_connections_break},
 	{"one at a time without evidence", test_one_at_a_time_without_evidence},
 	{"last server of a service", test_last_server_of_a_service},
+	{"hedge leaves the last server", test_hedge_leaves_the_last_server},
 	{"service with more servers", test_service_with_more_servers},
 };
 
