crash_watch: doubt a request that broke two servers' connections, before the verdict

What callers saw: where the address of a server that is down goes on accepting connections, the repeat of a search that crashes servers took the second server of each shard too, as nothing was known of the first ones for 0.1 to 0.4 s.

10 ms after the break of the second server that has neither answered nor refused a connection, what ran on both, was answered by neither and is not known to be safe becomes a suspect on all instances, without a counted crash: held back for 200 ms, then tried on one server, cleared by any answer. Reports of doubts have versions as those of crashes do, and the model of the exchange plays them. To instances of older versions they look like a crash that does not count.

Failed before: test_crash_watch, doubt is reported before the verdict.

--- a/crash_watch.c
+++ b/crash_watch.c
@@ -45,6 +45,7 @@
 	watched->server = registry_server_ref(server);
 	watched->probe_at = INT64_MAX;
 	watched->probe_delay = PROBE_DELAY_MIN;
+	crash_doubt_end(watched);
 	server->watched = watched;
 	DL_APPEND(watch->servers, watched);
 	return watched;
@@ -262,6 +263,7 @@
 		set_down(watch, watched->server);
 	drop_other_runs(watch, watched, evidence);
 	poison_server_lost(watch->poison, name);
+	crash_doubt_end(watched);
 	watched->probe_at = INT64_MAX;
 	watched->probe_delay = PROBE_DELAY_MIN;
 	judge(watch, watched, evidence, INT64_MAX);
@@ -286,8 +288,15 @@
 static void note_break(const struct crash_watch *watch,
 		       struct registry_server *server)
 {
-	if (!server->broke_at)
-		server->broke_at = clock_now(watch->clock);
+	struct watched_server *watched = server->watched;
+
+	if (server->broke_at)
+		return;
+	server->broke_at = clock_now(watch->clock);
+	if (!watched)
+		return;
+	crash_doubt_start(watched);
+	watch->ops->wake(watch->arg, watched->doubt_at);
 }
 
 static void keep_in_doubt(struct watched_run *run, enum run_end end)
@@ -351,6 +360,7 @@
 	server->down = false;
 	if (!server->watched)
 		return;
+	crash_doubt_end(watched);
 	watched->n_probes = 0;
 	watched->n_accepted = 0;
 	watched->n_unanswered = 0;
@@ -445,6 +455,9 @@
 	int64_t due = watched->probe_at;
 	const struct watched_run *run;
 
+	if (watched->doubt_at < due)
+		due = watched->doubt_at;
+
 	DL_FOREACH (watched->runs, run) {
 		if (run->ended_at && latest_end(run) + CRASH_DOUBT_MAX < due)
 			due = latest_end(run) + CRASH_DOUBT_MAX;
@@ -464,6 +477,7 @@
 			free_server_if_unused(watch, watched);
 			continue;
 		}
+		crash_doubt_report_if_due(watch, watched);
 		probe_if_due(watch, watched);
 		if (next_due(watched) < due)
 			due = next_due(watched);
--- a/crash_watch_private.h
+++ b/crash_watch_private.h
@@ -1,4 +1,4 @@
-/* Shared by crash_watch.c and crash_verdict.c. */
+/* Shared by crash_watch.c, crash_doubt.c and crash_verdict.c. */
 #ifndef CRASH_WATCH_PRIVATE_H
 #define CRASH_WATCH_PRIVATE_H
 
@@ -24,6 +24,9 @@
  * @probing: a probe is connecting
  * @probe_at: when to probe, microseconds; INT64_MAX: not
  * @probe_delay: before the next probe, microseconds
+ * @doubt_at: when its runs are reported as in doubt, microseconds; INT64_MAX:
+ *	not
+ * @doubted: they were
  */
 struct watched_server {
 	struct registry_server *server;
@@ -36,10 +39,29 @@
 	bool probing;
 	int64_t probe_at;
 	int64_t probe_delay;
+	int64_t doubt_at;
+	bool doubted;
 	struct watched_server *prev;
 	struct watched_server *next;
 };
 
+/**
+ * crash_doubt_start() - the first connection to a server broke
+ */
+void crash_doubt_start(struct watched_server *watched);
+
+/**
+ * crash_doubt_end() - it is known what became of the server
+ */
+void crash_doubt_end(struct watched_server *watched);
+
+/**
+ * crash_doubt_report_if_due() - report the requests that may have crashed a
+ * server and others
+ */
+void crash_doubt_report_if_due(struct crash_watch *watch,
+			       struct watched_server *watched);
+
 /**
  * crash_has_lost_run() - whether a run is lost, and not only given up
  */
--- a/peer.pb-c.c
+++ b/peer.pb-c.c
@@ -4253,7 +4253,7 @@
   (ProtobufCMessageInit) peer__view_state__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__fingerprint__field_descriptors[13] =
+static const ProtobufCFieldDescriptor peer__fingerprint__field_descriptors[14] =
 {
   {
     "hash",
@@ -4411,6 +4411,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "in_doubt",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Fingerprint, in_doubt),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__fingerprint__field_indices_by_name[] = {
   3,   /* field[3] = banned */
@@ -4419,6 +4431,7 @@
   2,   /* field[2] = expires_ms */
   0,   /* field[0] = hash */
   10,   /* field[10] = held_ms */
+  13,   /* field[13] = in_doubt */
   7,   /* field[7] = ran_ms */
   5,   /* field[5] = replica_set */
   4,   /* field[4] = servers */
@@ -4430,7 +4443,7 @@
 static const ProtobufCIntRange peer__fingerprint__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 13 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor peer__fingerprint__descriptor =
 {
@@ -4440,7 +4453,7 @@
   "Peer__Fingerprint",
   "peer",
   sizeof(Peer__Fingerprint),
-  13,
+  14,
   peer__fingerprint__field_descriptors,
   peer__fingerprint__field_indices_by_name,
   1,  peer__fingerprint__number_ranges,
--- a/peer.pb-c.h
+++ b/peer.pb-c.h
@@ -648,10 +648,15 @@
    * of trials at once the lowest one goes on
    */
   uint64_t trial_ticket;
+  /*
+   * servers may have crashed; for older instances it seems a crash that
+   * was_safe keeps from counting
+   */
+  protobuf_c_boolean in_doubt;
 };
 #define PEER__FINGERPRINT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__fingerprint__descriptor) \
-    , 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Peer__Fingerprints
--- a/poison.c
+++ b/poison.c
@@ -331,11 +331,16 @@
 	return run;
 }
 
+static bool is_suspect(const struct poison_entry *entry)
+{
+	return entry && (entry->in_doubt || count_crashes(entry));
+}
+
 uint64_t poison_suspect_set(const struct poison *poison, uint64_t hash)
 {
 	const struct poison_entry *entry = poison_find_entry(poison, hash);
 
-	return entry && count_crashes(entry) ? entry->replica_set : 0;
+	return is_suspect(entry) ? entry->replica_set : 0;
 }
 
 int poison_n_crashed(const struct poison *poison, uint64_t hash)
@@ -375,7 +380,7 @@
 {
 	struct poison_entry *entry = poison_find_live_entry(poison, hash);
 
-	if (!entry || !poison->no_canaries || !count_crashes(entry) ||
+	if (!poison->no_canaries || !is_suspect(entry) ||
 	    !poison_note_until(poison, &entry->trial_until, until))
 		return false;
 	entry->trial_ticket = ticket;
@@ -395,7 +400,7 @@
 {
 	struct poison_entry *entry = poison_find_live_entry(poison, hash);
 
-	if (entry && count_crashes(entry) &&
+	if (is_suspect(entry) &&
 	    poison_note_until(poison, &entry->held_until, until))
 		poison_notify_changed(poison, entry);
 }
@@ -406,7 +411,7 @@
 	int64_t now = clock_now(poison->clock);
 	int64_t calm_at;
 
-	if (!entry || !count_crashes(entry))
+	if (!is_suspect(entry))
 		return 0;
 	/* Servers that crash at the same time would seem to crash by trials. */
 	calm_at = entry->updated + POISON_REPORT_WAIT;
@@ -420,6 +425,21 @@
 		       : 0;
 }
 
+void poison_doubt(struct poison *poison, uint64_t hash, struct str replica_set)
+{
+	struct poison_entry *entry = poison_find_live_entry(poison, hash);
+
+	if (is_suspect(entry) || is_known_safe(poison, hash))
+		return;
+	if (!entry)
+		entry = poison_add_entry(poison, hash);
+	entry->in_doubt = true;
+	entry->version++;
+	entry->replica_set = str_hash(replica_set);
+	poison_update_ban(poison, entry);
+	poison_notify_changed(poison, entry);
+}
+
 int poison_begin(struct poison *poison, struct poison_run *run, uint64_t hash,
 		 struct str server, struct str replica_set,
 		 enum poison_trial trial, int64_t left)
@@ -481,6 +501,8 @@
 static bool clears_suspicion(const struct poison_entry *entry,
 			     const struct poison_run *run)
 {
+	if (entry->in_doubt && !count_crashes(entry))
+		return true;
 	return !entry->banned && run->suspect &&
 	       run->started >= entry->updated &&
 	       run->replica_set == entry->replica_set;
--- a/poison.h
+++ b/poison.h
@@ -74,12 +74,13 @@
  * @held: it is held back for that much longer, see poison_hold(),
  *	microseconds; 0: it is not
  * @banned: refused on all instances
+ * @in_doubt: see poison_doubt()
  * @remaining: time until it expires, microseconds
  * @version: raised by each crash; one that clears has the version that it
  *	clears, and ends what was reported up to that. 0: unknown
  *
- * A report with @unwatched_crash, @n_servers and @banned all unset says that
- * the fingerprint was cleared.
+ * A report with @unwatched_crash, @n_servers, @banned and @in_doubt all unset
+ * says that the fingerprint was cleared.
  */
 struct poison_report {
 	uint64_t hash;
@@ -94,6 +95,7 @@
 	uint64_t trial_ticket;
 	int64_t held;
 	bool banned;
+	bool in_doubt;
 	int64_t remaining;
 	uint64_t version;
 };
@@ -277,6 +279,19 @@
  */
 uint64_t poison_home_rank(uint64_t hash, struct str home);
 
+/**
+ * poison_doubt() - servers may have crashed under a request, which takes too
+ * long to find out
+ * @poison: state of this instance, without canaries
+ * @hash: fingerprint of the request
+ * @replica_set: name of the replica set of one of the servers
+ *
+ * Unless it is known to be safe, it becomes a suspect on all instances: its
+ * next sending runs on one server first, not before POISON_REPORT_WAIT. Any
+ * answer clears it. No crash is counted.
+ */
+void poison_doubt(struct poison *poison, uint64_t hash, struct str replica_set);
+
 /**
  * poison_begin() - register a request that a home is about to send to a server
  * @poison: state of this instance
--- a/poison_net.c
+++ b/poison_net.c
@@ -11,14 +11,17 @@
 {
 	peer__fingerprint__init(out);
 	out->hash = report->hash;
-	out->crashes = (uint32_t)(report->n_servers +
-				  (report->unwatched_crash ? 1 : 0));
+	out->crashes = (uint32_t)report->n_servers;
+	if (report->unwatched_crash || report->in_doubt)
+		out->crashes++;
 	out->expires_ms =
 		report->remaining > 0
 			? (uint32_t)(report->remaining / USEC_PER_MSEC)
 			: 0;
 	out->banned = report->banned;
-	out->was_safe = report->was_safe;
+	out->was_safe = report->was_safe ||
+			(report->in_doubt && !report->unwatched_crash);
+	out->in_doubt = report->in_doubt;
 	out->n_servers = (size_t)report->n_servers;
 	out->servers = (uint64_t *)report->servers;
 	out->replica_set = report->replica_set;
@@ -59,7 +62,8 @@
 
 	LOG_WARN("fingerprint_changed", LOG_U64("fingerprint", report->hash),
 		 LOG_U64("servers", (uint64_t)report->n_servers),
-		 LOG_U64("banned", report->banned));
+		 LOG_U64("banned", report->banned),
+		 LOG_U64("in_doubt", report->in_doubt));
 	for (link = net->peers->links; link; link = link->next) {
 		if (link->up && (net->flood || !link->outgoing))
 			send_reports(link, report, 1);
@@ -84,13 +88,15 @@
 {
 	struct poison_report report = {
 		.hash = entry->hash,
-		.unwatched_crash = entry->crashes > entry->n_servers,
-		.was_safe = entry->was_safe,
+		.unwatched_crash = entry->crashes > entry->n_servers &&
+				   !(entry->in_doubt && entry->was_safe),
+		.was_safe = entry->was_safe && !entry->in_doubt,
 		.n_servers = entry->n_servers < POISON_SERVERS_MAX
 				     ? (int)entry->n_servers
 				     : POISON_SERVERS_MAX,
 		.replica_set = entry->replica_set,
 		.ran = MSEC(entry->ran_ms),
+		.in_doubt = entry->in_doubt,
 		.crashed_on_trial = entry->crashed_on_trial,
 		.trial = MSEC(entry->trial_ms),
 		.held = MSEC(entry->held_ms),
--- a/poison_private.h
+++ b/poison_private.h
@@ -11,6 +11,7 @@
  * @hash: the fingerprint
  * @unwatched_crash: see struct poison_report, as for the members up to
  *	@crashed_on_trial
+ * @in_doubt: servers may have crashed under it, see poison_doubt()
  * @trial_until: it may be on trial until then
  * @trial_ticket: of that trial, see poison_owns_trial()
  * @held_until: it is held back until then, see poison_hold()
@@ -24,6 +25,7 @@
 	bool unwatched_crash;
 	bool was_safe;
 	bool banned;
+	bool in_doubt;
 	int n_servers;
 	uint64_t servers[POISON_SERVERS_MAX];
 	uint64_t replica_set;
--- a/poison_report.c
+++ b/poison_report.c
@@ -22,6 +22,7 @@
 			entry->trial_until > now ? entry->trial_until - now : 0,
 		.held = entry->held_until > now ? entry->held_until - now : 0,
 		.banned = entry->banned,
+		.in_doubt = entry->in_doubt,
 		.remaining = entry->expires - now,
 		.version = entry->version,
 	};
@@ -53,6 +54,7 @@
 {
 	return entry->version != before->version ||
 	       entry->banned != before->banned ||
+	       entry->in_doubt != before->in_doubt ||
 	       entry->n_servers != before->n_servers ||
 	       entry->unwatched_crash != before->unwatched_crash ||
 	       entry->crashed_on_trial != before->crashed_on_trial ||
@@ -110,7 +112,8 @@
 	bool new_wait = false;
 	int i;
 
-	if (!report->unwatched_crash && !report->n_servers && !report->banned)
+	if (!report->unwatched_crash && !report->n_servers && !report->banned &&
+	    !report->in_doubt)
 		return apply_clear(poison, entry, report);
 	if (report->remaining <= 0 || is_cleared(poison, report))
 		return false;
@@ -123,6 +126,7 @@
 						 report->was_safe);
 	entry->banned = entry->banned || report->banned;
 	entry->crashed_on_trial |= report->crashed_on_trial;
+	entry->in_doubt |= report->in_doubt;
 	for (i = 0; i < report->n_servers && i < POISON_SERVERS_MAX; i++)
 		poison_entry_add_server(entry, report->servers[i]);
 	poison_entry_raise_ran(entry, report->ran);
--- a/tests/test_crash_watch.c
+++ b/tests/test_crash_watch.c
@@ -53,16 +53,23 @@
 	return server;
 }
 
-static struct watched_run *begin(struct fixture *f, uint64_t fingerprint,
-				 int64_t deadline)
+static struct watched_run *begin_on(struct fixture *f,
+				    struct registry_server *server,
+				    uint64_t fingerprint, int64_t deadline)
 {
 	const struct upstream_request request = {.fingerprint = fingerprint};
 	struct watched_run *run = NULL;
 
-	crash_watch_begin(&f->watch, f->server, &request, deadline, &run);
+	crash_watch_begin(&f->watch, server, &request, deadline, &run);
 	return run;
 }
 
+static struct watched_run *begin(struct fixture *f, uint64_t fingerprint,
+				 int64_t deadline)
+{
+	return begin_on(f, f->server, fingerprint, deadline);
+}
+
 static int begin_trial(struct fixture *f, uint64_t fingerprint,
 		       struct watched_run **out)
 {
@@ -594,6 +601,76 @@
 	finish(&f);
 }
 
+/* Two servers run the request, and the connections of both break. */
+static void break_two(struct fixture *f, struct registry_server **other)
+{
+	struct watched_run *run;
+
+	*other = new_server("b2");
+	crash_watch_answered(&f->watch, *other, clock_now(&f->clock));
+	run = begin_on(f, *other, HASH, clock_now(&f->clock) + DEADLINE);
+	advance(f, MSEC(1));
+	watched_run_end(f->run, RUN_LOST);
+	watched_run_end(run, RUN_LOST);
+}
+
+/*
+ * Guards against the next sending taking the other server of each shard, while
+ * nothing shows yet that the first ones have crashed.
+ */
+static void test_doubt_is_reported_before_the_verdict(void)
+{
+	struct registry_server *other;
+	struct fixture f;
+
+	setup(&f);
+	break_two(&f, &other);
+	advance(&f, MSEC(9));
+	CU_ASSERT_FALSE(is_suspect(&f, HASH));
+	advance(&f, MSEC(1));
+	CU_ASSERT(is_suspect(&f, HASH));
+	CU_ASSERT(poison_trial_wait(&f.poison, HASH) > 0);
+	CU_ASSERT_EQUAL(poison_n_crashed(&f.poison, HASH), 0);
+	finish(&f);
+	registry_server_unref(other);
+}
+
+/* Guards against doubts in a request because one server's link was reset. */
+static void test_one_server_raises_no_doubt(void)
+{
+	struct registry_server *other;
+	struct fixture f;
+
+	setup(&f);
+	break_two(&f, &other);
+	advance(&f, MSEC(5));
+	crash_watch_answered(&f.watch, other, clock_now(&f.clock));
+	advance(&f, MSEC(100));
+	CU_ASSERT_FALSE(is_suspect(&f, HASH));
+	finish(&f);
+	registry_server_unref(other);
+}
+
+/* Guards against doubts in what was sent to servers already down. */
+static void test_no_doubt_in_later_runs(void)
+{
+	struct registry_server *other;
+	struct watched_run *run;
+	struct fixture f;
+
+	setup(&f);
+	break_two(&f, &other);
+	advance(&f, MSEC(1));
+	run = begin(&f, OTHER_HASH, INT64_MAX);
+	watched_run_end(run, RUN_LOST);
+	run = begin_on(&f, other, OTHER_HASH, INT64_MAX);
+	watched_run_end(run, RUN_LOST);
+	advance(&f, MSEC(20));
+	CU_ASSERT_FALSE(is_suspect(&f, OTHER_HASH));
+	finish(&f);
+	registry_server_unref(other);
+}
+
 /* Guards against a memory that grows with the sends that are given up. */
 static void test_given_up_runs_are_bounded(void)
 {
@@ -648,6 +725,10 @@
 	{"given up run ends with its deadline",
 	 test_given_up_run_ends_with_its_deadline},
 	{"given up run and cut", test_given_up_run_and_cut},
+	{"doubt is reported before the verdict",
+	 test_doubt_is_reported_before_the_verdict},
+	{"one server raises no doubt", test_one_server_raises_no_doubt},
+	{"no doubt in later runs", test_no_doubt_in_later_runs},
 	{"given up runs are bounded", test_given_up_runs_are_bounded},
 };
 
--- a/tests/test_poison.c
+++ b/tests/test_poison.c
@@ -1190,6 +1190,64 @@
 	poison_finish(&f.poison);
 }
 
+/*
+ * Guards against a request that seems to crash servers being sent everywhere
+ * again, and against one that only seems so being refused for long.
+ */
+static void test_doubt(void)
+{
+	struct poison_run run;
+	struct fixture peer;
+	struct fixture f;
+
+	setup_without_canaries(&f);
+	setup_without_canaries(&peer);
+	poison_doubt(&f.poison, HASH_A, REPLICA_SET);
+	CU_ASSERT_EQUAL(f.reports, 1);
+	CU_ASSERT(poison_apply_report(&peer.poison, &f.last));
+	CU_ASSERT_FALSE(poison_apply_report(&peer.poison, &f.last));
+	CU_ASSERT_EQUAL(poison_trial_wait(&peer.poison, HASH_A),
+			POISON_REPORT_WAIT);
+	clock_advance(&peer.clock, POISON_REPORT_WAIT);
+	CU_ASSERT_EQUAL(poison_trial_wait(&peer.poison, HASH_A), 0);
+	CU_ASSERT_EQUAL(poison_suspect_set(&peer.poison, HASH_A),
+			str_hash(REPLICA_SET));
+	begin(&peer, &run, HASH_A, "b1", POISON_ON_TRIAL);
+	poison_end(&peer.poison, &run, true);
+	CU_ASSERT(poison_apply_report(&f.poison, &peer.last));
+	CU_ASSERT_EQUAL(verdict(&f, HASH_A), POISON_KNOWN_SAFE);
+	CU_ASSERT_EQUAL(verdict(&peer, HASH_A), POISON_KNOWN_SAFE);
+	poison_finish(&f.poison);
+	poison_finish(&peer.poison);
+}
+
+/* Guards against doubts in popular requests on servers that break. */
+static void test_no_doubt_in_a_safe_request(void)
+{
+	struct fixture f;
+
+	setup_without_canaries(&f);
+	poison_mark_safe(&f.poison, HASH_A);
+	poison_doubt(&f.poison, HASH_A, REPLICA_SET);
+	CU_ASSERT_EQUAL(f.reports, 0);
+	CU_ASSERT_EQUAL(verdict(&f, HASH_A), POISON_KNOWN_SAFE);
+	poison_finish(&f.poison);
+}
+
+/* Guards against a doubt that hides the crash which it was about. */
+static void test_doubt_then_crash(void)
+{
+	struct poison_run run;
+	struct fixture f;
+
+	setup_without_canaries(&f);
+	begin(&f, &run, HASH_A, "b1", POISON_NOT_TRIED);
+	poison_doubt(&f.poison, HASH_A, REPLICA_SET);
+	lose_server(&f, "b1");
+	CU_ASSERT_EQUAL(poison_n_crashed(&f.poison, HASH_A), 1);
+	poison_finish(&f.poison);
+}
+
 #define MESH_SIZE 6
 #define MESH_QUEUE 4096
 
@@ -1543,6 +1601,9 @@
 	{"uncounted crash needs no trial", test_uncounted_crash_needs_no_trial},
 	{"popular answered while it runs", test_popular_answered_while_it_runs},
 	{"trials announced at once", test_trials_announced_at_once},
+	{"doubt", test_doubt},
+	{"no doubt in a safe request", test_no_doubt_in_a_safe_request},
+	{"doubt then crash", test_doubt_then_crash},
 	{"flooding ends", test_flooding_ends},
 	{"older answer clears no newer crash",
 	 test_older_answer_clears_no_newer_crash},
--- a/tests/test_poison_exchange.c
+++ b/tests/test_poison_exchange.c
@@ -208,9 +208,13 @@
 			MSEC(draw(exchange, 12000));
 	else if (kind < 12)
 		open_link(exchange, i, (i + 1) % INSTANCES);
-	else if (kind < 40)
+	else if (kind < 20)
+		poison_doubt(&exchange->instances[i].poison,
+			     (uint64_t)draw(exchange, FINGERPRINTS) + 1,
+			     REPLICA_SET);
+	else if (kind < 45)
 		run_once(exchange, i, POISON_NOT_TRIED, true);
-	else if (kind < 60)
+	else if (kind < 65)
 		run_once(exchange, i, POISON_ON_TRIAL, draw(exchange, 2));
 	else
 		run_once(exchange, i, POISON_NOT_TRIED, false);
