--- a/crash_doubt.c
+++ b/crash_doubt.c
@@ -7,7 +7,7 @@
  * Most servers whose connections broke have answered or refused a new one by
  * then; what the others do is known seconds later.
  */
-#define REPORT_AFTER MSEC(10)
+#define REPORT_AFTER MSEC(25)
 /* One server's connections may break for any request. */
 #define SERVERS_MIN 2
 
