poison: take no doubt of another instance in what runs well here

An instance that knows a request to be safe now takes no notice of a doubt, nor passes it on; crashes that are counted it hears as before.

test_poison, doubt is no news where it runs well, failed before.

--- a/poison.c
+++ b/poison.c
@@ -218,7 +218,7 @@
 	return hash ? hash : 1;
 }
 
-static bool is_known_safe(const struct poison *poison, uint64_t hash)
+bool poison_is_known_safe(const struct poison *poison, uint64_t hash)
 {
 	const struct poison_safe_entry *safe_entry =
 		find_safe_entry(poison, hash);
@@ -239,7 +239,8 @@
 	}
 	if (entry)
 		return POISON_PROBATION;
-	return is_known_safe(poison, hash) ? POISON_KNOWN_SAFE : POISON_CANARY;
+	return poison_is_known_safe(poison, hash) ? POISON_KNOWN_SAFE
+						  : POISON_CANARY;
 }
 
 int64_t poison_trial_time(const struct poison *poison, uint64_t hash,
@@ -429,7 +430,7 @@
 {
 	struct poison_entry *entry = poison_find_live_entry(poison, hash);
 
-	if (is_suspect(entry) || is_known_safe(poison, hash))
+	if (is_suspect(entry) || poison_is_known_safe(poison, hash))
 		return;
 	if (!entry)
 		entry = poison_add_entry(poison, hash);
@@ -461,7 +462,7 @@
 	run->replica_set = str_hash(replica_set);
 	run->watched = trial == POISON_ON_TRIAL;
 	run->suspect = entry;
-	run->safe = is_known_safe(poison, hash) ||
+	run->safe = poison_is_known_safe(poison, hash) ||
 		    trial == POISON_TRIAL_PASSED ||
 		    is_still_safe(poison, entry);
 	run->in_doubt = false;
@@ -556,7 +557,8 @@
 	struct poison_entry *entry = poison_find_live_entry(poison, run->hash);
 	int64_t ran = clock_now(poison->clock) - run->started;
 	bool safe = run->safe ||
-		    (poison->no_canaries && is_known_safe(poison, run->hash)) ||
+		    (poison->no_canaries &&
+		     poison_is_known_safe(poison, run->hash)) ||
 		    is_still_safe(poison, entry);
 	bool counted = is_counted(poison, run, safe);
 	bool was_banned;
--- a/poison_private.h
+++ b/poison_private.h
@@ -60,6 +60,11 @@
 struct poison_entry *poison_add_entry(struct poison *poison, uint64_t hash);
 void poison_drop_entry(struct poison *poison, struct poison_entry *entry);
 
+/**
+ * poison_is_known_safe() - whether a fingerprint was answered not long ago
+ */
+bool poison_is_known_safe(const struct poison *poison, uint64_t hash);
+
 /**
  * poison_cleared_version() - up to which version a fingerprint was cleared
  */
--- a/poison_report.c
+++ b/poison_report.c
@@ -102,6 +102,15 @@
 	return true;
 }
 
+/* An instance that has just started does not know what runs well. */
+static bool knows_better(const struct poison *poison,
+			 const struct poison_report *report)
+{
+	return report->in_doubt && !report->n_servers &&
+	       !report->unwatched_crash &&
+	       poison_is_known_safe(poison, report->hash);
+}
+
 bool poison_apply_report(struct poison *poison,
 			 const struct poison_report *report)
 {
@@ -115,7 +124,8 @@
 	if (!report->unwatched_crash && !report->n_servers && !report->banned &&
 	    !report->in_doubt)
 		return apply_clear(poison, entry, report);
-	if (report->remaining <= 0 || is_cleared(poison, report))
+	if (report->remaining <= 0 || is_cleared(poison, report) ||
+	    knows_better(poison, report))
 		return false;
 	if (entry)
 		before = *entry;
--- a/tests/test_poison.c
+++ b/tests/test_poison.c
@@ -1234,6 +1234,26 @@
 	poison_finish(&f.poison);
 }
 
+/*
+ * Guards against popular requests being held back by all instances, because one
+ * that has just started doubts them.
+ */
+static void test_doubt_is_no_news_where_it_runs_well(void)
+{
+	struct fixture started;
+	struct fixture f;
+
+	setup_without_canaries(&f);
+	setup_without_canaries(&started);
+	poison_mark_safe(&f.poison, HASH_A);
+	poison_doubt(&started.poison, HASH_A, REPLICA_SET);
+	CU_ASSERT_FALSE(poison_apply_report(&f.poison, &started.last));
+	CU_ASSERT_EQUAL(verdict(&f, HASH_A), POISON_KNOWN_SAFE);
+	CU_ASSERT_EQUAL(poison_trial_wait(&f.poison, HASH_A), 0);
+	poison_finish(&f.poison);
+	poison_finish(&started.poison);
+}
+
 /* Guards against a doubt that hides the crash which it was about. */
 static void test_doubt_then_crash(void)
 {
@@ -1603,6 +1623,8 @@
 	{"trials announced at once", test_trials_announced_at_once},
 	{"doubt", test_doubt},
 	{"no doubt in a safe request", test_no_doubt_in_a_safe_request},
+	{"doubt is no news where it runs well",
+	 test_doubt_is_no_news_where_it_runs_well},
 	{"doubt then crash", test_doubt_then_crash},
 	{"flooding ends", test_flooding_ends},
 	{"older answer clears no newer crash",
