poison: count a doubt as one server for a ban

After a start of all gateways nobody could say what the first sending of a search that crashes servers did, where addresses accept connections while a server is down: runs on servers never seen to answer count nothing. A doubt, for which two servers had to break, now counts as one server, and two trials decide.

test_poison, two trials after a doubt, failed before.

--- a/poison.c
+++ b/poison.c
@@ -138,10 +138,11 @@
 		entry->servers[entry->n_servers++] = server;
 }
 
+/* A doubt stands for one server: two had broken under it. */
 static bool has_crashed_enough(const struct poison *poison,
 			       const struct poison_entry *entry)
 {
-	return count_crashes(entry) >= poison->ban_after;
+	return count_crashes(entry) + entry->in_doubt >= poison->ban_after;
 }
 
 /* A hash for one more crash of a server that is back under the same name. */
--- a/poison.h
+++ b/poison.h
@@ -288,7 +288,8 @@
  *
  * Unless it is known to be safe, it becomes a suspect on all instances: its
  * next sending runs on one server first, not before POISON_REPORT_WAIT. Any
- * answer clears it. No crash is counted.
+ * answer clears it. For a ban it counts as one server, besides crashes on
+ * trial.
  */
 void poison_doubt(struct poison *poison, uint64_t hash, struct str replica_set);
 
--- a/tests/test_poison.c
+++ b/tests/test_poison.c
@@ -1234,6 +1234,28 @@
 	poison_finish(&f.poison);
 }
 
+/*
+ * Guards against four sendings of a request before its ban, where instances
+ * that have just started can't tell what its first one did.
+ */
+static void test_two_trials_after_a_doubt(void)
+{
+	static const char *const servers[] = {"b1", "b2"};
+	struct poison_run run;
+	struct fixture f;
+	int i;
+
+	setup_without_canaries(&f);
+	poison_doubt(&f.poison, HASH_A, REPLICA_SET);
+	for (i = 0; i < 2; i++) {
+		CU_ASSERT_EQUAL(verdict(&f, HASH_A), POISON_PROBATION);
+		begin(&f, &run, HASH_A, servers[i], POISON_ON_TRIAL);
+		lose_server(&f, servers[i]);
+	}
+	CU_ASSERT_EQUAL(verdict(&f, HASH_A), POISON_BANNED);
+	poison_finish(&f.poison);
+}
+
 /*
  * Guards against popular requests being held back by all instances, because one
  * that has just started doubts them.
@@ -1625,6 +1647,7 @@
 	{"no doubt in a safe request", test_no_doubt_in_a_safe_request},
 	{"doubt is no news where it runs well",
 	 test_doubt_is_no_news_where_it_runs_well},
+	{"two trials after a doubt", test_two_trials_after_a_doubt},
 	{"doubt then crash", test_doubt_then_crash},
 	{"flooding ends", test_flooding_ends},
 	{"older answer clears no newer crash",
