--- a/crash_watch.c
+++ b/crash_watch.c
@@ -90,6 +90,12 @@
 	       clock_now(watch->clock) - server->broke_at < CRASH_DOUBT_MAX;
 }
 
+/* A crash there would count for nothing, see crash_is_witness(). */
+static bool was_never_seen_alive(const struct registry_server *server)
+{
+	return !server->answered_at && registry_can_be_asked(server);
+}
+
 /* Its answer ends the doubt, also where nothing else is sent. */
 static void ask_for_health(const struct crash_watch *watch,
 			   struct registry_server *server)
@@ -106,7 +112,8 @@
 	struct str name = registry_incarnation(server, life);
 	struct watched_run *run;
 
-	if (request->trial == POISON_ON_TRIAL && may_be_down(watch, server)) {
+	if (request->trial == POISON_ON_TRIAL &&
+	    (may_be_down(watch, server) || was_never_seen_alive(server))) {
 		ask_for_health(watch, server);
 		return ERR_CONNECT;
 	}
--- a/crash_watch.h
+++ b/crash_watch.h
@@ -110,8 +110,8 @@
  * @out: set to the run, to be ended with watched_run_end()
  *
  * Return: 0; ERR_BANNED if the request is banned, or must be tried on one
- * server first; ERR_CONNECT for a trial on a server that may be down, as it
- * would show nothing.
+ * server first; ERR_CONNECT for a trial on a server that may be down or was
+ * never seen alive, as it would show nothing.
  */
 int crash_watch_begin(struct crash_watch *watch, struct registry_server *server,
 		      const struct upstream_request *request, int64_t deadline,
--- a/tests/test_crash_watch.c
+++ b/tests/test_crash_watch.c
@@ -380,6 +380,28 @@
 	finish(&f);
 }
 
+/* Guards against trials that count for nothing, on a server just started. */
+static void test_trial_waits_for_a_sign_of_life(void)
+{
+	char health_path[] = "/health";
+	struct registry_service service = {.health_path = health_path};
+	struct watched_run *trial;
+	struct fixture f;
+
+	setup(&f);
+	become_suspect(&f);
+	f.server->service = &service;
+	f.server->broke_at = 0;
+	f.server->answered_at = 0;
+	f.n_probes = 0;
+	CU_ASSERT_EQUAL(begin_trial(&f, HASH, &trial), ERR_CONNECT);
+	CU_ASSERT_EQUAL(f.n_probes, 1);
+	crash_watch_answered(&f.watch, f.server, clock_now(&f.clock));
+	CU_ASSERT_EQUAL(begin_trial(&f, HASH, &trial), 0);
+	watched_run_end(trial, RUN_ANSWERED);
+	finish(&f);
+}
+
 /* Guards against a link that resets for a moment being taken for a crash. */
 static void test_few_broken_connections_are_no_crash(void)
 {
@@ -707,6 +729,7 @@
 	 test_unanswering_server_is_lost_until_it_answers},
 	{"answering server is not asked", test_answering_server_is_not_asked},
 	{"trial in doubt asks the server", test_trial_in_doubt_asks_the_server},
+	{"trial waits for a sign of life", test_trial_waits_for_a_sign_of_life},
 	{"few broken connections are no crash",
 	 test_few_broken_connections_are_no_crash},
 	{"trial needs more broken connections",
