poison: doubt nothing that had run well before servers crashed under it

The first crash beside a popular search, which does not count, took its mark of running well until the next answer; a doubt then held it back on all instances for as long as servers went on breaking.

test_poison, no doubt beside a crash, failed before.

--- a/poison.c
+++ b/poison.c
@@ -219,7 +219,7 @@
 	return hash ? hash : 1;
 }
 
-bool poison_is_known_safe(const struct poison *poison, uint64_t hash)
+static bool is_known_safe(const struct poison *poison, uint64_t hash)
 {
 	const struct poison_safe_entry *safe_entry =
 		find_safe_entry(poison, hash);
@@ -227,6 +227,13 @@
 	return safe_entry && safe_entry->expires > clock_now(poison->clock);
 }
 
+bool poison_has_run_well(const struct poison *poison, uint64_t hash)
+{
+	const struct poison_entry *entry = poison_find_entry(poison, hash);
+
+	return is_known_safe(poison, hash) || (entry && entry->was_safe);
+}
+
 enum poison_verdict poison_check(struct poison *poison, uint64_t hash,
 				 uint32_t *retry_after_ms)
 {
@@ -240,8 +247,7 @@
 	}
 	if (entry)
 		return POISON_PROBATION;
-	return poison_is_known_safe(poison, hash) ? POISON_KNOWN_SAFE
-						  : POISON_CANARY;
+	return is_known_safe(poison, hash) ? POISON_KNOWN_SAFE : POISON_CANARY;
 }
 
 int64_t poison_trial_time(const struct poison *poison, uint64_t hash,
@@ -431,7 +437,7 @@
 {
 	struct poison_entry *entry = poison_find_live_entry(poison, hash);
 
-	if (is_suspect(entry) || poison_is_known_safe(poison, hash))
+	if (is_suspect(entry) || poison_has_run_well(poison, hash))
 		return;
 	if (!entry)
 		entry = poison_add_entry(poison, hash);
@@ -463,7 +469,7 @@
 	run->replica_set = str_hash(replica_set);
 	run->watched = trial == POISON_ON_TRIAL;
 	run->suspect = entry;
-	run->safe = poison_is_known_safe(poison, hash) ||
+	run->safe = is_known_safe(poison, hash) ||
 		    trial == POISON_TRIAL_PASSED ||
 		    is_still_safe(poison, entry);
 	run->in_doubt = false;
@@ -558,8 +564,7 @@
 	struct poison_entry *entry = poison_find_live_entry(poison, run->hash);
 	int64_t ran = clock_now(poison->clock) - run->started;
 	bool safe = run->safe ||
-		    (poison->no_canaries &&
-		     poison_is_known_safe(poison, run->hash)) ||
+		    (poison->no_canaries && is_known_safe(poison, run->hash)) ||
 		    is_still_safe(poison, entry);
 	bool counted = is_counted(poison, run, safe);
 	bool was_banned;
--- a/poison_report.c
+++ b/poison_report.c
@@ -108,7 +108,7 @@
 {
 	return report->in_doubt && !report->n_servers &&
 	       !report->unwatched_crash &&
-	       poison_is_known_safe(poison, report->hash);
+	       poison_has_run_well(poison, report->hash);
 }
 
 bool poison_apply_report(struct poison *poison,
--- a/tests/test_poison.c
+++ b/tests/test_poison.c
@@ -1276,6 +1276,23 @@
 	poison_finish(&started.poison);
 }
 
+/* Guards against the same once another request has crashed a server. */
+static void test_no_doubt_beside_a_crash(void)
+{
+	struct poison_run run;
+	struct fixture f;
+
+	setup_without_canaries(&f);
+	poison_mark_safe(&f.poison, HASH_A);
+	begin(&f, &run, HASH_A, "b1", POISON_NOT_TRIED);
+	lose_server(&f, "b1");
+	clock_advance(&f.clock, MSEC(2000));
+	poison_doubt(&f.poison, HASH_A, REPLICA_SET);
+	CU_ASSERT_EQUAL(poison_trial_wait(&f.poison, HASH_A), 0);
+	CU_ASSERT_EQUAL(poison_suspect_set(&f.poison, HASH_A), 0);
+	poison_finish(&f.poison);
+}
+
 /* Guards against a doubt that hides the crash which it was about. */
 static void test_doubt_then_crash(void)
 {
@@ -1648,6 +1665,7 @@
 	{"doubt is no news where it runs well",
 	 test_doubt_is_no_news_where_it_runs_well},
 	{"two trials after a doubt", test_two_trials_after_a_doubt},
+	{"no doubt beside a crash", test_no_doubt_beside_a_crash},
 	{"doubt then crash", test_doubt_then_crash},
 	{"flooding ends", test_flooding_ends},
 	{"older answer clears no newer crash",
