dispatch: learn once for all parts that a server lives, and hold nothing popular

Each part that was held back asked the servers of all parts each 2 ms, which is the square of the shards; a part now asks for its own, and what it learns lets the others go. A popular search whose mark went with a crash beside it counted as unknown, so that its retries waited: what had run well before is known too. A doubt is looked into only where it would be news.

--- a/crash_doubt.c
+++ b/crash_doubt.c
@@ -40,6 +40,12 @@
 	return false;
 }
 
+static bool is_doubted_or_safe(const struct poison *poison, uint64_t hash)
+{
+	return poison_suspect_set(poison, hash) ||
+	       poison_has_run_well(poison, hash);
+}
+
 static int count_doubted_servers(const struct crash_watch *watch, uint64_t hash)
 {
 	const struct watched_server *watched;
@@ -64,6 +70,7 @@
 	watched->doubted = true;
 	DL_FOREACH (watched->runs, run) {
 		if (may_be_cause(run) &&
+		    !is_doubted_or_safe(watch->poison, run->run.hash) &&
 		    count_doubted_servers(watch, run->run.hash) >= SERVERS_MIN)
 			poison_doubt(watch->poison, run->run.hash,
 				     str_from(service));
--- a/dispatch.h
+++ b/dispatch.h
@@ -218,6 +218,7 @@
  *	dispatch_begin_trial()
  * @trial_part: the only part that is sent, until it is answered; NULL: all are
  * @n_broke: parts with @broke
+ * @server_lives: a server whose connection broke under it has answered since
  * @release_at: when a retry that is held back goes on without evidence,
  *	microseconds; 0: none was held back
  * @outage_since: start of the most recent outage among the unreachable parts,
@@ -259,6 +260,7 @@
 	uint64_t trial_service;
 	struct dispatch_part *trial_part;
 	int n_broke;
+	bool server_lives;
 	int64_t release_at;
 	int64_t outage_since;
 	int n_sends;
--- a/dispatch_hold.c
+++ b/dispatch_hold.c
@@ -43,17 +43,6 @@
 	return false;
 }
 
-static bool has_any_living_server(const struct dispatch *dispatch)
-{
-	int i;
-
-	for (i = 0; i < dispatch->n_parts; i++) {
-		if (has_living_server(&dispatch->parts[i]))
-			return true;
-	}
-	return false;
-}
-
 static int count_crashed(const struct dispatch *dispatch)
 {
 	return dispatch->ops->evidence->n_crashed(dispatch->arg);
@@ -66,7 +55,7 @@
 
 	if (!may_crash_servers(dispatch))
 		return "runs_well";
-	if (has_any_living_server(dispatch))
+	if (dispatch->server_lives)
 		return "server_lives";
 	if (dispatch->n_parts > 1)
 		return NULL;
@@ -104,6 +93,10 @@
 
 	if (!part->broke || !dispatch->ops->evidence)
 		return false;
+	if (!dispatch->server_lives && has_living_server(part)) {
+		dispatch->server_lives = true;
+		dispatch_hold_end(dispatch);
+	}
 	why = reason_to_go_on(part);
 	if (why) {
 		end_hold(part, why, now);
@@ -142,5 +135,5 @@
 	return dispatch->n_parts > 1 && dispatch->n_broke >= CRASHES_MIN &&
 	       may_crash_servers(dispatch) &&
 	       count_crashed(dispatch) >= CRASHES_MIN &&
-	       !has_any_living_server(dispatch);
+	       !dispatch->server_lives;
 }
--- a/gateway_send.c
+++ b/gateway_send.c
@@ -348,10 +348,8 @@
 static bool is_safe(void *arg)
 {
 	const struct gateway_request *request = arg;
-	uint32_t retry_after_ms;
 
-	return poison_check(poison_of(request), request->fingerprint,
-			    &retry_after_ms) == POISON_KNOWN_SAFE;
+	return poison_has_run_well(poison_of(request), request->fingerprint);
 }
 
 /* Of what relays send, only crashes are reported here. */
--- a/poison.h
+++ b/poison.h
@@ -325,6 +325,14 @@
  */
 uint64_t poison_suspect_set(const struct poison *poison, uint64_t hash);
 
+/**
+ * poison_has_run_well() - whether a fingerprint was answered not long ago, or
+ * had been before the first server crashed under it
+ * @poison: state of this instance
+ * @hash: fingerprint of the request
+ */
+bool poison_has_run_well(const struct poison *poison, uint64_t hash);
+
 /**
  * poison_n_crashed() - number of crashes that count against a fingerprint
  * @poison: state of this instance
--- a/poison_private.h
+++ b/poison_private.h
@@ -60,12 +60,6 @@
 struct poison_entry *poison_add_entry(struct poison *poison, uint64_t hash);
 void poison_drop_entry(struct poison *poison, struct poison_entry *entry);
 
-/**
- * poison_has_run_well() - whether a fingerprint was answered not long ago, or
- * had been before the first server crashed under it
- */
-bool poison_has_run_well(const struct poison *poison, uint64_t hash);
-
 /**
  * poison_cleared_version() - up to which version a fingerprint was cleared
  */
--- a/tests/test_dispatch_hold.c
+++ b/tests/test_dispatch_hold.c
@@ -88,6 +88,9 @@
 	CU_ASSERT_EQUAL(fixture.n_sent, 4);
 	fixture.living = fixture.sent[2];
 	CU_ASSERT(advance(&fixture, 2) == DISPATCH_PENDING);
+	CU_ASSERT_EQUAL(dispatch_due(&fixture.dispatch),
+			clock_now(&fixture.clock));
+	CU_ASSERT(advance(&fixture, 0) == DISPATCH_PENDING);
 	CU_ASSERT_EQUAL(fixture.n_sent, 8);
 	CU_ASSERT_STRING_EQUAL(fixture.let_go, "server_lives");
 	for (i = 4; i < 7; i++)
