--- a/tests/test_crash_watch.c
+++ b/tests/test_crash_watch.c
@@ -359,24 +359,31 @@
 	finish(&f);
 }
 
+/* A trial on the server is refused, which is asked for its health instead. */
+static void check_trial_asks_first(struct fixture *f)
+{
+	struct watched_run *trial;
+
+	f->n_probes = 0;
+	CU_ASSERT_EQUAL(begin_trial(f, HASH, &trial), ERR_CONNECT);
+	CU_ASSERT_EQUAL(f->n_probes, 1);
+	crash_watch_answered(&f->watch, f->server, clock_now(&f->clock));
+	CU_ASSERT_EQUAL(begin_trial(f, HASH, &trial), 0);
+	watched_run_end(trial, RUN_ANSWERED);
+}
+
 /* Guards against a suspect that is held back as nothing else is sent. */
 static void test_trial_in_doubt_asks_the_server(void)
 {
 	char health_path[] = "/health";
 	struct registry_service service = {.health_path = health_path};
-	struct watched_run *trial;
 	struct fixture f;
 
 	setup(&f);
 	become_suspect(&f);
 	f.server->service = &service;
 	crash_watch_broke(&f.watch, f.server);
-	f.n_probes = 0;
-	CU_ASSERT_EQUAL(begin_trial(&f, HASH, &trial), ERR_CONNECT);
-	CU_ASSERT_EQUAL(f.n_probes, 1);
-	crash_watch_answered(&f.watch, f.server, clock_now(&f.clock));
-	CU_ASSERT_EQUAL(begin_trial(&f, HASH, &trial), 0);
-	watched_run_end(trial, RUN_ANSWERED);
+	check_trial_asks_first(&f);
 	finish(&f);
 }
 
@@ -385,7 +392,6 @@
 {
 	char health_path[] = "/health";
 	struct registry_service service = {.health_path = health_path};
-	struct watched_run *trial;
 	struct fixture f;
 
 	setup(&f);
@@ -393,12 +399,7 @@
 	f.server->service = &service;
 	f.server->broke_at = 0;
 	f.server->answered_at = 0;
-	f.n_probes = 0;
-	CU_ASSERT_EQUAL(begin_trial(&f, HASH, &trial), ERR_CONNECT);
-	CU_ASSERT_EQUAL(f.n_probes, 1);
-	crash_watch_answered(&f.watch, f.server, clock_now(&f.clock));
-	CU_ASSERT_EQUAL(begin_trial(&f, HASH, &trial), 0);
-	watched_run_end(trial, RUN_ANSWERED);
+	check_trial_asks_first(&f);
 	finish(&f);
 }
 
