--- a/dispatch_private.h
+++ b/dispatch_private.h
@@ -57,7 +57,7 @@
 
 /**
  * dispatch_part_has_spare_server() - whether the part could be sent to two more
- * servers, none of which should rather be avoided
+ * servers, even if one should rather be avoided
  */
 bool dispatch_part_has_spare_server(const struct dispatch_part *part);
 
--- a/dispatch_send.c
+++ b/dispatch_send.c
@@ -121,11 +121,11 @@
 	struct tried_servers tried;
 
 	collect_tried(part, &tried);
-	next = pick_untried(part, &tried, true);
+	next = pick_untried(part, &tried, false);
 	if (!next || tried.n == DISPATCH_SENDS_MAX)
 		return false;
 	tried.servers[tried.n++] = next;
-	return pick_untried(part, &tried, true);
+	return pick_untried(part, &tried, false);
 }
 
 /* Return: 0 if the part was sent to the server; or an error. */
--- a/tests/test_dispatch_hold.c
+++ b/tests/test_dispatch_hold.c
@@ -167,6 +167,23 @@
 	fixture_finish(&fixture);
 }
 
+/* Guards against hedges that end while one of the other servers is cold. */
+static void test_cold_server_is_no_lost_one(void)
+{
+	struct registry_server *cold;
+	struct fixture fixture;
+
+	fixture_init(&fixture);
+	fixture.safe = false;
+	add_server(&fixture, "s0", 2);
+	cold = registry_find(&fixture.registry, STR("s0-2"));
+	registry_set_cold(cold, MSEC(5000), clock_now(&fixture.clock));
+	start_dispatch(&fixture, "/any/");
+	advance(&fixture, 60);
+	CU_ASSERT_EQUAL(fixture.n_sent, 2);
+	fixture_finish(&fixture);
+}
+
 /* Guards against a delay where the service has servers to spare. */
 static void test_service_with_more_servers(void)
 {
@@ -190,6 +207,7 @@
 	{"one at a time without evidence", test_one_at_a_time_without_evidence},
 	{"last server of a service", test_last_server_of_a_service},
 	{"hedge leaves the last server", test_hedge_leaves_the_last_server},
+	{"cold server is no lost one", test_cold_server_is_no_lost_one},
 	{"service with more servers", test_service_with_more_servers},
 };
 
