--- a/tests/test_dispatch_hold.c
+++ b/tests/test_dispatch_hold.c
@@ -177,6 +177,7 @@
 	fixture.safe = false;
 	add_server(&fixture, "s0", 2);
 	cold = registry_find(&fixture.registry, STR("s0-2"));
+	cold->service->warmup.bound = 1;
 	registry_set_cold(cold, MSEC(5000), clock_now(&fixture.clock));
 	start_dispatch(&fixture, "/any/");
 	advance(&fixture, 60);
