--- a/review/1/run.py
+++ b/review/1/run.py
@@ -3,6 +3,7 @@
 
 import pathlib
 import sys
+import threading
 import time
 
 HERE = pathlib.Path(__file__).resolve().parent
@@ -24,11 +25,133 @@
 # Below MaxBodyBytes of the configuration, 262144.
 BODY = b"q" * 250000
 N_CALLERS = 8
-N_ROUNDS = 6
 STABLE_S = 4
+# Requests without a body, then some with one.
+PLAIN_S = 60
+N_WITH_BODY = 8
+ENDS_MAX = 8
+RESTART_S = 0.3
 LOST_MAX = 3
 
 
+class Caller(threading.Thread):
+    """An ordinary requester: one unsafe request after the other on a kept
+    connection."""
+
+    def __init__(self, gateway, number):
+        super().__init__(daemon=True)
+        self.gateway, self.number = gateway, number
+        self.statuses = []
+        self.unanswered = []
+        self.stop = False
+        self.start()
+
+    def run(self):
+        caller, used, n = None, 0, 0
+        while not self.stop:
+            n += 1
+            request_id = f"ordinary-{self.number}-{n:04d}"
+            try:
+                if not caller:
+                    caller, used = standins.Caller(self.gateway.front), 0
+            except OSError:
+                time.sleep(0.05)
+                continue
+            status, headers, _ = caller.ask("POST", f"/record/{n}",
+                                            request_id, RECORD_BUDGET_MS,
+                                            b"order")
+            self.statuses.append(status)
+            if not status and used:
+                self.unanswered.append(request_id)
+            used += 1
+            if not status or headers.get("connection") == "close":
+                caller.close()
+                caller = None
+            time.sleep(0.02)
+
+
+class Play:
+    def __init__(self, record, gateway, servers):
+        self.record, self.gateway, self.servers = record, gateway, servers
+        self.callers = []
+        self.n_ends = 0
+        self.n_sent = 0
+
+    def look_up(self, left_ms, method="GET", body=b""):
+        """A request for all parts, on a new connection. Return: its status."""
+        self.n_sent += 1
+        request_id = f"lookup-{self.n_sent:05d}"
+        try:
+            caller = standins.Caller(self.gateway.front)
+        except OSError:
+            return 0
+        status, _, _ = caller.ask(method, f"/lookup/{request_id}", request_id,
+                                  left_ms, body)
+        caller.close()
+        return status
+
+    def restart_if_ended(self, what):
+        """Return: whether the process had ended by itself."""
+        time.sleep(0.001)
+        if self.gateway.process.poll() is None:
+            return False
+        self.n_ends += 1
+        self.record(f"{self.gateway.name} ended by itself, status "
+                    f"{self.gateway.process.returncode}, on {what} with "
+                    f"X-Deadline-Ms {LEFT_MS}")
+        time.sleep(RESTART_S)
+        self.gateway.start()
+        self.gateway.wait_ready()
+        for _ in range(5):
+            self.look_up(TIME_BUDGET_MS)
+        return True
+
+    def phase(self, what, seconds, count, *request):
+        until = time.monotonic() + seconds
+        before, n = self.n_ends, 0
+        while (time.monotonic() < until and n < count
+               and self.n_ends - before < ENDS_MAX):
+            n += 1
+            self.look_up(TIME_BUDGET_MS)
+            self.look_up(LEFT_MS, *request)
+            self.restart_if_ended(what)
+        self.record(f"{n} requests {what} with X-Deadline-Ms {LEFT_MS}: the "
+                    f"process ended {self.n_ends - before} times")
+
+    def run(self):
+        until = time.monotonic() + STABLE_S + 1
+        self.callers = [Caller(self.gateway, n) for n in range(N_CALLERS)]
+        statuses = []
+        while time.monotonic() < until:
+            statuses.append(self.look_up(TIME_BUDGET_MS))
+            time.sleep(0.1)
+        self.record(f"calm for {STABLE_S + 1} s: {statuses.count(200)} of "
+                    f"{len(statuses)} look-ups answered 200")
+        if statuses.count(200) < len(statuses) * 0.9:
+            return 2
+        self.phase("without a body", PLAIN_S, 100000)
+        self.phase("with a body", 20, N_WITH_BODY, "POST", BODY)
+        for caller in self.callers:
+            caller.stop = True
+        for caller in self.callers:
+            caller.join(RECORD_BUDGET_MS / 1000 + 1)
+        return self.judge()
+
+    def judge(self):
+        ran = {r for s in self.servers for _, r in list(s.seen)}
+        lost = [r for c in self.callers for r in c.unanswered if r in ran]
+        statuses = [s for c in self.callers for s in c.statuses]
+        for request_id in lost:
+            self.record(f"{request_id}: passed on to a sound server, its "
+                        f"connection ended without an answer")
+        counts = {s: statuses.count(s) for s in set(statuses)}
+        self.record(f"ordinary requests by answer: {counts}; the process "
+                    f"ended {self.n_ends} times; requests of kept connections "
+                    f"that were passed on to a sound server and lost: "
+                    f"{len(lost)}, {LOST_MAX} are borne")
+        return 1 if len(lost) > LOST_MAX else 0
+
+
 def main():
     record = standins.Record(HERE / "record.txt")
     store = standins.Store()
@@ -58,84 +181,10 @@
             if not gateway.wait_ready():
                 record("not ready")
                 return 2
-            return play(record, gateway, servers)
+            return Play(record, gateway, servers).run()
         finally:
             gateway.end()
 
 
-def look_up(gateway, request_id, left_ms, method="GET", body=b""):
-    """A request for all parts, on a new connection. Return: its status."""
-    caller = standins.Caller(gateway.front)
-    status, _, _ = caller.ask(method, f"/lookup/{request_id}", request_id,
-                              left_ms, body)
-    caller.close()
-    return status
-
-
-def open_callers(gateway, name):
-    """Open connections and use each once, so that they are kept ones."""
-    callers = [standins.Caller(gateway.front) for _ in range(N_CALLERS)]
-    for i, caller in enumerate(callers):
-        caller.send("POST", "/record/warm", f"{name}-{i:02d}",
-                    RECORD_BUDGET_MS, b"order")
-    return callers, [c.read()[0] for c in callers]
-
-
-def play_round(record, gateway, n, callers):
-    """Return the ids of the ordinary requests and their statuses."""
-    ids = [f"ordinary-{n:02d}-{i:02d}" for i in range(len(callers))]
-    for request_id, caller in zip(ids, callers):
-        caller.send("POST", f"/record/{n}", request_id, RECORD_BUDGET_MS,
-                    b"order")
-    time.sleep(0.03)
-    status = look_up(gateway, f"repeat-{n:02d}", LEFT_MS, "POST", BODY)
-    record(f"round {n}: repeat-{n:02d} sent with X-Deadline-Ms {LEFT_MS} and "
-           f"a body of {len(BODY)} bytes: answered "
-           f"{status or 'not, connection ended'}")
-    return [(i, c.read()[0]) for i, c in zip(ids, callers)]
-
-
-def play(record, gateway, servers):
-    n_ends = 0
-    lost = []
-    until = time.monotonic() + STABLE_S + 1
-    callers, statuses = open_callers(gateway, "calm")
-    while time.monotonic() < until:
-        statuses.append(look_up(gateway, f"calm-{len(statuses)}",
-                                TIME_BUDGET_MS))
-        time.sleep(0.1)
-    record(f"calm for {STABLE_S + 1} s: {statuses.count(200)} of "
-           f"{len(statuses)} answered 200")
-    if statuses.count(200) < len(statuses) * 0.9:
-        return 2
-    for n in range(N_ROUNDS):
-        results = play_round(record, gateway, n, callers)
-        ran = {r for s in servers for _, r in list(s.seen)}
-        for request_id, status in results:
-            is_lost = not status and request_id in ran
-            if is_lost:
-                lost.append(request_id)
-            record(f"  {request_id}: "
-                   f"{'at a server' if request_id in ran else 'not sent on'}"
-                   f", {status or 'connection ended without an answer'}")
-        time.sleep(0.3)
-        if gateway.process.poll() is not None:
-            n_ends += 1
-            record(f"{gateway.name} ended by itself, status "
-                   f"{gateway.process.returncode}")
-            gateway.start()
-            if not gateway.wait_ready():
-                return 2
-        for caller in callers:
-            caller.close()
-        callers, _ = open_callers(gateway, f"warm-{n:02d}")
-        for i in range(5):
-            look_up(gateway, f"warm-{n:02d}-lookup-{i}", TIME_BUDGET_MS)
-    record(f"process ends: {n_ends}; requests of kept connections that were "
-           f"passed on to a sound server and lost: {len(lost)}, "
-           f"{LOST_MAX} are borne")
-    return 1 if len(lost) > LOST_MAX else 0
-
-
 if __name__ == "__main__":
     sys.exit(main())
