--- a/review/1/run.py
+++ b/review/1/run.py
@@ -187,4 +187,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    standins.run(main)
--- a/review/2/run.py
+++ b/review/2/run.py
@@ -21,7 +21,9 @@
 SERVES_ON_S = 8
 N_SERVERS = 4
 N_ROUNDS = 6
-RESTART_S = 0.3
+# After the loss: when a server leaves, and when the processes start again.
+LEAVE_S = 0.2
+RESTART_S = 0.35
 WORK_S = 0.12
 PAUSE_S = 0.05
 
@@ -111,12 +113,12 @@
     if standins.TROUBLE:
         for gateway in killed:
             gateway.kill()
-    time.sleep(RESTART_S / 3)
+    time.sleep(LEAVE_S)
     store.remove(f"servers/{leaver.name}")
     leaver.left_at = time.monotonic()
     record(f"{leaver.name} left: its entry is removed, acknowledged by the "
            f"store; it serves on for {SERVES_ON_S} s")
-    time.sleep(RESTART_S * 2 / 3)
+    time.sleep(RESTART_S - LEAVE_S)
     if standins.TROUBLE:
         for gateway in killed:
             gateway.start()
@@ -161,4 +163,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    standins.run(main)
--- a/review/standins.py
+++ b/review/standins.py
@@ -13,10 +13,12 @@
 import socket
 import struct
 import subprocess
+import sys
 import tempfile
 import threading
 import time
 import tomllib
+import traceback
 import urllib.parse
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
@@ -390,3 +392,15 @@
 
 def temporary_folder():
     return tempfile.TemporaryDirectory(prefix="garnetreach-review-")
+
+
+def run(main):
+    """Run a case: a signal or an error ends its processes, and it exits with
+    2."""
+    signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(2))
+    try:
+        status = main()
+    except Exception:
+        traceback.print_exc()
+        status = 2
+    sys.exit(status)
