--- a/review/1/run.py
+++ b/review/1/run.py
@@ -64,7 +64,7 @@
             if not status and used:
                 self.unanswered.append(request_id)
             used += 1
-            if not status or headers.get("connection") == "close":
+            if status <= 0 or headers.get("connection") == "close":
                 caller.close()
                 caller = None
             time.sleep(0.02)
--- a/review/2/run.py
+++ b/review/2/run.py
@@ -69,7 +69,7 @@
             status, headers, _ = caller.ask("POST", f"/record/{n}",
                                             request_id, BUDGET_MS, b"order")
             self.results[request_id] = status
-            if not status or headers.get("connection") == "close":
+            if status <= 0 or headers.get("connection") == "close":
                 caller.close()
                 caller = None
             time.sleep(PAUSE_S)
--- a/review/standins.py
+++ b/review/standins.py
@@ -365,7 +365,8 @@
         self.socket.sendall(head.encode() + b"\r\n" + body)
 
     def read(self):
-        """Return (status, headers, body); status 0: no whole answer."""
+        """Return (status, headers, body); status 0: the connection ended
+        without a whole answer, -1: it stays open without one."""
         try:
             head = read_head(self.stream)
             if not head:
@@ -375,6 +376,8 @@
             if len(body) < int(headers.get("content-length", 0)):
                 return 0, {}, b""
             return int(line.split()[1]), headers, body
+        except TimeoutError:
+            return -1, {}, b""
         except OSError:
             return 0, {}, b""
 
