view_share: log what peers ask for and what they get

An instance that keeps a server which the store has removed may have been sent changes that lack the removal, may hold the removal back since a complete view came, or may have dropped it as older. The logs showed only the second of these (server_gone, not_back).

view_requested tells at the sender which revision a peer has, whether it gets changes or a complete view, and from where the sender's history reaches. view_received tells at the receiver of complete views and of changes that it can't build on. Both are rare: nothing is logged for the changes that are sent as they occur.

--- a/view_share.c
+++ b/view_share.c
@@ -302,6 +302,17 @@
 	view_update_finish(&update);
 }
 
+/* @n: changes that are sent; below 0: a complete view is. */
+static void log_requested(const struct view_share *share, const char *member,
+			  const Peer__ViewRequest *message, int n)
+{
+	LOG_INFO("view_requested", LOG_TEXT("peer", member),
+		 LOG_U64("since", message->servers_at), LOG_I64("changes", n),
+		 LOG_U64("history_from", share->changes_since),
+		 LOG_U64("store_revision",
+			 share->sync->feeds[STORE_SERVERS].revision));
+}
+
 void view_share_request(struct view_share *share, const char *member,
 			const Peer__ViewRequest *message)
 {
@@ -317,8 +328,10 @@
 	if (message->servers_at && !feed->revision)
 		return;
 	n = view_update_count_changes(share, message->servers_at);
-	if (!message->servers_at || message->store_era != share->sync->era ||
-	    n < 0) {
+	if (!message->servers_at || message->store_era != share->sync->era)
+		n = -1;
+	log_requested(share, member, message, n);
+	if (n < 0) {
 		send_snapshot(share, member);
 		return;
 	}
@@ -403,6 +416,23 @@
 		view_send_other_centres(share, &update);
 }
 
+static void log_received(const struct view_share *share, const char *member,
+			 const Peer__ViewUpdate *message, int ret)
+{
+	const struct store_feed *feed = &share->sync->feeds[STORE_SERVERS];
+
+	if (!message->whole && !ret)
+		return;
+	LOG_INFO("view_received", LOG_TEXT("peer", member),
+		 LOG_I64("whole", message->whole),
+		 LOG_TEXT("error", error_name(ret)),
+		 LOG_U64("from", message->servers_from),
+		 LOG_U64("peer_revision", message->servers_at),
+		 LOG_U64("store_revision", feed->revision),
+		 LOG_I64("held_back",
+			 server_view_holds_back(&share->sync->servers)));
+}
+
 int view_share_update(struct view_share *share, const char *member,
 		      const Peer__ViewUpdate *message)
 {
@@ -420,6 +450,7 @@
 	ret = view_apply(share, member, message, body);
 	if (body)
 		peer__view_body__free_unpacked(body, NULL);
+	log_received(share, member, message, ret);
 	/*
 	 * If this instance already had a view of the same era, so has its data
 	 * centre: a complete view need not be forwarded.
