upstream: never call back from within a send

Cause: upstream_send() read the clock and allowed the send, then write_request() read it again and, if the deadline had passed between the two, ended the exchange. That called back into a request whose own send had not returned: it was answered and freed, and send_job() wrote to the freed exchange, send_to() and dispatch_start() went on with the freed request. A build with AddressSanitizer shows just that, six times in 20 s: the use in exchange_on_end(), called by send_job(), and the free below fail_conn(), write_request() and upstream_send() of the same send. The other two hypotheses, a released connection that starts a queued request within the send, and the time-out's timer, don't show in any of the traces.

The clock is read once in a send, and write_request() can't fail any more. upstream.h now says as a contract what was meant: a send either fails and calls nothing back, or succeeds and calls back from the event loop. The starts above it (server_queue, dispatch, relay_ask, crash_watch) say so too.

Tests, before the fix: test_upstream "deadline passes within send" failed in two of its 12 deadlines (four assertions); test_little_time failed in both runs on a build with sanitizers (process ended). Both pass now. test_upstream also guards the connect that fails at once, which already kept the contract.

--- a/crash_watch.h
+++ b/crash_watch.h
@@ -30,7 +30,8 @@
 /**
  * struct crash_watch_ops - callbacks
  * @probe: open a connection to a server and keep it; the result is passed to
- *	crash_watch_connected(). Return: 0, or an error if that isn't possible
+ *	crash_watch_connected() after it has returned. Return: 0, or an error if
+ *	that isn't possible
  * @wake: call crash_watch_tick() at the given time or earlier
  */
 struct crash_watch_ops {
--- a/dispatch.h
+++ b/dispatch.h
@@ -164,7 +164,8 @@
 /**
  * struct dispatch_ops - callbacks of the owner
  * @send: send a part to a server. Return: 0 with @send->handle set; or an
- *	error, nothing was sent
+ *	error, nothing was sent. Must not call dispatch_result() before it
+ *	returns, which may free the request
  * @abandon: the answer of a send is no longer needed
  * @is_queued: whether a send is still queued in this instance, so that it
  *	certainly has not run; NULL: sends are never queued
--- a/relay_ask.h
+++ b/relay_ask.h
@@ -118,7 +118,8 @@
  * @instance: name of the relay; NULL to use the best one in @data_centre
  * @handle: set to a handle for relay_ask_abandon()
  *
- * relay_ask_flush() sends it.
+ * relay_ask_flush() sends it. Neither calls the client back: results come from
+ * the event loop.
  *
  * Return: 0, or ERR_UNAVAILABLE if there is no such relay.
  */
--- a/server_queue.h
+++ b/server_queue.h
@@ -82,7 +82,8 @@
 /**
  * struct server_queue_ops - operations of the owner
  * @send: send a request now. Return: 0 with @job->handle set to any value;
- *	otherwise an error as from upstream_send()
+ *	otherwise an error as from upstream_send(). Must not call
+ *	server_job_done() or server_queue_capacity_freed() before it returns
  * @abandon: see server_job_abandon()
  * @hurry: see server_job_hurry()
  * @under_way: number of requests of this instance in progress at a server
@@ -138,8 +139,8 @@
  * @rank: copied
  * @deadline: microseconds
  * @connections_max: as of upstream_send()
- * @cb: as of upstream_send(); ERR_OVERLOAD: not sent, as it would not have been
- *	answered in time
+ * @cb: as of upstream_send(), never called before this function has returned;
+ *	ERR_OVERLOAD: not sent, as it would not have been answered in time
  * @arg: passed to @cb
  * @out: valid until @cb is called or the job is abandoned
  *
--- a/upstream.c
+++ b/upstream.c
@@ -341,17 +341,23 @@
 		fail_conn(conn, ret);
 }
 
-static void write_request(struct upstream_conn *conn)
+/* The server is told the time that is left in whole milliseconds. */
+static bool has_time_left(int64_t left)
+{
+	return left >= USEC_PER_MSEC;
+}
+
+/*
+ * Can't fail: it also runs within upstream_send(), which must not call back.
+ *
+ * @left: until the deadline, microseconds
+ */
+static void write_request(struct upstream_conn *conn, int64_t left)
 {
 	const struct upstream_header_names *names = conn->upstream->names;
 	struct exchange *exchange = conn->exchange;
 	struct evbuffer *out = bufferevent_get_output(conn->bev);
-	int64_t left = exchange->deadline - clock_now(conn->upstream->clock);
 
-	if (left < USEC_PER_MSEC) {
-		fail_conn(conn, ERR_TOO_LATE);
-		return;
-	}
 	conn->state = CONN_BUSY;
 	conn->message.no_body = exchange->is_head;
 	evbuffer_remove_buffer(exchange->out, out, exchange->head_len);
@@ -400,6 +406,18 @@
 			 LOG_I64("for_ms", cold_for / USEC_PER_MSEC));
 }
 
+/* Called from the event loop, unlike upstream_send(). */
+static void write_or_fail(struct upstream_conn *conn)
+{
+	int64_t left =
+		conn->exchange->deadline - clock_now(conn->upstream->clock);
+
+	if (has_time_left(left))
+		write_request(conn, left);
+	else
+		fail_conn(conn, ERR_TOO_LATE);
+}
+
 static void on_connected(struct upstream_conn *conn)
 {
 	struct exchange_result result = {.not_run = true};
@@ -414,7 +432,7 @@
 	observe_connected(upstream, conn->server, CRASH_EVIDENCE_LISTENS);
 	result.code = check_may_write(conn);
 	if (!result.code) {
-		write_request(conn);
+		write_or_fail(conn);
 		return;
 	}
 	/* Nothing is sent, and the connection is kept. */
@@ -577,10 +595,12 @@
 	struct upstream_conn *conn =
 		upstream_find_idle(upstream, server,
 				   request->needs_recent_conn);
-	bool cold = registry_is_cold(server, clock_now(upstream->clock));
+	int64_t now = clock_now(upstream->clock);
+	bool cold = registry_is_cold(server, now);
+	int64_t left = deadline - now;
 	int ret;
 
-	if (deadline - clock_now(upstream->clock) < USEC_PER_MSEC)
+	if (!has_time_left(left))
 		return ERR_TOO_LATE;
 	if (!conn && !upstream_may_open(upstream, server, connections_max))
 		return ERR_BUDGET;
@@ -598,7 +618,7 @@
 	*out = conn->exchange;
 	server_score_sent(&server->score, conn->exchange->sent_at);
 	if (conn->state == CONN_IDLE)
-		write_request(conn);
+		write_request(conn, left);
 	else
 		set_timer(conn, upstream->limits.connect_timeout);
 	return 0;
--- a/upstream.h
+++ b/upstream.h
@@ -169,6 +169,10 @@
  * @cb: called once, after this function has returned, unless abandoned
  * @out: set to the exchange, valid until @cb is called or it is abandoned
  *
+ * A send either fails, and nothing is called back, or succeeds, and all
+ * callbacks, the observer's and on_released included, come from the event loop.
+ * So nothing of the caller's is freed within its own call.
+ *
  * Return: 0; ERR_TOO_LATE if the deadline has passed; ERR_BUDGET if all
  * connections to the server are in use; ERR_DRAINING if it accepts no new
  * requests; ERR_COLD if it is cold and may not get another request now;
