view_share: answer no request from before the first complete view

Cause: a process that has just started had recorded the additions of its first list, but no removal from before. Its history claimed to reach back to revision 0 (changes_since), so that a peer which asked for what changed since an older revision got the additions alone, took its view for complete up to the sender's revision, and watched the store from there.

The history now begins with the first complete view, as after a change of the store's era, and an older revision gets a complete view.

Test: "removed while reader restarts" (test_view_share) plays 50 phases of the readers' period; before, the server was still there after 7 s in 16 of them, now in none.

--- a/tests/test_view_share.c
+++ b/tests/test_view_share.c
@@ -173,6 +173,49 @@
 	cluster_finish(&cluster);
 }
 
+#define RESTART_MS 200
+
+/* It reads the store before it knows of the others. */
+static void restart_alone(struct cluster *cluster, int i)
+{
+	node_stop(&cluster->nodes[i]);
+	node_start(cluster, i);
+	cluster_advance(cluster, RESTART_MS);
+	cluster_update_members(cluster);
+}
+
+/* Return: whether all know of it @within_ms after the store does. */
+static bool is_removal_known(int64_t after_ms, int64_t within_ms)
+{
+	struct cluster cluster;
+	int reader;
+	int n;
+
+	cluster_init(&cluster, 4);
+	cluster_advance(&cluster, 5000 + after_ms);
+	reader = cluster_reader(&cluster);
+	cluster.nodes[reader].dead = true;
+	cluster_advance(&cluster, 200);
+	cluster.removed_at = ++cluster.revision;
+	restart_alone(&cluster, reader);
+	cluster_advance(&cluster, within_ms - RESTART_MS);
+	n = cluster_count_with_server(&cluster);
+	cluster_finish(&cluster);
+	return !n;
+}
+
+/* Guards against survivors of a loss that keep a removed server for good. */
+static void test_removed_while_reader_restarts(void)
+{
+	int64_t ms;
+
+	for (ms = 0; ms < 1000; ms += 20) {
+		if (!is_removal_known(ms, 7000))
+			printf("\nnot known after 7 s, phase %d", (int)ms);
+		CU_ASSERT(is_removal_known(ms, 7000));
+	}
+}
+
 /*
  * 300 instances start at once. If each read all pages of the store, it would
  * refuse most calls; the first must read and send to the others.
@@ -551,6 +594,7 @@
 static const struct unit_test tests[] = {
 	{"calls do not grow with the fleet", test_calls_do_not_grow},
 	{"all hear", test_all_hear},
+	{"removed while reader restarts", test_removed_while_reader_restarts},
 	{"all start at once", test_all_start},
 	{"all read at once", test_all_read},
 	{"the reader is lost", test_reader_lost},
--- a/view_share.c
+++ b/view_share.c
@@ -61,6 +61,8 @@
 		 str_from(data_centre));
 	share->requested_at = INT64_MIN / 2;
 	share->snapshot_period_start = INT64_MIN / 2;
+	/* Removals from before the first complete view are not known. */
+	share->changes_since = UINT64_MAX;
 }
 
 void view_share_finish(struct view_share *share)
--- a/view_share.h
+++ b/view_share.h
@@ -85,8 +85,8 @@
  * @cap_members: allocated length
  * @rank: of this instance among @members
  * @era: the store's era that all following fields belong to
- * @changes_since: changes before this revision are not among @changes;
- *	UINT64_MAX: none was recorded in this era
+ * @changes_since: changes up to this revision are not among @changes, as the
+ *	first complete view in this era was of it; UINT64_MAX: there is none yet
  * @sent_version: version of the routes that were sent last
  * @sent_revision: revision of the servers that were sent last; 0: none. The
  *	first complete view counts as sent even if it was received
