store_sync: hold removals back only if the store may have been away

Cause: an instance that had a view and got a complete one of a peer took the store for just returned (server_view_store_returned()). Servers that the complete view lacks were kept for 2.3 s, though the store had never been away. That guard is for a peer that has started while entries of running servers had expired, and knows less than this instance does.

Whether the store may have been away is known here without the peer: no instance is known to have reached it for VIEW_AGE_MAX, the bound that calls of this instance already use. Now the same bound holds for a complete view, and for the first word of a peer that the store answers again, so that an instance which reads nothing itself holds removals back after an outage, too.

Tests (test_store_order): "complete view removes at once" failed before; "complete view after store was away" and "complete view after peer reached store" passed before and guard what the removed line was for.

--- a/store_sync.c
+++ b/store_sync.c
@@ -189,15 +189,30 @@
 }
 
 /*
- * The peer may have started while entries had expired, and know fewer servers
- * than are running: those missing in its view are removed only after a delay.
+ * No instance is known to have reached the store for VIEW_AGE_MAX: it may have
+ * been down, though no call of this instance failed.
  */
-void store_sync_end_snapshot(struct store_sync *sync, uint64_t at)
+static bool is_view_outdated(const struct store_sync *sync)
 {
-	struct store_feed *feed = &sync->feeds[STORE_SERVERS];
+	int64_t at = sync->feeds[STORE_SERVERS].fresh_at;
 
-	if (feed->fresh_at >= 0)
+	return at >= 0 && clock_now(sync->clock) - at > VIEW_AGE_MAX;
+}
+
+/*
+ * The store was reached, by this instance or a peer. If it was away, entries of
+ * running servers may have expired, and a peer that has started since knows
+ * fewer servers than are running.
+ */
+static void note_store_reached(struct store_sync *sync)
+{
+	if (is_view_outdated(sync))
 		server_view_store_returned(&sync->servers);
+}
+
+void store_sync_end_snapshot(struct store_sync *sync, uint64_t at)
+{
+	note_store_reached(sync);
 	server_view_end_list(&sync->servers, at);
 }
 
@@ -214,8 +229,11 @@
 
 	if (at > feed->revision)
 		feed->revision = at;
-	if (fresh_at > feed->fresh_at)
+	if (fresh_at > feed->fresh_at) {
+		if (topic == STORE_SERVERS)
+			note_store_reached(sync);
 		feed->fresh_at = fresh_at;
+	}
 	set_known(sync, feed);
 	/* A watch needs a revision to start from. */
 	if (!feed->revision)
@@ -253,17 +271,6 @@
 		cordon_sync_end_list(&sync->cordons, feed->list_revision);
 }
 
-/*
- * No instance is known to have reached the store for VIEW_AGE_MAX: it may have
- * been down, though no call of this instance failed.
- */
-static bool is_view_outdated(const struct store_sync *sync)
-{
-	int64_t at = sync->feeds[STORE_SERVERS].fresh_at;
-
-	return at >= 0 && clock_now(sync->clock) - at > VIEW_AGE_MAX;
-}
-
 /*
  * The store answered. If a call of either topic had failed, the store was down
  * for both, and entries of running servers may have expired.
@@ -280,8 +287,9 @@
 	if (was_failing)
 		LOG_INFO("store_regained", LOG_I64("topic", feed->topic),
 			 LOG_I64("failures", feed->failures));
-	if (was_failing || is_view_outdated(sync))
+	if (was_failing)
 		server_view_store_returned(&sync->servers);
+	note_store_reached(sync);
 }
 
 static void call_failed(struct store_sync *sync, struct store_feed *feed,
--- a/store_sync.h
+++ b/store_sync.h
@@ -194,6 +194,8 @@
  * complete view
  * @sync: the state of this instance
  * @at: store revision at which that view was complete
+ *
+ * They are kept for a while if the store may have been away.
  */
 void store_sync_end_snapshot(struct store_sync *sync, uint64_t at);
 
--- a/tests/test_store_order.c
+++ b/tests/test_store_order.c
@@ -180,6 +180,70 @@
 	fixture_finish(&fixture);
 }
 
+static void receive_complete_view_of_a(struct fixture *fixture, uint64_t at)
+{
+	store_sync_begin_snapshot(&fixture->sync);
+	receive_listed(fixture, "a", 1);
+	store_sync_end_snapshot(&fixture->sync, at);
+	confirm(fixture, STORE_SERVERS, at);
+}
+
+/* Guards against a removed server that is kept as a peer sent all others. */
+static void test_complete_view_removes_at_once(void)
+{
+	struct fixture fixture;
+
+	fixture_init(&fixture);
+	fixture_answer_routes(&fixture, 1);
+	fixture_answer_servers(&fixture);
+	store_sync_set_max_view_age(&fixture.sync, MSEC(4000), 20);
+	fixture_advance(&fixture, 2300);
+	receive_complete_view_of_a(&fixture, 20);
+	CU_ASSERT(fixture_has_server(&fixture, "a"));
+	CU_ASSERT(!fixture_has_server(&fixture, "b"));
+	fixture_finish(&fixture);
+}
+
+/*
+ * Guards against servers that are lost as a peer, which has just started, sent
+ * a view from before they wrote their expired entries again.
+ */
+static void test_complete_view_after_store_was_away(void)
+{
+	struct fixture fixture;
+
+	fixture_init(&fixture);
+	fixture_answer_routes(&fixture, 1);
+	fixture_answer_servers(&fixture);
+	store_sync_set_max_view_age(&fixture.sync, MSEC(4000), 20);
+	fixture_advance(&fixture, 2700);
+	receive_complete_view_of_a(&fixture, 20);
+	fixture_advance(&fixture, 2000);
+	CU_ASSERT(fixture_has_server(&fixture, "b"));
+	fixture_advance(&fixture, 400);
+	CU_ASSERT(!fixture_has_server(&fixture, "b"));
+	fixture_finish(&fixture);
+}
+
+/* Guards against the same if another peer reached the store a bit earlier. */
+static void test_complete_view_after_peer_reached_store(void)
+{
+	struct fixture fixture;
+
+	fixture_init(&fixture);
+	fixture_answer_routes(&fixture, 1);
+	fixture_answer_servers(&fixture);
+	store_sync_set_max_view_age(&fixture.sync, MSEC(4000), 20);
+	fixture_advance(&fixture, 2700);
+	confirm(&fixture, STORE_SERVERS, 19);
+	fixture_advance(&fixture, 500);
+	receive_complete_view_of_a(&fixture, 20);
+	CU_ASSERT(fixture_has_server(&fixture, "b"));
+	fixture_advance(&fixture, 2400);
+	CU_ASSERT(!fixture_has_server(&fixture, "b"));
+	fixture_finish(&fixture);
+}
+
 /*
  * All servers are replaced at once. If some removals were forgotten to
  * make room for others, older entries from peers would bring servers back.
@@ -485,6 +549,11 @@
 	{"entries of peers during a list", test_entries_during_list},
 	{"a complete view lacks a newer server",
 	 test_complete_view_lacks_newer_server},
+	{"complete view removes at once", test_complete_view_removes_at_once},
+	{"complete view after store was away",
+	 test_complete_view_after_store_was_away},
+	{"complete view after peer reached store",
+	 test_complete_view_after_peer_reached_store},
 	{"many removals are remembered", test_many_removals},
 };
 
