server_view: take no older entry of a server that has left

Cause: an instance that starts after a removal lists the store without the server, and has no record of the removal. A peer's older view then brought the server back, and the removal lay before the revision from which the instance watches the store. As the first in rank it even sent the server on to all others, in complete views.

A view that is complete up to a revision lacks each server whose entry is as old as that only if it has left. Such entries of peers are dropped now, and logged (server_word_dropped, why "left").

Test: "older view after list" (test_view_order) failed before.

--- a/server_view.c
+++ b/server_view.c
@@ -93,6 +93,16 @@
 		 LOG_U64("known_revision", known_at));
 }
 
+bool server_view_has_left(const struct server_view *view, const char *id,
+			  uint64_t changed_at, uint64_t complete_to)
+{
+	if (!complete_to || changed_at > complete_to ||
+	    registry_find(view->registry, str_from(id)))
+		return false;
+	log_ignored_update(id, "entry", "left", changed_at, complete_to);
+	return true;
+}
+
 static const char *state_name(const struct server_entry *entry)
 {
 	return entry->draining ? "draining" : "ready";
--- a/server_view.h
+++ b/server_view.h
@@ -87,6 +87,20 @@
  */
 bool server_view_needs_full_list(const struct server_view *view);
 
+/**
+ * server_view_has_left() - whether an entry of a peer is of a server that has
+ * left
+ * @view: the view
+ * @id: of the server
+ * @changed_at: store revision of the entry
+ * @complete_to: store revision up to which @view has all changes; 0: none
+ *
+ * A view without the server, complete up to the entry's revision, is from after
+ * the removal, even if it started too late to see the removal itself.
+ */
+bool server_view_has_left(const struct server_view *view, const char *id,
+			  uint64_t changed_at, uint64_t complete_to);
+
 /**
  * server_view_put() - apply a server's entry from the store or a peer
  * @view: the view
--- a/tests/test_view_order.c
+++ b/tests/test_view_order.c
@@ -282,6 +282,19 @@
 	cluster_finish(&cluster);
 }
 
+/* Guards against an older view that brings back a server that has left. */
+static void test_older_view_after_list(void)
+{
+	struct cluster cluster;
+
+	cluster_init(&cluster, 2);
+	cluster.removed_at = ++cluster.revision;
+	cluster_advance(&cluster, 5000);
+	node_receive_server(&cluster.nodes[0], 0, 1, cluster.removed_at - 1);
+	CU_ASSERT_EQUAL(cluster_count_with_server(&cluster), 0);
+	cluster_finish(&cluster);
+}
+
 static const struct unit_test tests[] = {
 	{"leaves while the store is silent", test_leaves_while_store_is_silent},
 	{"many changes", test_many_changes},
@@ -290,6 +303,7 @@
 	{"gone with the copy", test_gone_with_the_copy},
 	{"the store goes back often", test_store_goes_back_often},
 	{"a peer of an earlier era", test_peer_of_earlier_era},
+	{"older view after list", test_older_view_after_list},
 };
 
 UNIT_MAIN("view_order", tests)
--- a/view_apply.c
+++ b/view_apply.c
@@ -7,16 +7,19 @@
 static void apply_row(struct view_share *share, const Peer__ViewServer *row,
 		      bool listing)
 {
+	uint64_t complete_to = share->sync->feeds[STORE_SERVERS].revision;
+	struct server_view *view = &share->sync->servers;
 	struct server_entry entry;
 
 	/* From an earlier era, retained by the peer until it reads a list. */
-	if (!row->changed_at && share->sync->feeds[STORE_SERVERS].revision)
+	if (!row->changed_at && complete_to)
 		return;
 	if (row->removed) {
-		server_view_remove(&share->sync->servers, row->id,
-				   row->changed_at, "peer");
+		server_view_remove(view, row->id, row->changed_at, "peer");
 		return;
 	}
+	if (server_view_has_left(view, row->id, row->changed_at, complete_to))
+		return;
 	memset(&entry, 0, sizeof(entry));
 	str_copy(entry.id, sizeof(entry.id), str_from(row->id));
 	str_copy(entry.service, sizeof(entry.service), str_from(row->service));
@@ -30,10 +33,9 @@
 	if (address_parse(str_from(row->address), &entry.address))
 		return;
 	if (listing)
-		server_view_list(&share->sync->servers, &entry,
-				 row->changed_at);
+		server_view_list(view, &entry, row->changed_at);
 	else
-		server_view_put(&share->sync->servers, &entry, row->changed_at);
+		server_view_put(view, &entry, row->changed_at);
 }
 
 static int64_t confirmed_at(const struct view_share *share, uint32_t age)
