view_share: changes are complete only for servers that the sender knew

A message "all changes since R" was taken for complete, though its sender may never have known a server that the receiver knows: - a removal of a server that was not known was remembered, but not recorded as a change, and so not passed on; - a list or a complete view shows which servers are there now, not which came and went since the view before; after it, changes since a revision in between can't be told.

Now removals of unknown servers are recorded; each feed knows the gap that its last list or complete view left (store_feed_has_changes()), and a request from within it gets a complete view; and a receiver that knows a server which was created within the range of the message, but has no row in it, asks for a complete view (ERR_CONFLICT). The last check reads all servers only if the receiver has changes newer than the message's start, which is rare. changes_since of view_share went into the feeds.

Tests (test_view_order): "removal of server never known", "gone between lists" and "changes lack server" failed before.

--- a/registry.c
+++ b/registry.c
@@ -178,8 +178,8 @@
 	return NULL;
 }
 
-static bool was_removed(const struct registry *registry, struct str id,
-			uint64_t changed_at)
+bool registry_was_removed(const struct registry *registry, struct str id,
+			  uint64_t changed_at)
 {
 	const struct registry_removed *removed = find_removed(registry, id);
 
@@ -234,7 +234,8 @@
 		registry_find(registry, str_from(entry->id));
 
 	if (!server)
-		return was_removed(registry, str_from(entry->id), changed_at)
+		return registry_was_removed(registry, str_from(entry->id),
+					    changed_at)
 			       ? REGISTRY_REMOVED
 			       : REGISTRY_NEWER;
 	if (changed_at < server->changed_at)
--- a/registry.h
+++ b/registry.h
@@ -362,6 +362,15 @@
 bool registry_remove(struct registry *registry, struct str id,
 		     uint64_t changed_at);
 
+/**
+ * registry_was_removed() - whether a removal is remembered
+ * @registry: the registry
+ * @id: server id
+ * @changed_at: store revision of the removal, or of an earlier entry
+ */
+bool registry_was_removed(const struct registry *registry, struct str id,
+			  uint64_t changed_at);
+
 /**
  * registry_enter_era() - start a new era, in which store revisions restart
  * @registry: the registry
--- a/server_view.c
+++ b/server_view.c
@@ -113,14 +113,19 @@
 {
 	const struct registry_server *server =
 		registry_find(view->registry, str_from(id));
+	bool is_repeated =
+		registry_was_removed(view->registry, str_from(id), changed_at);
 
 	if (server && changed_at < server->changed_at)
 		log_ignored_update(id, "removal", "older", changed_at,
 				   server->changed_at);
-	if (!registry_remove(view->registry, str_from(id), changed_at))
+	if (registry_remove(view->registry, str_from(id), changed_at))
+		LOG_INFO("server_gone", LOG_TEXT("server", id),
+			 LOG_TEXT("why", why),
+			 LOG_U64("store_revision", changed_at));
+	else if (server || is_repeated)
 		return;
-	LOG_INFO("server_gone", LOG_TEXT("server", id), LOG_TEXT("why", why),
-		 LOG_U64("store_revision", changed_at));
+	/* Peers may know the server even if this instance never did. */
 	view->ops->changed(view->arg, id, changed_at, true);
 }
 
--- a/store_sync.c
+++ b/store_sync.c
@@ -140,6 +140,9 @@
 static void restart_topic(struct store_sync *sync, struct store_feed *feed)
 {
 	feed->revision = 0;
+	feed->history_from = 0;
+	feed->gap_from = 0;
+	feed->gap_to = 0;
 	feed->listed = false;
 	feed->listing = false;
 	feed->list_from[0] = '\0';
@@ -210,8 +213,29 @@
 		server_view_store_returned(&sync->servers);
 }
 
+/* A complete list or view up to @to follows the present one. */
+static void note_gap(struct store_feed *feed, uint64_t to)
+{
+	if (to <= feed->revision)
+		return;
+	feed->history_from = feed->gap_to;
+	feed->gap_from = feed->revision;
+	feed->gap_to = to;
+}
+
+bool store_feed_has_changes(const struct store_feed *feed, uint64_t since)
+{
+	if (!feed->revision)
+		return false;
+	return since >= feed->gap_to ||
+	       (since >= feed->history_from && since <= feed->gap_from);
+}
+
 void store_sync_end_snapshot(struct store_sync *sync, uint64_t at)
 {
+	struct store_feed *feed = &sync->feeds[STORE_SERVERS];
+
+	note_gap(feed, at);
 	note_store_reached(sync);
 	server_view_end_list(&sync->servers, at);
 }
@@ -264,6 +288,7 @@
 	feed->list_from[0] = '\0';
 	feed->listing = false;
 	feed->listed = true;
+	note_gap(feed, feed->list_revision);
 	feed->revision = feed->list_revision;
 	if (feed->topic == STORE_SERVERS)
 		server_view_end_list(&sync->servers, feed->revision);
--- a/store_sync.h
+++ b/store_sync.h
@@ -41,6 +41,11 @@
  * @listing: the list is being read, its next page starts after @list_from
  * @is_failing: the last call failed
  * @revision: store revision up to which all changes are known
+ * @gap_from: revision before the last complete list or view, the store's or a
+ *	      peer's; what came and went between the two is not known here
+ * @gap_to: revision of that list or view
+ * @history_from: the same as @gap_to for the one before it; from there to
+ *		  @gap_from all changes are known
  * @list_revision: store revision of the first page of the list that is being
  *		   read
  * @list_from: last key of the previous page, empty for the first
@@ -59,6 +64,9 @@
 	bool listing;
 	bool is_failing;
 	uint64_t revision;
+	uint64_t history_from;
+	uint64_t gap_from;
+	uint64_t gap_to;
 	uint64_t list_revision;
 	char list_from[STORE_KEY_SIZE];
 	int64_t next_at;
@@ -209,6 +217,13 @@
 void store_sync_confirm(struct store_sync *sync, enum store_topic topic,
 			uint64_t at, int64_t fresh_at);
 
+/**
+ * store_feed_has_changes() - whether all changes since a revision are known
+ * @feed: the sync state of a topic
+ * @since: store revision
+ */
+bool store_feed_has_changes(const struct store_feed *feed, uint64_t since);
+
 /**
  * store_sync_ready() - whether routes and servers are known
  * @sync: the state of this instance
--- a/tests/test_view_order.c
+++ b/tests/test_view_order.c
@@ -4,6 +4,7 @@
  */
 #include <stdio.h>
 
+#include "error.h"
 #include "unit.h"
 #include "view_cluster.h"
 
@@ -282,6 +283,24 @@
 	cluster_finish(&cluster);
 }
 
+static void put_ghost(struct node *node, uint64_t created_at)
+{
+	struct server_entry entry = {
+		.id = "ghost",
+		.service = "s",
+		.slots = 1,
+		.created_at = (int64_t)created_at,
+	};
+
+	address_parse(STR("127.0.0.1:1"), &entry.address);
+	server_view_put(&node->sync.servers, &entry, created_at);
+}
+
+static bool knows_ghost(const struct node *node)
+{
+	return registry_find(&node->registry, STR("ghost"));
+}
+
 /* Guards against an older view that brings back a server that has left. */
 static void test_older_view_after_list(void)
 {
@@ -295,6 +314,100 @@
 	cluster_finish(&cluster);
 }
 
+static struct store_feed *servers_of(struct node *node)
+{
+	return &node->sync.feeds[STORE_SERVERS];
+}
+
+/* The other node learns of the ghost; the reader is past its removal. */
+static void create_ghost(struct cluster *cluster, struct node *reader,
+			 struct node *other)
+{
+	cluster->revision++;
+	put_ghost(other, cluster->revision);
+	servers_of(other)->revision = cluster->revision;
+	cluster->revision++;
+	CU_ASSERT(knows_ghost(other) && !knows_ghost(reader));
+}
+
+static void request_changes(struct node *reader, const struct node *other)
+{
+	Peer__ViewRequest request = PEER__VIEW_REQUEST__INIT;
+
+	request.servers_at = other->sync.feeds[STORE_SERVERS].revision;
+	request.routes_version = other->sync.routes->version;
+	view_share_request(&reader->share, other->name, &request);
+}
+
+/*
+ * Guards against a server that stays in a view as the instance that told of its
+ * removal had never known it.
+ */
+static void test_removal_of_server_never_known(void)
+{
+	struct cluster cluster;
+	struct node *reader;
+	struct node *other;
+
+	cluster_init(&cluster, 2);
+	cluster_advance(&cluster, 5000);
+	reader = &cluster.nodes[cluster_reader(&cluster)];
+	other = &cluster.nodes[1 - cluster_reader(&cluster)];
+	create_ghost(&cluster, reader, other);
+	server_view_remove(&reader->sync.servers, "ghost", cluster.revision,
+			   "peer");
+	servers_of(reader)->revision = cluster.revision;
+	request_changes(reader, other);
+	CU_ASSERT(!knows_ghost(other));
+	cluster_finish(&cluster);
+}
+
+/* Guards against the same after the store has discarded its history. */
+static void test_gone_between_lists(void)
+{
+	struct cluster cluster;
+	struct node *reader;
+	struct node *other;
+
+	cluster_init(&cluster, 2);
+	cluster_advance(&cluster, 5000);
+	reader = &cluster.nodes[cluster_reader(&cluster)];
+	other = &cluster.nodes[1 - cluster_reader(&cluster)];
+	other->dead = true;
+	create_ghost(&cluster, reader, other);
+	cluster.compacted = cluster.revision;
+	cluster_advance(&cluster, 2000);
+	CU_ASSERT_EQUAL(servers_of(reader)->revision, cluster.revision);
+	other->dead = false;
+	request_changes(reader, other);
+	CU_ASSERT(!knows_ghost(other));
+	cluster_finish(&cluster);
+}
+
+/* Guards against the same if the sender's message reaches back far enough. */
+static void test_changes_lack_server(void)
+{
+	Peer__ViewUpdate message = PEER__VIEW_UPDATE__INIT;
+	struct cluster cluster;
+	struct node *reader;
+	struct node *other;
+
+	cluster_init(&cluster, 2);
+	cluster_advance(&cluster, 5000);
+	reader = &cluster.nodes[cluster_reader(&cluster)];
+	other = &cluster.nodes[1 - cluster_reader(&cluster)];
+	message.servers_from = cluster.revision;
+	create_ghost(&cluster, reader, other);
+	servers_of(reader)->revision = cluster.revision;
+	message.servers_at = cluster.revision;
+	message.routes_version = other->sync.routes->version;
+	CU_ASSERT_EQUAL(view_share_update(&other->share, reader->name,
+					  &message),
+			ERR_CONFLICT);
+	CU_ASSERT(!knows_ghost(other));
+	cluster_finish(&cluster);
+}
+
 static const struct unit_test tests[] = {
 	{"leaves while the store is silent", test_leaves_while_store_is_silent},
 	{"many changes", test_many_changes},
@@ -304,6 +417,9 @@
 	{"the store goes back often", test_store_goes_back_often},
 	{"a peer of an earlier era", test_peer_of_earlier_era},
 	{"older view after list", test_older_view_after_list},
+	{"removal of server never known", test_removal_of_server_never_known},
+	{"gone between lists", test_gone_between_lists},
+	{"changes lack server", test_changes_lack_server},
 };
 
 UNIT_MAIN("view_order", tests)
--- a/view_apply.c
+++ b/view_apply.c
@@ -90,11 +90,46 @@
 	return 0;
 }
 
+static bool has_row(Peer__ViewServer *const *rows, size_t n, const char *id)
+{
+	size_t i;
+
+	for (i = 0; i < n; i++) {
+		if (!strcmp(rows[i]->id, id))
+			return true;
+	}
+	return false;
+}
+
+/*
+ * The changes since a revision have a row for each server that was created
+ * since and that the sender ever knew. A server that came and went before the
+ * sender noticed has none, and would stay here for good.
+ */
+static bool has_unknown_server(const struct view_share *share,
+			       const Peer__ViewUpdate *message,
+			       Peer__ViewServer *const *rows, size_t n)
+{
+	const struct registry *registry = share->sync->registry;
+	const struct registry_server *server;
+
+	for (server = registry->servers; server; server = server->hh.next) {
+		/* Those of an earlier era have no revision. */
+		if (server->changed_at &&
+		    server->changed_at <= message->servers_at &&
+		    server->entry.created_at > message->servers_from &&
+		    !has_row(rows, n, server->entry.id))
+			return true;
+	}
+	return false;
+}
+
 static int apply_servers(struct view_share *share,
 			 const Peer__ViewUpdate *message,
 			 Peer__ViewServer *const *servers, size_t n)
 {
 	struct store_feed *feed = &share->sync->feeds[STORE_SERVERS];
+	bool is_ahead = share->last_change > message->servers_from;
 	size_t i;
 
 	if (message->servers_age_ms == UINT32_MAX)
@@ -107,6 +142,8 @@
 		store_sync_end_snapshot(share->sync, message->servers_at);
 	else if (feed->fresh_at < 0 || feed->revision < message->servers_from)
 		return ERR_VERSION;
+	else if (is_ahead && has_unknown_server(share, message, servers, n))
+		return ERR_CONFLICT;
 	store_sync_confirm(share->sync, STORE_SERVERS, message->servers_at,
 			   confirmed_at(share, message->servers_age_ms));
 	return 0;
--- a/view_share.c
+++ b/view_share.c
@@ -61,8 +61,6 @@
 		 str_from(data_centre));
 	share->requested_at = INT64_MIN / 2;
 	share->snapshot_period_start = INT64_MIN / 2;
-	/* Removals from before the first complete view are not known. */
-	share->changes_since = UINT64_MAX;
 }
 
 void view_share_finish(struct view_share *share)
@@ -130,19 +128,14 @@
  */
 void view_share_follow_era(struct view_share *share)
 {
-	const struct store_feed *feed = &share->sync->feeds[STORE_SERVERS];
-
-	if (share->era != share->sync->era) {
-		share->era = share->sync->era;
-		share->changes_since = UINT64_MAX;
-		share->sent_revision = 0;
-		share->sent_changes = share->n_changes;
-		share->last_change = 0;
-		free(share->snapshot.packed);
-		share->snapshot.packed = NULL;
-	}
-	if (share->changes_since == UINT64_MAX && feed->listed)
-		share->changes_since = feed->revision;
+	if (share->era == share->sync->era)
+		return;
+	share->era = share->sync->era;
+	share->sent_revision = 0;
+	share->sent_changes = share->n_changes;
+	share->last_change = 0;
+	free(share->snapshot.packed);
+	share->snapshot.packed = NULL;
 }
 
 static uint64_t max_u64(uint64_t a, uint64_t b)
@@ -308,11 +301,12 @@
 static void log_requested(const struct view_share *share, const char *member,
 			  const Peer__ViewRequest *message, int n)
 {
+	const struct store_feed *feed = &share->sync->feeds[STORE_SERVERS];
+
 	LOG_INFO("view_requested", LOG_TEXT("peer", member),
 		 LOG_U64("since", message->servers_at), LOG_I64("changes", n),
-		 LOG_U64("history_from", share->changes_since),
-		 LOG_U64("store_revision",
-			 share->sync->feeds[STORE_SERVERS].revision));
+		 LOG_U64("history_from", feed->gap_to),
+		 LOG_U64("store_revision", feed->revision));
 }
 
 void view_share_request(struct view_share *share, const char *member,
@@ -463,7 +457,7 @@
 	/* What came from other members need not be sent back. */
 	if (!share->sent_revision && store_sync_ready(share->sync))
 		mark_sent(share);
-	if (ret == ERR_VERSION && may_request(share))
-		request_view(share, member, false);
+	if ((ret == ERR_VERSION || ret == ERR_CONFLICT) && may_request(share))
+		request_view(share, member, ret == ERR_CONFLICT);
 	return ret;
 }
--- a/view_share.h
+++ b/view_share.h
@@ -85,8 +85,6 @@
  * @cap_members: allocated length
  * @rank: of this instance among @members
  * @era: the store's era that all following fields belong to
- * @changes_since: changes up to this revision are not among @changes, as the
- *	first complete view in this era was of it; UINT64_MAX: there is none yet
  * @sent_version: version of the routes that were sent last
  * @sent_revision: revision of the servers that were sent last; 0: none. The
  *	first complete view counts as sent even if it was received
@@ -116,7 +114,6 @@
 	int cap_members;
 	int rank;
 	uint64_t era;
-	uint64_t changes_since;
 	uint64_t sent_version;
 	uint64_t sent_revision;
 	uint64_t sent_changes;
@@ -185,7 +182,9 @@
  * view_share_update() - handle a view that a member sent
  *
  * Return: 0; ERR_VERSION if earlier changes are missing, which are then
- * requested; or an error of view_decompress() or view_apply().
+ * requested; ERR_CONFLICT if the member can't know what became of a server that
+ * is known here, so that its complete view is requested; or an error of
+ * view_decompress() or view_apply().
  */
 int view_share_update(struct view_share *share, const char *member,
 		      const Peer__ViewUpdate *message);
--- a/view_update.c
+++ b/view_update.c
@@ -144,10 +144,11 @@
 
 int view_update_count_changes(const struct view_share *share, uint64_t since)
 {
+	const struct store_feed *feed = &share->sync->feeds[STORE_SERVERS];
 	uint64_t i = share->n_changes;
 	int n = 0;
 
-	if (since < share->changes_since)
+	if (!store_feed_has_changes(feed, since))
 		return -1;
 	while (i > 0) {
 		const struct view_change *change =
--- a/view_update.h
+++ b/view_update.h
@@ -32,7 +32,7 @@
 /**
  * view_update_count_changes() - count changes since a revision of the store
  *
- * Return: their number; -1 if some of them are no longer recorded.
+ * Return: their number; -1 if some of them are not recorded.
  */
 int view_update_count_changes(const struct view_share *share, uint64_t since);
 
