view_share: repeat changes that are newer than the stated revision

Cause: an instance may know changes that are newer than the revision up to which its view is complete, for example from a page of a list that was cancelled for a peer's view. Such a change was sent once, in a message that stated the earlier revision. To a member that missed the message, the next one built on a revision which it had, and the change was never sent again.

A message now has all changes after the revision that was sent last, those of the last message included which were newer than what it stated.

The store of the test tells a watch only the latest state of each server, as one does that has forgotten the steps between; the pages promise more.

--- a/tests/test_view_order.c
+++ b/tests/test_view_order.c
@@ -408,6 +408,30 @@
 	cluster_finish(&cluster);
 }
 
+/*
+ * Guards against a server that is missing for good, as the message with it
+ * stated an earlier revision and was lost.
+ */
+static void test_lost_newer_change(void)
+{
+	struct cluster cluster;
+	struct node *reader;
+	struct node *other;
+
+	cluster_init(&cluster, 2);
+	cluster_advance(&cluster, 5000);
+	reader = &cluster.nodes[cluster_reader(&cluster)];
+	other = &cluster.nodes[1 - cluster_reader(&cluster)];
+	cluster.revision++;
+	put_ghost(reader, cluster.revision);
+	other->dead = true;
+	view_share_publish(&reader->share);
+	other->dead = false;
+	cluster_advance(&cluster, 2000);
+	CU_ASSERT(knows_ghost(other));
+	cluster_finish(&cluster);
+}
+
 static const struct unit_test tests[] = {
 	{"leaves while the store is silent", test_leaves_while_store_is_silent},
 	{"many changes", test_many_changes},
@@ -420,6 +444,7 @@
 	{"removal of server never known", test_removal_of_server_never_known},
 	{"gone between lists", test_gone_between_lists},
 	{"changes lack server", test_changes_lack_server},
+	{"lost newer change", test_lost_newer_change},
 };
 
 UNIT_MAIN("view_order", tests)
--- a/tests/view_cluster.c
+++ b/tests/view_cluster.c
@@ -95,6 +95,7 @@
 
 	update->from = from;
 	update->to = to;
+	update->to_start = to->starts;
 	update->deliver_at = clock_now(&cluster->clock) + MSEC(delay);
 	update->len = peer__view_update__get_packed_size(message);
 	update->data = mem_zalloc(update->len + 1);
@@ -108,7 +109,7 @@
 	Peer__ViewUpdate *message =
 		peer__view_update__unpack(NULL, update->len, update->data);
 
-	if (!update->to->dead)
+	if (!update->to->dead && update->to->starts == update->to_start)
 		view_share_update(&update->to->share, update->from->name,
 				  message);
 	peer__view_update__free_unpacked(message, NULL);
@@ -215,9 +216,11 @@
 void node_start(struct cluster *cluster, int i)
 {
 	struct node *node = &cluster->nodes[i];
+	int starts = node->starts;
 	char dc[16];
 
 	memset(node, 0, sizeof(*node));
+	node->starts = starts + 1;
 	node->cluster = cluster;
 	snprintf(node->name, sizeof(node->name), "n%d", i);
 	snprintf(dc, sizeof(dc), "dc%d", i % cluster->n_data_centres);
@@ -317,13 +320,39 @@
 	store_sync_answered(&node->sync, STORE_ROUTES, &answer);
 }
 
+/* Adds changes for a watch, the present entries for a list. */
+static void add_stored(const struct cluster *cluster,
+		       const struct store_call *call,
+		       struct store_answer *answer)
+{
+	int i;
+
+	for (i = 0; i < cluster->n_stored; i++) {
+		const struct stored_server *stored = &cluster->stored[i];
+		struct store_item *item = &answer->items[answer->n_items];
+
+		if (call->watch ? call->after >= stored->changed_at
+				: stored->removed)
+			continue;
+		*item = (struct store_item){.value = STR("ready"),
+					    .changed_at = stored->changed_at,
+					    .created_at = stored->created_at,
+					    .removed = stored->removed};
+		str_copy(item->name, sizeof(item->name),
+			 str_from(stored->name));
+		answer->n_items++;
+	}
+}
+
 static void answer_servers(struct node *node, const struct store_call *call)
 {
 	struct cluster *cluster = node->cluster;
-	struct store_item item = {.name = "server", .value = STR("ready")};
+	struct store_item items[1 + STORED_SERVERS_MAX] = {
+		{.name = "server", .value = STR("ready")}};
+	struct store_item item = items[0];
 	struct store_answer answer = {.era = cluster->era,
 				      .revision = cluster->revision,
-				      .items = &item};
+				      .items = items};
 
 	item.changed_at = cluster->drained_at ? cluster->drained_at : 1;
 	if (cluster->created_at > item.changed_at)
@@ -339,6 +368,8 @@
 		call->watch ? call->after < item.changed_at : !item.removed;
 	if (cluster->server_missing)
 		answer.n_items = 0;
+	items[0] = item;
+	add_stored(cluster, call, &answer);
 	if (call->watch && is_compacted(cluster, call))
 		answer.code = ERR_STALE;
 	store_sync_answered(&node->sync, STORE_SERVERS, &answer);
@@ -457,6 +488,28 @@
 	cluster->drained_at = ++cluster->revision;
 }
 
+static void change_stored(struct cluster *cluster, struct stored_server *stored,
+			  bool removed)
+{
+	stored->changed_at = ++cluster->revision;
+	stored->removed = removed;
+	stored->time = clock_now(&cluster->clock);
+}
+
+void cluster_add_server(struct cluster *cluster)
+{
+	struct stored_server *stored = &cluster->stored[cluster->n_stored++];
+
+	snprintf(stored->name, sizeof(stored->name), "s%d", cluster->n_stored);
+	change_stored(cluster, stored, false);
+	stored->created_at = stored->changed_at;
+}
+
+void cluster_remove_server(struct cluster *cluster, int i)
+{
+	change_stored(cluster, &cluster->stored[i], true);
+}
+
 void cluster_change_routes(struct cluster *cluster)
 {
 	cluster->routes_at = ++cluster->revision;
--- a/tests/view_cluster.h
+++ b/tests/view_cluster.h
@@ -8,6 +8,7 @@
 #include "view_share.h"
 
 #define NODES_MAX 300
+#define STORED_SERVERS_MAX 64
 
 struct cluster;
 
@@ -15,6 +16,7 @@
  * struct node - a gateway
  * @dead: it has failed, and sends and receives nothing
  * @cut_off: it can't reach the store
+ * @starts: how often it was started
  * @calls: latest call on the store for each topic
  * @answer_at: time when the call is answered; 0: none is pending
  */
@@ -27,17 +29,20 @@
 	struct hub_links links;
 	bool dead;
 	bool cut_off;
+	int starts;
 	struct store_call calls[STORE_TOPICS];
 	int64_t answer_at[STORE_TOPICS];
 };
 
 /**
  * struct delayed_update - packed view update that is in flight
+ * @to_start: start of @to that the connection leads to
  * @deliver_at: time of its delivery
  */
 struct delayed_update {
 	struct node *from;
 	struct node *to;
+	int to_start;
 	int64_t deliver_at;
 	uint8_t *data;
 	size_t len;
@@ -45,8 +50,22 @@
 };
 
 /**
- * struct cluster - gateways, and a store with routes and the entry of one
- * server
+ * struct stored_server - an entry in the store, or one that was removed
+ * @created_at: revision of its creation
+ * @changed_at: revision of its creation or removal
+ * @time: of that change, microseconds
+ */
+struct stored_server {
+	char name[16];
+	uint64_t created_at;
+	uint64_t changed_at;
+	bool removed;
+	int64_t time;
+};
+
+/**
+ * struct cluster - gateways, and a store with routes and the entries of the
+ * server "server" and of further ones
  * @n_large: large instances in each data centre; 0: all instances are linked
  *	to each other
  * @loss_percent: percentage of messages that are lost
@@ -60,6 +79,7 @@
  * @drained_at: revision at which the server began to drain, or 0
  * @removed_at: revision at which its entry was removed, or 0
  * @created_at: revision at which its entry was created, or 0
+ * @stored: further servers, @n_stored of them
  * @routes_at: revision of the latest routes
  * @cordoned_at: revision at which a data centre was cordoned, or 0
  * @lifted_at: revision at which the cordon was removed, or 0
@@ -87,6 +107,8 @@
 	uint64_t drained_at;
 	uint64_t removed_at;
 	uint64_t created_at;
+	struct stored_server stored[STORED_SERVERS_MAX];
+	int n_stored;
 	uint64_t routes_at;
 	int routes_version;
 	uint64_t cordoned_at;
@@ -117,6 +139,8 @@
 void cluster_advance(struct cluster *cluster, int64_t ms);
 /* Write to the store, as the server and the operators do. */
 void cluster_drain_server(struct cluster *cluster);
+void cluster_add_server(struct cluster *cluster);
+void cluster_remove_server(struct cluster *cluster, int i);
 void cluster_change_routes(struct cluster *cluster);
 /* Return: index of the running instance that ranks first. */
 int cluster_reader(const struct cluster *cluster);
--- a/view_share.c
+++ b/view_share.c
@@ -169,16 +169,23 @@
 }
 
 /*
- * The revision that a message of the last @n changes builds on. If more changes
- * than are recorded occurred since the last message, it is the current one, so
- * that every member that lacks changes requests them.
+ * Begins a message of all changes since the revision that was sent last. Some
+ * of them may have been in the last message, too: those that are newer than the
+ * revision it stated. Members that missed it could not know. If not all are
+ * recorded, the message builds on the present revision, so that every member
+ * that lacks changes requests them.
  */
-static uint64_t base_revision(const struct view_share *share, int n)
+static void begin_changes(struct view_share *share, struct view_update *update)
 {
-	if ((uint64_t)n < share->n_changes - share->sent_changes)
-		return max_u64(share->sync->feeds[STORE_SERVERS].revision,
+	uint64_t from = share->sent_revision;
+	int n = view_update_count_changes(share, from);
+
+	if (n < 0) {
+		from = max_u64(share->sync->feeds[STORE_SERVERS].revision,
 			       share->last_change);
-	return share->sent_revision;
+		n = 0;
+	}
+	view_update_changes(share, update, from, n);
 }
 
 void view_share_publish(struct view_share *share)
@@ -190,7 +197,6 @@
 	bool new_routes = routes && routes->version != share->sent_version;
 	struct view_update update;
 	bool whole;
-	int n;
 
 	/*
 	 * A view that holds back removals differs from the store. Members that
@@ -211,16 +217,14 @@
 		mark_sent(share);
 		new_routes = false;
 	}
-	n = (int)(share->n_changes - share->sent_changes);
-	if (!new_routes && !n && cordons->n_changes == share->sent_cordons &&
+	if (!new_routes && share->n_changes == share->sent_changes &&
+	    cordons->n_changes == share->sent_cordons &&
 	    now - share->last_sent_at < CONFIRM_INTERVAL)
 		return;
-	if (n > VIEW_CHANGES_MAX)
-		n = 0;
 	if (whole)
 		view_update_snapshot(share, &update);
 	else
-		view_update_changes(share, &update, base_revision(share, n), n);
+		begin_changes(share, &update);
 	view_update_add_state(share, &update, new_routes);
 	view_send_all(share, &update);
 	view_update_finish(&update);
