upstream, inbound: bound the memory of all messages together

Servers in trouble send bytes without end until the caller closes.

What bounds each now: - an answer of a search keeps only its greatest records once it is long, as no others can be in the merged answer (records_reduce()); - all answers that are being read take a quarter of memory_max_mb (a new setting, 256 by default). Beyond that the longest is given up: it counts as a failure of its server and may have run (answer_given_up). Shorter honest ones go on. A buffer is never larger than the limit of the answer, and a connection keeps 4 KB of it at most; - requests that are held take another quarter; beyond that the longest that is still being read gets 503, which promises that it has not run; - an answer ends at 16 MiB of the stream, so that chunks of a byte are not read for as long as they come, and after 16 messages that are no answer (interim responses, answers to earlier requests).

--- a/gateway.c
+++ b/gateway.c
@@ -34,6 +34,10 @@
 #define LOCAL_CONNECTIONS_SHARE 0.5
 #define REMOTE_CONNECTIONS_SHARE 0.45
 
+#define BYTES_PER_MB (1024 * 1024)
+/* Leaves room for what is copied from messages, and for all else. */
+#define MESSAGES_MEMORY_DIVISOR 4
+
 bool gateway_ready(const struct gateway *gateway)
 {
 	return gateway->state == GATEWAY_SERVING &&
@@ -128,6 +132,13 @@
 	gateway_fleet_update_seeds(&gateway->fleet);
 }
 
+/* Of the answers that are being read, and of the requests. */
+static size_t messages_memory(const struct gateway_settings *settings)
+{
+	return (size_t)settings->memory_max_mb * BYTES_PER_MB /
+	       MESSAGES_MEMORY_DIVISOR;
+}
+
 /* Called after routes or servers may have changed. */
 static void on_view_changed(void *arg, bool was_ready)
 {
@@ -312,6 +323,7 @@
 	gateway->registry.regions = &settings->regions;
 	upstream_init(&gateway->upstream, base, &gateway->clock,
 		      &names->upstream);
+	gateway->upstream.memory.max = messages_memory(settings);
 	server_queue_net_init(&gateway->server_queues, base, &gateway->upstream,
 			      &gateway->fleet.board.poison, &gateway->counters);
 	gateway_outage_init(gateway);
@@ -323,6 +335,7 @@
 			   gateway);
 	if (ret)
 		return ret;
+	gateway->inbound.memory.max = messages_memory(settings);
 	if (settings->descriptors_max)
 		gateway->inbound.max = (int)(settings->descriptors_max / 2);
 	store_client_init(&gateway->store, base, store,
--- a/gateway_pages.c
+++ b/gateway_pages.c
@@ -114,6 +114,12 @@
 		   gateway->sync.routes ? (int64_t)gateway->sync.routes->version
 					: 0);
 	metric_set(&counters->routes_age, age / USEC_PER_MSEC);
+	metric_set(&counters->answers_size,
+		   (int64_t)gateway->upstream.memory.used);
+	metric_set(&counters->answers_given_up,
+		   (int64_t)gateway->upstream.given_up);
+	metric_set(&counters->callers_size,
+		   (int64_t)gateway->inbound.memory.used);
 	metric_set(&counters->servers,
 		   (int64_t)HASH_COUNT(gateway->registry.servers));
 	metric_set(&counters->load_reports_refused,
--- a/gateway_send.c
+++ b/gateway_send.c
@@ -418,6 +418,8 @@
 	int64_t delay = dispatch_hedge_delay(&request->dispatch);
 
 	request->request.fingerprint = request->fingerprint;
+	if (request->route->sharded)
+		request->request.records_max = (int)request->route->records_max;
 	relay->request = &request->request;
 	relay->fingerprint = request->fingerprint;
 	relay->deadline = request->dispatch.deadline;
--- a/gateway_settings.c
+++ b/gateway_settings.c
@@ -8,6 +8,7 @@
 #define PORT_MAX 65535
 #define SECONDS_MAX 3600
 #define VALUE_MAX 1e9
+#define MEMORY_DEFAULT_MB 256
 
 static const char *const log_level_names[] = {"debug", "info", "warn", "error",
 					      NULL};
@@ -61,6 +62,14 @@
 	 .offset = OFFSET(descriptors_max),
 	 .max = VALUE_MAX,
 	 .help = "file descriptor limit of the process"},
+	{.name = "memory_max_mb",
+	 .type = OPTION_INT,
+	 .offset = OFFSET(memory_max_mb),
+	 .min = 1,
+	 .max = VALUE_MAX,
+	 .def = MEMORY_DEFAULT_MB,
+	 .unit = "MB",
+	 .help = "memory limit of the process"},
 	{.name = "cpu_quota",
 	 .type = OPTION_DOUBLE,
 	 .offset = OFFSET(cpu_quota),
--- a/gateway_settings.h
+++ b/gateway_settings.h
@@ -40,6 +40,7 @@
  * @n_seeds: number of @seeds
  * @store_address: store that publishes routes and servers
  * @descriptors_max: file descriptor limit of the process, 0 if unlimited
+ * @memory_max_mb: memory limit of the process, megabytes
  * @cpu_quota: processor time, cores
  * @stop_max_s: time from SIGTERM until the process is killed, seconds
  * @config_apply_ms: time until new routes apply on all instances, milliseconds
@@ -70,6 +71,7 @@
 	int n_seeds;
 	struct address store_address;
 	int64_t descriptors_max;
+	int64_t memory_max_mb;
 	double cpu_quota;
 	double stop_max_s;
 	int64_t config_apply_ms;
--- a/gateway_stats.h
+++ b/gateway_stats.h
@@ -124,6 +124,12 @@
 	X(load_reports_refused, METRIC_GAUGE,                                  \
 	  "garnetreach_server_loads_refused",                                  \
 	  "malformed load reports from servers since start")                   \
+	X(answers_size, METRIC_GAUGE, "garnetreach_answers_bytes",             \
+	  "memory of the answers that are being read")                         \
+	X(answers_given_up, METRIC_GAUGE, "garnetreach_answers_given_up",      \
+	  "long answers given up for want of memory since the start")          \
+	X(callers_size, METRIC_GAUGE, "garnetreach_caller_requests_bytes",     \
+	  "memory of the requests of callers")                                 \
 	X(servers, METRIC_GAUGE, "garnetreach_servers",                        \
 	  "known backend servers")                                             \
 	X(caller_connections, METRIC_GAUGE, "garnetreach_caller_connections",  \
--- a/http_message.c
+++ b/http_message.c
@@ -8,8 +8,16 @@
 
 #include "error.h"
 #include "mem.h"
+#include "records.h"
 
 #define BODY_INITIAL_SIZE 1024 /* bytes, first allocation */
+/* Bytes that a connection keeps allocated between messages, of head and body.
+ */
+#define KEPT_SIZE_MAX 4096
+/* A body of this size, bytes, is reduced to its greatest records. */
+#define REDUCED_SIZE_MIN 65536
+/* Fields that it keeps room for. */
+#define KEPT_FIELDS_MAX 64
 
 static struct http_message *get_message(struct http_parser *parser)
 {
@@ -21,6 +29,29 @@
 	return a.len == b.len && !strncasecmp(a.data, b.data, a.len);
 }
 
+static void count_memory(const struct http_message *message, size_t before,
+			 size_t now)
+{
+	if (message->memory)
+		message->memory->used += now - before;
+}
+
+static char *grow(const struct http_message *message, char *buf, size_t *cap,
+		  size_t new_cap)
+{
+	count_memory(message, *cap, new_cap);
+	*cap = new_cap;
+	return mem_realloc(buf, new_cap);
+}
+
+static void release(const struct http_message *message, char **buf, size_t *cap)
+{
+	count_memory(message, *cap, 0);
+	*cap = 0;
+	free(*buf);
+	*buf = NULL;
+}
+
 static int append_head(struct http_message *message, const char *at, size_t len,
 		       struct http_span *span)
 {
@@ -29,10 +60,9 @@
 		message->head_too_large = true;
 		return 1;
 	}
-	if (message->head_len + len > message->head_cap) {
-		message->head_cap = (message->head_len + len) * 2;
-		message->head = mem_realloc(message->head, message->head_cap);
-	}
+	if (message->head_len + len > message->head_cap)
+		message->head = grow(message, message->head, &message->head_cap,
+				     (message->head_len + len) * 2);
 	memcpy(message->head + message->head_len, at, len);
 	if (!span->len)
 		span->offset = (uint32_t)message->head_len;
@@ -54,6 +84,29 @@
 	return append_head(message, at, len, &message->target);
 }
 
+static size_t fields_size(const struct http_message *message)
+{
+	return (size_t)message->cap_fields * sizeof(*message->fields);
+}
+
+static void add_field(struct http_message *message)
+{
+	size_t before = fields_size(message);
+
+	MEM_GROW(message->fields, message->n_fields, message->cap_fields);
+	count_memory(message, before, fields_size(message));
+	memset(&message->fields[message->n_fields++], 0,
+	       sizeof(*message->fields));
+}
+
+static void free_fields(struct http_message *message)
+{
+	count_memory(message, fields_size(message), 0);
+	free(message->fields);
+	message->fields = NULL;
+	message->cap_fields = 0;
+}
+
 static int on_header_name(struct http_parser *parser, const char *at,
 			  size_t len)
 {
@@ -63,10 +116,7 @@
 	if (message->state == MESSAGE_BODY)
 		return 0;
 	if (!message->n_fields || message->in_value) {
-		MEM_GROW(message->fields, message->n_fields,
-			 message->cap_fields);
-		memset(&message->fields[message->n_fields++], 0,
-		       sizeof(*message->fields));
+		add_field(message);
 		message->in_value = false;
 	}
 	/*
@@ -111,21 +161,39 @@
 	return message->no_body;
 }
 
+static size_t body_capacity(const struct http_message *message, size_t len)
+{
+	size_t cap = len < BODY_INITIAL_SIZE ? BODY_INITIAL_SIZE : len * 2;
+
+	return cap < message->limits->body ? cap : message->limits->body;
+}
+
+static void reduce_body(struct http_message *message)
+{
+	size_t kept_max = (size_t)message->records_max * RECORD_SIZE;
+
+	if (message->records_max && message->body_len >= REDUCED_SIZE_MIN &&
+	    message->body_len >= 2 * kept_max)
+		message->body_len =
+			records_reduce(message->body, message->body_len,
+				       message->records_max);
+}
+
 static int on_body(struct http_parser *parser, const char *at, size_t len)
 {
 	struct http_message *message = get_message(parser);
-	size_t new_len = message->body_len + len;
+	size_t new_len;
 
-	if (new_len > message->limits->body) {
+	message->body_read += len;
+	if (message->body_read > message->limits->body) {
 		message->error = ERR_TOO_LARGE;
 		return 1;
 	}
-	if (new_len > message->body_cap) {
-		message->body_cap = new_len < BODY_INITIAL_SIZE
-					    ? BODY_INITIAL_SIZE
-					    : new_len * 2;
-		message->body = mem_realloc(message->body, message->body_cap);
-	}
+	reduce_body(message);
+	new_len = message->body_len + len;
+	if (new_len > message->body_cap)
+		message->body = grow(message, message->body, &message->body_cap,
+				     body_capacity(message, new_len));
 	memcpy(message->body + message->body_len, at, len);
 	message->body_len = new_len;
 	return 0;
@@ -160,9 +228,14 @@
 
 void http_message_finish(struct http_message *message)
 {
-	free(message->head);
-	free(message->body);
-	free(message->fields);
+	release(message, &message->head, &message->head_cap);
+	release(message, &message->body, &message->body_cap);
+	free_fields(message);
+}
+
+size_t http_message_allocated(const struct http_message *message)
+{
+	return message->head_cap + message->body_cap + fields_size(message);
 }
 
 void http_message_reset(struct http_message *message)
@@ -170,18 +243,27 @@
 	enum http_parser_type type =
 		(enum http_parser_type)message->parser.type;
 
+	if (message->head_cap > KEPT_SIZE_MAX)
+		release(message, &message->head, &message->head_cap);
+	if (message->body_cap > KEPT_SIZE_MAX)
+		release(message, &message->body, &message->body_cap);
+	if (message->cap_fields > KEPT_FIELDS_MAX)
+		free_fields(message);
 	http_parser_init(&message->parser, type);
 	message->parser.data = message;
 	message->state = MESSAGE_EMPTY;
 	message->error = 0;
 	message->head_too_large = false;
 	message->no_body = false;
+	message->records_max = 0;
 	message->head_len = 0;
 	message->head_read = 0;
+	message->stream_read = 0;
 	message->target = (struct http_span){0, 0};
 	message->n_fields = 0;
 	message->in_value = false;
 	message->body_len = 0;
+	message->body_read = 0;
 	message->until_close = false;
 	message->keep_alive = false;
 }
@@ -199,10 +281,14 @@
 		message->error = ERR_SYNTAX;
 	if (message->state <= MESSAGE_HEAD)
 		message->head_read += *used;
+	message->stream_read += *used;
 	if (!message->error && message->head_read > message->limits->head) {
 		message->error = ERR_TOO_LARGE;
 		message->head_too_large = true;
 	}
+	if (!message->error && message->limits->stream &&
+	    message->stream_read > message->limits->stream)
+		message->error = ERR_TOO_LARGE;
 	return message->error;
 }
 
--- a/http_message.h
+++ b/http_message.h
@@ -32,10 +32,23 @@
  * struct http_limits - size limits of one message
  * @head: bytes of the request or status line and all headers
  * @body: bytes of the body
+ * @stream: bytes of the stream for a whole message, 0: no limit. Of chunks,
+ *most may be framing
  */
 struct http_limits {
 	size_t head;
 	size_t body;
+	size_t stream;
+};
+
+/**
+ * struct http_memory - memory of the messages of one owner
+ * @used: allocated bytes
+ * @max: bytes; beyond it, the owner gives up messages
+ */
+struct http_memory {
+	size_t used;
+	size_t max;
 };
 
 enum message_state {
@@ -49,32 +62,40 @@
  * struct http_message - a message that is being read or is complete
  * @parser: state of http-parser
  * @limits: borrowed
+ * @memory: counts what is allocated; set by the owner, may be NULL
  * @state: what has been received
  * @error: 0, ERR_SYNTAX or ERR_TOO_LARGE
  * @head_too_large: the head, not the body, exceeded its limit
  * @no_body: set by the owner: the response to a HEAD request
+ * @records_max: set by the owner: keep only so many of the greatest records of
+ *	a long body, see records.h; 0: keep all of it
  * @head: owned: target, header names and values, one after another
  * @head_len: used bytes of @head
  * @head_cap: allocated bytes of @head
  * @head_read: bytes of the stream parsed as head
+ * @stream_read: bytes of the stream
  * @target: request target; empty for a response
  * @fields: owned: headers in their order
  * @in_value: the last header has a value already
  * @body: owned; NULL if none was received
+ * @body_read: bytes of the body, of which @body_len were kept
  * @until_close: the body has no length and ends with the connection
  * @keep_alive: the sender keeps the connection open
  */
 struct http_message {
 	struct http_parser parser;
 	const struct http_limits *limits;
+	struct http_memory *memory;
 	enum message_state state;
 	int error;
 	bool head_too_large;
 	bool no_body;
+	int records_max;
 	char *head;
 	size_t head_len;
 	size_t head_cap;
 	size_t head_read;
+	size_t stream_read;
 	struct http_span target;
 	struct http_field *fields;
 	int n_fields;
@@ -83,6 +104,7 @@
 	char *body;
 	size_t body_len;
 	size_t body_cap;
+	size_t body_read;
 	bool until_close;
 	bool keep_alive;
 };
@@ -102,9 +124,16 @@
 
 /**
  * http_message_reset() - prepare for the next message of the connection
+ *
+ * Frees the memory of a long message.
  */
 void http_message_reset(struct http_message *message);
 
+/**
+ * http_message_allocated() - bytes that are allocated for the message
+ */
+size_t http_message_allocated(const struct http_message *message);
+
 /**
  * http_message_read() - parse bytes up to the end of the message
  * @in: consumed bytes are drained
--- a/inbound.c
+++ b/inbound.c
@@ -23,6 +23,10 @@
 #define IDLE_TIMEOUT MSEC(15000)
 #define HEADER_SIZE_MAX 16384
 #define BODY_SIZE_MAX (1024 * 1024)
+/* Maximum size of all requests that are held, bytes. */
+#define REQUESTS_SIZE_MAX (64 * 1024 * 1024)
+/* Shorter requests are not refused to make room. */
+#define REFUSED_SIZE_MIN 65536
 /* Bytes that are buffered for a caller while its request is processed. */
 #define READ_BUFFER_MAX 65536
 /* Time for the caller to close the connection after the last response. */
@@ -166,6 +170,35 @@
 	bufferevent_write(conn->bev, line, sizeof(line) - 1);
 }
 
+static struct inbound_conn *find_longest(const struct inbound *inbound)
+{
+	struct inbound_conn *longest = NULL;
+	size_t most = REFUSED_SIZE_MIN;
+	struct inbound_conn *conn;
+
+	DL_FOREACH (inbound->conns, conn) {
+		size_t size = http_message_allocated(&conn->message);
+
+		if (conn->state != INBOUND_READING || size < most)
+			continue;
+		most = size;
+		longest = conn;
+	}
+	return longest;
+}
+
+/* Requests that are being processed keep their memory until the response. */
+static void limit_memory(struct inbound *inbound)
+{
+	struct inbound_conn *conn;
+
+	while (inbound->memory.used > inbound->memory.max &&
+	       (conn = find_longest(inbound))) {
+		refuse(conn, HTTP_STATUS_SERVICE_UNAVAILABLE, "memory");
+		http_message_reset(&conn->message);
+	}
+}
+
 static void process(struct inbound_conn *conn)
 {
 	struct evbuffer *in = bufferevent_get_input(conn->bev);
@@ -181,6 +214,7 @@
 			refuse_error(conn);
 	}
 	conn->processing = false;
+	limit_memory(conn->inbound);
 	if (conn->state != INBOUND_READING ||
 	    conn->message.state == MESSAGE_EMPTY)
 		return;
@@ -241,6 +275,7 @@
 	inet_ntop(AF_INET, &((struct sockaddr_in *)sa)->sin_addr, conn->ip,
 		  sizeof(conn->ip));
 	http_message_init(&conn->message, HTTP_REQUEST, &inbound->limits);
+	conn->message.memory = &inbound->memory;
 	conn->timer = evtimer_new(inbound->base, on_timer, conn);
 	conn->bev = bufferevent_socket_new(inbound->base, fd,
 					   BEV_OPT_CLOSE_ON_FREE);
@@ -277,6 +312,7 @@
 	inbound->idle_timeout = IDLE_TIMEOUT;
 	inbound->limits.head = HEADER_SIZE_MAX;
 	inbound->limits.body = BODY_SIZE_MAX;
+	inbound->memory.max = REQUESTS_SIZE_MAX;
 	inbound->listener = evconnlistener_new_bind(base, on_accept, inbound,
 						    LEV_OPT_CLOSE_ON_FREE |
 							    LEV_OPT_REUSEABLE,
--- a/inbound.h
+++ b/inbound.h
@@ -43,6 +43,8 @@
  * @listener: NULL after inbound_close_idle()
  * @guard: pauses @listener when accept() fails
  * @limits: on the size of requests
+ * @memory: of all requests that are held; the longest one that is being read is
+ *	refused if they exceed its limit
  * @header_timeout: from the first byte of a request to its end, microseconds
  * @idle_timeout: of a connection without a request, microseconds
  * @conns: open connections
@@ -58,6 +60,7 @@
 	struct evconnlistener *listener;
 	struct accept_backoff guard;
 	struct http_limits limits;
+	struct http_memory memory;
 	int64_t header_timeout;
 	int64_t idle_timeout;
 	struct inbound_conn *conns;
--- a/records.c
+++ b/records.c
@@ -62,6 +62,21 @@
 		insert(records, body.data + at, tag);
 }
 
+size_t records_reduce(char *body, size_t len, int max)
+{
+	size_t rest = len % RECORD_SIZE;
+	struct records records;
+	size_t kept;
+
+	records_init(&records, max);
+	records_add(&records, (struct str){body, len}, 0);
+	kept = (size_t)records.n * RECORD_SIZE;
+	memcpy(body, records.bytes, kept);
+	memmove(body + kept, body + len - rest, rest);
+	records_finish(&records);
+	return kept + rest;
+}
+
 void records_drop_below(struct records *records, const char *floor)
 {
 	records->n = insert_position(records, floor);
--- a/records.h
+++ b/records.h
@@ -33,6 +33,17 @@
  */
 void records_add(struct records *records, struct str body, uint8_t tag);
 
+/**
+ * records_reduce() - keep only the greatest records of a body
+ * @body: records in any order; changed in place, with the shorter rest at its
+ *	end, so that more bytes may follow
+ * @len: of @body, bytes
+ * @max: how many records are kept
+ *
+ * Return: the new length, bytes.
+ */
+size_t records_reduce(char *body, size_t len, int max);
+
 /**
  * records_drop_below() - remove the records that are less than a bound
  * @records: updated
--- a/relay_serve.c
+++ b/relay_serve.c
@@ -346,6 +346,7 @@
 	request->id = str_from(mem_dup(message->request_id));
 	request->fingerprint = message->fingerprint;
 	request->trial = read_trial(message->trial);
+	request->records_max = (int)message->records_max;
 	job->rank.priority = message->priority;
 	job->rank.goal_at = now + MSEC((int64_t)message->goal_ms) - held;
 	job->deadline = now + MSEC((int64_t)message->deadline_ms) - held;
--- a/tests/gateway_fixtures.py
+++ b/tests/gateway_fixtures.py
@@ -117,23 +117,30 @@
             headers=[("X-Request-Id", request.id), ("X-Not-Executed", "1")],
         )
 
-    def serve_one(self, connection, stream):
+    def read_request(self, stream):
+        """Return the request without its body, None at the end."""
         line = stream.readline()
         if not line:
-            return False
+            return None
         method, target, _ = line.decode().split()
         headers = {}
         for header in iter(stream.readline, b"\r\n"):
             if not header:
-                return False
+                return None
             name, _, value = header.decode().partition(":")
             headers[name.lower()] = value.strip()
-        request = Request(method, target, headers, b"")
+        return Request(method, target, headers, b"")
+
+    def serve_one(self, connection, stream):
+        request = self.read_request(stream)
+        if not request:
+            return False
         self.seen.append(request)
         early_response = getattr(self, "early_response", None)
         if early_response:
             connection.sendall(early_response(request))
-        request.body = stream.read(int(headers.get("content-length", 0)))
+        length = int(request.headers.get("content-length", 0))
+        request.body = stream.read(length)
         data = b"" if early_response else self.respond(self, request)
         if data is None:
             connection.setsockopt(
--- a/tests/test_http_message.c
+++ b/tests/test_http_message.c
@@ -4,6 +4,8 @@
 
 #include "error.h"
 #include "http_message.h"
+#include "records.h"
+#include "rng.h"
 #include "unit.h"
 
 static const struct http_limits limits = {.head = 256, .body = 64};
@@ -172,6 +174,104 @@
 	http_message_finish(&message);
 }
 
+static void begin_response(struct http_message *message, struct evbuffer *in,
+			   const struct http_limits *response_limits,
+			   struct http_memory *memory)
+{
+	http_message_init(message, HTTP_RESPONSE, response_limits);
+	message->memory = memory;
+	evbuffer_add_printf(in, "HTTP/1.1 200 OK\r\n\r\n");
+}
+
+/* Guards against memory of long messages that is not counted, or is kept. */
+static void test_memory_is_counted(void)
+{
+	static const struct http_limits large = {.head = 256, .body = 100000};
+	struct http_memory memory = {.used = 0};
+	struct evbuffer *in = evbuffer_new();
+	struct http_message message;
+	char body[50000];
+
+	memset(body, 'b', sizeof(body));
+	begin_response(&message, in, &large, &memory);
+	evbuffer_add(in, body, sizeof(body));
+	CU_ASSERT_EQUAL(http_message_read(&message, in), 0);
+	CU_ASSERT(memory.used >= sizeof(body));
+	CU_ASSERT_EQUAL(memory.used, http_message_allocated(&message));
+	evbuffer_add(in, body, sizeof(body));
+	CU_ASSERT_EQUAL(http_message_read(&message, in), 0);
+	CU_ASSERT(memory.used <= large.body + 2 * large.head + 1000);
+	http_message_reset(&message);
+	CU_ASSERT(memory.used < 10000);
+	http_message_finish(&message);
+	CU_ASSERT_EQUAL(memory.used, 0);
+	evbuffer_free(in);
+}
+
+/* Guards against chunks of one byte that are read for as long as they come. */
+static void test_stream_is_limited(void)
+{
+	static const struct http_limits small = {.head = 256,
+						 .body = 1000,
+						 .stream = 2000};
+	struct evbuffer *in = evbuffer_new();
+	struct http_message message;
+	int ret = 0;
+	int i;
+
+	http_message_init(&message, HTTP_RESPONSE, &small);
+	evbuffer_add_printf(in, "HTTP/1.1 200 OK\r\n"
+				"Transfer-Encoding: chunked\r\n\r\n");
+	for (i = 0; i < 900 && !ret; i++)
+		ret = append_and_read(&message, in, "1\r\nq\r\n");
+	CU_ASSERT_EQUAL(ret, ERR_TOO_LARGE);
+	CU_ASSERT(i < 400);
+	http_message_finish(&message);
+	evbuffer_free(in);
+}
+
+#define MANY_RECORDS 20000
+#define GREATEST_RECORDS 5
+
+/* Guards against parts that take memory for all of their records. */
+static void test_long_body_of_records(void)
+{
+	static const struct http_limits large = {.head = 256, .body = 1000000};
+	static char body[MANY_RECORDS * RECORD_SIZE + 3];
+	struct http_memory memory = {.used = 0};
+	struct evbuffer *in = evbuffer_new();
+	struct rng rng = {.state = 7};
+	struct http_message message;
+	struct records expected;
+	struct records found;
+	size_t at = 0;
+
+	for (at = 0; at < sizeof(body); at++)
+		body[at] = (char)rng_next(&rng);
+	records_init(&expected, GREATEST_RECORDS);
+	records_init(&found, GREATEST_RECORDS);
+	records_add(&expected, (struct str){body, sizeof(body)}, 0);
+	begin_response(&message, in, &large, &memory);
+	message.records_max = GREATEST_RECORDS;
+	for (at = 0; at < sizeof(body); at += 4999) {
+		size_t left = sizeof(body) - at;
+
+		evbuffer_add(in, body + at, left < 4999 ? left : 4999);
+		CU_ASSERT_EQUAL(http_message_read(&message, in), 0);
+		CU_ASSERT(memory.used < 200000);
+	}
+	CU_ASSERT_EQUAL(http_message_eof(&message), 1);
+	CU_ASSERT_EQUAL(message.body_len % RECORD_SIZE, 3);
+	records_add(&found, http_message_body(&message), 0);
+	CU_ASSERT_EQUAL(found.n, GREATEST_RECORDS);
+	CU_ASSERT(!memcmp(found.bytes, expected.bytes,
+			  GREATEST_RECORDS * RECORD_SIZE));
+	records_finish(&expected);
+	records_finish(&found);
+	http_message_finish(&message);
+	evbuffer_free(in);
+}
+
 static const struct unit_test tests[] = {
 	{"message split at every offset", test_message_split_anywhere},
 	{"headers", test_headers},
@@ -179,6 +279,9 @@
 	{"end of connection", test_end_of_connection},
 	{"malformed and oversized messages are refused",
 	 test_malformed_and_oversized},
+	{"memory is counted", test_memory_is_counted},
+	{"stream is limited", test_stream_is_limited},
+	{"long body of records", test_long_body_of_records},
 };
 
 UNIT_MAIN("http_message", tests)
--- a/upstream.c
+++ b/upstream.c
@@ -29,6 +29,14 @@
 /* Maximum size of an answer, bytes. */
 #define ANSWER_HEAD_MAX 65536
 #define ANSWER_BODY_MAX (8 * 1024 * 1024)
+/* Bytes on the wire: chunks may be small, but not for as long as they come. */
+#define ANSWER_STREAM_MAX (2 * ANSWER_BODY_MAX)
+/* Maximum size of all answers that are being read, bytes. */
+#define ANSWERS_SIZE_MAX (64 * 1024 * 1024)
+/* Shorter answers are not given up to make room. */
+#define GIVEN_UP_SIZE_MIN 65536
+/* Interim responses and answers to earlier requests before the answer. */
+#define SKIPPED_MAX 16
 
 void upstream_init(struct upstream *upstream, struct event_base *base,
 		   const struct clock *clock,
@@ -43,6 +51,8 @@
 	upstream->limits.connect_timeout = CONNECT_TIMEOUT;
 	upstream->answer_limits.head = ANSWER_HEAD_MAX;
 	upstream->answer_limits.body = ANSWER_BODY_MAX;
+	upstream->answer_limits.stream = ANSWER_STREAM_MAX;
+	upstream->memory.max = ANSWERS_SIZE_MAX;
 }
 
 static void set_timer(struct upstream_conn *conn, int64_t usec)
@@ -201,11 +211,25 @@
 		set_timer(conn, conn->idle_for);
 }
 
-/* Skips a message that is not the answer, which is still to come. */
-static void expect_next_message(struct upstream_conn *conn)
+static void set_expected(struct upstream_conn *conn)
 {
+	conn->message.no_body = conn->exchange->is_head;
+	conn->message.records_max = conn->exchange->records_max;
+}
+
+/*
+ * Skips a message that is not the answer, which is still to come.
+ *
+ * Return: 0; or ERR_PROTOCOL if too many were skipped.
+ */
+static int expect_next_message(struct upstream_conn *conn)
+{
+	if (++conn->n_skipped > SKIPPED_MAX)
+		return ERR_PROTOCOL;
 	http_message_reset(&conn->message);
-	conn->message.no_body = conn->exchange && conn->exchange->is_head;
+	if (conn->exchange)
+		set_expected(conn);
+	return 0;
 }
 
 /*
@@ -223,8 +247,7 @@
 		 LOG_I64("status", conn->message.parser.status_code));
 	if (!conn->message.keep_alive || conn->message.until_close)
 		return ERR_LOST;
-	expect_next_message(conn);
-	return 0;
+	return expect_next_message(conn);
 }
 
 static void observe_answer(const struct upstream *upstream,
@@ -297,10 +320,8 @@
 	struct registry_server *server;
 	int64_t sent_at;
 
-	if (conn->message.parser.status_code / 100 == 1) {
-		expect_next_message(conn);
-		return 0;
-	}
+	if (conn->message.parser.status_code / 100 == 1)
+		return expect_next_message(conn);
 	if (conn->asked_at)
 		return handle_health(conn);
 	if (upstream_is_other_answer(conn))
@@ -318,10 +339,51 @@
 	return 1;
 }
 
+static struct upstream_conn *find_longest(const struct upstream *upstream)
+{
+	struct upstream_conn *longest = NULL;
+	size_t most = GIVEN_UP_SIZE_MIN;
+	struct upstream_conn *conn;
+
+	DL_FOREACH2(upstream->conns, conn, next_open)
+	{
+		size_t size = http_message_allocated(&conn->message);
+
+		if (!conn->exchange || size < most)
+			continue;
+		most = size;
+		longest = conn;
+	}
+	return longest;
+}
+
+/*
+ * Servers in trouble send without end, each up to the limit of an answer. All
+ * of them together must not exceed the memory, or the process is killed and
+ * every request with it. Honest answers are rarely the longest ones then.
+ */
+static void limit_memory(struct upstream *upstream)
+{
+	struct upstream_conn *conn;
+
+	while (upstream->memory.used > upstream->memory.max &&
+	       (conn = find_longest(upstream))) {
+		upstream->given_up++;
+		LOG_WARN("answer_given_up",
+			 LOG_TEXT("server", conn->server->entry.id),
+			 LOG_TEXT("service", conn->server->entry.service),
+			 LOG_U64("bytes",
+				 http_message_allocated(&conn->message)),
+			 LOG_U64("all_bytes", upstream->memory.used));
+		fail_conn(conn, ERR_PROTOCOL);
+	}
+}
+
 static void on_read(struct bufferevent *bev, void *arg)
 {
 	struct upstream_conn *conn = arg;
 	struct evbuffer *in = bufferevent_get_input(bev);
+	struct upstream *upstream = conn->upstream;
 	int ret = 0;
 
 	/* Bytes on an idle connection belong to no request. */
@@ -331,8 +393,10 @@
 	}
 	while (!ret && evbuffer_get_length(in)) {
 		ret = http_message_read(&conn->message, in);
-		if (!ret)
+		if (!ret) {
+			limit_memory(upstream);
 			return;
+		}
 		ret = ret < 0 ? ERR_PROTOCOL : handle_message(conn);
 	}
 	if (ret < 0 && conn->asked_at)
@@ -359,7 +423,8 @@
 	struct evbuffer *out = bufferevent_get_output(conn->bev);
 
 	conn->state = CONN_BUSY;
-	conn->message.no_body = exchange->is_head;
+	conn->n_skipped = 0;
+	set_expected(conn);
 	evbuffer_remove_buffer(exchange->out, out, exchange->head_len);
 	evbuffer_add_printf(out, STR_FMT ": %lld\r\n" STR_FMT ": %s\r\n\r\n",
 			    STR_ARG(names->deadline),
@@ -548,6 +613,7 @@
 	conn->timer = evtimer_new(upstream->base, on_timer, conn);
 	http_message_init(&conn->message, HTTP_RESPONSE,
 			  &upstream->answer_limits);
+	conn->message.memory = &upstream->memory;
 	conn->bev = bufferevent_socket_new(upstream->base, -1,
 					   BEV_OPT_CLOSE_ON_FREE);
 	bufferevent_setcb(conn->bev, on_read, NULL, on_event, conn);
@@ -580,6 +646,7 @@
 	exchange->id = mem_dup_len(request->id.data, request->id.len);
 	exchange->id_len = request->id.len;
 	exchange->is_head = request->is_head;
+	exchange->records_max = request->records_max;
 	exchange->sent_at = clock_now(upstream->clock);
 	exchange->deadline = deadline;
 	exchange->cb = cb;
--- a/upstream.h
+++ b/upstream.h
@@ -54,6 +54,8 @@
  * @fingerprint: identifies requests that crash servers
  * @trial: of a suspect
  * @is_head: the method is HEAD, so that the answer has no body
+ * @records_max: only so many of the greatest records of the answer are needed;
+ *	0: all of its body
  * @needs_recent_conn: reuse only connections that were idle so briefly that
  *	the server is not closing them
  */
@@ -64,6 +66,7 @@
 	uint64_t fingerprint;
 	enum poison_trial trial;
 	bool is_head;
+	int records_max;
 	bool needs_recent_conn;
 };
 
@@ -125,6 +128,9 @@
 /**
  * struct upstream - all connections to backend servers
  * @limits: set by the owner after upstream_init()
+ * @answer_limits: of one answer
+ * @memory: of all answers that are being read; the longest one is given up if
+ *	they exceed its limit
  * @conns: open connections
  * @on_released: a connection to a server became idle or was closed; may be
  *	NULL, set by the owner
@@ -133,6 +139,7 @@
  * @opened: number of connections opened
  * @foreign: number of dropped answers to other requests
  * @silent: number of time-outs while connecting or waiting for an answer
+ * @given_up: number of answers that were given up for want of memory
  * @bad_loads: number of malformed load headers
  */
 struct upstream {
@@ -141,6 +148,7 @@
 	const struct upstream_header_names *names;
 	struct upstream_limits limits;
 	struct http_limits answer_limits;
+	struct http_memory memory;
 	struct upstream_conn *conns;
 	void (*on_released)(void *arg, struct registry_server *server);
 	void *on_released_arg;
@@ -149,6 +157,7 @@
 	uint64_t opened;
 	uint64_t foreign;
 	uint64_t silent;
+	uint64_t given_up;
 	uint64_t bad_loads;
 };
 
--- a/upstream_private.h
+++ b/upstream_private.h
@@ -24,6 +24,7 @@
  * @asked_at: when it was asked, microseconds; 0: no such answer is awaited
  * @idle_since: when it became idle, microseconds
  * @idle_for: how long it may stay idle, microseconds
+ * @n_skipped: messages before the awaited one that were no answer to it
  * @foreign: it received an answer to another request, so it is not reused
  */
 struct upstream_conn {
@@ -41,6 +42,7 @@
 	int64_t asked_at;
 	int64_t idle_since;
 	int64_t idle_for;
+	int n_skipped;
 	bool foreign;
 	struct upstream_conn *prev; /* in registry_server.conns */
 	struct upstream_conn *next;
@@ -53,6 +55,7 @@
  * @out: head and body, until they are written
  * @id: request id, owned
  * @is_head: the method is HEAD, so that the answer has no body
+ * @records_max: as of struct upstream_request
  * @written: bytes were passed to the socket
  * @abandoned: @cb is not called
  * @delivery: of an abandoned exchange: told how it ends; or NULL
@@ -68,6 +71,7 @@
 	char *id;
 	size_t id_len;
 	bool is_head;
+	int records_max;
 	bool written;
 	bool abandoned;
 	struct delivery *delivery;
