soak: requests with little time left, and memory errors

One in twenty of its requests is now preceded by such a one, on a new connection as a last repeat would be; its random numbers are apart, so that the plans of the seeds stay. A report of the address sanitizer fails the play.

--- a/bench/soak.py
+++ b/bench/soak.py
@@ -342,6 +342,8 @@
 
     def failures(self, report):
         failed = [rule for rule, over in report["over"].items() if over > 0]
+        if self.has_memory_error():
+            failed.append("memory error")
         if report.get("good_refused", {}).get("crashes_servers"):
             failed.append("good search banned")
         refusing = self.options.mix not in soak_plan.NOT_REFUSING
@@ -350,6 +352,12 @@
             failed.append("nothing sent again")
         return failed
 
+    def has_memory_error(self):
+        """In a build with sanitizers."""
+        return any("AddressSanitizer:" in line.get("text", "")
+                   for g in self.gateways for line in g.log()
+                   if line["event"] == "no JSON")
+
     def print_log(self, finding):
         """Print the lines of all instances that name the request."""
         print(f"broken: {finding}", flush=True)
--- a/bench/soak_caller.py
+++ b/bench/soak_caller.py
@@ -17,6 +17,9 @@
 IMPATIENT_ATTEMPTS_MAX = 4
 LONG_KEEPER_SHARE = 0.3
 LONG_KEEPER_FACTOR = 3
+# Requests that come with so little time left, on new connections.
+HURRIED_SHARE = 0.05
+HURRIED_LEFT_MAX_MS = 3
 # Of a request that crashes servers; each comes from an address of its own.
 REPEATS_AT_ONCE = 2
 FIRST_OCTET, LAST_OCTET = 10, 250
@@ -81,6 +84,7 @@
         self.routes = settings["routes"]
         self.interval_s = settings["interval_s"]
         self.results = results
+        self.hurried = random.Random(f"{seed}-{number}-hurried")
         self.impatient = self.rng.random() < IMPATIENT_SHARE
         self.keeps_long = self.rng.random() < LONG_KEEPER_SHARE
         self.addresses = []
@@ -185,11 +189,28 @@
                 return
             await self.wait_to_repeat(headers, deadline)
 
+    async def hurry(self, route):
+        """Send a request that is given up almost at once."""
+        left_ms = self.hurried.randint(0, HURRIED_LEFT_MAX_MS)
+        kept = self.stream, self.address
+        self.stream = None
+        try:
+            await self.connect()
+            await self.attempt(route, f"{route.prefix}hurried-{self.number}",
+                               time.monotonic() + left_ms / 1000)
+        except (OSError, TimeoutError):
+            pass
+        self.disconnect()
+        self.stream, self.address = kept
+
     async def run(self, until):
         weights = [route.weight for route in self.routes]
         while time.monotonic() < until:
             await asyncio.sleep(self.rng.expovariate(1 / self.interval_s))
-            await self.request(self.rng.choices(self.routes, weights)[0])
+            route = self.rng.choices(self.routes, weights)[0]
+            if self.hurried.random() < HURRIED_SHARE:
+                await self.hurry(route)
+            await self.request(route)
         self.disconnect()
 
 
