upstream: reading of answers in a file of its own

upstream.c had grown to 769 lines: connections, sends and exchanges beside the reading of answers, health answers and what is given up for want of memory. The reading is upstream_read.c now (206 lines), the functions that both need are in upstream_private.h with the module's prefix.

--- a/upstream.c
+++ b/upstream.c
@@ -24,8 +24,6 @@
  * is known here: written within 1.2 s and distributed within as much again.
  */
 #define SUSPECTED_RESTART_COLD_TIME MSEC(2500)
-/* A server that is asked for its health and pauses for less is not silent. */
-#define HEALTH_TIMEOUT MSEC(250)
 /* Maximum size of an answer, bytes. */
 #define ANSWER_HEAD_MAX 65536
 #define ANSWER_BODY_MAX (8 * 1024 * 1024)
@@ -33,10 +31,6 @@
 #define ANSWER_STREAM_MAX (2 * ANSWER_BODY_MAX)
 /* Maximum size of all answers that are being read, bytes. */
 #define ANSWERS_SIZE_MAX (64 * 1024 * 1024)
-/* Shorter answers are not given up to make room. */
-#define GIVEN_UP_SIZE_MIN 65536
-/* Interim responses and answers to earlier requests before the answer. */
-#define SKIPPED_MAX 16
 
 void upstream_init(struct upstream *upstream, struct event_base *base,
 		   const struct clock *clock,
@@ -55,14 +49,14 @@
 	upstream->memory.max = ANSWERS_SIZE_MAX;
 }
 
-static void set_timer(struct upstream_conn *conn, int64_t usec)
+void upstream_conn_set_timer(struct upstream_conn *conn, int64_t usec)
 {
 	struct timeval tv = {usec / USEC_PER_SEC, usec % USEC_PER_SEC};
 
 	evtimer_add(conn->timer, &tv);
 }
 
-static void free_conn(struct upstream_conn *conn)
+void upstream_conn_free(struct upstream_conn *conn)
 {
 	DL_DELETE(conn->server->conns, conn);
 	DL_DELETE2(conn->upstream->conns, conn, prev_open, next_open);
@@ -111,8 +105,8 @@
 }
 
 /* Ends the exchange but not the connection. */
-static void end_exchange(struct upstream_conn *conn,
-			 struct exchange_result *result)
+void upstream_conn_end_exchange(struct upstream_conn *conn,
+				struct exchange_result *result)
 {
 	struct exchange *exchange = conn->exchange;
 
@@ -129,8 +123,8 @@
 	free_exchange(exchange);
 }
 
-static void observe_broken(struct upstream *upstream,
-			   struct registry_server *server)
+void upstream_notify_broken(struct upstream *upstream,
+			    struct registry_server *server)
 {
 	if (upstream->observer)
 		upstream->observer->broke(upstream->observer_arg, server);
@@ -145,9 +139,8 @@
 					      evidence);
 }
 
-/* Consumes a reference to @server. */
-static void notify_released(struct upstream *upstream,
-			    struct registry_server *server)
+void upstream_notify_released(struct upstream *upstream,
+			      struct registry_server *server)
 {
 	if (upstream->on_released)
 		upstream->on_released(upstream->on_released_arg, server);
@@ -167,7 +160,7 @@
 		   sizeof(linger));
 }
 
-static void fail_conn(struct upstream_conn *conn, int code)
+void upstream_conn_fail(struct upstream_conn *conn, int code)
 {
 	struct registry_server *server = registry_server_ref(conn->server);
 	struct exchange_result result = {.code = code};
@@ -180,12 +173,12 @@
 	if (delivery_outcome_of(result.code, result.not_run) ==
 	    DELIVERY_UNKNOWN)
 		drop_undelivered(conn);
-	end_exchange(conn, &result);
-	free_conn(conn);
-	notify_released(upstream, server);
+	upstream_conn_end_exchange(conn, &result);
+	upstream_conn_free(conn);
+	upstream_notify_released(upstream, server);
 }
 
-static void keep_or_close(struct upstream_conn *conn)
+void upstream_conn_keep_or_close(struct upstream_conn *conn)
 {
 	struct evbuffer *in = bufferevent_get_input(conn->bev);
 	struct evbuffer *out = bufferevent_get_output(conn->bev);
@@ -198,7 +191,7 @@
 	 */
 	if (!keep || conn->foreign || evbuffer_get_length(in) ||
 	    evbuffer_get_length(out) || !registry_is_open(conn->server)) {
-		free_conn(conn);
+		upstream_conn_free(conn);
 		return;
 	}
 	conn->idle_for = upstream_idle_limit(conn);
@@ -206,203 +199,15 @@
 	conn->state = CONN_IDLE;
 	http_message_reset(&conn->message);
 	if (conn->idle_for <= 0)
-		free_conn(conn);
-	else
-		set_timer(conn, conn->idle_for);
-}
-
-static void set_expected(struct upstream_conn *conn)
-{
-	conn->message.no_body = conn->exchange->is_head;
-	conn->message.records_max = conn->exchange->records_max;
-}
-
-/*
- * Skips a message that is not the answer, which is still to come.
- *
- * Return: 0; or ERR_PROTOCOL if too many were skipped.
- */
-static int expect_next_message(struct upstream_conn *conn)
-{
-	if (++conn->n_skipped > SKIPPED_MAX)
-		return ERR_PROTOCOL;
-	http_message_reset(&conn->message);
-	if (conn->exchange)
-		set_expected(conn);
-	return 0;
-}
-
-/*
- * Drops a repeated answer to an earlier request, as told by its id. The answer
- * to the current request is still to come.
- */
-static int drop_other_answer(struct upstream_conn *conn)
-{
-	const struct upstream_header_names *names = conn->upstream->names;
-
-	conn->upstream->foreign++;
-	conn->foreign = true;
-	LOG_INFO("foreign_answer", LOG_TEXT("server", conn->server->entry.id),
-		 LOG_STR("request", upstream_header(conn, names->request_id)),
-		 LOG_I64("status", conn->message.parser.status_code));
-	if (!conn->message.keep_alive || conn->message.until_close)
-		return ERR_LOST;
-	return expect_next_message(conn);
-}
-
-static void observe_answer(const struct upstream *upstream,
-			   struct registry_server *server, int code,
-			   int64_t sent_at)
-{
-	const struct upstream_observer *observer = upstream->observer;
-
-	if (!observer)
-		return;
-	if (code == ERR_FOREIGN)
-		observer->replaced(upstream->observer_arg, server);
+		upstream_conn_free(conn);
 	else
-		observer->answered(upstream->observer_arg, server, sent_at);
-}
-
-static void ask_for_health(struct upstream_conn *conn)
-{
-	const struct registry_server *server = conn->server;
-
-	evbuffer_add_printf(bufferevent_get_output(conn->bev),
-			    "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n",
-			    server->service->health_path,
-			    server->entry.address.ip);
-	conn->state = CONN_BUSY;
-	conn->asked_at = clock_now(conn->upstream->clock);
-	set_timer(conn, HEALTH_TIMEOUT);
-}
-
-/* Any status is a sign of life; the id tells whose. */
-static int handle_health(struct upstream_conn *conn)
-{
-	struct registry_server *server = registry_server_ref(conn->server);
-	struct upstream *upstream = conn->upstream;
-	struct str id = upstream_header(conn, upstream->names->instance_id);
-	bool replaced = id.len && !str_eq_text(id, server->entry.id);
-	int64_t asked_at = conn->asked_at;
-
-	event_del(conn->timer);
-	conn->asked_at = 0;
-	if (replaced)
-		server->gone = true;
-	observe_answer(upstream, server, replaced ? ERR_FOREIGN : 0, asked_at);
-	keep_or_close(conn);
-	notify_released(upstream, server);
-	return 1;
+		upstream_conn_set_timer(conn, conn->idle_for);
 }
 
-/* The server did not answer, or with what is no answer. */
-static void end_asked(struct upstream_conn *conn)
+static void on_readable(struct bufferevent *bev, void *arg)
 {
-	struct registry_server *server = registry_server_ref(conn->server);
-	struct upstream *upstream = conn->upstream;
-
-	free_conn(conn);
-	observe_broken(upstream, server);
-	notify_released(upstream, server);
-}
-
-/*
- * Handles a complete message.
- *
- * Return: 0 if the answer is still to come; 1 if the exchange has ended, and
- * the connection may be freed; or an error.
- */
-static int handle_message(struct upstream_conn *conn)
-{
-	struct exchange_result result = {.code = 0};
-	struct upstream *upstream = conn->upstream;
-	struct registry_server *server;
-	int64_t sent_at;
-
-	if (conn->message.parser.status_code / 100 == 1)
-		return expect_next_message(conn);
-	if (conn->asked_at)
-		return handle_health(conn);
-	if (upstream_is_other_answer(conn))
-		return drop_other_answer(conn);
-	upstream_read_answer(conn, &result);
-	if (result.code == ERR_FOREIGN)
-		conn->server->gone = true;
-	event_del(conn->timer);
-	server = registry_server_ref(conn->server);
-	sent_at = conn->exchange->sent_at;
-	end_exchange(conn, &result);
-	observe_answer(upstream, server, result.code, sent_at);
-	keep_or_close(conn);
-	notify_released(upstream, server);
-	return 1;
-}
-
-static struct upstream_conn *find_longest(const struct upstream *upstream)
-{
-	struct upstream_conn *longest = NULL;
-	size_t most = GIVEN_UP_SIZE_MIN;
-	struct upstream_conn *conn;
-
-	DL_FOREACH2(upstream->conns, conn, next_open)
-	{
-		size_t size = http_message_allocated(&conn->message);
-
-		if (!conn->exchange || size < most)
-			continue;
-		most = size;
-		longest = conn;
-	}
-	return longest;
-}
-
-/*
- * Servers in trouble send without end, each up to the limit of an answer. All
- * of them together must not exceed the memory, or the process is killed and
- * every request with it. Honest answers are rarely the longest ones then.
- */
-static void limit_memory(struct upstream *upstream)
-{
-	struct upstream_conn *conn;
-
-	while (upstream->memory.used > upstream->memory.max &&
-	       (conn = find_longest(upstream))) {
-		upstream->given_up++;
-		LOG_WARN("answer_given_up",
-			 LOG_TEXT("server", conn->server->entry.id),
-			 LOG_TEXT("service", conn->server->entry.service),
-			 LOG_U64("bytes",
-				 http_message_allocated(&conn->message)),
-			 LOG_U64("all_bytes", upstream->memory.used));
-		fail_conn(conn, ERR_PROTOCOL);
-	}
-}
-
-static void on_read(struct bufferevent *bev, void *arg)
-{
-	struct upstream_conn *conn = arg;
-	struct evbuffer *in = bufferevent_get_input(bev);
-	struct upstream *upstream = conn->upstream;
-	int ret = 0;
-
-	/* Bytes on an idle connection belong to no request. */
-	if (!conn->exchange && !conn->asked_at) {
-		free_conn(conn);
-		return;
-	}
-	while (!ret && evbuffer_get_length(in)) {
-		ret = http_message_read(&conn->message, in);
-		if (!ret) {
-			limit_memory(upstream);
-			return;
-		}
-		ret = ret < 0 ? ERR_PROTOCOL : handle_message(conn);
-	}
-	if (ret < 0 && conn->asked_at)
-		end_asked(conn);
-	else if (ret < 0)
-		fail_conn(conn, ret);
+	(void)bev;
+	upstream_conn_read(arg);
 }
 
 /* The server is told the time that is left in whole milliseconds. */
@@ -424,7 +229,7 @@
 
 	conn->state = CONN_BUSY;
 	conn->n_skipped = 0;
-	set_expected(conn);
+	upstream_conn_expect_answer(conn);
 	evbuffer_remove_buffer(exchange->out, out, exchange->head_len);
 	evbuffer_add_printf(out, STR_FMT ": %lld\r\n" STR_FMT ": %s\r\n\r\n",
 			    STR_ARG(names->deadline),
@@ -432,7 +237,7 @@
 			    STR_ARG(names->server_id), conn->server->entry.id);
 	evbuffer_add_buffer(out, exchange->out);
 	exchange->written = true;
-	set_timer(conn, left + ANSWER_TIMEOUT_MARGIN);
+	upstream_conn_set_timer(conn, left + ANSWER_TIMEOUT_MARGIN);
 }
 
 /* Return: whether the connection was opened by upstream_check(). */
@@ -480,7 +285,7 @@
 	if (has_time_left(left))
 		write_request(conn, left);
 	else
-		fail_conn(conn, ERR_TOO_LATE);
+		upstream_conn_fail(conn, ERR_TOO_LATE);
 }
 
 static void on_connected(struct upstream_conn *conn)
@@ -502,16 +307,16 @@
 	}
 	/* Nothing is sent, and the connection is kept. */
 	server = registry_server_ref(conn->server);
-	end_exchange(conn, &result);
+	upstream_conn_end_exchange(conn, &result);
 	end_check(conn, CRASH_EVIDENCE_LISTENS);
 	if (conn->ask && server->service->health_path) {
-		ask_for_health(conn);
+		upstream_conn_ask_for_health(conn);
 		registry_server_unref(server);
 		return;
 	}
 	conn->message.keep_alive = true;
-	keep_or_close(conn);
-	notify_released(upstream, server);
+	upstream_conn_keep_or_close(conn);
+	upstream_notify_released(upstream, server);
 }
 
 static void fail_connect(struct upstream_conn *conn, int code,
@@ -521,10 +326,10 @@
 	struct upstream *upstream = conn->upstream;
 
 	if (end_check(conn, evidence))
-		free_conn(conn);
+		upstream_conn_free(conn);
 	/* Without an exchange: inside open_conn(), which frees it. */
 	else if (conn->exchange)
-		fail_conn(conn, code);
+		upstream_conn_fail(conn, code);
 	observe_connected(upstream, server, evidence);
 	registry_server_unref(server);
 }
@@ -533,14 +338,14 @@
 static void end_broken(struct upstream_conn *conn, bool in_order)
 {
 	if (!conn->exchange) {
-		free_conn(conn);
+		upstream_conn_free(conn);
 		return;
 	}
 	/* Without a length, only an orderly close marks the end. */
 	if (in_order && http_message_eof(&conn->message) == 1 &&
-	    handle_message(conn))
+	    upstream_conn_handle_message(conn))
 		return;
-	fail_conn(conn, ERR_LOST);
+	upstream_conn_fail(conn, ERR_LOST);
 }
 
 static void on_event(struct bufferevent *bev, short what, void *arg)
@@ -565,7 +370,7 @@
 			     "all_connections_reset");
 	server = registry_server_ref(conn->server);
 	end_broken(conn, what & BEV_EVENT_EOF);
-	observe_broken(upstream, server);
+	upstream_notify_broken(upstream, server);
 	registry_server_unref(server);
 }
 
@@ -593,11 +398,11 @@
 	if (conn->state == CONN_CONNECTING)
 		fail_connect(conn, ERR_SILENT, CRASH_EVIDENCE_UNREACHED);
 	else if (conn->exchange)
-		fail_conn(conn, ERR_SILENT);
+		upstream_conn_fail(conn, ERR_SILENT);
 	else if (conn->asked_at)
-		end_asked(conn);
+		upstream_conn_end_asked(conn);
 	else
-		free_conn(conn);
+		upstream_conn_free(conn);
 }
 
 static struct upstream_conn *open_conn(struct upstream *upstream,
@@ -616,14 +421,14 @@
 	conn->message.memory = &upstream->memory;
 	conn->bev = bufferevent_socket_new(upstream->base, -1,
 					   BEV_OPT_CLOSE_ON_FREE);
-	bufferevent_setcb(conn->bev, on_read, NULL, on_event, conn);
+	bufferevent_setcb(conn->bev, on_readable, NULL, on_event, conn);
 	DL_APPEND(server->conns, conn);
 	DL_APPEND2(upstream->conns, conn, prev_open, next_open);
 	server->n_conns++;
 	upstream->opened++;
 	if (bufferevent_socket_connect(conn->bev, (struct sockaddr *)&sin,
 				       sizeof(sin))) {
-		free_conn(conn);
+		upstream_conn_free(conn);
 		return NULL;
 	}
 	setsockopt(bufferevent_getfd(conn->bev), IPPROTO_TCP, TCP_NODELAY, &on,
@@ -687,7 +492,7 @@
 	if (conn->state == CONN_IDLE)
 		write_request(conn, left);
 	else
-		set_timer(conn, upstream->limits.connect_timeout);
+		upstream_conn_set_timer(conn, upstream->limits.connect_timeout);
 	return 0;
 }
 
@@ -706,7 +511,7 @@
 	exchange->delivery = delivery_add(delivery);
 	/* While connecting, the connect time-out applies. */
 	if (exchange->written)
-		set_timer(conn, linger);
+		upstream_conn_set_timer(conn, linger);
 }
 
 static void cancel_exchange(struct upstream_conn *conn)
@@ -732,7 +537,7 @@
 		if (conn->exchange)
 			cancel_exchange(conn);
 		end_check(conn, CRASH_EVIDENCE_LISTENS);
-		free_conn(conn);
+		upstream_conn_free(conn);
 	}
 }
 
@@ -747,14 +552,14 @@
 	conn->ask = ask;
 	conn->check = cb;
 	conn->check_arg = arg;
-	set_timer(conn, upstream->limits.connect_timeout);
+	upstream_conn_set_timer(conn, upstream->limits.connect_timeout);
 	return 0;
 }
 
 void exchange_set_timeout(struct exchange *exchange, int64_t timeout)
 {
 	if (exchange->written)
-		set_timer(exchange->conn, timeout);
+		upstream_conn_set_timer(exchange->conn, timeout);
 }
 
 void upstream_close_idle(struct registry_server *server)
@@ -764,6 +569,6 @@
 
 	DL_FOREACH_SAFE (server->conns, conn, next) {
 		if (conn->state == CONN_IDLE)
-			free_conn(conn);
+			upstream_conn_free(conn);
 	}
 }
--- a/upstream_private.h
+++ b/upstream_private.h
@@ -84,6 +84,71 @@
 	void *ended_arg;
 };
 
+void upstream_conn_free(struct upstream_conn *conn);
+void upstream_conn_set_timer(struct upstream_conn *conn, int64_t usec);
+
+/**
+ * upstream_conn_end_exchange() - report the result of the exchange, if there is
+ * one, and free it
+ * @result: @took is set
+ */
+void upstream_conn_end_exchange(struct upstream_conn *conn,
+				struct exchange_result *result);
+
+/**
+ * upstream_conn_fail() - end the exchange with an error, and the connection
+ */
+void upstream_conn_fail(struct upstream_conn *conn, int code);
+
+/**
+ * upstream_conn_keep_or_close() - make the connection idle after a message, or
+ * close it
+ */
+void upstream_conn_keep_or_close(struct upstream_conn *conn);
+
+/**
+ * upstream_conn_expect_answer() - prepare to read the answer of the exchange
+ */
+void upstream_conn_expect_answer(struct upstream_conn *conn);
+
+/**
+ * upstream_conn_ask_for_health() - ask the connection's server for its health
+ */
+void upstream_conn_ask_for_health(struct upstream_conn *conn);
+
+/**
+ * upstream_conn_end_asked() - the server did not answer when asked for its
+ * health, or with what is no answer: close the connection
+ */
+void upstream_conn_end_asked(struct upstream_conn *conn);
+
+/**
+ * upstream_conn_handle_message() - handle a complete message
+ *
+ * Return: 0 if the answer is still to come; 1 if the exchange has ended, and
+ * the connection may be freed; or an error.
+ */
+int upstream_conn_handle_message(struct upstream_conn *conn);
+
+/**
+ * upstream_conn_read() - handle received bytes; the connection may be freed
+ */
+void upstream_conn_read(struct upstream_conn *conn);
+
+/**
+ * upstream_notify_broken() - tell the observer that a connection broke
+ */
+void upstream_notify_broken(struct upstream *upstream,
+			    struct registry_server *server);
+
+/**
+ * upstream_notify_released() - tell the owner that a connection became idle or
+ * was closed
+ * @server: a reference to it is consumed
+ */
+void upstream_notify_released(struct upstream *upstream,
+			      struct registry_server *server);
+
 /**
  * upstream_may_send() - whether a server may get another request now
  *
