--- a/store_client.h
+++ b/store_client.h
@@ -16,14 +16,12 @@
  * @topic: that it reads
  * @http: NULL while there is no connection
  * @busy: a call is under way
- * @id: not used
  */
 struct store_channel {
 	struct store_client *client;
 	enum store_topic topic;
 	struct evhttp_connection *http;
 	bool busy;
-	uint64_t id;
 };
 
 /**
--- a/store_sync.h
+++ b/store_sync.h
@@ -94,7 +94,6 @@
  *	  later it retries after a failure
  * @start_delay: how long it waits for a peer's view while it has none,
  *		 microseconds
- * @refused_version: not used
  */
 struct store_sync {
 	const struct clock *clock;
@@ -110,7 +109,6 @@
 	int64_t max_view_age;
 	int rank;
 	int64_t start_delay;
-	uint64_t refused_version;
 };
 
 /**
--- a/tests/test_store_order.c
+++ b/tests/test_store_order.c
@@ -180,6 +180,16 @@
 	fixture_finish(&fixture);
 }
 
+/* It has a view with a and b, and leaves the calls to others. */
+static void set_up_follower(struct fixture *fixture, int64_t view_age_ms)
+{
+	fixture_init(fixture);
+	fixture_answer_routes(fixture, 1);
+	fixture_answer_servers(fixture);
+	store_sync_set_max_view_age(&fixture->sync, MSEC(4000), 20);
+	fixture_advance(fixture, view_age_ms);
+}
+
 static void receive_complete_view_of_a(struct fixture *fixture, uint64_t at)
 {
 	store_sync_begin_snapshot(&fixture->sync);
@@ -193,11 +203,7 @@
 {
 	struct fixture fixture;
 
-	fixture_init(&fixture);
-	fixture_answer_routes(&fixture, 1);
-	fixture_answer_servers(&fixture);
-	store_sync_set_max_view_age(&fixture.sync, MSEC(4000), 20);
-	fixture_advance(&fixture, 2300);
+	set_up_follower(&fixture, 2300);
 	receive_complete_view_of_a(&fixture, 20);
 	CU_ASSERT(fixture_has_server(&fixture, "a"));
 	CU_ASSERT(!fixture_has_server(&fixture, "b"));
@@ -212,11 +218,7 @@
 {
 	struct fixture fixture;
 
-	fixture_init(&fixture);
-	fixture_answer_routes(&fixture, 1);
-	fixture_answer_servers(&fixture);
-	store_sync_set_max_view_age(&fixture.sync, MSEC(4000), 20);
-	fixture_advance(&fixture, 2700);
+	set_up_follower(&fixture, 2700);
 	receive_complete_view_of_a(&fixture, 20);
 	fixture_advance(&fixture, 2000);
 	CU_ASSERT(fixture_has_server(&fixture, "b"));
@@ -230,11 +232,7 @@
 {
 	struct fixture fixture;
 
-	fixture_init(&fixture);
-	fixture_answer_routes(&fixture, 1);
-	fixture_answer_servers(&fixture);
-	store_sync_set_max_view_age(&fixture.sync, MSEC(4000), 20);
-	fixture_advance(&fixture, 2700);
+	set_up_follower(&fixture, 2700);
 	confirm(&fixture, STORE_SERVERS, 19);
 	fixture_advance(&fixture, 500);
 	receive_complete_view_of_a(&fixture, 20);
--- a/tests/test_view_order.c
+++ b/tests/test_view_order.c
@@ -330,6 +330,23 @@
 	CU_ASSERT(knows_ghost(other) && !knows_ghost(reader));
 }
 
+struct pair {
+	struct cluster cluster;
+	struct node *reader;
+	struct node *other;
+};
+
+static void pair_init(struct pair *pair)
+{
+	int reader;
+
+	cluster_init(&pair->cluster, 2);
+	cluster_advance(&pair->cluster, 5000);
+	reader = cluster_reader(&pair->cluster);
+	pair->reader = &pair->cluster.nodes[reader];
+	pair->other = &pair->cluster.nodes[1 - reader];
+}
+
 static void request_changes(struct node *reader, const struct node *other)
 {
 	Peer__ViewRequest request = PEER__VIEW_REQUEST__INIT;
@@ -345,67 +362,53 @@
  */
 static void test_removal_of_server_never_known(void)
 {
-	struct cluster cluster;
-	struct node *reader;
-	struct node *other;
-
-	cluster_init(&cluster, 2);
-	cluster_advance(&cluster, 5000);
-	reader = &cluster.nodes[cluster_reader(&cluster)];
-	other = &cluster.nodes[1 - cluster_reader(&cluster)];
-	create_ghost(&cluster, reader, other);
-	server_view_remove(&reader->sync.servers, "ghost", cluster.revision,
-			   "peer");
-	servers_of(reader)->revision = cluster.revision;
-	request_changes(reader, other);
-	CU_ASSERT(!knows_ghost(other));
-	cluster_finish(&cluster);
+	struct pair pair;
+
+	pair_init(&pair);
+	create_ghost(&pair.cluster, pair.reader, pair.other);
+	server_view_remove(&pair.reader->sync.servers, "ghost",
+			   pair.cluster.revision, "peer");
+	servers_of(pair.reader)->revision = pair.cluster.revision;
+	request_changes(pair.reader, pair.other);
+	CU_ASSERT(!knows_ghost(pair.other));
+	cluster_finish(&pair.cluster);
 }
 
 /* Guards against the same after the store has discarded its history. */
 static void test_gone_between_lists(void)
 {
-	struct cluster cluster;
-	struct node *reader;
-	struct node *other;
-
-	cluster_init(&cluster, 2);
-	cluster_advance(&cluster, 5000);
-	reader = &cluster.nodes[cluster_reader(&cluster)];
-	other = &cluster.nodes[1 - cluster_reader(&cluster)];
-	other->dead = true;
-	create_ghost(&cluster, reader, other);
-	cluster.compacted = cluster.revision;
-	cluster_advance(&cluster, 2000);
-	CU_ASSERT_EQUAL(servers_of(reader)->revision, cluster.revision);
-	other->dead = false;
-	request_changes(reader, other);
-	CU_ASSERT(!knows_ghost(other));
-	cluster_finish(&cluster);
+	struct pair pair;
+
+	pair_init(&pair);
+	pair.other->dead = true;
+	create_ghost(&pair.cluster, pair.reader, pair.other);
+	pair.cluster.compacted = pair.cluster.revision;
+	cluster_advance(&pair.cluster, 2000);
+	CU_ASSERT_EQUAL(servers_of(pair.reader)->revision,
+			pair.cluster.revision);
+	pair.other->dead = false;
+	request_changes(pair.reader, pair.other);
+	CU_ASSERT(!knows_ghost(pair.other));
+	cluster_finish(&pair.cluster);
 }
 
 /* Guards against the same if the sender's message reaches back far enough. */
 static void test_changes_lack_server(void)
 {
 	Peer__ViewUpdate message = PEER__VIEW_UPDATE__INIT;
-	struct cluster cluster;
-	struct node *reader;
-	struct node *other;
-
-	cluster_init(&cluster, 2);
-	cluster_advance(&cluster, 5000);
-	reader = &cluster.nodes[cluster_reader(&cluster)];
-	other = &cluster.nodes[1 - cluster_reader(&cluster)];
-	message.servers_from = cluster.revision;
-	create_ghost(&cluster, reader, other);
-	servers_of(reader)->revision = cluster.revision;
-	message.servers_at = cluster.revision;
-	message.routes_version = other->sync.routes->version;
-	CU_ASSERT_EQUAL(view_share_update(&other->share, reader->name,
+	struct pair pair;
+
+	pair_init(&pair);
+	message.servers_from = pair.cluster.revision;
+	create_ghost(&pair.cluster, pair.reader, pair.other);
+	servers_of(pair.reader)->revision = pair.cluster.revision;
+	message.servers_at = pair.cluster.revision;
+	message.routes_version = pair.other->sync.routes->version;
+	CU_ASSERT_EQUAL(view_share_update(&pair.other->share, pair.reader->name,
 					  &message),
 			ERR_CONFLICT);
-	CU_ASSERT(!knows_ghost(other));
-	cluster_finish(&cluster);
+	CU_ASSERT(!knows_ghost(pair.other));
+	cluster_finish(&pair.cluster);
 }
 
 /*
@@ -414,22 +417,17 @@
  */
 static void test_lost_newer_change(void)
 {
-	struct cluster cluster;
-	struct node *reader;
-	struct node *other;
-
-	cluster_init(&cluster, 2);
-	cluster_advance(&cluster, 5000);
-	reader = &cluster.nodes[cluster_reader(&cluster)];
-	other = &cluster.nodes[1 - cluster_reader(&cluster)];
-	cluster.revision++;
-	put_ghost(reader, cluster.revision);
-	other->dead = true;
-	view_share_publish(&reader->share);
-	other->dead = false;
-	cluster_advance(&cluster, 2000);
-	CU_ASSERT(knows_ghost(other));
-	cluster_finish(&cluster);
+	struct pair pair;
+
+	pair_init(&pair);
+	pair.cluster.revision++;
+	put_ghost(pair.reader, pair.cluster.revision);
+	pair.other->dead = true;
+	view_share_publish(&pair.reader->share);
+	pair.other->dead = false;
+	cluster_advance(&pair.cluster, 2000);
+	CU_ASSERT(knows_ghost(pair.other));
+	cluster_finish(&pair.cluster);
 }
 
 static const struct unit_test tests[] = {
