entry_net: end open and queued searches at the end of a process

Known red: soak_suspects failed in one of five plays with a sanitizer report. The one read named a search that was still open at the end and its owner's memory (entry_net_search(), pending_search): entry_net_finish() freed the searches without telling their owners, and forgot those that were still queued, which admission_finish() does not allow.

Both are ended now, and their owners told, who free what belongs to them; homes get a cancellation. Callers see no difference: their connections are closed before.

--- a/admission.c
+++ b/admission.c
@@ -486,6 +486,26 @@
 	limit_init(&admission->instance_limit);
 }
 
+static struct admission_request *find_queued(const struct admission *admission)
+{
+	struct admission_service *service;
+	struct admission_service *tmp;
+
+	HASH_ITER (hh, admission->services, service, tmp) {
+		if (service->n_waiting)
+			return service->workspaces->requests;
+	}
+	return NULL;
+}
+
+void admission_refuse_all(struct admission *admission)
+{
+	struct admission_request *request;
+
+	while ((request = find_queued(admission)))
+		refuse(admission, request);
+}
+
 void admission_finish(struct admission *admission)
 {
 	struct admission_service *service;
--- a/admission.h
+++ b/admission.h
@@ -149,6 +149,11 @@
 void admission_init(struct admission *admission, const struct clock *clock,
 		    uint64_t (*random)(void));
 
+/**
+ * admission_refuse_all() - refuse all queued requests
+ */
+void admission_refuse_all(struct admission *admission);
+
 /**
  * admission_finish() - free the state; no request may be queued or started
  */
--- a/entry_net.c
+++ b/entry_net.c
@@ -226,6 +226,9 @@
 
 void entry_net_finish(struct entry_net *net)
 {
+	/* Their owners are told, and free what belongs to them. */
+	admission_refuse_all(&net->admission);
+	searches_end_all(&net->searches, ERR_CANCELLED);
 	searches_finish(&net->searches);
 	admission_finish(&net->admission);
 	wake_timer_finish(&net->timer);
--- a/search.c
+++ b/search.c
@@ -548,6 +548,15 @@
 	}
 }
 
+void searches_end_all(struct searches *searches, int code)
+{
+	struct search *search;
+	struct search *next;
+
+	HASH_ITER (hh, searches->by_id, search, next)
+		finish(search, code);
+}
+
 void searches_drop(struct searches *searches, struct search *search)
 {
 	metric_add(&searches->board->counters.searches_open, -1);
--- a/search.h
+++ b/search.h
@@ -280,6 +280,11 @@
  */
 void searches_catalog_changed(struct searches *searches);
 
+/**
+ * searches_end_all() - end all searches with an error, and report it
+ */
+void searches_end_all(struct searches *searches, int code);
+
 /**
  * searches_drop() - cancel and free a search whose caller has disconnected
  *
--- a/tests/test_admission.c
+++ b/tests/test_admission.c
@@ -807,6 +807,26 @@
 	}
 }
 
+/* Guards against queued searches that are leaked at the end of a process. */
+static void test_refuse_all(void)
+{
+	struct test_request requests[4];
+	struct test_request blocker;
+	struct fixture f;
+	int i;
+
+	block_instance(&f, &blocker);
+	for (i = 0; i < 4; i++)
+		CU_ASSERT_EQUAL(enter(&f, &requests[i], i % 2 ? "s" : "t", "w",
+				      i % 2, 1),
+				ADMISSION_QUEUED);
+	admission_refuse_all(&f.admission);
+	CU_ASSERT_EQUAL(f.admission.n_waiting, 0);
+	for (i = 0; i < 4; i++)
+		CU_ASSERT(requests[i].refused && !requests[i].started);
+	leave_all(&f, &blocker, 1);
+}
+
 static const struct unit_test tests[] = {
 	{"priority", test_priority},
 	{"weights", test_weights},
@@ -821,6 +841,7 @@
 	{"overload", test_overload},
 	{"other service", test_other_service},
 	{"shared", test_shared},
+	{"refuse all", test_refuse_all},
 };
 
 UNIT_MAIN("admission", tests)
--- a/tests/test_search.c
+++ b/tests/test_search.c
@@ -1289,6 +1289,23 @@
 	tear_down(&fixture);
 }
 
+/* Guards against open searches that are leaked at the end of a process. */
+static void test_end_all(void)
+{
+	struct fixture fixture;
+
+	set_up(&fixture, 2);
+	board_fixture_put_server(&fixture.path, "h1", "b1", 4, 4, "0123");
+	start(&fixture);
+	start(&fixture);
+	searches_end_all(&fixture.searches, ERR_CANCELLED);
+	CU_ASSERT_EQUAL(fixture.n_done, 2);
+	CU_ASSERT_EQUAL(fixture.code, ERR_CANCELLED);
+	CU_ASSERT(fixture.n_cancels > 0);
+	CU_ASSERT_PTR_NULL(fixture.searches.by_id);
+	tear_down(&fixture);
+}
+
 static const struct unit_test tests[] = {
 	{"counts of all servers are added", test_counts_add_over_servers},
 	{"records of all servers are merged", test_records_merge},
@@ -1338,6 +1355,7 @@
 	 test_suspect_held_past_deadline},
 	{"an unknown service uses no error budget",
 	 test_unknown_service_uses_no_budget},
+	{"end all", test_end_all},
 };
 
 UNIT_MAIN("search", tests)
