--- a/http_message.c
+++ b/http_message.c
@@ -11,13 +11,12 @@
 #include "records.h"
 
 #define BODY_INITIAL_SIZE 1024 /* bytes, first allocation */
-/* Bytes that a connection keeps allocated between messages, of head and body.
- */
+/* What a connection keeps of each buffer between messages, bytes. */
 #define KEPT_SIZE_MAX 4096
+/* Header fields that it keeps room for. */
+#define KEPT_FIELDS_MAX 64
 /* A body of this size, bytes, is reduced to its greatest records. */
 #define REDUCED_SIZE_MIN 65536
-/* Fields that it keeps room for. */
-#define KEPT_FIELDS_MAX 64
 
 static struct http_message *get_message(struct http_parser *parser)
 {
