tests: wait for the second server before the first is removed

Cause, by the logs of such a play: the test waits until one server is known before it checks that the removed one gets no requests. One server is also what the instances know at first, and they read the servers every 0.9 s: a quick play removes the first server before any of them has heard of the second, and the check runs before the removal is due (DrainMs is 3 s). The trace has no server_changed and no server_gone at all by then.

--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -1089,6 +1089,9 @@
                 self.assertEqual(caller.request("/new/x").status, 200)
             second.publish()
             self.publish(29, ROUTES + [route("/new/", service="one")])
+        for gateway in gateways:
+            self.wait("both servers known", lambda g=gateway: self.metric(
+                g, "servers") == 2)
         self.store.remove("servers/one-1")
         for gateway in gateways:
             self.wait("server removed", lambda g=gateway: self.metric(
