--- a/bench/soak_caller.py
+++ b/bench/soak_caller.py
@@ -141,7 +141,7 @@
 
     async def attempt(self, route, path, deadline):
         """Return (status, headers); (0, {}) if there is no answer."""
-        left_ms = int((deadline - time.monotonic()) * 1000)
+        left_ms = max(0, int((deadline - time.monotonic()) * 1000))
         self.attempts += 1
         request_id = f"c{self.number}-{self.attempts}"
         try:
