store_sync: tell why removals are held back, and record gaps of the view

Two reasons to hold removals back, an outdated view and failed calls, could not be told apart in logs, and neither could a late word of a removal and one that was held.

"removals_held" names the reason and the age of the view. The histogram garnetreach_view_gap_seconds has the time between confirmations of the view of servers, which is what the bound VIEW_AGE_MAX is compared with. No decision changes.

--- a/gateway.c
+++ b/gateway.c
@@ -342,6 +342,7 @@
 			  &settings->store_address, on_store_answer, gateway);
 	store_sync_init(&gateway->sync, &gateway->clock, store, &sync_ops,
 			gateway, &gateway->registry);
+	gateway->sync.view_gaps = &gateway->counters.view_gap.histogram;
 	gateway->stop_timer =
 		event_new(base, -1, EV_PERSIST, on_stop_timer, gateway);
 	wake_timer_init(&gateway->store_timer, base, &gateway->clock,
--- a/gateway_stats.h
+++ b/gateway_stats.h
@@ -119,6 +119,8 @@
 	  "calls to the platform's store since start")                         \
 	X(routes_version, METRIC_GAUGE, "garnetreach_routes_version",          \
 	  "version of the routes in use")                                      \
+	X(view_gap, METRIC_HISTOGRAM, "garnetreach_view_gap_seconds",          \
+	  "time between confirmations that the view of servers is current")    \
 	X(routes_age, METRIC_GAUGE, "garnetreach_routes_age_ms",               \
 	  "time since the routes were last confirmed to be current")           \
 	X(load_reports_refused, METRIC_GAUGE,                                  \
--- a/store_sync.c
+++ b/store_sync.c
@@ -6,6 +6,7 @@
 
 #include "error.h"
 #include "log.h"
+#include "metric.h"
 #include "store_schedule.h"
 
 /* Beyond the wait: an answer takes 4 ms, up to 60 times that if slow. */
@@ -191,15 +192,27 @@
 	server_view_begin_list(&sync->servers);
 }
 
+static int64_t view_age(const struct store_sync *sync)
+{
+	return clock_now(sync->clock) - sync->feeds[STORE_SERVERS].fresh_at;
+}
+
 /*
  * No instance is known to have reached the store for VIEW_AGE_MAX: it may have
  * been down, though no call of this instance failed.
  */
 static bool is_view_outdated(const struct store_sync *sync)
 {
-	int64_t at = sync->feeds[STORE_SERVERS].fresh_at;
+	return sync->feeds[STORE_SERVERS].fresh_at >= 0 &&
+	       view_age(sync) > VIEW_AGE_MAX;
+}
 
-	return at >= 0 && clock_now(sync->clock) - at > VIEW_AGE_MAX;
+static void hold_removals(struct store_sync *sync, const char *why)
+{
+	LOG_INFO("removals_held", LOG_TEXT("why", why),
+		 LOG_I64("view_age_ms", view_age(sync) / USEC_PER_MSEC),
+		 LOG_I64("rank", sync->rank));
+	server_view_store_returned(&sync->servers);
 }
 
 /*
@@ -210,7 +223,7 @@
 static void note_store_reached(struct store_sync *sync)
 {
 	if (is_view_outdated(sync))
-		server_view_store_returned(&sync->servers);
+		hold_removals(sync, "view_outdated");
 }
 
 /* A complete list or view up to @to follows the present one. */
@@ -240,6 +253,15 @@
 	server_view_end_list(&sync->servers, at);
 }
 
+static void set_fresh_at(struct store_sync *sync, struct store_feed *feed,
+			 int64_t at)
+{
+	if (feed->topic == STORE_SERVERS && feed->fresh_at >= 0 &&
+	    sync->view_gaps)
+		metric_histogram_add(sync->view_gaps, at - feed->fresh_at);
+	feed->fresh_at = at;
+}
+
 static void set_known(struct store_sync *sync, const struct store_feed *feed)
 {
 	if (feed->topic == STORE_SERVERS && feed->fresh_at >= 0)
@@ -256,7 +278,7 @@
 	if (fresh_at > feed->fresh_at) {
 		if (topic == STORE_SERVERS)
 			note_store_reached(sync);
-		feed->fresh_at = fresh_at;
+		set_fresh_at(sync, feed, fresh_at);
 	}
 	set_known(sync, feed);
 	/* A watch needs a revision to start from. */
@@ -313,7 +335,7 @@
 		LOG_INFO("store_regained", LOG_I64("topic", feed->topic),
 			 LOG_I64("failures", feed->failures));
 	if (was_failing)
-		server_view_store_returned(&sync->servers);
+		hold_removals(sync, "calls_failed");
 	note_store_reached(sync);
 }
 
@@ -367,7 +389,7 @@
 		return;
 	if (feed->topic == STORE_ROUTES)
 		cordon_sync_confirm(&sync->cordons, feed->revision);
-	feed->fresh_at = answer_valid_at(sync, feed);
+	set_fresh_at(sync, feed, answer_valid_at(sync, feed));
 	set_known(sync, feed);
 }
 
--- a/store_sync.h
+++ b/store_sync.h
@@ -17,6 +17,8 @@
 #include "server_view.h"
 #include "store.h"
 
+struct metric_histogram;
+
 /**
  * struct store_sync_ops - callbacks
  * @call: call the store, with a time-out in microseconds; answered by
@@ -94,6 +96,8 @@
  *	  later it retries after a failure
  * @start_delay: how long it waits for a peer's view while it has none,
  *		 microseconds
+ * @view_gaps: time between the moments at which the view of the servers was
+ *	       known to be up to date; NULL: not recorded
  */
 struct store_sync {
 	const struct clock *clock;
@@ -109,6 +113,7 @@
 	int64_t max_view_age;
 	int rank;
 	int64_t start_delay;
+	struct metric_histogram *view_gaps;
 };
 
 /**
