store_sync: hold removals back only after an outage that expires entries

Callers saw: requests reached servers more than 3 s after they had left, when the instances that read the store had lost power and processors were slow. "removals_held" told why: "view_outdated" at ages of 2.5 to 3.0 s, on instances that were not disturbed, with a store that was never away.

Cause: that an instance had not heard of the store for 2.5 s was taken for an outage, and removals were held back for 2.3 s. Replacing a lost reader takes up to 2.3 s by its settings, and longer on slow processors. A failed call alone was taken for an outage, too, though a watch may be cut at any time.

Now an outage needs evidence: a failed call, this instance's or a peer's, since the store was reached before, and time enough for an entry to expire (three writes that are 1.2 s apart must fail), or silence for as long as an entry lives. Instances tell the others of a failed call, once in each outage, in a message of its own: otherwise those that made no call remove servers whose entries have expired, for all.

Tests: "removals after lost readers" and "removal after a failed call" fail with the rule as it was; "an outage that few instances met" fails 9 times without the message. "complete view after store was away" now has 3.7 s without word in place of 2.7, and a second form has 2.5 s with a failed call; the older entry during a delayed removal has an outage that may expire entries, 2.4 s in place of 1.8.

--- a/gateway.c
+++ b/gateway.c
@@ -164,6 +164,8 @@
 	store_sync_answered(&gateway->sync, topic, answer);
 	if (!answer->code)
 		view_share_publish(&gateway->fleet.views);
+	else if (answer->code != ERR_STALE)
+		view_share_publish_failure(&gateway->fleet.views);
 	on_view_changed(gateway, was_ready);
 }
 
--- a/peer.pb-c.c
+++ b/peer.pb-c.c
@@ -4923,7 +4923,7 @@
   (ProtobufCMessageInit) peer__view_server__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__view_update__field_descriptors[15] =
+static const ProtobufCFieldDescriptor peer__view_update__field_descriptors[16] =
 {
   {
     "routes_version",
@@ -5105,6 +5105,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "store_failed",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Peer__ViewUpdate, store_failed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__view_update__field_indices_by_name[] = {
   13,   /* field[13] = cordons */
@@ -5121,12 +5133,13 @@
   5,   /* field[5] = servers_from */
   12,   /* field[12] = spread */
   14,   /* field[14] = store_era */
+  15,   /* field[15] = store_failed */
   4,   /* field[4] = whole */
 };
 static const ProtobufCIntRange peer__view_update__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 15 }
+  { 0, 16 }
 };
 const ProtobufCMessageDescriptor peer__view_update__descriptor =
 {
@@ -5136,7 +5149,7 @@
   "Peer__ViewUpdate",
   "peer",
   sizeof(Peer__ViewUpdate),
-  15,
+  16,
   peer__view_update__field_descriptors,
   peer__view_update__field_indices_by_name,
   1,  peer__view_update__number_ranges,
--- a/peer.pb-c.h
+++ b/peer.pb-c.h
@@ -809,10 +809,14 @@
    * that all revisions here are of; 0: not known
    */
   uint64_t store_era;
+  /*
+   * a call of the sender failed; there is no view
+   */
+  protobuf_c_boolean store_failed;
 };
 #define PEER__VIEW_UPDATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__view_update__descriptor) \
-    , 0, {0,NULL}, 0, 0, 0, 0, 0, 0, 0,NULL, 0, {0,NULL}, 0, 0, 0,NULL, 0 }
+    , 0, {0,NULL}, 0, 0, 0, 0, 0, 0, 0,NULL, 0, {0,NULL}, 0, 0, 0,NULL, 0, 0 }
 
 
 /*
--- a/store_sync.c
+++ b/store_sync.c
@@ -16,11 +16,15 @@
 /* Leaves time for a peer's view, which makes listing the store needless. */
 #define START_DELAY MSEC(40)
 /*
- * Views are sent every 0.9 s, and if the reader fails the next in rank reads
- * the store at 2.2 s. A view older than this therefore means more than a failed
- * reader. An entry expires after three missed heartbeats of 1.2 s.
+ * A shorter outage lets no entry expire: servers write every 1.2 s, and three
+ * writes in a row must fail. Less the transit of the last answer before it.
  */
-#define VIEW_AGE_MAX MSEC(2500)
+#define OUTAGE_MIN (MSEC(2400) - ANSWER_TRANSIT_MAX)
+/*
+ * Without word of the store for as long as an entry lives, it may have been
+ * away though no call failed. Longer than it takes to replace lost readers.
+ */
+#define SILENCE_MAX MSEC(3600)
 
 static void on_server(void *arg, const char *id, uint64_t changed_at,
 		      bool removed)
@@ -49,6 +53,8 @@
 	sync->registry = registry;
 	server_view_init(&sync->servers, clock, registry, &view_ops, sync);
 	cordon_sync_init(&sync->cordons, clock, registry);
+	sync->reached_at = -1;
+	sync->failed_at = -1;
 	for (i = 0; i < STORE_TOPICS; i++) {
 		sync->feeds[i].topic = (enum store_topic)i;
 		sync->feeds[i].fresh_at = -1;
@@ -192,38 +198,39 @@
 	server_view_begin_list(&sync->servers);
 }
 
-static int64_t view_age(const struct store_sync *sync)
-{
-	return clock_now(sync->clock) - sync->feeds[STORE_SERVERS].fresh_at;
-}
-
 /*
- * No instance is known to have reached the store for VIEW_AGE_MAX: it may have
- * been down, though no call of this instance failed.
+ * The store was reached at @at, by this instance or a peer. If it was away
+ * since it was reached before, entries of running servers may have expired, and
+ * a peer that has started since knows fewer servers than are running. That
+ * nobody reached it shows no outage by itself: the instances that read it may
+ * have been lost.
  */
-static bool is_view_outdated(const struct store_sync *sync)
+static void hold_removals_after_outage(struct store_sync *sync, int64_t at)
 {
-	return sync->feeds[STORE_SERVERS].fresh_at >= 0 &&
-	       view_age(sync) > VIEW_AGE_MAX;
-}
+	bool call_failed = sync->failed_at > sync->reached_at;
+	int64_t silence = at - sync->reached_at;
 
-static void hold_removals(struct store_sync *sync, const char *why)
-{
-	LOG_INFO("removals_held", LOG_TEXT("why", why),
-		 LOG_I64("view_age_ms", view_age(sync) / USEC_PER_MSEC),
+	if (sync->reached_at < 0 ||
+	    silence <= (call_failed ? OUTAGE_MIN : SILENCE_MAX))
+		return;
+	LOG_INFO("removals_held",
+		 LOG_I64("silence_ms", silence / USEC_PER_MSEC),
+		 LOG_I64("call_failed", call_failed),
 		 LOG_I64("rank", sync->rank));
 	server_view_store_returned(&sync->servers);
 }
 
-/*
- * The store was reached, by this instance or a peer. If it was away, entries of
- * running servers may have expired, and a peer that has started since knows
- * fewer servers than are running.
- */
-static void note_store_reached(struct store_sync *sync)
+static void note_store_reached(struct store_sync *sync, int64_t at)
 {
-	if (is_view_outdated(sync))
-		hold_removals(sync, "view_outdated");
+	if (at <= sync->reached_at)
+		return;
+	hold_removals_after_outage(sync, at);
+	sync->reached_at = at;
+}
+
+void store_sync_note_failure(struct store_sync *sync)
+{
+	sync->failed_at = clock_now(sync->clock);
 }
 
 /* A complete list or view up to @to follows the present one. */
@@ -244,12 +251,13 @@
 	       (since >= feed->history_from && since <= feed->gap_from);
 }
 
-void store_sync_end_snapshot(struct store_sync *sync, uint64_t at)
+void store_sync_end_snapshot(struct store_sync *sync, uint64_t at,
+			     int64_t fresh_at)
 {
 	struct store_feed *feed = &sync->feeds[STORE_SERVERS];
 
 	note_gap(feed, at);
-	note_store_reached(sync);
+	note_store_reached(sync, fresh_at);
 	server_view_end_list(&sync->servers, at);
 }
 
@@ -275,11 +283,9 @@
 
 	if (at > feed->revision)
 		feed->revision = at;
-	if (fresh_at > feed->fresh_at) {
-		if (topic == STORE_SERVERS)
-			note_store_reached(sync);
+	note_store_reached(sync, fresh_at);
+	if (fresh_at > feed->fresh_at)
 		set_fresh_at(sync, feed, fresh_at);
-	}
 	set_known(sync, feed);
 	/* A watch needs a revision to start from. */
 	if (!feed->revision)
@@ -319,9 +325,17 @@
 }
 
 /*
- * The store answered. If a call of either topic had failed, the store was down
- * for both, and entries of running servers may have expired.
+ * A time at which the answer was up to date: no earlier than the call, and a
+ * call that waited for a change was answered at most ANSWER_TRANSIT_MAX ago.
  */
+static int64_t answer_valid_at(const struct store_sync *sync,
+			       const struct store_feed *feed)
+{
+	int64_t at = clock_now(sync->clock) - ANSWER_TRANSIT_MAX;
+
+	return at > feed->asked_at ? at : feed->asked_at;
+}
+
 static void note_answer(struct store_sync *sync, struct store_feed *feed)
 {
 	bool was_failing = false;
@@ -334,9 +348,7 @@
 	if (was_failing)
 		LOG_INFO("store_regained", LOG_I64("topic", feed->topic),
 			 LOG_I64("failures", feed->failures));
-	if (was_failing)
-		hold_removals(sync, "calls_failed");
-	note_store_reached(sync);
+	note_store_reached(sync, answer_valid_at(sync, feed));
 }
 
 static void call_failed(struct store_sync *sync, struct store_feed *feed,
@@ -346,6 +358,7 @@
 		LOG_WARN("store_lost", LOG_I64("topic", feed->topic),
 			 LOG_TEXT("error", error_name(code)));
 	feed->is_failing = true;
+	store_sync_note_failure(sync);
 	store_schedule_failed(sync, feed);
 }
 
@@ -361,18 +374,6 @@
 		server_view_begin_list(&sync->servers);
 }
 
-/*
- * A time at which the answer was up to date: no earlier than the call, and a
- * call that waited for a change was answered at most ANSWER_TRANSIT_MAX ago.
- */
-static int64_t answer_valid_at(const struct store_sync *sync,
-			       const struct store_feed *feed)
-{
-	int64_t at = clock_now(sync->clock) - ANSWER_TRANSIT_MAX;
-
-	return at > feed->asked_at ? at : feed->asked_at;
-}
-
 /*
  * The view is now complete up to the answer's revision. Must not be called for
  * a page of a list that was cancelled for a peer's view: the page has no
--- a/store_sync.h
+++ b/store_sync.h
@@ -96,6 +96,10 @@
  *	  later it retries after a failure
  * @start_delay: how long it waits for a peer's view while it has none,
  *		 microseconds
+ * @reached_at: last time at which this instance or a peer is known to have
+ *		reached the store, microseconds; -1: never
+ * @failed_at: when a call of this instance or a peer failed last, microseconds;
+ *	       -1: never
  * @view_gaps: time between the moments at which the view of the servers was
  *	       known to be up to date; NULL: not recorded
  */
@@ -113,6 +117,8 @@
 	int64_t max_view_age;
 	int rank;
 	int64_t start_delay;
+	int64_t reached_at;
+	int64_t failed_at;
 	struct metric_histogram *view_gaps;
 };
 
@@ -205,10 +211,18 @@
  * complete view
  * @sync: the state of this instance
  * @at: store revision at which that view was complete
+ * @fresh_at: when that view was known to be up to date, microseconds
  *
  * They are kept for a while if the store may have been away.
  */
-void store_sync_end_snapshot(struct store_sync *sync, uint64_t at);
+void store_sync_end_snapshot(struct store_sync *sync, uint64_t at,
+			     int64_t fresh_at);
+
+/**
+ * store_sync_note_failure() - a call of this instance or a peer failed
+ * @sync: the state of this instance
+ */
+void store_sync_note_failure(struct store_sync *sync);
 
 /**
  * store_sync_confirm() - the view of a topic now includes all of a peer's view
--- a/tests/test_store_order.c
+++ b/tests/test_store_order.c
@@ -87,7 +87,7 @@
 	fixture_answer(&fixture, STORE_SERVERS, 3, &update, 1);
 	fixture_advance(&fixture, 900);
 	fixture_fail(&fixture, STORE_SERVERS, ERR_UNAVAILABLE);
-	fixture_advance(&fixture, 900);
+	fixture_advance(&fixture, 1500);
 	fixture_answer(&fixture, STORE_SERVERS, 5, &gone, 1);
 	CU_ASSERT(fixture_has_server(&fixture, "a"));
 	receive(&fixture, "a", 3);
@@ -171,7 +171,7 @@
 	store_sync_begin_snapshot(&fixture.sync);
 	receive_listed(&fixture, "a", 1);
 	receive_listed(&fixture, "b", 2);
-	store_sync_end_snapshot(&fixture.sync, 20);
+	store_sync_end_snapshot(&fixture.sync, 20, clock_now(&fixture.clock));
 	confirm(&fixture, STORE_SERVERS, 20);
 	fixture_advance(&fixture, 2400);
 	CU_ASSERT(!fixture_has_server(&fixture, "c"));
@@ -194,7 +194,7 @@
 {
 	store_sync_begin_snapshot(&fixture->sync);
 	receive_listed(fixture, "a", 1);
-	store_sync_end_snapshot(&fixture->sync, at);
+	store_sync_end_snapshot(&fixture->sync, at, clock_now(&fixture->clock));
 	confirm(fixture, STORE_SERVERS, at);
 }
 
@@ -210,15 +210,51 @@
 	fixture_finish(&fixture);
 }
 
-/*
- * Guards against servers that are lost as a peer, which has just started, sent
- * a view from before they wrote their expired entries again.
- */
-static void test_complete_view_after_store_was_away(void)
+/* Guards against removals that are held back as readers were lost. */
+static void test_removals_after_lost_readers(void)
+{
+	struct store_item gone[] = {make_item("b", 20, true)};
+	struct fixture fixture;
+
+	set_up_follower(&fixture, 3400);
+	receive_complete_view_of_a(&fixture, 20);
+	CU_ASSERT(!fixture_has_server(&fixture, "b"));
+	fixture_finish(&fixture);
+
+	set_up_follower(&fixture, 900);
+	store_sync_set_max_view_age(&fixture.sync, MSEC(2200), 3);
+	fixture_advance(&fixture, 1400);
+	CU_ASSERT(fixture.sync.feeds[STORE_SERVERS].busy);
+	fixture_advance(&fixture, 400);
+	fixture_answer(&fixture, STORE_SERVERS, 20, gone, 1);
+	CU_ASSERT(!fixture_has_server(&fixture, "b"));
+	fixture_finish(&fixture);
+}
+
+/* Guards against a call that failed by itself being taken for an outage. */
+static void test_removal_after_failed_call(void)
+{
+	struct store_item gone[] = {make_item("b", 20, true)};
+	struct fixture fixture;
+
+	fixture_init(&fixture);
+	fixture_answer_routes(&fixture, 1);
+	fixture_answer_servers(&fixture);
+	fixture_advance(&fixture, 900);
+	fixture_fail(&fixture, STORE_SERVERS, ERR_UNAVAILABLE);
+	fixture_advance(&fixture, 300);
+	fixture_answer(&fixture, STORE_SERVERS, 20, gone, 1);
+	CU_ASSERT(!fixture_has_server(&fixture, "b"));
+	fixture_finish(&fixture);
+}
+
+static void check_complete_view_after_outage(int64_t view_age_ms, bool failed)
 {
 	struct fixture fixture;
 
-	set_up_follower(&fixture, 2700);
+	set_up_follower(&fixture, view_age_ms);
+	if (failed)
+		store_sync_note_failure(&fixture.sync);
 	receive_complete_view_of_a(&fixture, 20);
 	fixture_advance(&fixture, 2000);
 	CU_ASSERT(fixture_has_server(&fixture, "b"));
@@ -227,12 +263,28 @@
 	fixture_finish(&fixture);
 }
 
+/*
+ * Guards against servers that are lost as a peer, which has just started, sent
+ * a view from before they wrote their expired entries again.
+ */
+static void test_complete_view_after_store_was_away(void)
+{
+	check_complete_view_after_outage(3700, false);
+}
+
+/* Guards against the same after a shorter outage, of which peers told. */
+static void test_complete_view_after_calls_failed(void)
+{
+	check_complete_view_after_outage(2500, true);
+}
+
 /* Guards against the same if another peer reached the store a bit earlier. */
 static void test_complete_view_after_peer_reached_store(void)
 {
 	struct fixture fixture;
 
-	set_up_follower(&fixture, 2700);
+	set_up_follower(&fixture, 2500);
+	store_sync_note_failure(&fixture.sync);
 	confirm(&fixture, STORE_SERVERS, 19);
 	fixture_advance(&fixture, 500);
 	receive_complete_view_of_a(&fixture, 20);
@@ -550,6 +602,10 @@
 	{"complete view removes at once", test_complete_view_removes_at_once},
 	{"complete view after store was away",
 	 test_complete_view_after_store_was_away},
+	{"complete view after calls failed",
+	 test_complete_view_after_calls_failed},
+	{"removals after lost readers", test_removals_after_lost_readers},
+	{"removal after a failed call", test_removal_after_failed_call},
 	{"complete view after peer reached store",
 	 test_complete_view_after_peer_reached_store},
 	{"many removals are remembered", test_many_removals},
--- a/tests/test_view_share.c
+++ b/tests/test_view_share.c
@@ -503,6 +503,46 @@
 	cluster_finish(&cluster);
 }
 
+/* An entry expires in an outage of the store, and is back 1.8 s after it. */
+static void check_short_outage(int instances, int64_t phase_ms)
+{
+	struct cluster cluster;
+	int n_missing = 0;
+	int64_t ms;
+
+	cluster_init_hubs(&cluster, instances, 6, 3);
+	cluster_advance(&cluster, 5000 + phase_ms);
+	cluster.store_down = true;
+	cluster_advance(&cluster, 2600);
+	cluster.removed_at = ++cluster.revision;
+	cluster.store_down = false;
+	for (ms = 0; ms < 1800; ms += 100) {
+		cluster_advance(&cluster, 100);
+		n_missing += instances - cluster_count_with_server(&cluster);
+	}
+	CU_ASSERT_EQUAL(n_missing, 0);
+	cluster.removed_at = 0;
+	cluster.created_at = ++cluster.revision;
+	cluster_advance(&cluster, 3000);
+	CU_ASSERT_EQUAL(cluster_count_with_server(&cluster), instances);
+	cluster_finish(&cluster);
+}
+
+/*
+ * Guards against running servers that are removed by instances which made no
+ * call while the store was away.
+ */
+static void test_outage_met_by_few(void)
+{
+	int64_t phase_ms;
+
+	for (phase_ms = 0; phase_ms < 900; phase_ms += 100) {
+		check_short_outage(7, phase_ms);
+		check_short_outage(76, phase_ms);
+		check_short_outage(295, phase_ms);
+	}
+}
+
 static void set_cordon(struct cluster *cluster)
 {
 	cluster->cordoned_at = ++cluster->revision;
@@ -610,6 +650,7 @@
 	{"cordon", test_cordon},
 	{"cordon and store trouble", test_cordon_and_store_trouble},
 	{"store away", test_store_away},
+	{"an outage that few instances met", test_outage_met_by_few},
 	{"a lapsed entry comes back", test_lapsed_entry_comes_back},
 };
 
--- a/tests/view_cluster.c
+++ b/tests/view_cluster.c
@@ -382,6 +382,7 @@
 	node->answer_at[topic] = 0;
 	if (node->cluster->store_down || node->cut_off) {
 		store_sync_answered(&node->sync, topic, &failed);
+		view_share_publish_failure(&node->share);
 		return;
 	}
 	if (topic == STORE_ROUTES)
--- a/view_apply.c
+++ b/view_apply.c
@@ -129,6 +129,7 @@
 			 Peer__ViewServer *const *servers, size_t n)
 {
 	struct store_feed *feed = &share->sync->feeds[STORE_SERVERS];
+	int64_t fresh_at = confirmed_at(share, message->servers_age_ms);
 	bool is_ahead = share->last_change > message->servers_from;
 	size_t i;
 
@@ -139,13 +140,14 @@
 	for (i = 0; i < n; i++)
 		apply_row(share, servers[i], message->whole);
 	if (message->whole)
-		store_sync_end_snapshot(share->sync, message->servers_at);
+		store_sync_end_snapshot(share->sync, message->servers_at,
+					fresh_at);
 	else if (feed->fresh_at < 0 || feed->revision < message->servers_from)
 		return ERR_VERSION;
 	else if (is_ahead && has_unknown_server(share, message, servers, n))
 		return ERR_CONFLICT;
 	store_sync_confirm(share->sync, STORE_SERVERS, message->servers_at,
-			   confirmed_at(share, message->servers_age_ms));
+			   fresh_at);
 	return 0;
 }
 
@@ -165,6 +167,11 @@
 		return ERR_STALE;
 	}
 	view_share_follow_era(share);
+	if (message->store_failed) {
+		share->failure_at = clock_now(share->clock);
+		store_sync_note_failure(share->sync);
+		return 0;
+	}
 	apply_cordons(share, message);
 	ret = apply_routes(share, message, routes);
 	servers_ret =
--- a/view_share.c
+++ b/view_share.c
@@ -59,6 +59,7 @@
 	str_copy(share->instance, sizeof(share->instance), str_from(instance));
 	str_copy(share->data_centre, sizeof(share->data_centre),
 		 str_from(data_centre));
+	share->failure_at = INT64_MIN / 2;
 	share->requested_at = INT64_MIN / 2;
 	share->snapshot_period_start = INT64_MIN / 2;
 }
@@ -232,6 +233,18 @@
 	share->last_sent_at = now;
 }
 
+void view_share_publish_failure(struct view_share *share)
+{
+	struct view_update update;
+
+	if (share->failure_at > share->sync->reached_at)
+		return;
+	share->failure_at = clock_now(share->clock);
+	view_update_failure(share, &update);
+	view_send_all(share, &update);
+	view_update_finish(&update);
+}
+
 /*
  * When hundreds of instances start at once, all of them send requests to the
  * first that has a view. Those that get no answer retry, by then with others.
--- a/view_share.h
+++ b/view_share.h
@@ -91,6 +91,7 @@
  * @sent_changes: @n_changes at that time
  * @sent_cordons: number of cordon changes at that time
  * @last_sent_at: when this instance last sent what it read
+ * @failure_at: when this instance last sent or received that the store failed
  * @requested_at: when a view was last requested from a member
  * @next_request: index of the member to send the next request to
  * @snapshot_period_start: see @n_snapshots
@@ -119,6 +120,7 @@
 	uint64_t sent_changes;
 	uint64_t sent_cordons;
 	int64_t last_sent_at;
+	int64_t failure_at;
 	int64_t requested_at;
 	unsigned int next_request;
 	int64_t snapshot_period_start;
@@ -165,6 +167,15 @@
  */
 void view_share_publish(struct view_share *share);
 
+/**
+ * view_share_publish_failure() - send the others that a call of the store
+ * failed
+ *
+ * Once in each time that nobody is known to reach the store: others that make
+ * no call must know that it was away.
+ */
+void view_share_publish_failure(struct view_share *share);
+
 /**
  * view_share_follow_era() - reset recorded and sent changes if the store
  * entered a new era
--- a/view_update.c
+++ b/view_update.c
@@ -18,6 +18,16 @@
 	update->max = max;
 }
 
+void view_update_failure(const struct view_share *share,
+			 struct view_update *update)
+{
+	view_update_init(update, 0);
+	update->message.store_failed = true;
+	update->message.store_era = share->sync->era;
+	update->message.routes_age_ms = UINT32_MAX;
+	update->message.servers_age_ms = UINT32_MAX;
+}
+
 void view_update_finish(struct view_update *update)
 {
 	free(update->rows);
--- a/view_update.h
+++ b/view_update.h
@@ -48,6 +48,13 @@
  */
 void view_update_snapshot(struct view_share *share, struct view_update *update);
 
+/**
+ * view_update_failure() - a message that a call of the store failed, and no
+ * more
+ */
+void view_update_failure(const struct view_share *share,
+			 struct view_update *update);
+
 /**
  * view_update_fill_ages() - add versions, ages and cordons, which every message
  * contains
