store_schedule, view_share: replace a lost reader before entries can expire

Cause: the next reader followed up to 2.2 s after the last word of the one before, more than the 2.1 s after which a failed call counts as an outage in which entries expired. The bound of one was set without the other.

Change: the first in rank reads every 0.5 s in place of 0.9, the others after 1.1 to 1.6 s in place of 1.7 to 2.2. The routes, which long polls confirm less often, keep their ages.

--- a/store_schedule.c
+++ b/store_schedule.c
@@ -3,10 +3,9 @@
 /*
  * Each server writes about every 1.2 s, so that a watch on all of them returns
  * at once. This is the least time between two calls: a server must get no new
- * requests 3 s after it announced that it drains, which leaves room for two
- * lost answers.
+ * requests 3 s after it announced that it drains, also if readers are lost.
  */
-#define SERVERS_PERIOD MSEC(900)
+#define SERVERS_PERIOD MSEC(500)
 #define SERVERS_WAIT_MS 100
 /*
  * The routes change rarely, so that their calls are long polls. A dead
@@ -15,6 +14,8 @@
  */
 #define ROUTES_WAIT_MS 1000
 #define ROUTES_PERIOD MSEC(50)
+/* A long poll confirms the routes less often than the servers. */
+#define ROUTES_AGE_EXTRA MSEC(600)
 /*
  * An instance that joins others waits this long for a peer's view, plus a
  * random part of JOIN_DELAY_SPREAD, so that hundreds of instances that start at
@@ -75,6 +76,8 @@
 {
 	int64_t due = feed->fresh_at + sync->max_view_age;
 
+	if (feed->topic == STORE_ROUTES)
+		due += ROUTES_AGE_EXTRA;
 	if (feed->listing)
 		return feed->next_at;
 	if (feed->fresh_at < 0)
--- a/tests/test_view_share.c
+++ b/tests/test_view_share.c
@@ -503,6 +503,53 @@
 	cluster_finish(&cluster);
 }
 
+static struct node *last_in_rank(struct cluster *cluster)
+{
+	struct node *last = &cluster->nodes[0];
+	int i;
+
+	for (i = 0; i < cluster->n_nodes; i++) {
+		if (cluster->nodes[i].share.rank > last->share.rank)
+			last = &cluster->nodes[i];
+	}
+	return last;
+}
+
+/* @cut_ms: the first in rank loses the store so long before the others end */
+static void check_last_of_readers(int64_t cut_ms)
+{
+	struct cluster cluster;
+	struct node *reader;
+	struct node *last;
+	int i;
+
+	cluster_init(&cluster, 7);
+	cluster_advance(&cluster, 5000);
+	reader = &cluster.nodes[cluster_reader(&cluster)];
+	last = last_in_rank(&cluster);
+	reader->cut_off = true;
+	cluster_advance(&cluster, cut_ms);
+	for (i = 0; i < cluster.n_nodes; i++)
+		cluster.nodes[i].dead = &cluster.nodes[i] != reader &&
+					&cluster.nodes[i] != last;
+	cluster.removed_at = ++cluster.revision;
+	cluster_advance(&cluster, 3000);
+	CU_ASSERT(!registry_find(&last->registry, STR("server")));
+	cluster_finish(&cluster);
+}
+
+/*
+ * Guards against a removal that is held back as the first reader lost the
+ * store, and the others before the last one ended.
+ */
+static void test_last_of_readers(void)
+{
+	int64_t cut_ms;
+
+	for (cut_ms = 0; cut_ms < 2000; cut_ms += 100)
+		check_last_of_readers(cut_ms);
+}
+
 /* An entry expires in an outage of the store, and is back 1.8 s after it. */
 static void check_short_outage(int instances, int64_t phase_ms)
 {
@@ -650,6 +697,7 @@
 	{"cordon", test_cordon},
 	{"cordon and store trouble", test_cordon_and_store_trouble},
 	{"store away", test_store_away},
+	{"the last of the readers", test_last_of_readers},
 	{"an outage that few instances met", test_outage_met_by_few},
 	{"a lapsed entry comes back", test_lapsed_entry_comes_back},
 };
--- a/tests/view_cluster.c
+++ b/tests/view_cluster.c
@@ -85,23 +85,37 @@
 	return (int)(next_random(cluster) % 100) < cluster->loss_percent;
 }
 
+static bool is_paused(const struct node *node)
+{
+	return clock_now(&node->cluster->clock) < node->paused_until;
+}
+
+static int64_t draw_delay_ms(struct cluster *cluster)
+{
+	if (!cluster->delay_max_ms)
+		return 0;
+	return (int64_t)(next_random(cluster) %
+			 (uint64_t)cluster->delay_max_ms);
+}
+
 static void send_delayed(struct node *from, struct node *to,
 			 const Peer__ViewUpdate *message)
 {
 	struct cluster *cluster = from->cluster;
 	struct delayed_update *update = mem_zalloc(sizeof(*update));
-	int64_t delay = (int64_t)(next_random(cluster) %
-				  (uint64_t)cluster->delay_max_ms);
+	struct delayed_update **last = &cluster->in_flight;
 
 	update->from = from;
 	update->to = to;
 	update->to_start = to->starts;
-	update->deliver_at = clock_now(&cluster->clock) + MSEC(delay);
+	update->deliver_at =
+		clock_now(&cluster->clock) + MSEC(draw_delay_ms(cluster));
 	update->len = peer__view_update__get_packed_size(message);
 	update->data = mem_zalloc(update->len + 1);
 	peer__view_update__pack(message, update->data);
-	update->next = cluster->in_flight;
-	cluster->in_flight = update;
+	while (*last)
+		last = &(*last)->next;
+	*last = update;
 }
 
 static void deliver(const struct delayed_update *update)
@@ -122,7 +136,8 @@
 	while (*next) {
 		struct delayed_update *update = *next;
 
-		if (update->deliver_at > clock_now(&cluster->clock)) {
+		if (update->deliver_at > clock_now(&cluster->clock) ||
+		    is_paused(update->to)) {
 			next = &update->next;
 			continue;
 		}
@@ -130,8 +145,6 @@
 		deliver(update);
 		free(update->data);
 		free(update);
-		/* The delivery may have put new updates at the head. */
-		next = &cluster->in_flight;
 	}
 }
 
@@ -149,7 +162,7 @@
 		strcmp(node->share.data_centre, to->share.data_centre) != 0;
 	if (to->dead || node->dead || is_lost(node->cluster))
 		return true;
-	if (node->cluster->delay_max_ms)
+	if (node->cluster->delay_max_ms || is_paused(to))
 		send_delayed(node, to, message);
 	else
 		view_share_update(&to->share, node->name, message);
@@ -164,7 +177,8 @@
 
 	if (!is_linked(node, to))
 		return false;
-	if (!to->dead && !node->dead && !is_lost(node->cluster))
+	if (!to->dead && !node->dead && !is_paused(to) &&
+	    !is_lost(node->cluster))
 		view_share_request(&to->share, node->name, message);
 	return true;
 }
@@ -436,7 +450,7 @@
 		for (i = 0; i < cluster->n_nodes; i++) {
 			struct node *node = &cluster->nodes[i];
 
-			if (node->dead)
+			if (node->dead || is_paused(node))
 				continue;
 			for (topic = 0; topic < STORE_TOPICS; topic++) {
 				if (is_due(node, topic))
--- a/tests/view_cluster.h
+++ b/tests/view_cluster.h
@@ -16,6 +16,8 @@
  * struct node - a gateway
  * @dead: it has failed, and sends and receives nothing
  * @cut_off: it can't reach the store
+ * @paused_until: it runs nothing before, and gets its messages then,
+ * microseconds
  * @starts: how often it was started
  * @calls: latest call on the store for each topic
  * @answer_at: time when the call is answered; 0: none is pending
@@ -29,6 +31,7 @@
 	struct hub_links links;
 	bool dead;
 	bool cut_off;
+	int64_t paused_until;
 	int starts;
 	struct store_call calls[STORE_TOPICS];
 	int64_t answer_at[STORE_TOPICS];
--- a/view_share.c
+++ b/view_share.c
@@ -13,31 +13,32 @@
 #include "view_update.h"
 
 /*
- * Maximum age of the view before an instance reads the store, by rank. Routes
- * and drains must reach all instances within 3 s. Views read by the first
- * instance arrive before they are 1.3 s old, so the second does not read at the
+ * Maximum age of the view of servers before an instance reads the store, by
+ * rank. Drains must reach all instances within 3 s. Views read by the first
+ * instance arrive before they are 0.9 s old, so the second does not read at the
  * same time. Five instances may fail or be refused before a view is older than
- * 2.2 s. The age grows by VIEW_AGE_STEP per rank up to KNEE_RANK, then by
- * VIEW_AGE_TAIL_STEP.
+ * 1.6 s, which is less than an outage in which entries expire. The age grows by
+ * VIEW_AGE_STEP per rank up to KNEE_RANK, then by VIEW_AGE_TAIL_STEP.
  */
-#define VIEW_AGE_RANK_1 MSEC(1700)
+#define VIEW_AGE_RANK_1 MSEC(1100)
 #define VIEW_AGE_STEP MSEC(100)
-#define VIEW_AGE_KNEE MSEC(2200)
+#define VIEW_AGE_KNEE MSEC(1600)
 /*
  * Beyond KNEE_RANK the instances of a large fleet must not all read at once
  * before the view that one of them read arrives. An answer takes up to 0.1 s
  * plus its distribution, during which 20 others start to read. The last of 295
- * instances reads at 4 s; such a fleet must stop using a draining server within
- * 6 s.
+ * instances reads at 3.4 s; such a fleet must stop using a draining server
+ * within 6 s.
  */
 #define KNEE_RANK 6
 #define VIEW_AGE_TAIL_STEP MSEC(6)
-#define VIEW_AGE_MAX MSEC(4000)
+#define VIEW_AGE_MAX MSEC(3400)
 /*
- * Age at which the view is requested from a hub, before the store is read: the
- * connection that delivers it may be dead. A reader sends every 0.9 s.
+ * Ages at which the view is requested from a hub, before the store is read: the
+ * connection that delivers it may be dead. A reader sends every 0.5 s.
  */
-#define VIEW_REQUEST_AGE MSEC(1500)
+#define SERVERS_REQUEST_AGE MSEC(1000)
+#define ROUTES_REQUEST_AGE MSEC(1500)
 /* Minimum time between messages that only confirm an unchanged view. */
 #define CONFIRM_INTERVAL MSEC(100)
 /* Time after which an unanswered request is repeated. */
@@ -391,10 +392,10 @@
 static bool is_view_old(const struct view_share *share)
 {
 	const struct store_feed *feeds = share->sync->feeds;
-	int64_t limit = clock_now(share->clock) - VIEW_REQUEST_AGE;
+	int64_t now = clock_now(share->clock);
 
-	return feeds[STORE_ROUTES].fresh_at < limit ||
-	       feeds[STORE_SERVERS].fresh_at < limit;
+	return feeds[STORE_ROUTES].fresh_at < now - ROUTES_REQUEST_AGE ||
+	       feeds[STORE_SERVERS].fresh_at < now - SERVERS_REQUEST_AGE;
 }
 
 void view_share_tick(struct view_share *share)
