loop: handle the view and the members before requests

The answer of the store, the message of a peer and the timer that calls the store waited behind all requests that had come before, in one queue of the event loop, for seconds; calls of the store timed out and peers took each other for lost.

Change: the loop of a gateway has two priorities.

--- a/cmd_gateway.c
+++ b/cmd_gateway.c
@@ -14,6 +14,7 @@
 #include "gateway.h"
 #include "gateway_pages.h"
 #include "log.h"
+#include "loop.h"
 #include "platform/names.h"
 
 enum {
@@ -204,7 +205,7 @@
 	log_init((enum log_level)process.settings.log_level,
 		 process.settings.instance);
 	signal(SIGPIPE, SIG_IGN);
-	base = event_base_new();
+	base = loop_new();
 	log_start(base, STDOUT_FILENO);
 	ret = run(base, &process);
 	log_stop();
--- a/gateway.c
+++ b/gateway.c
@@ -12,6 +12,7 @@
 #include "gateway_request.h"
 #include "gateway_second_sends.h"
 #include "log.h"
+#include "loop.h"
 #include "mem.h"
 #include "store_schedule.h"
 
@@ -349,6 +350,7 @@
 		event_new(base, -1, EV_PERSIST, on_stop_timer, gateway);
 	wake_timer_init(&gateway->store_timer, base, &gateway->clock,
 			on_store_timer, gateway);
+	event_priority_set(gateway->store_timer.event, LOOP_STATE);
 	ret = init_fleet(gateway);
 	if (ret)
 		return ret;
--- a/gateway_fleet.c
+++ b/gateway_fleet.c
@@ -11,6 +11,7 @@
 #include "error.h"
 #include "gateway_settings.h"
 #include "log.h"
+#include "loop.h"
 #include "mem.h"
 #include "store_sync.h"
 
@@ -362,6 +363,7 @@
 				 MEMBER_LEASE);
 	fleet->periodic_timer = event_new(config->base, -1, EV_PERSIST,
 					  on_periodic_timer, fleet);
+	event_priority_set(fleet->periodic_timer, LOOP_STATE);
 	event_add(fleet->periodic_timer, &period);
 	gateway_fleet_update_seeds(fleet);
 	return 0;
--- a/member_net.c
+++ b/member_net.c
@@ -9,6 +9,7 @@
 #include <utlist.h>
 
 #include "connect_probe.h"
+#include "loop.h"
 #include "mem.h"
 #include "peer.pb-c.h"
 #include "table_sync.h"
@@ -515,6 +516,8 @@
 	net->readable = event_new(board->base, net->fd, EV_READ | EV_PERSIST,
 				  on_readable, net);
 	net->timer = evtimer_new(board->base, on_timer, net);
+	event_priority_set(net->readable, LOOP_STATE);
+	event_priority_set(net->timer, LOOP_STATE);
 	event_add(net->readable, NULL);
 	add_handler(net);
 	watch_board(net);
--- a/peer.c
+++ b/peer.c
@@ -14,6 +14,7 @@
 
 #include "hubs.h"
 #include "log.h"
+#include "loop.h"
 #include "mem.h"
 #include "peer.pb-c.h"
 
@@ -248,6 +249,7 @@
 	link->last_sent_at = link->opened_at;
 	link->bev = bufferevent_socket_new(peers->board->base, fd,
 					   BEV_OPT_CLOSE_ON_FREE);
+	bufferevent_priority_set(link->bev, LOOP_STATE);
 	bufferevent_setcb(link->bev, on_read, NULL, on_event, link);
 	bufferevent_enable(link->bev, EV_READ | EV_WRITE);
 	DL_APPEND(peers->links, link);
@@ -319,6 +321,8 @@
 		close_link(link);
 		return;
 	}
+	/* A new socket takes the default. */
+	bufferevent_priority_set(link->bev, LOOP_STATE);
 	set_nodelay(bufferevent_getfd(link->bev));
 }
 
--- a/store_client.c
+++ b/store_client.c
@@ -4,11 +4,13 @@
 #include <string.h>
 
 #include <event2/buffer.h>
+#include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <event2/http.h>
 
 #include "error.h"
 #include "log.h"
+#include "loop.h"
 
 void store_client_init(struct store_client *client, struct event_base *base,
 		       const struct store_ops *ops,
@@ -126,5 +128,10 @@
 				target)) {
 		LOG_WARN("store_call_failed", LOG_TEXT("target", target));
 		fail(channel);
+		return;
 	}
+	/* A new socket takes the default. */
+	bufferevent_priority_set(evhttp_connection_get_bufferevent(
+					 channel->http),
+				 LOOP_STATE);
 }
