soak: gateways that are lost while servers leave

Real processes: seven gateways of which one to four are killed or stand still, at once or one after the other, as servers leave; three run by fits and starts, the store answers after 4 or 240 ms, and callers keep their connections. No gateway that was left alone may send to a server later than 3 s after its entry went.

--- a/bench/soak_seeds.py
+++ b/bench/soak_seeds.py
@@ -12,7 +12,7 @@
     return range(int(first), int(last or first) + 1)
 
 
-def main(doc, play_seed, processes_option):
+def main(doc, play_seed, processes_option, processes=PROCESSES):
     """Print the report of each run, a JSON line; return the exit status.
 
     `play_seed` takes the options and a seed, and returns a report whose
@@ -22,7 +22,7 @@
     parser.add_argument("build")
     parser.add_argument("--seeds", type=parse_seeds, default=range(1, 3))
     parser.add_argument("--jobs", type=int, default=2)
-    parser.add_argument(processes_option, type=int, default=PROCESSES)
+    parser.add_argument(processes_option, type=int, default=processes)
     parser.add_argument("--keep-logs", action="store_true",
                         help="of failed runs, in the current directory")
     options = parser.parse_args()
--- a/tests/gateway_fixtures.py
+++ b/tests/gateway_fixtures.py
@@ -167,6 +167,7 @@
         self.items = {}
         self.changes = []
         self.call_count = 0
+        self.delay_s = 0
         self.refused_addresses = set()
         self.unavailable = False
         self.compacted_revision = 0
@@ -285,6 +286,8 @@
     def do_GET(self):
         store = self.server
         store.call_count += 1
+        if store.delay_s:
+            time.sleep(store.delay_s)
         url = urllib.parse.urlsplit(self.path)
         query = dict(urllib.parse.parse_qsl(url.query))
         if (store.unavailable
