--- a/bench/soak_seeds.py
+++ b/bench/soak_seeds.py
@@ -12,6 +12,12 @@
     return range(int(first), int(last or first) + 1)
 
 
+def play_at_once(play_seed, options, seeds):
+    """Return the reports of all `seeds`, played beside each other."""
+    with concurrent.futures.ProcessPoolExecutor(len(seeds)) as pool:
+        return list(pool.map(play_seed, [options] * len(seeds), seeds))
+
+
 def main(doc, play_seed, processes_option, processes=PROCESSES):
     """Print the report of each run, a JSON line; return the exit status.
 
--- a/tests/test_soak_crashing.py
+++ b/tests/test_soak_crashing.py
@@ -2,7 +2,6 @@
 """
 
 import argparse
-import concurrent.futures
 import json
 import pathlib
 import sys
@@ -12,6 +11,7 @@
                        / "bench"))
 
 import soak_crashing  # noqa: E402
+import soak_seeds  # noqa: E402
 
 BUILD = None
 SEEDS = (2, 4, 11, 17)
@@ -24,14 +24,11 @@
         others being refused for them, under troubles that overlap."""
         options = argparse.Namespace(build=BUILD, gateways=GATEWAYS,
                                      keep_logs=False)
-        with concurrent.futures.ProcessPoolExecutor(len(SEEDS)) as pool:
-            runs = [pool.submit(soak_crashing.play_seed, options, seed)
-                    for seed in SEEDS]
-            for run in runs:
-                report = run.result()
-                print(json.dumps(report), file=sys.stderr)
-                with self.subTest(seed=report["seed"]):
-                    self.assertFalse(report["failed"])
+        for report in soak_seeds.play_at_once(soak_crashing.play_seed,
+                                              options, SEEDS):
+            print(json.dumps(report), file=sys.stderr)
+            with self.subTest(seed=report["seed"]):
+                self.assertFalse(report["failed"])
 
 
 if __name__ == "__main__":
--- a/tests/test_soak_removals.py
+++ b/tests/test_soak_removals.py
@@ -1,7 +1,6 @@
 """Short seeded runs of the soak of removals, bench/soak_removals.py."""
 
 import argparse
-import concurrent.futures
 import json
 import pathlib
 import sys
@@ -11,6 +10,7 @@
                        / "bench"))
 
 import soak_removals  # noqa: E402
+import soak_seeds  # noqa: E402
 
 BUILD = None
 # A store that answers at once, and one that takes a quarter of a second.
@@ -24,14 +24,11 @@
         its time."""
         options = argparse.Namespace(build=BUILD,
                                      instances=soak_removals.INSTANCES)
-        with concurrent.futures.ProcessPoolExecutor(len(SEEDS)) as pool:
-            runs = [pool.submit(soak_removals.play_seed, options, seed)
-                    for seed in SEEDS]
-            for run in runs:
-                report = run.result()
-                print(json.dumps(report), file=sys.stderr)
-                with self.subTest(seed=report["seed"]):
-                    self.assertFalse(report["failed"])
+        for report in soak_seeds.play_at_once(soak_removals.play_seed,
+                                              options, SEEDS):
+            print(json.dumps(report), file=sys.stderr)
+            with self.subTest(seed=report["seed"]):
+                self.assertFalse(report["failed"])
 
 
 if __name__ == "__main__":
--- a/tests/test_soak_suspects.py
+++ b/tests/test_soak_suspects.py
@@ -1,7 +1,6 @@
 """Short seeded runs of the soak of suspects, bench/soak_suspects.py."""
 
 import argparse
-import concurrent.futures
 import json
 import pathlib
 import sys
@@ -11,6 +10,7 @@
                        / "bench"))
 
 import soak_suspects  # noqa: E402
+import soak_seeds  # noqa: E402
 
 BUILD = None
 SEEDS = (1, 3, 4)
@@ -22,14 +22,11 @@
         """Guards against living servers being held for crashed, and callers
         being refused for it, under troubles that overlap."""
         options = argparse.Namespace(build=BUILD, instances=INSTANCES)
-        with concurrent.futures.ProcessPoolExecutor(len(SEEDS)) as pool:
-            runs = [pool.submit(soak_suspects.play_seed, options, seed)
-                    for seed in SEEDS]
-            for run in runs:
-                report = run.result()
-                print(json.dumps(report), file=sys.stderr)
-                with self.subTest(seed=report["seed"]):
-                    self.assertFalse(report["failed"])
+        for report in soak_seeds.play_at_once(soak_suspects.play_seed,
+                                              options, SEEDS):
+            print(json.dumps(report), file=sys.stderr)
+            with self.subTest(seed=report["seed"]):
+                self.assertFalse(report["failed"])
 
 
 if __name__ == "__main__":
