--- a/table.c
+++ b/table.c
@@ -8,6 +8,7 @@
 #include <uthash.h>
 
 #include "mem.h"
+#include "table_private.h"
 #include "table_text.h"
 
 struct entry {
@@ -33,38 +34,6 @@
 	{.name = "value", .type = OPTION_STRING, .required = true},
 };
 
-/* Index in the sheet's option list of each column, from "columns". */
-struct header {
-	int option[TABLE_COLUMNS_MAX];
-	int n;
-};
-
-/* Row of the document, with its position there. */
-struct source_row {
-	const char *name;
-	struct json_object *cells;
-	int row;
-};
-
-/* The name is the first member of each row struct. */
-static const char *row_name(const void *row)
-{
-	return *(char *const *)row;
-}
-
-/* Describes how a sheet is converted to an array of structs. */
-struct sheet {
-	const char *name;
-	const struct option_spec *columns;
-	int n_columns;
-	size_t row_size;
-	/* Set by read_sheet(), then sorted by sort_sheet(). */
-	char *rows;
-	int n_rows;
-	struct header header;
-	struct source_row *source_rows;
-};
-
 static const struct sheet empty_sheets[] = {
 	[TABLE_MARKETS] = {"markets", market_columns, 0, sizeof(struct market)},
 	[TABLE_SERVICES] = {"services", service_columns, 0,
@@ -135,9 +104,9 @@
 			 "%s row %d column %s", sheet->name, row + 1, column);
 }
 
-static int read_row(const struct sheet *sheet, const struct header *header,
-		    struct json_object *cells, int row, void *base,
-		    struct error *err)
+int table_read_row(const struct sheet *sheet, const struct header *header,
+		   struct json_object *cells, int row, void *base,
+		   struct error *err)
 {
 	int i;
 
@@ -177,10 +146,11 @@
 		option_set_defaults(sheet->columns, sheet->n_columns, base);
 		/* Incremented first, so that table_finish() frees a bad row. */
 		sheet->n_rows++;
-		ret = read_row(sheet, &sheet->header, cells, (int)i, base, err);
+		ret = table_read_row(sheet, &sheet->header, cells, (int)i, base,
+				     err);
 		if (ret)
 			return ret;
-		sheet->source_rows[i].name = row_name(base);
+		sheet->source_rows[i].name = table_name_of(base);
 		sheet->source_rows[i].cells = cells;
 		sheet->source_rows[i].row = (int)i;
 	}
@@ -217,8 +187,8 @@
 	return ret;
 }
 
-static int read_tunable(struct tunables *tunables, struct json_object *cells,
-			int row, struct error *err)
+int table_read_tunable(struct tunables *tunables, struct json_object *cells,
+		       int row, struct error *err)
 {
 	char subject[ERROR_SUBJECT_SIZE];
 	const char *name;
@@ -253,7 +223,7 @@
 	sheet->source_rows = mem_zalloc(n * sizeof(*sheet->source_rows));
 	for (i = 0; i < n; i++) {
 		struct json_object *cells = json_object_array_get_idx(rows, i);
-		int option = read_tunable(tunables, cells, (int)i, err);
+		int option = table_read_tunable(tunables, cells, (int)i, err);
 
 		if (option < 0)
 			return option;
@@ -284,7 +254,7 @@
 }
 
 /* Also called on failure, so that table_finish() frees the arrays. */
-static void move_rows(struct table *table, const struct sheet *sheets)
+void table_move_rows(struct table *table, const struct sheet *sheets)
 {
 	table->markets = (struct market *)sheets[TABLE_MARKETS].rows;
 	table->n_markets = sheets[TABLE_MARKETS].n_rows;
@@ -376,8 +346,8 @@
 	index->entries =
 		mem_zalloc((size_t)sheet->n_rows * sizeof(*index->entries));
 	for (i = 0; i < sheet->n_rows; i++) {
-		const char *name =
-			row_name(sheet->rows + (size_t)i * sheet->row_size);
+		const char *name = table_name_of(sheet->rows +
+						 (size_t)i * sheet->row_size);
 		struct entry *entry;
 
 		HASH_FIND_STR(index->head, name, entry);
@@ -496,8 +466,8 @@
 	return ret;
 }
 
-static int resolve_references(struct table *table, const struct sheet *sheets,
-			      struct error *err)
+int table_resolve_references(struct table *table, const struct sheet *sheets,
+			     struct error *err)
 {
 	int ret = build_indexes(table, sheets, err);
 
@@ -579,7 +549,7 @@
 	table_text_end_sheet(text, kind);
 }
 
-static void move_text(struct table *table, struct table_text *text)
+void table_move_text(struct table *table, struct table_text *text)
 {
 	table->text = mem_realloc(text->data, text->len + 1);
 	table->len = text->len;
@@ -593,7 +563,7 @@
 
 	for (i = 0; i < TABLE_SHEETS; i++)
 		write_sheet(&text, &table->sheets[i], &sheets[i], i);
-	move_text(table, &text);
+	table_move_text(table, &text);
 }
 
 static void set_tunable_ids(struct table *table, const struct sheet *sheet)
@@ -618,7 +588,7 @@
 		ret = read_sheets(table, sheets, root, err);
 	for (i = 0; i < TABLE_TUNABLES && !ret; i++)
 		sort_sheet(&sheets[i]);
-	move_rows(table, sheets);
+	table_move_rows(table, sheets);
 	if (ret)
 		return ret;
 	if (sheets[TABLE_TUNABLES].n_rows)
@@ -627,7 +597,7 @@
 		      sizeof(struct source_row), compare_source_rows);
 	ret = check_tunable_names(&sheets[TABLE_TUNABLES], err);
 	if (!ret)
-		ret = resolve_references(table, sheets, err);
+		ret = table_resolve_references(table, sheets, err);
 	if (ret)
 		return ret;
 	set_tunable_ids(table, &sheets[TABLE_TUNABLES]);
@@ -635,8 +605,8 @@
 	return 0;
 }
 
-static void init_empty(struct table *table, struct sheet *sheets,
-		       uint64_t revision)
+void table_init_empty(struct table *table, struct sheet *sheets,
+		      uint64_t revision)
 {
 	memset(table, 0, sizeof(*table));
 	memcpy(sheets, empty_sheets, sizeof(empty_sheets));
@@ -662,7 +632,7 @@
 	ret = option_parse_document(text, len, &root, err);
 	if (ret)
 		return ret;
-	init_empty(table, sheets, revision);
+	table_init_empty(table, sheets, revision);
 	ret = read_document(table, sheets, root, err);
 	for (i = 0; i < TABLE_SHEETS; i++)
 		free(sheets[i].source_rows);
@@ -672,264 +642,6 @@
 	return ret;
 }
 
-/* Merges the rows of an old table with changes, both sorted by name. */
-struct merge {
-	const struct table *old;
-	enum table_sheet sheet;
-	const struct table_change *changes;
-	int n_changes;
-	int row;
-	int change;
-};
-
-struct merge_step {
-	int old_row;			   /* -1 if the row is new */
-	const struct table_change *change; /* NULL if the row is unchanged */
-};
-
-static struct merge merge_init(const struct table *old, enum table_sheet sheet,
-			       const struct table_change *changes, int n)
-{
-	struct merge merge = {.old = old, .sheet = sheet};
-	int i = 0;
-
-	while (i < n && changes[i].sheet < sheet)
-		i++;
-	merge.changes = changes + i;
-	while (i + merge.n_changes < n &&
-	       changes[i + merge.n_changes].sheet == sheet)
-		merge.n_changes++;
-	return merge;
-}
-
-static bool merge_next(struct merge *merge, struct merge_step *out)
-{
-	bool more = merge->row < merge->old->sheets[merge->sheet].n_rows;
-	int cmp;
-
-	out->old_row = -1;
-	out->change = NULL;
-	if (!more && merge->change == merge->n_changes)
-		return false;
-	if (!more)
-		cmp = 1;
-	else if (merge->change == merge->n_changes)
-		cmp = -1;
-	else
-		cmp = strcmp(table_row_name(merge->old, merge->sheet,
-					    merge->row),
-			     merge->changes[merge->change].name);
-	if (cmp <= 0)
-		out->old_row = merge->row++;
-	if (cmp >= 0)
-		out->change = &merge->changes[merge->change++];
-	return true;
-}
-
-static void copy_row(const struct sheet *sheet, void *dst, const void *src)
-{
-	int i;
-
-	memcpy(dst, src, sheet->row_size);
-	for (i = 0; i < sheet->n_columns; i++) {
-		char **slot = (char **)((char *)dst + sheet->columns[i].offset);
-
-		if (sheet->columns[i].type == OPTION_STRING && *slot)
-			*slot = mem_dup(*slot);
-	}
-}
-
-static int read_changed_row(const struct sheet *sheet,
-			    const struct table_sheet_layout *layout,
-			    const struct table_change *change, int row,
-			    void *base, struct error *err)
-{
-	struct json_object *cells = json_tokener_parse(change->cells);
-	struct header header = {.n = layout->n_columns};
-	int ret;
-
-	memcpy(header.option, layout->columns, sizeof(header.option));
-	option_set_defaults(sheet->columns, sheet->n_columns, base);
-	ret = read_row(sheet, &header, cells, row, base, err);
-	if (!ret && strcmp(row_name(base), change->name))
-		ret = error_set(err, ERR_SYNTAX, sheet->name, change->name,
-				"the name in the cells");
-	json_object_put(cells);
-	return ret;
-}
-
-/* Upper bound of the number of rows in the merged sheet. */
-static int merge_rows_max(const struct merge *merge)
-{
-	return merge->old->sheets[merge->sheet].n_rows + merge->n_changes;
-}
-
-static void begin_merged_sheet(struct table *table, const struct merge *merge,
-			       const struct sheet *sheet,
-			       struct table_text *text)
-{
-	const struct table_sheet_layout *from =
-		&merge->old->sheets[merge->sheet];
-	struct table_sheet_layout *layout = &table->sheets[merge->sheet];
-
-	layout->n_columns = from->n_columns;
-	memcpy(layout->columns, from->columns, sizeof(layout->columns));
-	table_text_begin_sheet(text, merge->sheet, sheet->columns, layout,
-			       merge_rows_max(merge));
-}
-
-static int merge_sheet(struct table *table, struct merge *merge,
-		       struct sheet *sheet, const void *old_rows,
-		       struct table_text *text, struct error *err)
-{
-	struct table_sheet_layout *layout = &table->sheets[merge->sheet];
-	struct merge_step next;
-
-	begin_merged_sheet(table, merge, sheet, text);
-	sheet->rows =
-		mem_zalloc((size_t)merge_rows_max(merge) * sheet->row_size);
-	while (merge_next(merge, &next)) {
-		char *base =
-			sheet->rows + (size_t)sheet->n_rows * sheet->row_size;
-		int ret;
-
-		if (!next.change) {
-			copy_row(sheet, base,
-				 (const char *)old_rows +
-					 (size_t)next.old_row *
-						 sheet->row_size);
-			sheet->n_rows++;
-			table_text_add_row(text, layout,
-					   table_row_cells(merge->old,
-							   merge->sheet,
-							   next.old_row));
-			continue;
-		}
-		if (!next.change->cells)
-			continue;
-		sheet->n_rows++;
-		ret = read_changed_row(sheet, layout, next.change,
-				       sheet->n_rows - 1, base, err);
-		if (ret)
-			return ret;
-		table_text_add_row(text, layout, str_from(next.change->cells));
-	}
-	table_text_end_sheet(text, merge->sheet);
-	return 0;
-}
-
-static int set_tunable(struct table *table, struct str cells, int row,
-		       struct error *err)
-{
-	struct json_object *value = json_tokener_parse(cells.data);
-	int option = read_tunable(&table->tunables, value, row, err);
-
-	json_object_put(value);
-	if (option < 0)
-		return option;
-	table->tunable_ids[row] = option;
-	return 0;
-}
-
-static int merge_tunables(struct table *table, struct merge *merge,
-			  const struct sheet *sheet, struct table_text *text,
-			  struct error *err)
-{
-	struct table_sheet_layout *layout = &table->sheets[merge->sheet];
-	struct merge_step next;
-
-	begin_merged_sheet(table, merge, sheet, text);
-	table->tunable_ids =
-		mem_zalloc((size_t)merge_rows_max(merge) * sizeof(int));
-	while (merge_next(merge, &next)) {
-		struct str cells;
-		char *copy;
-		int ret;
-
-		if (next.change && !next.change->cells)
-			continue;
-		cells = next.change ? str_from(next.change->cells)
-				    : table_row_cells(merge->old, merge->sheet,
-						      next.old_row);
-		copy = mem_dup_len(cells.data, cells.len);
-		ret = set_tunable(table, str_from(copy), layout->n_rows, err);
-		free(copy);
-		if (ret)
-			return ret;
-		table_text_add_row(text, layout, cells);
-	}
-	table_text_end_sheet(text, merge->sheet);
-	return 0;
-}
-
-static const void *sheet_rows(const struct table *table, enum table_sheet sheet)
-{
-	switch (sheet) {
-	case TABLE_MARKETS:
-		return table->markets;
-	case TABLE_SERVICES:
-		return table->services;
-	case TABLE_SERVERS:
-		return table->servers;
-	default:
-		return NULL;
-	}
-}
-
-/* The copied rows still point to lists that the old table owns. */
-static void clear_server_lists(struct sheet *sheet)
-{
-	struct service *services = (struct service *)sheet->rows;
-	int i;
-
-	for (i = 0; i < sheet->n_rows; i++) {
-		services[i].servers = NULL;
-		services[i].n_servers = 0;
-	}
-}
-
-static int merge_sheets(struct table *table, const struct table *old,
-			struct sheet *sheets,
-			const struct table_change *changes, int n,
-			struct table_text *text, struct error *err)
-{
-	struct merge merge;
-	int ret = 0;
-	int i;
-
-	for (i = 0; i < TABLE_TUNABLES && !ret; i++) {
-		merge = merge_init(old, i, changes, n);
-		ret = merge_sheet(table, &merge, &sheets[i], sheet_rows(old, i),
-				  text, err);
-	}
-	clear_server_lists(&sheets[TABLE_SERVICES]);
-	move_rows(table, sheets);
-	if (ret)
-		return ret;
-	merge = merge_init(old, TABLE_TUNABLES, changes, n);
-	ret = merge_tunables(table, &merge, &sheets[TABLE_TUNABLES], text, err);
-	if (!ret)
-		ret = resolve_references(table, sheets, err);
-	return ret;
-}
-
-int table_init_from_changes(struct table *table, const struct table *old,
-			    const struct table_change *changes, int n,
-			    uint64_t revision, struct error *err)
-{
-	struct table_text text = {.cap = old->len, .data = NULL};
-	struct sheet sheets[TABLE_SHEETS];
-	int ret;
-
-	init_empty(table, sheets, revision);
-	text.data = mem_zalloc(text.cap);
-	ret = merge_sheets(table, old, sheets, changes, n, &text, err);
-	move_text(table, &text);
-	if (ret)
-		table_finish(table);
-	return ret;
-}
-
 static void free_rows(struct table *table)
 {
 	int i;
