entry_net: a search for which no server could be asked tells nothing about load

Cause: while no server is known, each search fails at once, and each failure counted as a search that waited for twice the target. The limit of the service fell from 16 to 1 before the first server was there; on a busy machine that time is longer.

Test: test_service_without_servers_is_not_overloaded failed before (504).

--- a/entry_net.c
+++ b/entry_net.c
@@ -61,10 +61,13 @@
 	struct entry_net *net = arg;
 	struct entry_search *entry = search->owner;
 	struct admission_sample sample = make_sample(search);
+	/* Without a server that could be asked it tells nothing about load. */
+	bool tells_load = search->n_requests;
 
 	search->owner = entry->owner;
 	net->done(search);
-	admission_leave(&net->admission, &entry->admission, &sample);
+	admission_leave(&net->admission, &entry->admission,
+			tells_load ? &sample : NULL);
 	free(entry);
 }
 
--- a/tests/test_slow_servers.py
+++ b/tests/test_slow_servers.py
@@ -34,6 +34,8 @@
 SEARCH_DEADLINE_MS = 600
 
 LONGER_THAN_DEADLINE_S = 0.7
+SLOW_SEARCH_S = 0.25
+SEARCHES_WITHOUT_SERVERS = 400
 SUSPECTS = 2
 SEARCHES_IN_A_ROW = 3
 CANARIES = 4
@@ -93,6 +95,12 @@
     return server.valid_search(body)
 
 
+def slow(server, body):
+    """Answer a search well before the deadline of its caller."""
+    time.sleep(SLOW_SEARCH_S)
+    return server.valid_search(body)
+
+
 class SlowServers(bad_input.InstanceTest):
     def start_halves(self, **options):
         """Start a server for each half of the data, and an instance."""
@@ -212,6 +220,23 @@
                     self.check_other_half(status, answer)
             bad.search = FakeServer.valid_search
 
+    def test_service_without_servers_is_not_overloaded(self):
+        """Guards against callers being refused for overload when the servers
+        of a service come, as searches had failed without them."""
+        instance = self.start()
+        for _ in range(SEARCHES_WITHOUT_SERVERS):
+            self.assertNotEqual(self.count(instance)[0], 200)
+        servers = [self.server("b1", shard_indexes=[0]),
+                   self.server("b2", shard_indexes=[1])]
+        self.platform.publish(bad_input.table(servers))
+        self.wait_full_coverage(instance)
+        for server in servers:
+            server.search = slow
+        for status, answer in self.search_at_once(
+                [instance] * CALLERS,
+                {"service": SERVICE, "deadline_ms": SEARCH_DEADLINE_MS}):
+            self.assertEqual(status, 200, answer)
+
     def search_at_once(self, instances, search):
         """Send a search to each of the instances, from a caller each, several
         times in a row; returns all answers."""
