--- a/bench/soak_removals.py
+++ b/bench/soak_removals.py
@@ -39,7 +39,7 @@
 STABLE_S = 4.0
 STORE_DELAYS_S = (0.004, 0.004, 0.24)
 STALL_MAX_S = 0.4
-# Busy processes beside the gateways make stalls of their own.
+# These are stopped for moments, as on a slow processor.
 STALLED_GATEWAYS = (0, 2, 4)
 CALLERS = 8
 CALLER_INTERVAL_S = 0.02
--- a/tests/test_view_bounds.c
+++ b/tests/test_view_bounds.c
@@ -301,13 +301,13 @@
 	play_seeds(PLAY_LATE_MESSAGES);
 }
 
-/* Guards against removals that come too late where processors are slow. */
+/* Guards against the same where processors are slow. */
 static void test_views_follow_store_on_slow_instances(void)
 {
 	play_seeds(PLAY_SLOW_INSTANCES);
 }
 
-/* Guards against removals that wait for an instance that nobody can rely on. */
+/* Guards against the same while instances stand still or lose the store. */
 static void test_views_follow_store_beside_pauses_and_cuts(void)
 {
 	play_seeds(PLAY_PAUSES_AND_CUTS);
