--- a/bench/soak_crashing.py
+++ b/bench/soak_crashing.py
@@ -34,6 +34,7 @@
 REPLICAS = 2
 PLAY_S = 14
 READY_S = 20
+LOG_LINES_MAX = 20
 DEADLINE_S = 2.5
 CALLERS = 6
 PORTS_TRIED = 5
@@ -244,7 +245,10 @@
         for gateway in gateways:
             while not await asyncio.to_thread(gateway.is_ready):
                 if time.monotonic() > until:
-                    raise experiment.Failed("gateways did not start")
+                    raise experiment.Failed(
+                        f"{gateway.settings['instance']} did not start, exit "
+                        f"status {gateway.process.poll()}, last logged: "
+                        f"{gateway.log()[-LOG_LINES_MAX:]}")
                 await asyncio.sleep(0.05)
 
     def is_in_touch(self, gateway):
