store_sync: silence alone is no outage for an instance that calls early

The gateway had been without processor time for 3.8 s: "removals_held", silence_ms 3846, call_failed 0.

Cause: silence of 3.6 s was taken for an outage. An instance that by its rank calls the store after 1.6 s would have met an outage itself, by a call that fails, or been told of one. If it was silent for longer, it stood still.

Change: silence counts only for instances that leave the calls to others for longer than an outage that expires entries: high ranks of large fleets.

The soak tells how long its own store took, and which server a late request went to.

--- a/bench/soak_removals.py
+++ b/bench/soak_removals.py
@@ -44,6 +44,7 @@
 CALLERS = 8
 CALLER_INTERVAL_S = 0.02
 READY_S = 30
+WATCH_INTERVAL_S = 0.1
 
 
 class Trouble:
@@ -103,6 +104,7 @@
         # Begin and end of each disturbance of a gateway.
         self.disturbed = [[] for _ in range(options.instances)]
         self.away = set()
+        self.store_took = []
         self.lock = threading.Lock()
         peer_port = experiment.free_ports(1)[0]
         seeds = [f"127.0.0.{10 + i}:{peer_port}" for i in range(3)]
@@ -129,6 +131,24 @@
                     server.publish()
             time.sleep(HEARTBEAT_S)
 
+    def watch_store(self):
+        """Note how long the store takes, which runs beside servers and callers
+        in this process."""
+        ip, _, port = self.store.address.partition(":")
+        while not self.over:
+            began = time.monotonic()
+            try:
+                connection = http.client.HTTPConnection(ip, int(port),
+                                                        timeout=READY_S)
+                connection.request("GET", "/kv-range?prefix=op/")
+                connection.getresponse().read()
+                connection.close()
+            except (OSError, http.client.HTTPException):
+                pass
+            took_s = time.monotonic() - began
+            self.store_took.append([round(began, 2), round(took_s, 2)])
+            time.sleep(WATCH_INTERVAL_S)
+
     def stall(self):
         """Stop some gateways for moments, as slow processors do."""
         rng = random.Random(f"stall-{self.seed}")
@@ -193,7 +213,7 @@
         experiment.wait_until("ready", lambda: all(
             gateway.is_ready() for gateway in self.gateways), READY_S)
         self.store.delay_s = self.rng.choice(STORE_DELAYS_S)
-        for target in (self.beat, self.stall):
+        for target in (self.beat, self.stall, self.watch_store):
             threading.Thread(target=target, daemon=True).start()
         for number in range(CALLERS):
             Caller(self, number).start()
@@ -203,7 +223,8 @@
                        for begin, end in self.disturbed[gateway])
 
     def late(self):
-        """Each late request: its id, its gateway, and how late it was."""
+        """Each late request: its id, its gateway, how late it was, and which
+        server had left when."""
         found = []
         for server, removed_at in self.removed_at.items():
             for request in server.seen:
@@ -211,7 +232,8 @@
                 gateway = request.headers.get("x-gateway")
                 if (late_s > 0 and gateway is not None
                         and self.is_in_touch(int(gateway), request.arrived_at)):
-                    found.append([request.id, int(gateway), round(late_s, 3)])
+                    found.append([request.id, int(gateway), round(late_s, 3),
+                              server.name, round(removed_at, 2)])
         return found
 
     def play(self):
@@ -248,6 +270,7 @@
         "store_delay_s": run.store.delay_s,
         "requests": sum(len(server.seen) for server in run.servers),
         "removals": len(run.removed_at),
+        "store_slowest": sorted(run.store_took, key=lambda t: -t[1])[:3],
         "removals_held": [[line["instance"], line["silence_ms"]]
                           for line in held],
         "late": len(late),
--- a/store_sync.c
+++ b/store_sync.c
@@ -22,7 +22,8 @@
 #define OUTAGE_MIN (MSEC(2400) - ANSWER_TRANSIT_MAX)
 /*
  * Without word of the store for as long as an entry lives, it may have been
- * away though no call failed. Longer than it takes to replace lost readers.
+ * away though no call failed, if this instance leaves the calls to others.
+ * Longer than it takes to replace lost readers.
  */
 #define SILENCE_MAX MSEC(3600)
 
@@ -208,9 +209,11 @@
 static void hold_removals_after_outage(struct store_sync *sync, int64_t at)
 {
 	bool call_failed = sync->failed_at > sync->reached_at;
+	/* It would have met an outage itself, unless it stood still. */
+	bool calls_early = sync->max_view_age < OUTAGE_MIN;
 	int64_t silence = at - sync->reached_at;
 
-	if (sync->reached_at < 0 ||
+	if (sync->reached_at < 0 || (calls_early && !call_failed) ||
 	    silence <= (call_failed ? OUTAGE_MIN : SILENCE_MAX))
 		return;
 	LOG_INFO("removals_held",
--- a/tests/test_store_order.c
+++ b/tests/test_store_order.c
@@ -231,6 +231,19 @@
 	fixture_finish(&fixture);
 }
 
+/* Guards against removals that are held back as an instance stood still. */
+static void test_removal_after_standstill(void)
+{
+	struct fixture fixture;
+
+	set_up_follower(&fixture, 0);
+	store_sync_set_max_view_age(&fixture.sync, MSEC(1600), 6);
+	clock_advance(&fixture.clock, MSEC(4000));
+	receive_complete_view_of_a(&fixture, 20);
+	CU_ASSERT(!fixture_has_server(&fixture, "b"));
+	fixture_finish(&fixture);
+}
+
 /* Guards against a call that failed by itself being taken for an outage. */
 static void test_removal_after_failed_call(void)
 {
@@ -606,6 +619,7 @@
 	 test_complete_view_after_calls_failed},
 	{"removals after lost readers", test_removals_after_lost_readers},
 	{"removal after a failed call", test_removal_after_failed_call},
+	{"removal after a standstill", test_removal_after_standstill},
 	{"complete view after peer reached store",
 	 test_complete_view_after_peer_reached_store},
 	{"many removals are remembered", test_many_removals},
