gateway: log each request and answer that the end of a process cuts

Which open request a stop cut, and why, was in no log: "stopping" with "busy" 1 was all, so that users' record of closed connections names no instance's line. Each request that is open when the process ends now has a line request_cut (id, server, how long it waited, whether it can have run, when it was taken after the signal and with how much time), each answer that the kernel did not get whole a line answer_cut, and both are counted. No decision changed.

--- a/dispatch.c
+++ b/dispatch.c
@@ -190,7 +190,7 @@
 }
 
 /* Sends in flight may still run. */
-static bool may_have_run(const struct dispatch *dispatch)
+bool dispatch_may_have_run(const struct dispatch *dispatch)
 {
 	int i;
 
@@ -223,7 +223,7 @@
 	bool ran;
 
 	abandon_queued_sends(dispatch);
-	ran = may_have_run(dispatch);
+	ran = dispatch_may_have_run(dispatch);
 
 	end_dispatch(dispatch, ran ? DISPATCH_FAILED : DISPATCH_REFUSED, code);
 }
--- a/dispatch.h
+++ b/dispatch.h
@@ -359,6 +359,11 @@
  */
 int64_t dispatch_hedge_delay(const struct dispatch *dispatch);
 
+/**
+ * dispatch_may_have_run() - whether some server may have run the request
+ */
+bool dispatch_may_have_run(const struct dispatch *dispatch);
+
 /**
  * dispatch_cancel() - end a request whose caller disconnected
  */
--- a/gateway.h
+++ b/gateway.h
@@ -145,7 +145,9 @@
 		 const struct store_ops *store);
 
 /**
- * gateway_finish() - free everything; open requests are not answered
+ * gateway_finish() - free everything
+ *
+ * Requests without an answer and answers that were not sent are logged.
  */
 void gateway_finish(struct gateway *gateway);
 
--- a/gateway_request.c
+++ b/gateway_request.c
@@ -406,14 +406,74 @@
 		 LOG_TEXT("why", why));
 }
 
+static void on_answer_cut(void *arg, const struct inbound_conn *conn,
+			  const struct http_message *message, size_t unsent)
+{
+	struct gateway *gateway = arg;
+
+	metric_inc(&gateway->counters.answers_cut);
+	LOG_WARN("answer_cut",
+		 LOG_STR("request",
+			 http_message_field(
+				 message, gateway->names->upstream.request_id)),
+		 LOG_TEXT("caller", inbound_conn_ip(conn)),
+		 LOG_U64("unsent_bytes", unsent));
+}
+
 const struct inbound_ops gateway_request_ops = {
 	.request = on_request,
 	.closed = on_caller_left,
 	.refused = on_malformed,
+	.answer_cut = on_answer_cut,
 };
 
+static const struct dispatch_send *last_send(const struct dispatch *dispatch)
+{
+	const struct dispatch_send *last = NULL;
+	int i;
+
+	for (i = 0; i < dispatch->n_parts; i++) {
+		const struct dispatch_part *part = &dispatch->parts[i];
+
+		if (part->state != PART_PENDING || !part->n_sends)
+			continue;
+		if (!last ||
+		    part->sends[part->n_sends - 1].sent_at > last->sent_at)
+			last = &part->sends[part->n_sends - 1];
+	}
+	return last;
+}
+
+static void log_cut(const struct gateway_request *request)
+{
+	const struct gateway *gateway = request->gateway;
+	const struct dispatch *dispatch = &request->dispatch;
+	const struct dispatch_send *last = last_send(dispatch);
+	int64_t now = clock_now(&gateway->clock);
+
+	LOG_WARN("request_cut", LOG_STR("request", request->request.id),
+		 LOG_TEXT("caller", inbound_conn_ip(request->conn)),
+		 LOG_TEXT("route", request->route->name
+					   ? request->route->name
+					   : request->route->prefix),
+		 LOG_TEXT("service", last ? last->part->service->name : "-"),
+		 LOG_TEXT("server", last ? last->server->entry.id : "-"),
+		 LOG_I64("waited_us", last ? now - last->sent_at : 0),
+		 LOG_I64("sends", dispatch->n_sends),
+		 LOG_I64("not_run", !dispatch_may_have_run(dispatch)),
+		 LOG_I64("parts", dispatch->n_parts),
+		 LOG_I64("parts_in", dispatch->n_answered),
+		 LOG_I64("took_us", now - dispatch->start),
+		 LOG_I64("taken_after_us",
+			 dispatch->start - gateway->leaving_since),
+		 LOG_I64("time_us", dispatch->deadline - dispatch->start));
+}
+
 void gateway_request_free_all(struct gateway *gateway)
 {
-	while (gateway->open_requests)
+	while (gateway->open_requests) {
+		metric_inc(&gateway->counters.cut);
+		log_cut(gateway->open_requests);
 		free_request(gateway->open_requests);
+	}
 }
--- a/gateway_stats.h
+++ b/gateway_stats.h
@@ -45,6 +45,10 @@
 	  "retries refused because they came before the given time")           \
 	X(failed, METRIC_COUNTER, "garnetreach_requests_failed_total",         \
 	  "requests that failed and may have run")                             \
+	X(cut, METRIC_COUNTER, "garnetreach_requests_cut_total",               \
+	  "requests without an answer when the process ended")                 \
+	X(answers_cut, METRIC_COUNTER, "garnetreach_answers_cut_total",        \
+	  "answers not passed to the kernel when the process ended")           \
 	X(caller_left, METRIC_COUNTER, "garnetreach_requests_left_total",      \
 	  "requests whose caller disconnected before the answer")              \
 	X(malformed, METRIC_COUNTER, "garnetreach_requests_malformed_total",   \
--- a/inbound.c
+++ b/inbound.c
@@ -334,14 +334,24 @@
 	inbound->listener = NULL;
 }
 
+static size_t unsent_bytes(const struct inbound_conn *conn)
+{
+	return evbuffer_get_length(bufferevent_get_output(conn->bev));
+}
+
 void inbound_finish(struct inbound *inbound)
 {
 	struct inbound_conn *conn;
 	struct inbound_conn *next;
 
 	stop_listening(inbound);
-	DL_FOREACH_SAFE (inbound->conns, conn, next)
+	DL_FOREACH_SAFE (inbound->conns, conn, next) {
+		if (unsent_bytes(conn))
+			inbound->ops->answer_cut(inbound->arg, conn,
+						 &conn->message,
+						 unsent_bytes(conn));
 		free_conn(conn);
+	}
 }
 
 void inbound_set_limits(struct inbound *inbound,
@@ -373,7 +383,7 @@
 			close_gracefully(conn);
 		else if (conn->state != INBOUND_CLOSING)
 			busy++;
-		else if (evbuffer_get_length(bufferevent_get_output(conn->bev)))
+		else if (unsent_bytes(conn))
 			busy++;
 	}
 	return busy;
--- a/inbound.h
+++ b/inbound.h
@@ -27,12 +27,16 @@
  * @closed: the caller closed the connection during the request, which must not
  *	be answered; @request is from inbound_conn_set_request()
  * @refused: a malformed, oversized or slow message was answered with @status
+ * @answer_cut: inbound_finish() closes the connection with @unsent bytes of the
+ *	response to @message not passed to the kernel
  */
 struct inbound_ops {
 	void (*request)(void *arg, struct inbound_conn *conn,
 			const struct http_message *message);
 	void (*closed)(void *arg, struct inbound_conn *conn, void *request);
 	void (*refused)(void *arg, int status, const char *why);
+	void (*answer_cut)(void *arg, const struct inbound_conn *conn,
+			   const struct http_message *message, size_t unsent);
 };
 
 /**
