tests: requests that are open while a gateway stops, failing

Five cases of one instance that stops, each of which fails on this code: a slow look-up and an order taken before the stop get a closed connection, a process that stands still at the signal ends after it would be killed, settings read during a stop move its end, and a short grace time refuses connections from the signal on.

--- /dev/null
+++ b/tests/test_stops.py
@@ -0,0 +1,172 @@
+"""Requests that are open, or arrive, while a gateway stops.
+
+usage: test_stops.py BUILD [unittest options]
+"""
+
+import pathlib
+import signal
+import sys
+import threading
+import time
+import unittest
+
+TESTS_DIR = pathlib.Path(__file__).resolve().parent
+sys.path.insert(0, str(TESTS_DIR))
+
+import test_gateway  # noqa: E402
+from gateway_fixtures import route  # noqa: E402
+
+# The time from SIGTERM until the process is killed.
+GRACE_S = 3
+# Of a request, far longer than a stop.
+TIME_MS = 10000
+ROUTES = [
+    route("/any/", service="one", timeout_ms=TIME_MS),
+    route("/once/", service="one", repeat="once", timeout_ms=TIME_MS),
+]
+
+
+class StopTest(test_gateway.GatewayTest):
+    def setUp(self):
+        super().setUp()
+        self.release = threading.Event()
+        self.addCleanup(self.release.set)
+
+    def hang(self, server, request):
+        if "hang" in request.target:
+            self.release.wait(test_gateway.WAIT_MAX_S)
+        return server.echo(request)
+
+    def tearDown(self):
+        self.release.set()
+        super().tearDown()
+
+    def start(self, n_servers=1, **members):
+        """Return a gateway whose servers hang where the target says so."""
+        for i in range(n_servers):
+            server = self.server(f"one-{i}", "one")
+            server.respond = self.hang
+        self.publish(routes=ROUTES)
+        members.setdefault("stop_max_s", GRACE_S)
+        gateway = self.ready_gateway(**members)
+        for i in range(8):
+            self.assertEqual(self.caller(gateway).request(
+                "/any/x", request_id=f"w{i}").status, 200)
+        return gateway
+
+    def send(self, gateway, target, request_id="r1", caller=None):
+        """Send a request and return its caller and the answer, once read."""
+        caller = caller or self.caller(gateway)
+        got = []
+        thread = threading.Thread(
+            target=lambda: got.append((self.read_or_none(
+                caller, target, request_id), time.monotonic())))
+        thread.start()
+        self.addCleanup(thread.join)
+        return thread, got
+
+    @staticmethod
+    def read_or_none(caller, target, request_id):
+        """Return the answer; None if the connection ends without one."""
+        try:
+            return caller.request(target, request_id=request_id)
+        except OSError:
+            return None
+
+    def stop_after(self, gateway, sends, after_s):
+        """Return (answer, time after SIGTERM) of each of the `sends`, and
+        when the process had ended."""
+        at = time.monotonic()
+        gateway.process.send_signal(signal.SIGTERM)
+        time.sleep(after_s)
+        open_requests = [send() for send in sends]
+        self.assertEqual(gateway.process.wait(test_gateway.WAIT_MAX_S), 0)
+        ended = time.monotonic() - at
+        for thread, _ in open_requests:
+            thread.join()
+        return ([(got[0][0], got[0][1] - at) for _, got in open_requests],
+                ended)
+
+    def assert_answered(self, answer, status):
+        self.assertIsNotNone(answer[0], "the connection closed unanswered")
+        self.assertEqual(answer[0].status, status)
+        self.assertLess(answer[1], GRACE_S)
+
+
+class OpenAtTheEnd(StopTest):
+    def test_slow_lookup_gets_a_whole_answer(self):
+        """Guards against a closed connection for a look-up whose server is
+        still at work when the process has to end."""
+        gateway = self.start()
+        kept = self.caller(gateway)
+        answers, ended = self.stop_after(gateway, [
+            lambda: self.send(gateway, "/any/hang", caller=kept)], 0.5)
+        self.assert_answered(answers[0], 504)
+        self.assertLess(ended, GRACE_S)
+
+    def test_request_taken_before_the_stop_gets_a_whole_answer(self):
+        """Guards against requests that learn of no stop after they were
+        taken."""
+        gateway = self.start()
+        thread, got = self.send(gateway, "/once/hang")
+        self.wait("running", lambda: any(
+            "hang" in r.target for r in self.servers[0].seen))
+        at = time.monotonic()
+        self.stop_after(gateway, [], 0)
+        thread.join()
+        self.assert_answered((got[0][0], got[0][1] - at), 504)
+
+
+class TimeOfTheStop(StopTest):
+    def test_stop_counts_from_the_signal(self):
+        """Guards against a process that stood still when it was told to stop
+        and then takes longer than it has."""
+        gateway = self.start()
+        thread, got = self.send(gateway, "/any/hang")
+        self.wait("running", lambda: any(
+            "hang" in r.target for r in self.servers[0].seen))
+        gateway.process.send_signal(signal.SIGSTOP)
+        at = time.monotonic()
+        gateway.process.send_signal(signal.SIGTERM)
+        time.sleep(0.9)
+        gateway.process.send_signal(signal.SIGCONT)
+        self.assertEqual(gateway.process.wait(test_gateway.WAIT_MAX_S), 0)
+        self.assertLess(time.monotonic() - at, GRACE_S)
+        thread.join()
+        self.assert_answered((got[0][0], got[0][1] - at), 504)
+
+    def test_other_signals_and_settings_change_no_stop(self):
+        """Guards against a stop that starts anew or ends sooner by a second
+        SIGTERM, by SIGINT, or by settings that are read again."""
+        gateway = self.start()
+        thread, got = self.send(gateway, "/any/hang")
+        at = time.monotonic()
+        gateway.process.send_signal(signal.SIGTERM)
+        gateway.settings["stop_max_s"] = 10 * GRACE_S
+        gateway.write_settings()
+        for number in (signal.SIGHUP, signal.SIGTERM, signal.SIGINT):
+            time.sleep(0.4)
+            gateway.process.send_signal(number)
+        self.assertEqual(gateway.process.wait(test_gateway.WAIT_MAX_S), 0)
+        self.assertLess(time.monotonic() - at, GRACE_S)
+        thread.join()
+        self.assert_answered((got[0][0], got[0][1] - at), 504)
+
+    def test_short_grace(self):
+        """Guards against times that are longer than the whole stop."""
+        gateway = self.start(stop_max_s=1)
+        thread, got = self.send(gateway, "/any/hang")
+        self.wait("running", lambda: any(
+            "hang" in r.target for r in self.servers[0].seen))
+        at = time.monotonic()
+        answers, ended = self.stop_after(gateway, [
+            lambda: self.send(gateway, "/any/quick", "quick")], 0.2)
+        self.assert_answered(answers[0], 200)
+        thread.join()
+        self.assert_answered((got[0][0], got[0][1] - at), 504)
+        self.assertLess(ended, 1)
+
+
+if __name__ == "__main__":
+    test_gateway.BUILD = pathlib.Path(sys.argv.pop(1))
+    unittest.main(verbosity=2)
