gateway_stop: the end of a stop is a deadline of every open request

Callers got closed connections: an instance that stops took requests with their whole time until 2 s before it would be killed, and dropped whatever was open 0.4 s before it, by leaving the event loop. No request knew of that moment, and nobody answered it.

The times of a stop are now a plan, made once at the signal (stop_plan): each open request ends by answer_by with a whole answer: its saved or partial answer, 503 if it certainly has not run, else 504. A request that arrives is taken if what such requests take here fits; if not, and another instance is ready, it is refused at once with 503 and Connection: close. What must not be repeated has to fit as the slowest recent answer did. An end by the stop is no sign of overload.

tests/test_stops.py, before: a look-up and an order closed unanswered at 2.6 s of 3, a process that outlives its kill when its settings change, refused connections from the signal on with a grace of 1 s.

--- a/cmd_gateway.c
+++ b/cmd_gateway.c
@@ -13,6 +13,7 @@
 
 #include "gateway.h"
 #include "gateway_pages.h"
+#include "gateway_stop.h"
 #include "log.h"
 #include "loop.h"
 #include "platform/names.h"
@@ -70,7 +71,7 @@
 {
 	(void)fd;
 	(void)what;
-	gateway_shut_down(arg);
+	gateway_stop(arg);
 }
 
 /* The settings file is checked for changes this often, also without SIGHUP. */
--- a/dispatch.c
+++ b/dispatch.c
@@ -238,7 +238,8 @@
 	if (now + DEADLINE_MARGIN >= dispatch->deadline &&
 	    dispatch->n_answered < dispatch->n_parts &&
 	    !has_min_coverage(dispatch))
-		fail_all(dispatch, ERR_TOO_LATE);
+		fail_all(dispatch,
+			 dispatch->time_limited ? ERR_LEAVING : ERR_TOO_LATE);
 	else if (dispatch->n_answered == dispatch->n_parts)
 		end_dispatch(dispatch, DISPATCH_COMPLETE, 0);
 	else if (dispatch->n_answered + dispatch->n_failed ==
@@ -255,7 +256,7 @@
 	else if (dispatch->route->sharded && now >= dispatch->soft_deadline &&
 		 has_min_coverage(dispatch))
 		end_dispatch(dispatch, DISPATCH_PARTIAL, 0);
-	else if (now >= dispatch->soft_deadline)
+	else if (now >= dispatch->soft_deadline && !dispatch->time_limited)
 		dispatch_load_report(dispatch, ERR_TOO_LATE);
 }
 
@@ -537,6 +538,16 @@
 		part->hedge_at = now + RETRY_DELAY;
 }
 
+void dispatch_limit_time(struct dispatch *dispatch, int64_t until)
+{
+	if (until >= dispatch->deadline)
+		return;
+	dispatch->deadline = until;
+	dispatch->time_limited = true;
+	if (dispatch->soft_deadline > until - DEADLINE_MARGIN)
+		dispatch->soft_deadline = until - DEADLINE_MARGIN;
+}
+
 enum dispatch_outcome dispatch_tick(struct dispatch *dispatch)
 {
 	int64_t now = clock_now(dispatch->clock);
--- a/dispatch.h
+++ b/dispatch.h
@@ -207,7 +207,9 @@
  * struct dispatch - one request
  * @latency: of the route's answers, borrowed
  * @start: arrival, microseconds
- * @deadline: of the caller and the route, microseconds
+ * @deadline: of the caller and the route, or of dispatch_limit_time(),
+ *	microseconds
+ * @time_limited: dispatch_limit_time() has moved @deadline
  * @soft_deadline: from then on a partial answer is sent once it has the route's
  *	coverage_min, failed parts are not retried later, and an answer counts
  *	as late for the load limit; microseconds
@@ -251,6 +253,7 @@
 	struct latency *latency;
 	int64_t start;
 	int64_t deadline;
+	bool time_limited;
 	int64_t soft_deadline;
 	struct dispatch_part *parts;
 	int n_parts;
@@ -340,6 +343,15 @@
 void dispatch_begin_batch(struct dispatch *dispatch);
 enum dispatch_outcome dispatch_end_batch(struct dispatch *dispatch);
 
+/**
+ * dispatch_limit_time() - end a request sooner than its deadline, as this
+ * instance stops
+ * @until: microseconds
+ *
+ * Without an answer by then the code of the outcome is ERR_LEAVING.
+ */
+void dispatch_limit_time(struct dispatch *dispatch, int64_t until);
+
 /**
  * dispatch_tick() - retry, hedge and time out what is due
  *
--- a/dispatch_load.c
+++ b/dispatch_load.c
@@ -167,7 +167,8 @@
 {
 	if (!dispatch->route->sharded)
 		return code == ERR_SHED || code == ERR_BUDGET;
-	return code && code != ERR_NO_REPLICA && lacks_answers(dispatch);
+	return code && code != ERR_NO_REPLICA && code != ERR_LEAVING &&
+	       lacks_answers(dispatch);
 }
 
 void dispatch_load_report(struct dispatch *dispatch, int code)
--- a/gateway.c
+++ b/gateway.c
@@ -11,20 +11,12 @@
 #include "gateway_outage.h"
 #include "gateway_request.h"
 #include "gateway_second_sends.h"
+#include "gateway_stop.h"
 #include "log.h"
 #include "loop.h"
 #include "mem.h"
 #include "store_schedule.h"
 
-/*
- * On shutdown an instance leaves the directory at once, but keeps serving
- * callers that cache older directory answers. It closes idle connections this
- * long before it would be killed.
- */
-#define CLOSE_IDLE_LEAD MSEC(2000)
-/* It exits this long before it would be killed, even with open requests. */
-#define EXIT_LEAD MSEC(400)
-#define STOP_CHECK_PERIOD MSEC(50)
 /* Instances with at least this many cores read the store at startup. */
 #define NO_JOIN_DELAY_CORES 0.25
 /*
@@ -212,43 +204,6 @@
 		server_queue_net_server_gone(&gateway->server_queues, server);
 }
 
-/* Shutdown. */
-
-static void on_stop_timer(evutil_socket_t fd, short what, void *arg)
-{
-	struct gateway *gateway = arg;
-	int64_t stop_max =
-		(int64_t)(gateway->settings->stop_max_s * USEC_PER_SEC);
-	int64_t elapsed = clock_now(&gateway->clock) - gateway->leaving_since;
-	int busy;
-
-	(void)fd;
-	(void)what;
-	if (elapsed < stop_max - CLOSE_IDLE_LEAD)
-		return;
-	gateway->state = GATEWAY_CLOSING;
-	busy = inbound_close_idle(&gateway->inbound);
-	if (!gateway->inbound.n || elapsed >= stop_max - EXIT_LEAD) {
-		LOG_INFO("stopping", LOG_I64("busy", busy),
-			 LOG_I64("after_us", elapsed));
-		event_base_loopexit(gateway->base, NULL);
-	}
-}
-
-void gateway_shut_down(struct gateway *gateway)
-{
-	const struct timeval period = {0, STOP_CHECK_PERIOD};
-
-	if (gateway->state != GATEWAY_SERVING)
-		return;
-	gateway->state = GATEWAY_LEAVING;
-	gateway->leaving_since = clock_now(&gateway->clock);
-	LOG_INFO("leaving", LOG_I64("connections", gateway->inbound.n));
-	inbound_disable_keep_alive(&gateway->inbound);
-	gateway_fleet_leave(&gateway->fleet);
-	event_add(gateway->stop_timer, &period);
-}
-
 static bool is_ready(const void *arg)
 {
 	return gateway_ready(arg);
@@ -346,8 +301,7 @@
 	store_sync_init(&gateway->sync, &gateway->clock, store, &sync_ops,
 			gateway, &gateway->registry);
 	gateway->sync.view_gaps = &gateway->counters.view_gap.histogram;
-	gateway->stop_timer =
-		event_new(base, -1, EV_PERSIST, on_stop_timer, gateway);
+	gateway_stop_init(gateway);
 	wake_timer_init(&gateway->store_timer, base, &gateway->clock,
 			on_store_timer, gateway);
 	event_priority_set(gateway->store_timer.event, LOOP_STATE);
@@ -386,7 +340,7 @@
 	store_client_finish(&gateway->store);
 	store_sync_finish(&gateway->sync);
 	wake_timer_finish(&gateway->store_timer);
-	event_free(gateway->stop_timer);
+	gateway_stop_finish(gateway);
 	registry_finish(&gateway->registry);
 	HASH_ITER (hh, gateway->route_stats, stats, next) {
 		HASH_DEL(gateway->route_stats, stats);
--- a/gateway.h
+++ b/gateway.h
@@ -26,6 +26,7 @@
 #include "relay_serve.h"
 #include "retry_share.h"
 #include "server_queue_net.h"
+#include "stop_plan.h"
 #include "store_client.h"
 #include "store_sync.h"
 #include "upstream.h"
@@ -53,11 +54,13 @@
  * @latency: latencies of the route's requests, for hedging and forecasts
  * @caller_timeout: recent maximum of the timeouts sent by callers,
  *	milliseconds
+ * @slowest: recent maximum of the time that an answer took, microseconds
  */
 struct route_stats {
 	char name[REGISTRY_NAME_SIZE];
 	struct latency latency;
 	struct peak caller_timeout;
+	struct peak slowest;
 	UT_hash_handle hh;
 };
 
@@ -96,8 +99,8 @@
  * @counters: exposed metrics
  * @open_requests: list of requests without an answer yet
  * @state: progress of a shutdown
- * @leaving_since: time of gateway_shut_down(), microseconds
- * @stop_timer: fires every STOP_CHECK_PERIOD during shutdown
+ * @stop: times of a shutdown
+ * @stop_timer: fires periodically during shutdown
  */
 struct gateway {
 	struct event_base *base;
@@ -126,7 +129,7 @@
 	struct gateway_stats counters;
 	struct gateway_request *open_requests;
 	enum gateway_state state;
-	int64_t leaving_since;
+	struct stop_plan stop;
 	struct event *stop_timer;
 };
 
@@ -161,9 +164,4 @@
  */
 void gateway_apply_settings(struct gateway *gateway);
 
-/**
- * gateway_shut_down() - shut down gracefully; ends the event loop when done
- */
-void gateway_shut_down(struct gateway *gateway);
-
 #endif
--- a/gateway_answer.c
+++ b/gateway_answer.c
@@ -192,7 +192,9 @@
 	int status = HTTP_STATUS_SERVICE_UNAVAILABLE;
 	int64_t retry_after = 0;
 
-	if (ran && code == ERR_TOO_LATE)
+	if (code == ERR_LEAVING)
+		metric_inc(&request->gateway->counters.stop_ended);
+	if (ran && (code == ERR_TOO_LATE || code == ERR_LEAVING))
 		status = HTTP_STATUS_GATEWAY_TIMEOUT;
 	else if (ran)
 		status = HTTP_STATUS_BAD_GATEWAY;
@@ -219,6 +221,7 @@
 	enum dispatch_outcome outcome = request->dispatch.outcome;
 
 	if (outcome == DISPATCH_COMPLETE || outcome == DISPATCH_PARTIAL) {
+		gateway_request_add_time(request);
 		metric_inc(outcome == DISPATCH_COMPLETE ? &counters->answered
 							: &counters->partial);
 		if (request->route->sharded)
--- a/gateway_fleet.c
+++ b/gateway_fleet.c
@@ -421,6 +421,20 @@
 	       state->routes_version;
 }
 
+bool gateway_fleet_has_ready_peer(const struct gateway_fleet *fleet)
+{
+	const struct fleet_member *member = fleet->board.fleet.members;
+
+	for (; member; member = member->hh.next) {
+		if (member->status == FLEET_ALIVE &&
+		    member->caller_address.port &&
+		    strcmp(member->instance, fleet->settings.instance) &&
+		    gateway_fleet_is_ready(fleet, member))
+			return true;
+	}
+	return false;
+}
+
 int gateway_fleet_list_candidates(const struct gateway_fleet *fleet,
 				  struct str host,
 				  struct directory_candidate **out)
--- a/gateway_fleet.h
+++ b/gateway_fleet.h
@@ -137,6 +137,11 @@
 bool gateway_fleet_is_ready(const struct gateway_fleet *fleet,
 			    const struct fleet_member *member);
 
+/**
+ * gateway_fleet_has_ready_peer() - whether another instance can take callers
+ */
+bool gateway_fleet_has_ready_peer(const struct gateway_fleet *fleet);
+
 /**
  * gateway_fleet_list_candidates() - list instances that may accept callers
  * @host: host name in the callers' requests
--- a/gateway_request.c
+++ b/gateway_request.c
@@ -10,6 +10,7 @@
 #include <utlist.h>
 
 #include "answer_due.h"
+#include "error.h"
 #include "gateway_load.h"
 #include "gateway_outage.h"
 #include "gateway_request_private.h"
@@ -23,6 +24,8 @@
  * have used part of it to connect.
  */
 #define CALLER_TIMEOUT_SPAN MSEC(20000)
+/* Window for the slowest answer of a route. */
+#define SLOWEST_SPAN MSEC(30000)
 /* Limits the timeout sent by a caller, which is not trusted. */
 #define CALLER_TIMEOUT_MAX_MS 3600000
 /* Routes and servers arrive within about a second of a start. */
@@ -106,10 +109,21 @@
 	latency_init(&stats->latency, MSEC(route->goal_ms) / 4);
 	peak_init(&stats->caller_timeout, CALLER_TIMEOUT_SPAN, 0,
 		  clock_now(&gateway->clock));
+	peak_init(&stats->slowest, SLOWEST_SPAN, MSEC(route->goal_ms),
+		  clock_now(&gateway->clock));
 	HASH_ADD_STR(gateway->route_stats, name, stats);
 	return stats;
 }
 
+void gateway_request_add_time(const struct gateway_request *request)
+{
+	struct gateway *gateway = request->gateway;
+	int64_t now = clock_now(&gateway->clock);
+
+	peak_add(&get_route_stats(gateway, request->route)->slowest,
+		 now - request->dispatch.start, now);
+}
+
 static bool is_gateway_header(const struct gateway *gateway, struct str name)
 {
 	const struct upstream_header_names *names = &gateway->names->upstream;
@@ -226,6 +240,14 @@
 			    str_hash(str_from(inbound_conn_ip(conn))));
 }
 
+/* The end of the process is a deadline of each request. */
+static void limit_to_stop(struct gateway_request *request)
+{
+	dispatch_limit_time(&request->dispatch,
+			    request->gateway->stop.answer_by);
+	request->relay.deadline = request->dispatch.deadline;
+}
+
 /* @due: capacity reserved for this retry, or NULL */
 static void start_request(struct gateway *gateway, struct inbound_conn *conn,
 			  const struct http_message *message,
@@ -264,13 +286,34 @@
 			      get_time_left(gateway, route, timeout_ms),
 		      get_answer_timeout(gateway, conn, route, stats,
 					 timeout_ms));
+	request->deadline = request->dispatch.deadline;
 	request->dispatch.promised = due;
+	if (stop_plan_is_stopping(&gateway->stop))
+		limit_to_stop(request);
 	gateway_trial_begin(request);
 	gateway_send_init(request);
 	if (!gateway_trial_must_wait(request))
 		start_dispatch(request);
 }
 
+static bool outlasts_stop(struct gateway *gateway, const struct route *route,
+			  const struct http_message *message)
+{
+	struct route_stats *stats = get_route_stats(gateway, route);
+	int timeout_ms = parse_caller_timeout(gateway, message);
+	int64_t now = clock_now(&gateway->clock);
+	const struct stop_request request = {
+		.deadline = now + get_time_left(gateway, route, timeout_ms),
+		.goal = MSEC(route->goal_ms),
+		.usual = (int64_t)stats->latency.tail,
+		.slowest = peak_add(&stats->slowest, 0, now),
+		.repeatable = route->repeatable,
+		.others_ready = gateway_fleet_has_ready_peer(&gateway->fleet),
+	};
+
+	return !stop_plan_takes(&gateway->stop, &request, now);
+}
+
 static void refuse_request(struct gateway *gateway, struct inbound_conn *conn,
 			   const struct http_message *message, int status,
 			   int64_t retry_after_ms, const char *why)
@@ -319,6 +362,14 @@
 	return msec_round_up(left);
 }
 
+static void refuse_leaving(struct gateway *gateway, struct inbound_conn *conn,
+			   const struct http_message *message)
+{
+	metric_inc(&gateway->counters.stop_refused);
+	refuse_request(gateway, conn, message, HTTP_STATUS_SERVICE_UNAVAILABLE,
+		       0, error_name(ERR_LEAVING));
+}
+
 static void start_or_refuse(struct gateway *gateway, struct inbound_conn *conn,
 			    const struct http_message *message,
 			    const struct route *route, uint64_t fingerprint)
@@ -368,6 +419,13 @@
 		refuse_no_route(gateway, conn, message);
 		return;
 	}
+	if (stop_plan_is_stopping(&gateway->stop)) {
+		if (outlasts_stop(gateway, route, message)) {
+			refuse_leaving(gateway, conn, message);
+			return;
+		}
+		metric_inc(&gateway->counters.stop_taken);
+	}
 	fingerprint = fingerprint_of(message);
 	if (poison_check(poison, fingerprint, &retry_after_ms) == POISON_BANNED)
 		refuse_request(gateway, conn, message,
@@ -427,6 +485,46 @@
 	.answer_cut = on_answer_cut,
 };
 
+void gateway_request_limit_all(struct gateway *gateway)
+{
+	struct gateway_request *request;
+
+	DL_FOREACH (gateway->open_requests, request) {
+		limit_to_stop(request);
+		if (!gateway_trial_is_waiting(request))
+			arm_timer(request);
+	}
+}
+
+/* A request that waits for its trial has not been sent. */
+static void end_request(struct gateway_request *request)
+{
+	struct gateway *gateway = request->gateway;
+
+	if (!gateway_trial_is_waiting(request)) {
+		handle_outcome(request, dispatch_tick(&request->dispatch));
+		return;
+	}
+	metric_inc(&gateway->counters.refused);
+	metric_inc(&gateway->counters.stop_ended);
+	gateway_request_log(request, HTTP_STATUS_SERVICE_UNAVAILABLE);
+	gateway_answer_error(request->conn, HTTP_STATUS_SERVICE_UNAVAILABLE, 0,
+			     error_name(ERR_LEAVING));
+	free_request(request);
+}
+
+void gateway_request_end_all(struct gateway *gateway)
+{
+	struct gateway_request *first;
+
+	/* The end of one can end others, which waited for the same server. */
+	while ((first = gateway->open_requests)) {
+		end_request(first);
+		if (gateway->open_requests == first)
+			return;
+	}
+}
+
 static const struct dispatch_send *last_send(const struct dispatch *dispatch)
 {
 	const struct dispatch_send *last = NULL;
@@ -465,7 +563,7 @@
 		 LOG_I64("parts_in", dispatch->n_answered),
 		 LOG_I64("took_us", now - dispatch->start),
 		 LOG_I64("taken_after_us",
-			 dispatch->start - gateway->leaving_since),
+			 dispatch->start - gateway->stop.since),
 		 LOG_I64("time_us", dispatch->deadline - dispatch->start));
 }
 
--- a/gateway_request_private.h
+++ b/gateway_request_private.h
@@ -27,6 +27,7 @@
  * @request: what is sent to each server
  * @head: bytes of the request line and header fields in @request
  * @timer: fires when the dispatch has something to do
+ * @deadline: of the caller and the route, also while stopping, microseconds
  * @saved: used by routes that are not sharded
  * @relay: sends made through relays
  * @fingerprint: identifies the request if it crashes servers
@@ -48,6 +49,7 @@
 	struct upstream_request request;
 	struct evbuffer *head;
 	struct event *timer;
+	int64_t deadline;
 	struct saved_answer saved;
 	struct relay_client relay;
 	uint64_t fingerprint;
@@ -65,6 +67,12 @@
  */
 void gateway_answer(struct gateway_request *request);
 
+/**
+ * gateway_request_add_time() - add the time that an answer took to the
+ * statistics of its route
+ */
+void gateway_request_add_time(const struct gateway_request *request);
+
 /**
  * gateway_request_log() - log the end of a request
  * @status: HTTP status sent to the caller, 0 if it disconnected
--- a/gateway_send.c
+++ b/gateway_send.c
@@ -288,7 +288,7 @@
 	}
 	/* If the connection were closed, it would be unknown whether it ran. */
 	if (!request->route->repeatable)
-		linger = request->dispatch.deadline - now;
+		linger = request->deadline - now;
 	server_job_abandon(send->handle, linger > 0 ? linger : 0,
 			   send->delivery);
 }
--- a/gateway_stats.h
+++ b/gateway_stats.h
@@ -49,6 +49,12 @@
 	  "requests without an answer when the process ended")                 \
 	X(answers_cut, METRIC_COUNTER, "garnetreach_answers_cut_total",        \
 	  "answers not passed to the kernel when the process ended")           \
+	X(stop_taken, METRIC_COUNTER, "garnetreach_stop_taken_total",          \
+	  "requests taken while stopping")                                     \
+	X(stop_refused, METRIC_COUNTER, "garnetreach_stop_refused_total",      \
+	  "requests refused because they would outlast a stop")                \
+	X(stop_ended, METRIC_COUNTER, "garnetreach_stop_ended_total",          \
+	  "requests ended before their deadline, as the process ends")         \
 	X(caller_left, METRIC_COUNTER, "garnetreach_requests_left_total",      \
 	  "requests whose caller disconnected before the answer")              \
 	X(malformed, METRIC_COUNTER, "garnetreach_requests_malformed_total",   \
--- a/tests/test_dispatch.c
+++ b/tests/test_dispatch.c
@@ -332,6 +332,68 @@
 	fixture_finish(&fixture);
 }
 
+/* Guards against requests that know nothing of the end of the process. */
+static void test_limited_time_under_way(void)
+{
+	struct fixture fixture;
+
+	fixture_init(&fixture);
+	start_dispatch(&fixture, "/once/");
+	dispatch_limit_time(&fixture.dispatch,
+			    clock_now(&fixture.clock) + MSEC(300));
+	CU_ASSERT(advance(&fixture, 290) == DISPATCH_PENDING);
+	CU_ASSERT(advance(&fixture, 10) == DISPATCH_FAILED);
+	CU_ASSERT(fixture.dispatch.code == ERR_LEAVING);
+	fixture_finish(&fixture);
+}
+
+static void test_limited_time_in_the_queue(void)
+{
+	struct fixture fixture;
+
+	fixture_init(&fixture);
+	start_dispatch(&fixture, "/once/");
+	fixture.queued_send = fixture.sent[0];
+	fixture.send_error = ERR_DRAINING;
+	dispatch_limit_time(&fixture.dispatch,
+			    clock_now(&fixture.clock) + MSEC(300));
+	CU_ASSERT(advance(&fixture, 300) == DISPATCH_REFUSED);
+	CU_ASSERT(fixture.dispatch.code == ERR_LEAVING);
+	fixture_finish(&fixture);
+}
+
+/* A later end than the caller's is none. */
+static void test_limited_time_after_the_deadline(void)
+{
+	struct fixture fixture;
+
+	fixture_init(&fixture);
+	start_dispatch(&fixture, "/once/");
+	dispatch_limit_time(&fixture.dispatch,
+			    clock_now(&fixture.clock) + MSEC(5000));
+	CU_ASSERT(advance(&fixture, 1000) == DISPATCH_FAILED);
+	CU_ASSERT(fixture.dispatch.code == ERR_TOO_LATE);
+	fixture_finish(&fixture);
+}
+
+static void test_limited_time_brings_the_partial_answer(void)
+{
+	struct fixture fixture;
+	int i;
+
+	fixture_init(&fixture);
+	start_dispatch(&fixture, "/shards/");
+	dispatch_limit_time(&fixture.dispatch,
+			    clock_now(&fixture.clock) + MSEC(50));
+	for (i = 0; i < 3; i++)
+		deliver_answer(&fixture, i, 0, false,
+			       i == 0	? "a"
+			       : i == 1 ? "b"
+					: "c");
+	CU_ASSERT(advance(&fixture, 50) == DISPATCH_PARTIAL);
+	fixture_finish(&fixture);
+}
+
 static void test_attempts_are_bounded(void)
 {
 	struct fixture fixture;
@@ -782,6 +844,14 @@
 	 test_once_goes_on_if_not_run},
 	{"request in flight at its deadline may have run",
 	 test_timeout_under_way},
+	{"request under way when its instance ends",
+	 test_limited_time_under_way},
+	{"queued request when its instance ends",
+	 test_limited_time_in_the_queue},
+	{"instance ends after the deadline",
+	 test_limited_time_after_the_deadline},
+	{"partial answer when its instance ends",
+	 test_limited_time_brings_the_partial_answer},
 	{"attempts are bounded", test_attempts_are_bounded},
 	{"refused connections do not use up the budget",
 	 test_refused_connections_cost_nothing},
--- a/tests/test_stops.py
+++ b/tests/test_stops.py
@@ -3,6 +3,7 @@
 usage: test_stops.py BUILD [unittest options]
 """
 
+import json
 import pathlib
 import signal
 import sys
@@ -117,6 +118,45 @@
         self.assert_answered((got[0][0], got[0][1] - at), 504)
 
 
+class TakenLate(StopTest):
+    def start_slow(self, n_gateways):
+        """Return a gateway that knows orders that take 1.3 s."""
+        seeds = [f"127.0.0.10:{self.peer_port}"]
+        gateway = self.start(seeds=seeds)
+        for _ in range(n_gateways - 1):
+            self.ready_gateway(seeds=seeds, stop_max_s=GRACE_S)
+        self.wait("others are known", lambda: len(json.loads(gateway.page(
+            "directory_address", "/v1/directory")[1])["addrs"]) == n_gateways)
+        thread, _ = self.send(gateway, "/once/hang", "slow")
+        time.sleep(1.3)
+        self.release.set()
+        thread.join()
+        return gateway
+
+    def ids(self):
+        return [r.id for r in self.servers[0].seen]
+
+    def test_order_that_may_outlast_the_process_is_refused(self):
+        """Guards against running what must not be repeated so late that its
+        answer may be lost, where another instance can take it."""
+        gateway = self.start_slow(2)
+        answers, _ = self.stop_after(gateway, [
+            lambda: self.send(gateway, "/once/x", "order"),
+            lambda: self.send(gateway, "/any/x", "lookup")], 1.5)
+        self.assert_answered(answers[0], 503)
+        self.assertEqual(answers[0][0].headers["connection"], "close")
+        self.assertLess(answers[0][1], 2)
+        self.assertNotIn("order", self.ids())
+        self.assert_answered(answers[1], 200)
+
+    def test_last_instance_takes_what_it_can(self):
+        """Guards against refusals that nobody makes up for."""
+        gateway = self.start_slow(1)
+        answers, _ = self.stop_after(gateway, [
+            lambda: self.send(gateway, "/once/x", "order")], 1.5)
+        self.assert_answered(answers[0], 200)
+
+
 class TimeOfTheStop(StopTest):
     def test_stop_counts_from_the_signal(self):
         """Guards against a process that stood still when it was told to stop
