gateway_stop: count a stop from its signal

An instance that stands still when it is told to stop (a pause of its machine, a stalled event loop) counted the stop from the moment at which it handled the signal, so that it ended 0.6 s after it would be killed when it had stood still for 0.9 s, with all that was open then.

The time for which the loop has not run is taken off. The signal is handled before other events, else the loop's own check would have run first and the stall be forgotten.

--- a/cmd_gateway.c
+++ b/cmd_gateway.c
@@ -168,6 +168,9 @@
 		LOG_ERROR("start_failed", LOG_TEXT("error", error_name(ret)));
 		return ret;
 	}
+	/* Before the loop's lag is measured: a stop counts from its signal. */
+	event_priority_set(events[0], LOOP_STATE);
+	event_priority_set(events[1], LOOP_STATE);
 	for (i = 0; i < n; i++)
 		event_add(events[i], i == n - 1 ? &period : NULL);
 	LOG_INFO("started",
--- a/gateway_stop.c
+++ b/gateway_stop.c
@@ -55,14 +55,15 @@
 {
 	static const struct timeval period = {0, STOP_CHECK_PERIOD};
 	double grace_s = gateway->settings->stop_max_s;
+	int64_t stall = blackboard_stall(&gateway->fleet.board);
 
 	if (stop_plan_is_stopping(&gateway->stop))
 		return;
-	stop_plan_init(&gateway->stop, clock_now(&gateway->clock),
+	stop_plan_init(&gateway->stop, clock_now(&gateway->clock) - stall,
 		       (int64_t)(grace_s * USEC_PER_SEC));
 	gateway->state = GATEWAY_LEAVING;
 	LOG_INFO("leaving", LOG_I64("connections", gateway->inbound.n),
-		 LOG_F64("grace_s", grace_s));
+		 LOG_I64("stall_us", stall), LOG_F64("grace_s", grace_s));
 	inbound_disable_keep_alive(&gateway->inbound);
 	gateway_request_limit_all(gateway);
 	gateway_fleet_leave(&gateway->fleet);
