peer: write queued frames before the links are closed

An instance that asked another for parts of a sharded request could see the link close without the last results, although they had been made: peer_send() only appends to the buffer of the link, the event loop writes it in its next iteration, and after event_base_loopexit() there is none. The same held for the cancellations that gateway_finish() sends for its own requests.

peers_finish() writes what the sockets accept before it closes the links, so that every way out of the process does, and peers_flush() does it earlier. No socket is waited for: what a peer that does not read leaves in the buffer is dropped, as before.

tests/test_peer.c on the previous peer.c (with an empty peers_flush()): 2 of 3 tests fail, "an exit writes queued frames" with 0 of 300 frames received. With the change all 3 pass, under the address and undefined behaviour sanitizers.

--- a/peer.c
+++ b/peer.c
@@ -115,15 +115,17 @@
 
 /*
  * Writes as much as the socket accepts now. The link is closed next, and the
- * other end must get the Failure frame; bufferevent_flush() does nothing for
+ * other end must get the last frames; bufferevent_flush() does nothing for
  * sockets.
  */
 static void write_pending(struct peer_link *link)
 {
 	struct evbuffer *out = bufferevent_get_output(link->bev);
+	int n = 1;
 
 	evbuffer_unfreeze(out, 1);
-	evbuffer_write(out, bufferevent_getfd(link->bev));
+	while (n > 0 && evbuffer_get_length(out))
+		n = evbuffer_write(out, bufferevent_getfd(link->bev));
 	evbuffer_freeze(out, 1);
 }
 
@@ -438,11 +440,22 @@
 	return 0;
 }
 
+void peers_flush(struct peers *peers)
+{
+	struct peer_link *link;
+
+	DL_FOREACH (peers->links, link) {
+		if (link->up && !link->closed)
+			write_pending(link);
+	}
+}
+
 void peers_finish(struct peers *peers)
 {
 	struct peer_link *link;
 	struct peer_link *next;
 
+	peers_flush(peers);
 	DL_FOREACH_SAFE (peers->links, link, next)
 		free_link(link);
 	accept_backoff_finish(&peers->guard);
--- a/peer.h
+++ b/peer.h
@@ -107,6 +107,21 @@
  * Return: 0, or ERR_ADDRESS if the peer address cannot be bound.
  */
 int peers_init(struct peers *peers, struct blackboard *board);
+
+/**
+ * peers_flush() - write what is queued on the links, as far as their sockets
+ * accept it now
+ * @peers: the links
+ *
+ * Frames of peer_send() are otherwise written by the event loop, and lost if it
+ * does not run again.
+ */
+void peers_flush(struct peers *peers);
+
+/**
+ * peers_finish() - as peers_flush(), and close the links
+ * @peers: the links
+ */
 void peers_finish(struct peers *peers);
 
 /**
--- /dev/null
+++ b/tests/test_peer.c
@@ -0,0 +1,144 @@
+/* Tests of links between instances, whose other end the test reads. */
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <utlist.h>
+
+#include "mem.h"
+#include "peer.h"
+#include "unit.h"
+
+#define FRAMES 300
+#define LARGE_FRAMES 4
+#define LARGE_FRAME_SIZE (512 * 1024)
+#define LOOP_PRIORITIES 8
+
+struct fixture {
+	struct clock clock;
+	struct settings settings;
+	struct event_base *base;
+	struct blackboard board;
+	struct peers peers;
+	struct peer_link *link;
+	int other_end; /* socket */
+	struct evbuffer *received;
+};
+
+static void add_link(struct fixture *fixture)
+{
+	struct peer_link *link = mem_zalloc(sizeof(*link));
+	int fds[2];
+
+	CU_ASSERT_EQUAL_FATAL(socketpair(AF_UNIX, SOCK_STREAM, 0, fds), 0);
+	evutil_make_socket_nonblocking(fds[0]);
+	evutil_make_socket_nonblocking(fds[1]);
+	fixture->other_end = fds[1];
+	fixture->link = link;
+	link->peers = &fixture->peers;
+	link->up = true;
+	link->bev = bufferevent_socket_new(fixture->base, fds[0],
+					   BEV_OPT_CLOSE_ON_FREE);
+	DL_APPEND(fixture->peers.links, link);
+}
+
+static void set_up(struct fixture *fixture)
+{
+	memset(fixture, 0, sizeof(*fixture));
+	clock_init_paused(&fixture->clock, MSEC(1000000));
+	address_parse(STR("127.0.0.1:0"), &fixture->settings.peer_address);
+	fixture->base = event_base_new();
+	event_base_priority_init(fixture->base, LOOP_PRIORITIES);
+	blackboard_init(&fixture->board, &fixture->clock, &fixture->settings,
+			fixture->base, 1);
+	CU_ASSERT_EQUAL_FATAL(peers_init(&fixture->peers, &fixture->board), 0);
+	add_link(fixture);
+	fixture->received = evbuffer_new();
+}
+
+static void tear_down(struct fixture *fixture)
+{
+	close(fixture->other_end);
+	evbuffer_free(fixture->received);
+	blackboard_finish(&fixture->board);
+	event_base_free(fixture->base);
+}
+
+static void send_frames(struct fixture *fixture, int n, char *subject)
+{
+	Peer__Failure failure = PEER__FAILURE__INIT;
+	int i;
+
+	failure.subject = subject;
+	for (i = 0; i < n; i++)
+		CU_ASSERT_EQUAL(peer_send(fixture->link, FRAME_FAILURE,
+					  &failure.base),
+				0);
+}
+
+static int count_received(struct fixture *fixture)
+{
+	struct frame frame;
+	int n = 0;
+
+	while (evbuffer_read(fixture->received, fixture->other_end, -1) > 0)
+		continue;
+	while (frame_read(fixture->received, &frame) == 1) {
+		frame_finish(&frame);
+		n++;
+	}
+	return n;
+}
+
+/* Guards against frames that an exit leaves in the memory of the process. */
+static void test_exit_writes_frames(void)
+{
+	struct fixture fixture;
+
+	set_up(&fixture);
+	send_frames(&fixture, FRAMES, (char *)"x");
+	peers_finish(&fixture.peers);
+	CU_ASSERT_EQUAL(count_received(&fixture), FRAMES);
+	tear_down(&fixture);
+}
+
+/* Guards against frames that wait for a loop which does not run again. */
+static void test_flush(void)
+{
+	struct fixture fixture;
+
+	set_up(&fixture);
+	send_frames(&fixture, FRAMES, (char *)"x");
+	peers_flush(&fixture.peers);
+	CU_ASSERT_EQUAL(peer_backlog(fixture.link), 0);
+	CU_ASSERT_EQUAL(count_received(&fixture), FRAMES);
+	peers_finish(&fixture.peers);
+	tear_down(&fixture);
+}
+
+/* Guards against an exit that waits for a peer that does not read. */
+static void test_flush_does_not_block(void)
+{
+	static char subject[LARGE_FRAME_SIZE];
+	struct fixture fixture;
+
+	set_up(&fixture);
+	memset(subject, 'x', sizeof(subject) - 1);
+	send_frames(&fixture, LARGE_FRAMES, subject);
+	peers_flush(&fixture.peers);
+	CU_ASSERT(peer_backlog(fixture.link) > 0);
+	peers_finish(&fixture.peers);
+	tear_down(&fixture);
+}
+
+static const struct unit_test tests[] = {
+	{"an exit writes queued frames", test_exit_writes_frames},
+	{"queued frames are written at once", test_flush},
+	{"a peer that does not read holds nothing up",
+	 test_flush_does_not_block},
+};
+
+UNIT_MAIN("peer", tests)
