relay_serve: return unfinished jobs when the instance ends

Callers of sharded requests got partial answers or 504, or waited longer, when another instance was stopped that relayed their parts: it exited without a word, the entry saw the link break, and took each part for one that may have run, also those that had only waited there for their turn. A retry then costs a token of the budget, and a request that must not be repeated gets none.

relay_serve_end_jobs() returns every open send with what is known of it, and each new job as it comes; relay_serve_finish() does the same, so that an exit on any path returns them. A send at work gets ERR_LEAVING: its outcome is unknown, and neither the server nor the request is held suspect. With ERR_LOST an entry counts a failure of the server and a broken connection for each part, and from several it gives up the whole request as one that crashes servers.

relay_serve_limit_time() ends sends of new jobs by a given time; those whose server is expected to take longer are refused at once, and the end of a shortened job is not called the server's silence.

--- a/relay_serve.c
+++ b/relay_serve.c
@@ -46,6 +46,7 @@
  * @request: what is sent to each server; its bytes are owned
  * @rank: position among sends that wait for the same server
  * @deadline: time when the sends end, microseconds
+ * @shortened: @deadline is this instance's and not the entry's
  * @connections_max: limit on connections to each server
  * @timer: fires at the flush time
  * @sends: @n_sends elements, owned
@@ -67,6 +68,7 @@
 	struct upstream_request request;
 	struct server_job_rank rank;
 	int64_t deadline;
+	bool shortened;
 	int64_t connections_max;
 	struct event *timer;
 	struct job_send *sends;
@@ -238,6 +240,16 @@
 		done->cold_for_ms = (uint32_t)(left / USEC_PER_MSEC);
 }
 
+/* An entry has more time than a shortened job, for another send of the part. */
+static int get_entry_code(const struct relay_job *job, int code)
+{
+	if (!job->shortened)
+		return code;
+	if (code == ERR_TOO_LATE)
+		return ERR_BUDGET;
+	return code == ERR_SILENT ? ERR_LEAVING : code;
+}
+
 static void on_result(void *arg, const struct exchange_result *result)
 {
 	struct job_send *send = arg;
@@ -246,7 +258,8 @@
 
 	send->turn = NULL;
 	job->n_pending--;
-	done = add_result(job, send->index, result->code, result->not_run);
+	done = add_result(job, send->index, get_entry_code(job, result->code),
+			  result->not_run);
 	done->stamp = mem_dup_len(result->stamp.data, result->stamp.len);
 	done->took_us = (uint32_t)result->took;
 	done->wait_us = (uint32_t)result->waited;
@@ -261,6 +274,20 @@
 	flush_or_free(job, !done->success || job->n_results == PARTS_MAX);
 }
 
+/* Whether the entry has the time to wait for a server, but this instance not.
+ */
+static bool is_time_short(const struct relay_job *job,
+			  const struct registry_server *server)
+{
+	int64_t now = clock_now(job->relay->board->clock);
+
+	return job->shortened &&
+	       (double)(job->deadline - now) <
+		       server_estimate_processing_time(&server->estimate,
+						       server->service->latency,
+						       now);
+}
+
 static int start_send(struct relay_job *job, struct job_send *send,
 		      const Peer__PartSend *part)
 {
@@ -268,10 +295,14 @@
 	struct registry_server *server =
 		registry_find(relay->registry, str_from(part->server));
 
+	if (relay->ended)
+		return ERR_BUDGET;
 	if (!server || !registry_is_open(server))
 		return ERR_DRAINING;
 	server = registry_note_start(relay->registry, server, part->born);
 	send->server = server;
+	if (is_time_short(job, server))
+		return ERR_BUDGET;
 	return server_queue_send(relay->queues, server, &job->request,
 				 &job->rank, job->deadline,
 				 job->connections_max, on_result, send,
@@ -305,7 +336,7 @@
 		if (!ret)
 			job->n_pending++;
 		else
-			add_unsent(job, send, ret);
+			add_unsent(job, send, get_entry_code(job, ret));
 	}
 }
 
@@ -350,6 +381,10 @@
 	job->rank.priority = message->priority;
 	job->rank.goal_at = now + MSEC((int64_t)message->goal_ms) - held;
 	job->deadline = now + MSEC((int64_t)message->deadline_ms) - held;
+	if (job->deadline > job->relay->time_limit) {
+		job->deadline = job->relay->time_limit;
+		job->shortened = true;
+	}
 	job->connections_max = message->connections_max;
 }
 
@@ -456,6 +491,7 @@
 	relay->peers = peers;
 	relay->registry = registry;
 	relay->queues = queues;
+	relay->time_limit = INT64_MAX;
 	relay->handler.frame = on_frame;
 	relay->handler.down = on_link_down;
 	relay->handler.types =
@@ -464,8 +500,60 @@
 	peers_add_handler(peers, &relay->handler);
 }
 
-void relay_serve_finish(struct relay_serve *relay)
+bool relay_serve_is_idle(const struct relay_serve *relay)
 {
+	return !relay->jobs;
+}
+
+void relay_serve_limit_time(struct relay_serve *relay, int64_t until)
+{
+	relay->time_limit = until;
+}
+
+static void end_send(struct job_send *send)
+{
+	struct relay_job *job = send->job;
+	bool unsent = server_job_is_unsent(send->turn);
+	Peer__PartDone *done;
+
+	server_job_abandon(send->turn, get_linger(send), NULL);
+	send->turn = NULL;
+	job->n_pending--;
+	/*
+	 * Not ERR_LOST: the entry would take it for a server that broke the
+	 * connection, and a request that broke some for one that crashes them.
+	 */
+	done = add_result(job, send->index, unsent ? ERR_BUDGET : ERR_LEAVING,
+			  unsent);
+	done->stamp = mem_dup("");
+	add_outlook(send, done);
+}
+
+static void end_job(struct relay_job *job)
+{
+	int n_pending = job->n_pending;
+	int i;
+
+	for (i = 0; i < job->n_sends; i++) {
+		if (job->sends[i].turn)
+			end_send(&job->sends[i]);
+	}
+	LOG_INFO("relay_ended", LOG_STR("request", job->request.id),
+		 LOG_TEXT("peer", job->link->instance),
+		 LOG_I64("sends", n_pending),
+		 LOG_I64("left_us",
+			 job->deadline - clock_now(job->relay->board->clock)));
+	flush_or_free(job, true);
+}
+
+void relay_serve_end_jobs(struct relay_serve *relay)
+{
+	relay->ended = true;
 	while (relay->jobs)
-		free_job(relay->jobs);
+		end_job(relay->jobs);
+}
+
+void relay_serve_finish(struct relay_serve *relay)
+{
+	relay_serve_end_jobs(relay);
 }
--- a/relay_serve.h
+++ b/relay_serve.h
@@ -7,6 +7,7 @@
 #ifndef RELAY_SERVE_H
 #define RELAY_SERVE_H
 
+#include <stdbool.h>
 #include <stdint.h>
 
 #include <event2/util.h>
@@ -27,6 +28,8 @@
  * @queues: sends that wait for a backend server
  * @handler: receives jobs and cancellations
  * @jobs: list of unfinished jobs
+ * @time_limit: see relay_serve_limit_time()
+ * @ended: relay_serve_end_jobs() was called
  */
 struct relay_serve {
 	struct event_base *base;
@@ -36,6 +39,8 @@
 	struct server_queues *queues;
 	struct peer_handler handler;
 	struct relay_job *jobs;
+	int64_t time_limit;
+	bool ended;
 };
 
 /**
@@ -45,6 +50,38 @@
 void relay_serve_init(struct relay_serve *relay, struct blackboard *board,
 		      struct peers *peers, struct registry *registry,
 		      struct server_queues *queues);
+
+/**
+ * relay_serve_finish() - as relay_serve_end_jobs(), and free
+ * @relay: its peers are not finished yet
+ */
 void relay_serve_finish(struct relay_serve *relay);
 
+/**
+ * relay_serve_is_idle() - whether no job is unfinished
+ * @relay: the jobs
+ */
+bool relay_serve_is_idle(const struct relay_serve *relay);
+
+/**
+ * relay_serve_limit_time() - end sends of new jobs by a given time
+ * @relay: the jobs
+ * @until: microseconds
+ *
+ * Sends that are expected to take longer are returned at once, as not run.
+ */
+void relay_serve_limit_time(struct relay_serve *relay, int64_t until);
+
+/**
+ * relay_serve_end_jobs() - return all unfinished jobs to their entries, and new
+ * ones as they arrive
+ * @relay: the jobs
+ *
+ * A send that its server has not received is returned as not run, with
+ * ERR_BUDGET: the entry may repeat it at once, on the same server too. Any
+ * other is returned with ERR_LEAVING: its outcome is unknown, and the server is
+ * not at fault. The results are on the links of the peers, see peers_flush().
+ */
+void relay_serve_end_jobs(struct relay_serve *relay);
+
 #endif
