inbound: pass unsent answers to the kernel at the exit

Callers that read slowly got a large answer without its tail from an instance that was stopped: 2,342,824 of 3 or 6 million bytes, then an end of the stream.

A bufferevent writes at most 16 KB a callback and only while the kernel reports room. What was left in the process at the exit was dropped.

In trials on loopback the kernel still delivers to a caller that stalls for 8 s after the process is gone, and by SO_SNDBUF it takes up to 6.9 million bytes (net.core.wmem_max 4 MB) where it held 3.3 million. So inbound_finish() writes until the kernel takes no more, enlarges the buffer by what is left and writes again. It never waits; what still doesn't fit is reported by answer_cut as before.

The tests of a tail and of a caller that reads beside the exit failed before. The one of 1 MB passed: what the kernel holds is not lost.

--- a/inbound.c
+++ b/inbound.c
@@ -339,6 +339,42 @@
 	return evbuffer_get_length(bufferevent_get_output(conn->bev));
 }
 
+static void write_output(struct evbuffer *out, evutil_socket_t fd)
+{
+	while (evbuffer_get_length(out) && evbuffer_write(out, fd) > 0)
+		;
+}
+
+/* The kernel sends what is in its buffer after the process has ended. */
+static void grow_send_buffer(evutil_socket_t fd, size_t unsent)
+{
+	int size = 0;
+	socklen_t len = sizeof(size);
+
+	if (getsockopt(fd, SOL_SOCKET, SO_SNDBUF, &size, &len))
+		return;
+	size += (int)unsent;
+	setsockopt(fd, SOL_SOCKET, SO_SNDBUF, &size, sizeof(size));
+}
+
+/* Passes the output to the kernel as far as it fits; ends other writes. */
+static void flush_output(struct inbound_conn *conn)
+{
+	struct evbuffer *out = bufferevent_get_output(conn->bev);
+	evutil_socket_t fd = bufferevent_getfd(conn->bev);
+
+	if (!unsent_bytes(conn))
+		return;
+	bufferevent_disable(conn->bev, EV_WRITE);
+	/* Only the bufferevent may remove from its output otherwise. */
+	evbuffer_unfreeze(out, 1);
+	write_output(out, fd);
+	if (!unsent_bytes(conn))
+		return;
+	grow_send_buffer(fd, unsent_bytes(conn));
+	write_output(out, fd);
+}
+
 void inbound_finish(struct inbound *inbound)
 {
 	struct inbound_conn *conn;
@@ -346,6 +382,7 @@
 
 	stop_listening(inbound);
 	DL_FOREACH_SAFE (inbound->conns, conn, next) {
+		flush_output(conn);
 		if (unsent_bytes(conn))
 			inbound->ops->answer_cut(inbound->arg, conn,
 						 &conn->message,
--- a/inbound.h
+++ b/inbound.h
@@ -83,6 +83,12 @@
 int inbound_init(struct inbound *inbound, struct event_base *base,
 		 const struct clock *clock, const struct address *address,
 		 const struct inbound_ops *ops, void *arg);
+
+/**
+ * inbound_finish() - close all connections
+ *
+ * Passes what is unsent to the kernel, as far as it has room, without waiting.
+ */
 void inbound_finish(struct inbound *inbound);
 
 /**
--- /dev/null
+++ b/tests/test_stop_callers.py
@@ -0,0 +1,157 @@
+"""Callers of a gateway that is stopped: answers on their way, requests half
+sent or not yet read.
+
+usage: test_stop_callers.py BUILD [unittest options]
+"""
+
+import pathlib
+import signal
+import socket
+import sys
+import time
+import unittest
+
+TESTS_DIR = pathlib.Path(__file__).resolve().parent
+sys.path.insert(0, str(TESTS_DIR))
+
+import test_gateway  # noqa: E402
+from gateway_fixtures import (  # noqa: E402
+    HOST, OpaqueServer, answer, config_document, route,
+)
+
+STOP_MAX_S = 3
+# After SIGTERM, the process exits.
+EXIT_S = 2.6
+# Less and more than the kernel holds for a connection by default.
+SMALL_SIZE = 1_000_000
+MEDIUM_SIZE = 3_000_000
+LARGE_SIZE = 6_000_000
+SMALL_BUFFER = 8192
+READ_SIZE = 60_000
+READ_PAUSE_S = 0.005
+
+
+class SlowCaller(test_gateway.Caller):
+    """Has a small receive buffer and reads slowly."""
+
+    def __init__(self, gateway):
+        self.sock = socket.socket()
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER)
+        self.sock.settimeout(test_gateway.WAIT_MAX_S)
+        self.sock.connect((gateway.ip, gateway.port))
+        self.stream = self.sock.makefile("rb", SMALL_BUFFER)
+
+    def read_slowly(self):
+        """Return the bytes until the end, and the error that was the end."""
+        data = bytearray()
+        try:
+            while True:
+                piece = self.sock.recv(READ_SIZE)
+                if not piece:
+                    return bytes(data), None
+                data += piece
+                time.sleep(READ_PAUSE_S)
+        except OSError as error:
+            return bytes(data), error
+
+
+def request_bytes(target, request_id, method="GET", body=b"", length=None):
+    length = len(body) if length is None else length
+    return (f"{method} {target} HTTP/1.1\r\nHost: {HOST}\r\n"
+            f"X-Request-Id: {request_id}\r\nContent-Length: {length}\r\n\r\n"
+            ).encode() + body
+
+
+def body_of(data):
+    return data.partition(b"\r\n\r\n")[2]
+
+
+class StopTest(test_gateway.GatewayTest):
+    def start(self, size=0, work_s=0.0, idle_timeout_ms=20000):
+        """Start a gateway and a server that answers with `size` bytes."""
+        def respond(server, request):
+            server.ran.append(request)
+            time.sleep(work_s)
+            return answer(b"a" * size, headers=server.headers(request))
+
+        server = self.server("one-1", "one")
+        server.respond = respond
+        document = config_document(1, [route("/any/", service="one")], ["one"])
+        document["limits"]["idle_timeout_ms"] = idle_timeout_ms
+        document["limits"]["header_timeout_ms"] = 10000
+        self.store.put("op/config", document)
+        return server, self.ready_gateway(stop_max_s=STOP_MAX_S)
+
+    def slow_caller(self, gateway):
+        caller = SlowCaller(gateway)
+        self.callers.append(caller)
+        return caller
+
+    def terminate(self, gateway):
+        gateway.process.send_signal(signal.SIGTERM)
+        return time.monotonic()
+
+    def wait_exit(self, gateway):
+        self.assertEqual(
+            gateway.process.wait(timeout=test_gateway.WAIT_MAX_S), 0)
+
+    def events(self, gateway, name):
+        return [line for line in gateway.log() if line["event"] == name]
+
+    def check_large_answer(self, size, **members):
+        server, gateway = self.start(size, **members)
+        caller = self.slow_caller(gateway)
+        caller.send(request_bytes("/any/x", "r1"))
+        self.wait("answered", lambda: self.events(gateway, "request"))
+        self.terminate(gateway)
+        self.wait_exit(gateway)
+        data, error = caller.read_slowly()
+        self.assertIsNone(error)
+        self.assertEqual(len(body_of(data)), size)
+        self.assertEqual(self.events(gateway, "answer_cut"), [])
+
+
+class LargeAnswers(StopTest):
+    def test_answer_that_the_kernel_holds(self):
+        """Guards against an exit that drops what only the kernel holds."""
+        self.check_large_answer(SMALL_SIZE)
+
+    def test_tail_of_a_medium_answer(self):
+        """Guards against an exit that drops the tail of an answer that the
+        kernel takes only by and by."""
+        self.check_large_answer(MEDIUM_SIZE)
+
+    def test_tail_of_a_large_answer(self):
+        """Guards against an exit that drops the tail of an answer, which a
+        slow caller kept in the process."""
+        self.check_large_answer(LARGE_SIZE)
+
+    def test_reads_during_and_after_the_stop(self):
+        """Guards against a cut answer of a caller that reads before, during
+        and after the exit."""
+        server, gateway = self.start(LARGE_SIZE)
+        caller = self.slow_caller(gateway)
+        caller.send(request_bytes("/any/x", "r1"))
+        self.wait("answered", lambda: self.events(gateway, "request"))
+        ended_at = self.terminate(gateway) + EXIT_S
+        early = bytearray()
+        while time.monotonic() < ended_at:
+            early += caller.sock.recv(SMALL_BUFFER)
+            time.sleep(0.1)
+        data, error = caller.read_slowly()
+        self.assertIsNone(error)
+        self.assertEqual(len(body_of(bytes(early) + data)), LARGE_SIZE)
+        self.wait_exit(gateway)
+
+
+CASES = (LargeAnswers,)
+
+
+def load_tests(loader, tests, pattern):
+    return unittest.TestSuite(loader.loadTestsFromTestCase(case)
+                              for case in CASES)
+
+
+if __name__ == "__main__":
+    test_gateway.BUILD = pathlib.Path(sys.argv.pop(1))
+    unittest.main(verbosity=2)
