inbound: discard unread input before a close

A caller whose bytes arrived just before the exit got a reset in the middle of its answer, though the kernel held all of it.

close() of a socket with unread input sends a reset, and the kernel then drops what it still has to send (trial on loopback: 12,288 of 3 million bytes arrived). An event loop that ends does not read what came last.

free_conn() now reads and discards what has arrived, so that the kernel sends the rest and a FIN. What arrives later still leads to a reset.

test_input_at_the_exit failed before with ECONNRESET. test_pipelined_input_beside_an_answer passed before too: input beside an answer is discarded while the loop runs.

--- a/inbound.c
+++ b/inbound.c
@@ -31,6 +31,9 @@
 #define READ_BUFFER_MAX 65536
 /* Time for the caller to close the connection after the last response. */
 #define CLOSE_TIMEOUT MSEC(1000)
+/* Input that is discarded before a connection is closed, bytes and times. */
+#define DISCARD_SIZE 16384
+#define DISCARDS_MAX 1024
 
 enum inbound_state {
 	INBOUND_READING,
@@ -65,10 +68,27 @@
 	struct inbound_conn *next;
 };
 
+/*
+ * Closing a socket with unread bytes sends a reset, which drops what the kernel
+ * still has to send. Of a caller that never pauses, only so much is read.
+ */
+static void discard_input(const struct inbound_conn *conn)
+{
+	evutil_socket_t fd = bufferevent_getfd(conn->bev);
+	char discarded[DISCARD_SIZE];
+	int i;
+
+	for (i = 0; i < DISCARDS_MAX; i++) {
+		if (recv(fd, discarded, sizeof(discarded), MSG_DONTWAIT) <= 0)
+			return;
+	}
+}
+
 static void free_conn(struct inbound_conn *conn)
 {
 	struct inbound *inbound = conn->inbound;
 
+	discard_input(conn);
 	DL_DELETE(inbound->conns, conn);
 	if (inbound->n-- == inbound->max && inbound->listener)
 		evconnlistener_enable(inbound->listener);
--- a/tests/test_stop_callers.py
+++ b/tests/test_stop_callers.py
@@ -4,6 +4,7 @@
 usage: test_stop_callers.py BUILD [unittest options]
 """
 
+import contextlib
 import pathlib
 import signal
 import socket
@@ -20,7 +21,8 @@
 )
 
 STOP_MAX_S = 3
-# After SIGTERM, the process exits.
+# After SIGTERM: idle connections are closed, and the process exits.
+CLOSE_IDLE_S = 1.0
 EXIT_S = 2.6
 # Less and more than the kernel holds for a connection by default.
 SMALL_SIZE = 1_000_000
@@ -29,6 +31,10 @@
 SMALL_BUFFER = 8192
 READ_SIZE = 60_000
 READ_PAUSE_S = 0.005
+# More than the gateway buffers while it processes a request.
+PIPELINED_BODY = b"q" * 90_000
+N_PIPELINED = 4
+HALF = b"GET /any/"
 
 
 class SlowCaller(test_gateway.Caller):
@@ -55,6 +61,20 @@
             return bytes(data), error
 
 
+def sleep_until(when):
+    time.sleep(max(0, when - time.monotonic()))
+
+
+@contextlib.contextmanager
+def held(gateway):
+    """The process stands still, while the kernel goes on."""
+    gateway.process.send_signal(signal.SIGSTOP)
+    try:
+        yield
+    finally:
+        gateway.process.send_signal(signal.SIGCONT)
+
+
 def request_bytes(target, request_id, method="GET", body=b"", length=None):
     length = len(body) if length is None else length
     return (f"{method} {target} HTTP/1.1\r\nHost: {HOST}\r\n"
@@ -144,7 +164,46 @@
         self.wait_exit(gateway)
 
 
-CASES = (LargeAnswers,)
+class UnreadInput(StopTest):
+    def test_pipelined_input_beside_an_answer(self):
+        """Guards against a reset, which drops the answer in the kernel, as the
+        caller has sent more requests than the gateway buffers."""
+        server, gateway = self.start(SMALL_SIZE, work_s=0.5)
+        caller = self.slow_caller(gateway)
+        caller.send(request_bytes("/any/x", "r1"))
+        for n in range(N_PIPELINED):
+            caller.send(request_bytes("/any/y", f"p{n}", "POST",
+                                      PIPELINED_BODY))
+        self.wait("request running", lambda: server.ran)
+        self.terminate(gateway)
+        self.wait_exit(gateway)
+        data, error = caller.read_slowly()
+        self.assertIsNone(error)
+        self.assertEqual(len(body_of(data)), SMALL_SIZE)
+        self.assertEqual([request.id for request in server.ran], ["r1"])
+
+    def test_input_at_the_exit(self):
+        """Guards against a reset by the exit, which drops the answer in the
+        kernel, as bytes of the caller have arrived and were not read."""
+        _, gateway = self.start(SMALL_SIZE)
+        caller = self.slow_caller(gateway)
+        since = self.terminate(gateway)
+        sleep_until(since + CLOSE_IDLE_S - 0.1)
+        caller.send(HALF)
+        sleep_until(since + EXIT_S - 0.7)
+        caller.send(request_bytes("/any/x", "r1")[len(HALF):])
+        self.wait("answered", lambda: self.events(gateway, "request"))
+        sleep_until(since + EXIT_S - 0.3)
+        with held(gateway):
+            caller.send(PIPELINED_BODY)
+            sleep_until(since + EXIT_S + 0.1)
+        self.wait_exit(gateway)
+        data, error = caller.read_slowly()
+        self.assertIsNone(error)
+        self.assertEqual(len(body_of(data)), SMALL_SIZE)
+
+
+CASES = (LargeAnswers, UnreadInput)
 
 
 def load_tests(loader, tests, pattern):
