--- a/bench/soak_host.py
+++ b/bench/soak_host.py
@@ -95,7 +95,8 @@
         for line in self.child.stdout:
             on_report(self, json.loads(line))
 
-    def entry(self, server, port):
+    @staticmethod
+    def entry(server, port):
         return {"service": server["service"], "address": f"{HOST}:{port}",
                 "data_centre": server["data_centre"], "version": "v1",
                 "slots": server["slots"], "state": "ready", "cold_for_ms": 0,
