gateway_stop: wait for what the instance does for others

An instance that stops ended as soon as its callers were gone, with parts open that it had sent to servers for other instances. Their callers got 504 or an answer without the parts (the entry saw the relay's link go).

It ends once no relayed job is open, and at answer_by it returns those that are: not run where no server has them, else of unknown outcome. The check that ends them is not the one that ends the process: results that were queued in the same turn of the loop were lost with the link.

--- a/gateway_stop.c
+++ b/gateway_stop.c
@@ -11,7 +11,8 @@
 
 static bool is_idle(const struct gateway *gateway)
 {
-	return !gateway->inbound.n;
+	return !gateway->inbound.n &&
+	       relay_serve_is_idle(&gateway->relay_serve);
 }
 
 static void on_stop_timer(evutil_socket_t fd, short what, void *arg)
@@ -20,6 +21,7 @@
 	const struct stop_plan *stop = &gateway->stop;
 	const struct gateway_stats *counters = &gateway->counters;
 	int64_t now = clock_now(&gateway->clock);
+	bool idle;
 	int busy;
 
 	(void)fd;
@@ -28,9 +30,13 @@
 		return;
 	gateway->state = GATEWAY_CLOSING;
 	busy = inbound_close_idle(&gateway->inbound);
-	if (now >= stop->answer_by)
+	/* What ends now is written before the next check. */
+	idle = is_idle(gateway);
+	if (now >= stop->answer_by) {
 		gateway_request_end_all(gateway);
-	if (!is_idle(gateway) && now < stop->exit_at)
+		relay_serve_end_jobs(&gateway->relay_serve);
+	}
+	if (!idle && now < stop->exit_at)
 		return;
 	LOG_INFO("stopping", LOG_I64("busy", busy),
 		 LOG_I64("after_us", now - stop->since),
@@ -66,6 +72,7 @@
 		 LOG_I64("stall_us", stall), LOG_F64("grace_s", grace_s));
 	inbound_disable_keep_alive(&gateway->inbound);
 	gateway_request_limit_all(gateway);
+	relay_serve_limit_time(&gateway->relay_serve, gateway->stop.answer_by);
 	gateway_fleet_leave(&gateway->fleet);
 	event_add(gateway->stop_timer, &period);
 }
--- a/tests/test_stop_relay.py
+++ b/tests/test_stop_relay.py
@@ -100,6 +100,22 @@
         self.assertEqual(errors.count(("leaving", 0)), AT_WORK)
         self.assertEqual(len(whole), N_CALLS - AT_WORK)
 
+    def test_part_at_work_when_its_relay_stops(self):
+        """Guards against a relay that has no callers and ends before the
+        servers have answered what it sent for others."""
+        entry, relay = self.start_shards("once", stop_max_s=4)
+        release = self.hold(self.servers[-1])
+        seen = len(self.servers[-1].seen)
+        call = Call(entry, 0)
+        call.start()
+        self.wait("at work", lambda: len(self.servers[-1].seen) > seen)
+        relay.process.terminate()
+        threading.Timer(2.7, release.set).start()
+        call.join()
+        self.assertEqual(call.answer.status, 200)
+        self.assertEqual(call.answer.headers["x-missing-parts"], "0")
+        self.assertEqual(relay.process.wait(test_gateway.WAIT_MAX_S), 0)
+
     def test_leaving_relay_is_not_chosen(self):
         """Guards against new parts for a relay that leaves."""
         entry, relay = self.start_shards("any", stop_max_s=6)
