inbound: answer requests that are half read when the process ends

A caller whose upload was half read at the end of a stop got a closed connection. It is answered 503 with Connection: close, which is true: it has not run and will not. What arrives of it later is discarded.

test_upload_half_read_is_refused: closed unanswered before.

--- a/gateway_stop.c
+++ b/gateway_stop.c
@@ -34,6 +34,7 @@
 	idle = is_idle(gateway);
 	if (now >= stop->answer_by) {
 		gateway_request_end_all(gateway);
+		inbound_refuse_partial(&gateway->inbound);
 		relay_serve_end_jobs(&gateway->relay_serve);
 	}
 	if (!idle && now < stop->exit_at)
--- a/inbound.c
+++ b/inbound.c
@@ -446,6 +446,19 @@
 	return busy;
 }
 
+void inbound_refuse_partial(struct inbound *inbound)
+{
+	struct inbound_conn *conn;
+	struct inbound_conn *next;
+
+	DL_FOREACH_SAFE (inbound->conns, conn, next) {
+		if (conn->state == INBOUND_READING &&
+		    conn->message.state != MESSAGE_EMPTY)
+			refuse(conn, HTTP_STATUS_SERVICE_UNAVAILABLE,
+			       "leaving");
+	}
+}
+
 void inbound_conn_set_request(struct inbound_conn *conn, void *request)
 {
 	conn->request = request;
--- a/inbound.h
+++ b/inbound.h
@@ -109,6 +109,13 @@
  */
 int inbound_close_idle(struct inbound *inbound);
 
+/**
+ * inbound_refuse_partial() - answer requests that are still being read with 503
+ *
+ * They have not run, and their callers can send them elsewhere.
+ */
+void inbound_refuse_partial(struct inbound *inbound);
+
 /**
  * inbound_conn_set_request() - set the value that ops->closed gets
  */
--- a/tests/test_stops.py
+++ b/tests/test_stops.py
@@ -118,6 +118,22 @@
         self.assert_answered((got[0][0], got[0][1] - at), 504)
 
 
+class HalfRead(StopTest):
+    def test_upload_half_read_is_refused(self):
+        """Guards against a closed connection where 503 is true: what was not
+        read whole has not run."""
+        gateway = self.start()
+        caller = self.caller(gateway)
+        at = time.monotonic()
+        gateway.process.send_signal(signal.SIGTERM)
+        time.sleep(2.1)
+        caller.send(f"POST /once/x HTTP/1.1\r\nHost: {test_gateway.HOST}\r\n"
+                    "X-Request-Id: half\r\nContent-Length: 9\r\n\r\n"
+                    "1234".encode())
+        self.assert_answered((caller.read(), time.monotonic() - at), 503)
+        self.assertEqual(gateway.process.wait(test_gateway.WAIT_MAX_S), 0)
+
+
 class TakenLate(StopTest):
     def start_slow(self, n_gateways):
         """Return a gateway that knows orders that take 1.3 s."""
