inbound: an idle timer ends no connection whose answer is on its way

A caller that reads a large answer slowly lost its rest when its kept connection, answered before the stop, was marked for closing: the timer of the idle connection still ran, and ended the one that was closing.

--- a/inbound.c
+++ b/inbound.c
@@ -113,6 +113,7 @@
 static void close_gracefully(struct inbound_conn *conn)
 {
 	conn->state = INBOUND_CLOSING;
+	event_del(conn->timer);
 	if (evbuffer_get_length(bufferevent_get_output(conn->bev)))
 		return;
 	shutdown(bufferevent_getfd(conn->bev), SHUT_WR);
--- a/tests/test_stop_callers.py
+++ b/tests/test_stop_callers.py
@@ -87,7 +87,7 @@
 
 
 class StopTest(test_gateway.GatewayTest):
-    def start(self, size=0, work_s=0.0, idle_timeout_ms=20000):
+    def start(self, size=0, work_s=0.0, idle_timeout_ms=2700):
         """Start a gateway and a server that answers with `size` bytes."""
         def respond(server, request):
             server.ran.append(request)
@@ -146,6 +146,11 @@
         slow caller kept in the process."""
         self.check_large_answer(LARGE_SIZE)
 
+    def test_idle_timeout_during_a_stop(self):
+        """Guards against an idle timer that ends a connection while its answer
+        is still being sent."""
+        self.check_large_answer(LARGE_SIZE, idle_timeout_ms=2700)
+
     def test_reads_during_and_after_the_stop(self):
         """Guards against a cut answer of a caller that reads before, during
         and after the exit."""
