inbound: a connection whose request is not read yet is not idle

Callers whose request reached the kernel while the loop was busy, just before idle connections are closed in a stop, got a closed connection: one accepted in that turn of the loop had not been read, and counted as idle; one that still waited to be accepted was reset with the listening socket.

What waits is accepted before the listening socket closes, and idle is only what has no input in the kernel and was not accepted within 0.2 s.

test_request_on_a_connection_in_the_backlog: closed without an answer before; passes. test_request_on_an_idle_connection passed before too.

--- a/inbound.c
+++ b/inbound.c
@@ -10,6 +10,7 @@
 #include <event2/event.h>
 #include <event2/listener.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <utlist.h>
 
@@ -29,6 +30,8 @@
 #define REFUSED_SIZE_MIN 65536
 /* Bytes that are buffered for a caller while its request is processed. */
 #define READ_BUFFER_MAX 65536
+/* From accepting a connection until its first request has surely arrived. */
+#define FIRST_REQUEST_TIME MSEC(200)
 /* Time for the caller to close the connection after the last response. */
 #define CLOSE_TIMEOUT MSEC(1000)
 /* Input that is discarded before a connection is closed, bytes and times. */
@@ -47,6 +50,7 @@
  * @bev: owned
  * @timer: for the timeouts of idle, reading and closing connections
  * @message: the request being read or processed
+ * @accepted_at: microseconds
  * @processing: in process(), which a synchronous response must not re-enter
  * @header_timer_armed: @timer limits the duration of the current request
  * @continue_sent: 100 Continue was sent for the current request
@@ -59,6 +63,7 @@
 	struct event *timer;
 	struct http_message message;
 	enum inbound_state state;
+	int64_t accepted_at;
 	bool processing;
 	bool header_timer_armed;
 	bool continue_sent;
@@ -293,6 +298,7 @@
 	(void)len;
 	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
 	conn->inbound = inbound;
+	conn->accepted_at = clock_now(inbound->clock);
 	inet_ntop(AF_INET, &((struct sockaddr_in *)sa)->sin_addr, conn->ip,
 		  sizeof(conn->ip));
 	http_message_init(&conn->message, HTTP_REQUEST, &inbound->limits);
@@ -346,6 +352,24 @@
 	return 0;
 }
 
+/* Connections that wait to be accepted are reset when the socket is closed. */
+static void accept_waiting(struct inbound *inbound)
+{
+	int listening = evconnlistener_get_fd(inbound->listener);
+	struct sockaddr_in sin;
+	socklen_t len = sizeof(sin);
+	int fd;
+
+	while (inbound->n < inbound->max) {
+		fd = accept4(listening, (struct sockaddr *)&sin, &len,
+			     SOCK_NONBLOCK | SOCK_CLOEXEC);
+		if (fd < 0)
+			return;
+		on_accept(inbound->listener, fd, (struct sockaddr *)&sin,
+			  (int)len, inbound);
+	}
+}
+
 static void stop_listening(struct inbound *inbound)
 {
 	if (!inbound->listener)
@@ -426,18 +450,37 @@
 	inbound->keep_alive_disabled = true;
 }
 
+static bool has_unread_input(const struct inbound_conn *conn)
+{
+	int unread = 0;
+
+	if (evbuffer_get_length(bufferevent_get_input(conn->bev)))
+		return true;
+	return !ioctl(bufferevent_getfd(conn->bev), FIONREAD, &unread) &&
+	       unread;
+}
+
+/* A partly read request is still completed and answered. */
+static bool is_idle(const struct inbound_conn *conn)
+{
+	int64_t age = clock_now(conn->inbound->clock) - conn->accepted_at;
+
+	return conn->state == INBOUND_READING &&
+	       conn->message.state == MESSAGE_EMPTY &&
+	       age >= FIRST_REQUEST_TIME && !has_unread_input(conn);
+}
+
 int inbound_close_idle(struct inbound *inbound)
 {
 	struct inbound_conn *conn;
 	struct inbound_conn *next;
 	int busy = 0;
 
+	if (inbound->listener)
+		accept_waiting(inbound);
 	stop_listening(inbound);
 	DL_FOREACH_SAFE (inbound->conns, conn, next) {
-		/* A partly read request is still completed and answered. */
-		if (conn->state == INBOUND_READING &&
-		    conn->message.state == MESSAGE_EMPTY &&
-		    !evbuffer_get_length(bufferevent_get_input(conn->bev)))
+		if (is_idle(conn))
 			close_gracefully(conn);
 		else if (conn->state != INBOUND_CLOSING)
 			busy++;
