dispatch: send the parts that are in at the caller's deadline

A sharded request with enough parts, whose caller's time ended before its soft deadline while other parts waited for a busy server, ended at neither: its timer ran without a pause until the soft deadline, and at the end of a stop it could have been cut though it had an answer.

With enough parts the answer goes out shortly before the deadline. A request whose time a stop limits reports overload at its own soft deadline as ever: the condition that kept it from that was not needed. test_partial_at_the_deadline: pending before, partial now.

--- a/dispatch.c
+++ b/dispatch.c
@@ -253,10 +253,11 @@
 	else if (!can_reach_min_coverage(dispatch) &&
 		 !dispatch_send_left_out(dispatch))
 		fail_all(dispatch, first_failure_code(dispatch));
-	else if (dispatch->route->sharded && now >= dispatch->soft_deadline &&
-		 has_min_coverage(dispatch))
+	else if (dispatch->route->sharded && has_min_coverage(dispatch) &&
+		 (now >= dispatch->soft_deadline ||
+		  now + DEADLINE_MARGIN >= dispatch->deadline))
 		end_dispatch(dispatch, DISPATCH_PARTIAL, 0);
-	else if (now >= dispatch->soft_deadline && !dispatch->time_limited)
+	else if (now >= dispatch->soft_deadline)
 		dispatch_load_report(dispatch, ERR_TOO_LATE);
 }
 
--- a/tests/test_dispatch.c
+++ b/tests/test_dispatch.c
@@ -332,6 +332,24 @@
 	fixture_finish(&fixture);
 }
 
+/* Guards against a caller who leaves before the goal and gets nothing. */
+static void test_partial_at_the_deadline(void)
+{
+	struct fixture fixture;
+	int i;
+
+	fixture_init(&fixture);
+	start_dispatch(&fixture, "/shards/");
+	fixture.dispatch.deadline = clock_now(&fixture.clock) + MSEC(50);
+	for (i = 0; i < 3; i++)
+		deliver_answer(&fixture, i, 0, false,
+			       i == 0	? "a"
+			       : i == 1 ? "b"
+					: "c");
+	CU_ASSERT(advance(&fixture, 50) == DISPATCH_PARTIAL);
+	fixture_finish(&fixture);
+}
+
 /* Guards against requests that know nothing of the end of the process. */
 static void test_limited_time_under_way(void)
 {
@@ -844,6 +862,7 @@
 	 test_once_goes_on_if_not_run},
 	{"request in flight at its deadline may have run",
 	 test_timeout_under_way},
+	{"partial answer at the deadline", test_partial_at_the_deadline},
 	{"request under way when its instance ends",
 	 test_limited_time_under_way},
 	{"queued request when its instance ends",
