gateway_stop: who else can take a request, and how long orders take

A request was refused by a stop although the only other ready instances may not take it, being in a region that its routes exclude: the same check as for the directory decides now. An order that failed at a hanging server did not count as slow, so that more of them were taken by an instance that stops and ended with 504 where a refusal, not run, would have been true. And an entry no longer counts the end of a relay's stop as one of its own.

--- a/gateway.h
+++ b/gateway.h
@@ -54,7 +54,7 @@
  * @latency: latencies of the route's requests, for hedging and forecasts
  * @caller_timeout: recent maximum of the timeouts sent by callers,
  *	milliseconds
- * @slowest: recent maximum of the time that an answer took, microseconds
+ * @slowest: recent maximum of the time that a request took, microseconds
  */
 struct route_stats {
 	char name[REGISTRY_NAME_SIZE];
--- a/gateway_answer.c
+++ b/gateway_answer.c
@@ -192,7 +192,8 @@
 	int status = HTTP_STATUS_SERVICE_UNAVAILABLE;
 	int64_t retry_after = 0;
 
-	if (code == ERR_LEAVING)
+	/* A relay that stops ends its sends with the same code. */
+	if (code == ERR_LEAVING && request->dispatch.time_limited)
 		metric_inc(&request->gateway->counters.stop_ended);
 	if (ran && (code == ERR_TOO_LATE || code == ERR_LEAVING))
 		status = HTTP_STATUS_GATEWAY_TIMEOUT;
@@ -233,6 +234,7 @@
 		send_failure(request, false);
 	} else {
 		metric_inc(&counters->failed);
+		gateway_request_add_time(request);
 		if (request->route->sharded || !send_saved_answer(request))
 			send_failure(request, true);
 	}
--- a/gateway_fleet.c
+++ b/gateway_fleet.c
@@ -421,18 +421,21 @@
 	       state->routes_version;
 }
 
-bool gateway_fleet_has_ready_peer(const struct gateway_fleet *fleet)
+bool gateway_fleet_has_ready_peer(const struct gateway_fleet *fleet,
+				  struct str host)
 {
-	const struct fleet_member *member = fleet->board.fleet.members;
+	struct directory_candidate *candidates;
+	int n = gateway_fleet_list_candidates(fleet, host, &candidates);
+	bool found = false;
+	int i;
 
-	for (; member; member = member->hh.next) {
-		if (member->status == FLEET_ALIVE &&
-		    member->caller_address.port &&
-		    strcmp(member->instance, fleet->settings.instance) &&
-		    gateway_fleet_is_ready(fleet, member))
-			return true;
-	}
-	return false;
+	for (i = 0; i < n && !found; i++)
+		found = candidates[i].ready && candidates[i].region_allowed &&
+			candidates[i].address.port &&
+			strcmp(candidates[i].instance,
+			       fleet->settings.instance) != 0;
+	free(candidates);
+	return found;
 }
 
 int gateway_fleet_list_candidates(const struct gateway_fleet *fleet,
--- a/gateway_fleet.h
+++ b/gateway_fleet.h
@@ -139,8 +139,10 @@
 
 /**
  * gateway_fleet_has_ready_peer() - whether another instance can take callers
+ * @host: host name in their requests, whose routes may be restricted to regions
  */
-bool gateway_fleet_has_ready_peer(const struct gateway_fleet *fleet);
+bool gateway_fleet_has_ready_peer(const struct gateway_fleet *fleet,
+				  struct str host);
 
 /**
  * gateway_fleet_list_candidates() - list instances that may accept callers
--- a/gateway_request.c
+++ b/gateway_request.c
@@ -308,7 +308,8 @@
 		.usual = (int64_t)stats->latency.tail,
 		.slowest = peak_add(&stats->slowest, 0, now),
 		.repeatable = route->repeatable,
-		.others_ready = gateway_fleet_has_ready_peer(&gateway->fleet),
+		.others_ready = gateway_fleet_has_ready_peer(&gateway->fleet,
+							     host_of(message)),
 	};
 
 	return !stop_plan_takes(&gateway->stop, &request, now);
--- a/gateway_request_private.h
+++ b/gateway_request_private.h
@@ -68,7 +68,7 @@
 void gateway_answer(struct gateway_request *request);
 
 /**
- * gateway_request_add_time() - add the time that an answer took to the
+ * gateway_request_add_time() - add the time that a request took to the
  * statistics of its route
  */
 void gateway_request_add_time(const struct gateway_request *request);
