--- /dev/null
+++ b/tests/test_serve_stop.py
@@ -0,0 +1,219 @@
+"""Tests of requests that are open while an instance of `serve` stops.
+
+usage: test_serve_stop.py BUILD [unittest options]
+"""
+
+import json
+import pathlib
+import socket
+import sys
+import tempfile
+import threading
+import time
+import unittest
+
+sys.path.insert(
+    0, str(pathlib.Path(__file__).resolve().parent.parent / "bench")
+)
+
+import experiment  # noqa: E402
+
+BUILD = None
+SERVICE = "fanout"
+STOP_MAX_MS = 2000
+DEADLINE_MS = 6000
+# Longer than any deadline.
+SLOW_US = 8000000
+# Requests have reached a server by then.
+HEAD_START_S = 0.3
+SMALL_BUFFER = 4096
+N_PAGES = 1500
+
+
+class Asker(threading.Thread):
+    """Sends one request; `answer` stays None if it gets no whole one."""
+
+    def __init__(self, instance, path, body):
+        super().__init__(daemon=True)
+        self.instance = instance
+        self.path = path
+        self.body = json.dumps(body)
+        self.answer = None
+        self.error = None
+        self.start()
+
+    def run(self):
+        started = time.monotonic()
+        try:
+            self.status, _, text = experiment.request(
+                self.instance.port, "POST", self.path, self.body)
+            self.answer = json.loads(text)
+        except (OSError, ValueError,
+                experiment.http.client.HTTPException) as error:
+            self.error = repr(error)
+        self.took = time.monotonic() - started
+
+
+class ServeStop(unittest.TestCase):
+    def start_fleet(self, n):
+        out = tempfile.TemporaryDirectory()
+        self.addCleanup(out.cleanup)
+        bench = experiment.Bench("serve_stop", BUILD, out.name)
+        self.addCleanup(bench.finish)
+        self.deployment = bench.deployment(
+            "--fanout", 2, "--replicas", 2, "--data-centres", 1,
+            "--service-us", 0, "--connect-cost-us", 0, "--slots", 12,
+            "--deadline-ms", DEADLINE_MS,
+            "--tunable", "address_lifetime_ms=100",
+            "--tunable", "leave_spread_ms=0",
+            "--tunable", f"stop_max_ms={STOP_MAX_MS}",
+        )
+        platform = bench.platform()
+        platform.publish(self.deployment.table)
+        instances = bench.instances(
+            platform, [(f"be1-{i}", "be1") for i in range(n)])
+        for instance in instances:
+            experiment.wait_until(
+                "full coverage",
+                lambda: instance.search({"service": SERVICE})[1]
+                .get("coverage", {}).get("ratio") == 1,
+            )
+        return instances
+
+    def slow_down(self):
+        self.deployment.control(fault="service_time", server="*",
+                                service_us=SLOW_US)
+
+    def ticket(self, instance):
+        return experiment.request_json(
+            instance.port, "POST", "/v1/tickets", {"service": SERVICE}
+        )["ticket"]
+
+    def order(self, instance, ticket):
+        return Asker(instance, "/v1/run", {
+            "ticket": ticket, "service": SERVICE, "key": "order",
+            "payload": {"van": 1}, "deadline_ms": DEADLINE_MS,
+        })
+
+    def search(self, instance):
+        return Asker(instance, "/v1/search", {"service": SERVICE})
+
+    def stop(self, instance):
+        """Return the seconds from the signal to the end."""
+        started = time.monotonic()
+        instance.ask_to_stop()
+        self.assertEqual(instance.child.wait(10), 0,
+                         instance.log_path.read_text())
+        return time.monotonic() - started
+
+    def check_whole(self, asker, instance):
+        asker.join(DEADLINE_MS / 1000 + 2)
+        self.assertIsNone(asker.error, instance.log_path.read_text()[-2000:])
+        return asker.answer
+
+    def test_a_search_is_answered_before_the_exit(self):
+        """Guards against a stop that closes the connection of a search whose
+        deadline is later than the end of the process."""
+        (instance,) = self.start_fleet(1)
+        self.slow_down()
+        asker = self.search(instance)
+        time.sleep(HEAD_START_S)
+        took = self.stop(instance)
+        self.assertEqual(self.check_whole(asker, instance)["outcome"],
+                         "too_late")
+        self.assertLess(took, STOP_MAX_MS / 1000)
+
+    def test_a_run_is_answered_before_the_exit(self):
+        """Guards against a stop that closes the connection of a run that may
+        have begun."""
+        (instance,) = self.start_fleet(1)
+        ticket = self.ticket(instance)
+        self.slow_down()
+        asker = self.order(instance, ticket)
+        time.sleep(HEAD_START_S)
+        self.stop(instance)
+        self.assertEqual(self.check_whole(asker, instance)["outcome"],
+                         "unknown")
+
+    def test_orders_that_wait_are_answered_as_not_run(self):
+        """Guards against a stop that leaves a caller in doubt about an order
+        that waited for a slot to the end."""
+        (instance,) = self.start_fleet(1)
+        tickets = [self.ticket(instance) for _ in range(60)]
+        self.slow_down()
+        askers = [self.order(instance, ticket) for ticket in tickets]
+        time.sleep(HEAD_START_S)
+        self.stop(instance)
+        outcomes = [self.check_whole(asker, instance)["outcome"]
+                    for asker in askers]
+        self.assertEqual(set(outcomes), {"unknown", "not_run"}, outcomes)
+
+    def test_searches_of_others_are_answered(self):
+        """Guards against searches at other instances that fail because one
+        with parts of them stops."""
+        instances = self.start_fleet(3)
+        self.slow_down()
+        askers = [self.search(i) for i in instances[1:] for _ in range(3)]
+        time.sleep(HEAD_START_S)
+        self.stop(instances[0])
+        for asker in askers:
+            self.check_whole(asker, instances[0])
+
+    def test_an_order_of_another_is_answered_before_the_link_ends(self):
+        """Guards against an order whose issuer stops, and whose caller waits
+        at another instance."""
+        issuer, other, _ = self.start_fleet(3)
+        ticket = self.ticket(issuer)
+        experiment.wait_until(
+            "a forwarded order",
+            lambda: experiment.request_json(
+                other.port, "POST", "/v1/run",
+                {"ticket": self.ticket(issuer), "service": SERVICE,
+                 "key": "order", "payload": {}, "deadline_ms": 800}))
+        self.slow_down()
+        asker = self.order(other, ticket)
+        time.sleep(HEAD_START_S)
+        self.stop(issuer)
+        answer = self.check_whole(asker, other)
+        self.assertEqual(answer["outcome"], "unknown")
+        self.assertEqual(answer["error"], "unknown", answer)
+
+    def test_pages_are_read_to_their_end(self):
+        """Guards against an exit that drops answers which the kernel has not
+        taken yet, as their reader is slow."""
+        (instance,) = self.start_fleet(1)
+        size = len(experiment.request(instance.port, "GET", "/metrics")[2])
+        with socket.socket() as conn:
+            conn.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER)
+            conn.settimeout(5)
+            conn.connect(("127.0.0.1", instance.port))
+            conn.sendall(b"GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n" * N_PAGES)
+            time.sleep(HEAD_START_S)
+            instance.ask_to_stop()
+            time.sleep(HEAD_START_S)
+            n = 0
+            while n < size * N_PAGES:
+                chunk = conn.recv(1 << 20)
+                if not chunk:
+                    break
+                n += len(chunk)
+        self.assertGreaterEqual(n, size * N_PAGES)
+
+    def test_a_request_that_is_arriving_is_answered(self):
+        """Guards against an exit beside a request that is half read."""
+        (instance,) = self.start_fleet(1)
+        body = json.dumps({"service": SERVICE}).encode()
+        with socket.create_connection(("127.0.0.1", instance.port), 5) as conn:
+            conn.sendall(b"POST /v1/search HTTP/1.1\r\nHost: x\r\n"
+                         b"Content-Length: %d\r\n\r\n" % len(body) + body[:5])
+            time.sleep(HEAD_START_S)
+            instance.ask_to_stop()
+            time.sleep(HEAD_START_S)
+            conn.sendall(body[5:])
+            answer = conn.recv(1 << 16)
+        self.assertIn(b"200 OK", answer[:20])
+
+
+if __name__ == "__main__":
+    BUILD = sys.argv.pop(1)
+    unittest.main(verbosity=2)
