--- a/tests/test_stops.py
+++ b/tests/test_stops.py
@@ -208,6 +208,15 @@
         thread.join()
         self.assert_answered((got[0][0], got[0][1] - at), 504)
 
+    def test_signals_until_the_process_is_gone(self):
+        """Guards against a process that a further signal kills while it
+        passes its last answers on."""
+        gateway = self.start(stop_max_s=1)
+        gateway.process.send_signal(signal.SIGTERM)
+        while gateway.process.poll() is None:
+            gateway.process.send_signal(signal.SIGINT)
+        self.assertEqual(gateway.process.returncode, 0)
+
     def test_short_grace(self):
         """Guards against times that are longer than the whole stop."""
         gateway = self.start(stop_max_s=1)
