serve: the end of a stop is a deadline of every search

Callers saw the connection of a search closed without an answer when the instance that had taken it stopped: at stop_max_ms the process ended with all that was open.

A stop is planned once, at its signal, as in gateways (stop_plan). Searches that are open, queued or new end by its answer_by, with the shards that are in; one that could not ask a server any more is refused as not run. Changes of stop_max_ms during a stop no longer move its end.

The tests added to test_search and test_admission have no counterpart in the old interface.

--- a/admission.c
+++ b/admission.c
@@ -498,6 +498,23 @@
 	return NULL;
 }
 
+void admission_limit_deadlines(struct admission *admission, int64_t deadline)
+{
+	struct admission_service *service;
+	struct admission_service *tmp;
+	struct admission_workspace *queue;
+	struct admission_request *request;
+
+	HASH_ITER (hh, admission->services, service, tmp) {
+		DL_FOREACH (service->workspaces, queue) {
+			DL_FOREACH (queue->requests, request) {
+				if (request->deadline > deadline)
+					request->deadline = deadline;
+			}
+		}
+	}
+}
+
 void admission_refuse_all(struct admission *admission)
 {
 	struct admission_request *request;
--- a/admission.h
+++ b/admission.h
@@ -149,6 +149,12 @@
 void admission_init(struct admission *admission, const struct clock *clock,
 		    uint64_t (*random)(void));
 
+/**
+ * admission_limit_deadlines() - move later deadlines of queued requests
+ * @deadline: the latest one, microseconds
+ */
+void admission_limit_deadlines(struct admission *admission, int64_t deadline);
+
 /**
  * admission_refuse_all() - refuse all queued requests
  */
--- a/blackboard.c
+++ b/blackboard.c
@@ -5,6 +5,10 @@
 
 #include "loop_lag.h"
 
+/* From the last start of work to the last answer, of a graceful stop. */
+#define START_LEAD_MAX MSEC(100)
+#define START_LEAD_DIVISOR 8
+
 static struct tunables default_tunables;
 
 static void apply_limits(struct blackboard *board)
@@ -99,3 +103,14 @@
 		return 0;
 	return since;
 }
+
+int64_t blackboard_start_by(const struct blackboard *board)
+{
+	const struct stop_plan *stop = &board->stop;
+	int64_t lead = (stop->answer_by - stop->since) / START_LEAD_DIVISOR;
+
+	if (!stop_plan_is_stopping(stop))
+		return INT64_MAX;
+	return stop->answer_by -
+	       (lead < START_LEAD_MAX ? lead : START_LEAD_MAX);
+}
--- a/blackboard.h
+++ b/blackboard.h
@@ -17,6 +17,7 @@
 #include "fleet.h"
 #include "poison.h"
 #include "settings.h"
+#include "stop_plan.h"
 #include "table.h"
 #include "trace.h"
 
@@ -62,6 +63,7 @@
  * @incarnation: random number of this process, never 0
  * @lifecycle: written by lifecycle
  * @leaving_since: time of the change to LIFECYCLE_LEAVING
+ * @stop: times of the graceful stop; written by lifecycle
  * @table: in force, NULL before the first; written by the table controller
  * @table_sync: state of the table controller, for status queries
  * @table_confirmed_at: when @table was last known to be the newest; -1: never
@@ -88,6 +90,7 @@
 	uint64_t incarnation;
 	enum lifecycle lifecycle;
 	int64_t leaving_since;
+	struct stop_plan stop;
 	struct table *table;
 	const struct table_sync *table_sync;
 	int64_t table_confirmed_at;
@@ -155,4 +158,14 @@
  */
 int64_t blackboard_stall(const struct blackboard *board);
 
+/**
+ * blackboard_start_by() - latest start of work on a backend server
+ *
+ * What still waits for a server then is known not to have run, and there is
+ * time to say so before the process ends.
+ *
+ * Return: microseconds; INT64_MAX while not stopping.
+ */
+int64_t blackboard_start_by(const struct blackboard *board);
+
 #endif
--- a/entry_net.c
+++ b/entry_net.c
@@ -206,6 +206,18 @@
 	apply_admission_tunables(net);
 }
 
+static void on_lifecycle(void *arg)
+{
+	struct entry_net *net = arg;
+	const struct stop_plan *stop = &net->board->stop;
+
+	if (!stop_plan_is_stopping(stop))
+		return;
+	admission_limit_deadlines(&net->admission, stop->answer_by);
+	searches_stop(&net->searches);
+	arm_timer(net);
+}
+
 void entry_net_init(struct entry_net *net, struct blackboard *board,
 		    struct peers *peers, void (*done)(struct search *search))
 {
@@ -225,6 +237,8 @@
 	peers_add_handler(peers, &net->handler);
 	blackboard_watch(board, BLACKBOARD_TABLE, &net->table_watch, on_table,
 			 net);
+	blackboard_watch(board, BLACKBOARD_LIFECYCLE, &net->lifecycle_watch,
+			 on_lifecycle, net);
 }
 
 void entry_net_finish(struct entry_net *net)
@@ -280,7 +294,8 @@
 
 	if (entry->request.deadline_ms && entry->request.deadline_ms < ms)
 		ms = entry->request.deadline_ms;
-	return entry->request.arrived_at + MSEC(ms);
+	return stop_plan_deadline(&entry->net->board->stop,
+				  entry->request.arrived_at + MSEC(ms));
 }
 
 static void fill_admission(struct entry_search *entry,
--- a/entry_net.h
+++ b/entry_net.h
@@ -21,6 +21,7 @@
  * @timer: for the next timeout of @searches
  * @done: called with the outcome of a search, see struct search_ops.done
  * @table_watch: for new tables
+ * @lifecycle_watch: for the stop of this instance
  */
 struct entry_net {
 	struct blackboard *board;
@@ -31,6 +32,7 @@
 	struct wake_timer timer;
 	void (*done)(struct search *search);
 	struct blackboard_watch table_watch;
+	struct blackboard_watch lifecycle_watch;
 };
 
 /**
--- a/lifecycle.c
+++ b/lifecycle.c
@@ -10,14 +10,27 @@
 
 #define STOP_CHECK_MS 20
 
+void lifecycle_leave(struct blackboard *board)
+{
+	int64_t grace = MSEC(blackboard_tunables(board)->stop_max_ms);
+
+	board->lifecycle = LIFECYCLE_LEAVING;
+	board->leaving_since = clock_now(board->clock);
+	/* The signal may have waited since the event loop's last tick. */
+	stop_plan_init(&board->stop,
+		       board->leaving_since - blackboard_stall(board), grace);
+	blackboard_notify(board, BLACKBOARD_LIFECYCLE);
+}
+
 bool lifecycle_may_stop(const struct blackboard *board, bool home_idle)
 {
 	const struct tunables *tunables = blackboard_tunables(board);
-	int64_t elapsed = clock_now(board->clock) - board->leaving_since;
+	int64_t now = clock_now(board->clock);
+	int64_t elapsed = now - board->leaving_since;
 
 	if (board->lifecycle != LIFECYCLE_LEAVING)
 		return false;
-	if (elapsed >= MSEC(tunables->stop_max_ms))
+	if (now >= board->stop.exit_at)
 		return true;
 	/* Others give its address to callers until they learn of the stop. */
 	return elapsed >= MSEC(tunables->address_lifetime_ms +
@@ -48,11 +61,10 @@
 	(void)what;
 	if (board->lifecycle >= LIFECYCLE_LEAVING)
 		return;
-	board->lifecycle = LIFECYCLE_LEAVING;
-	board->leaving_since = clock_now(board->clock);
 	LOG_INFO("leaving",
-		 LOG_I64("searches_open", board->counters.searches_open.value));
-	blackboard_notify(board, BLACKBOARD_LIFECYCLE);
+		 LOG_I64("searches_open", board->counters.searches_open.value),
+		 LOG_I64("runs_open", board->counters.runs_open.value));
+	lifecycle_leave(board);
 	event_add(control->timer, &period);
 }
 
--- a/lifecycle.h
+++ b/lifecycle.h
@@ -3,9 +3,12 @@
  *
  * When told to stop, an instance at once leaves the address lists that it gives
  * to callers. It keeps serving until the address lists that contain it have
- * expired and nothing is in flight, and then exits; after stop_max_ms it exits
- * in any case. Other instances may hand out its address for up to
- * leave_spread_ms more, until they have learned of the stop.
+ * expired and nothing is in flight, and then exits. Other instances may hand
+ * out its address for up to leave_spread_ms more, until they have learned of
+ * the stop.
+ *
+ * stop_max_ms limits this: it ends the deadlines of all that is open, so that
+ * every caller has a whole answer before the process exits, see stop_plan.h.
  */
 #ifndef LIFECYCLE_H
 #define LIFECYCLE_H
@@ -41,6 +44,15 @@
 		    const struct home *home);
 void lifecycle_finish(struct lifecycle_control *control);
 
+/**
+ * lifecycle_leave() - begin a graceful stop
+ * @board: its lifecycle and the plan of the stop are written, and its watchers
+ *	of BLACKBOARD_LIFECYCLE notified
+ *
+ * A later change of stop_max_ms has no effect on the plan.
+ */
+void lifecycle_leave(struct blackboard *board);
+
 /**
  * lifecycle_may_stop() - whether a leaving instance may exit now
  * @board: its lifecycle and counters of work in flight are read
--- a/search.c
+++ b/search.c
@@ -341,6 +341,8 @@
 
 	if (!board->table)
 		return ERR_NOT_RUN;
+	if (search_now(search) >= blackboard_start_by(board))
+		return ERR_LEAVING;
 	row = table_find_service(board->table,
 				 str_from(search->request.service));
 	if (row < 0)
@@ -352,7 +354,9 @@
 	if (search->request.deadline_ms &&
 	    search->request.deadline_ms < deadline_ms)
 		deadline_ms = search->request.deadline_ms;
-	search->deadline_at = search->started_at + MSEC(deadline_ms);
+	search->deadline_at =
+		stop_plan_deadline(&board->stop,
+				   search->started_at + MSEC(deadline_ms));
 	search->min_coverage = service->min_coverage;
 	search->mode = service->mode;
 	search->priority = (int)service->priority;
@@ -548,6 +552,19 @@
 	}
 }
 
+void searches_stop(struct searches *searches)
+{
+	const struct stop_plan *stop = &searches->board->stop;
+	struct search *search;
+	struct search *next;
+
+	HASH_ITER (hh, searches->by_id, search, next) {
+		search->deadline_at =
+			stop_plan_deadline(stop, search->deadline_at);
+		search_wake(search, search->deadline_at);
+	}
+}
+
 void searches_end_all(struct searches *searches, int code)
 {
 	struct search *search;
--- a/search.h
+++ b/search.h
@@ -280,6 +280,13 @@
  */
 void searches_catalog_changed(struct searches *searches);
 
+/**
+ * searches_stop() - end all searches before the process ends
+ *
+ * To be called when the stop has been planned.
+ */
+void searches_stop(struct searches *searches);
+
 /**
  * searches_end_all() - end all searches with an error, and report it
  */
--- a/tests/test_admission.c
+++ b/tests/test_admission.c
@@ -827,6 +827,29 @@
 	leave_all(&f, &blocker, 1);
 }
 
+/* Guards against searches that wait for longer than their process lives. */
+static void test_limited_deadlines(void)
+{
+	struct test_request blocker;
+	struct test_request waiting;
+	struct fixture f;
+
+	setup(&f, 1000);
+	f.admission.instance_limit.limit = 1;
+	enter(&f, &blocker, "desk", "", 5, 10);
+	CU_ASSERT_EQUAL(enter(&f, &waiting, "desk", "", 5, 10),
+			ADMISSION_QUEUED);
+	admission_limit_deadlines(&f.admission,
+				  clock_now(&f.clock) + MSEC(300));
+	clock_advance(&f.clock, MSEC(290));
+	admission_tick(&f.admission);
+	CU_ASSERT_EQUAL(waiting.refused, 0);
+	clock_advance(&f.clock, MSEC(10));
+	admission_tick(&f.admission);
+	CU_ASSERT_EQUAL(waiting.refused, 1);
+	leave_all(&f, &blocker, 1);
+}
+
 static const struct unit_test tests[] = {
 	{"priority", test_priority},
 	{"weights", test_weights},
@@ -842,6 +865,7 @@
 	{"other service", test_other_service},
 	{"shared", test_shared},
 	{"refuse all", test_refuse_all},
+	{"limited deadlines", test_limited_deadlines},
 };
 
 UNIT_MAIN("admission", tests)
--- a/tests/test_lifecycle.c
+++ b/tests/test_lifecycle.c
@@ -9,8 +9,7 @@
 static void leave(struct board_fixture *path)
 {
 	board_fixture_init(path, 1);
-	path->board.lifecycle = LIFECYCLE_LEAVING;
-	path->board.leaving_since = clock_now(&path->clock);
+	lifecycle_leave(&path->board);
 }
 
 static void test_serving_does_not_stop(void)
@@ -55,8 +54,13 @@
 	metric_add(&path.board.counters.searches_open, -1);
 	metric_add(&path.board.counters.runs_open, 1);
 	CU_ASSERT_FALSE(lifecycle_may_stop(&path.board, true));
-	clock_advance(&path.clock, MSEC(STOP_MAX_MS - WAIT_MS));
+	clock_advance(&path.clock,
+		      path.board.stop.exit_at - clock_now(&path.clock) - 1);
+	CU_ASSERT_FALSE(lifecycle_may_stop(&path.board, true));
+	clock_advance(&path.clock, 1);
 	CU_ASSERT_TRUE(lifecycle_may_stop(&path.board, true));
+	CU_ASSERT(path.board.stop.exit_at <
+		  path.board.leaving_since + MSEC(STOP_MAX_MS));
 	board_fixture_finish(&path);
 }
 
--- a/tests/test_search.c
+++ b/tests/test_search.c
@@ -1306,6 +1306,60 @@
 	tear_down(&fixture);
 }
 
+static void stop(struct fixture *fixture)
+{
+	struct blackboard *board = &fixture->path.board;
+
+	stop_plan_init(&board->stop, clock_now(&fixture->path.clock),
+		       MSEC(FIXTURE_DEADLINE_MS / 2));
+	searches_stop(&fixture->searches);
+}
+
+static void advance_to(struct fixture *fixture, int64_t time)
+{
+	clock_advance(&fixture->path.clock,
+		      time - clock_now(&fixture->path.clock));
+	searches_tick(&fixture->searches);
+}
+
+/* Guards against an exit with searches open, whose parts are lost. */
+static void test_searches_end_before_the_exit(void)
+{
+	struct fixture fixture;
+	const struct stop_plan *plan = &fixture.path.board.stop;
+
+	set_up(&fixture, 2);
+	board_fixture_put_server(&fixture.path, "h1", "b1", 1, 2, "0");
+	board_fixture_put_server(&fixture.path, "h1", "b2", 1, 2, "1");
+	start(&fixture);
+	answer(&fixture, 0, 0);
+	stop(&fixture);
+	start(&fixture);
+	CU_ASSERT(fixture.sent[1].query->deadline_ms < FIXTURE_DEADLINE_MS / 2);
+	advance_to(&fixture, plan->answer_by - 1);
+	CU_ASSERT_EQUAL(fixture.n_done, 0);
+	advance_to(&fixture, plan->answer_by);
+	CU_ASSERT_EQUAL(fixture.n_done, 2);
+	CU_ASSERT_EQUAL(fixture.n_cancels, 3);
+	tear_down(&fixture);
+}
+
+/* Guards against a wait for parts that nobody can be asked for in time. */
+static void test_no_search_at_the_end_of_a_stop(void)
+{
+	struct fixture fixture;
+
+	set_up(&fixture, 1);
+	board_fixture_put_server(&fixture.path, "h1", "b1", 1, 1, "0");
+	stop(&fixture);
+	advance_to(&fixture, blackboard_start_by(&fixture.path.board));
+	start(&fixture);
+	CU_ASSERT_EQUAL(fixture.n_sent, 0);
+	CU_ASSERT_EQUAL(fixture.code, ERR_LEAVING);
+	CU_ASSERT_STRING_EQUAL(fixture.outcome, "not_run");
+	tear_down(&fixture);
+}
+
 static const struct unit_test tests[] = {
 	{"counts of all servers are added", test_counts_add_over_servers},
 	{"records of all servers are merged", test_records_merge},
@@ -1356,6 +1410,8 @@
 	{"an unknown service uses no error budget",
 	 test_unknown_service_uses_no_budget},
 	{"end all", test_end_all},
+	{"searches end before the exit", test_searches_end_before_the_exit},
+	{"no search at the end of a stop", test_no_search_at_the_end_of_a_stop},
 };
 
 UNIT_MAIN("search", tests)
