home: queries end before their process does

Other instances lost the parts that a stopping home still had: those sent were cut with the link, those that waited for a slot were not told of. Queries end by answer_by of the stop; what waits for a slot then ends as leaving, not sent, early enough to be answered (blackboard_start_by()), so that its entry asks another home. A part whose own time is over stays too_late.

test_home: queries end before the exit, own deadline during a stop; test_slot_queue: limited deadlines.

--- a/home.c
+++ b/home.c
@@ -108,17 +108,37 @@
 	metric_add(&job->query->home->board->counters.home_queued, -1);
 }
 
+/* The entry asks another home if this one ends before the query does. */
+static int too_late_error(const struct home_query *query)
+{
+	const struct blackboard *board = query->home->board;
+
+	if (stop_plan_is_stopping(&board->stop) &&
+	    clock_now(board->clock) < query->deadline_at)
+		return ERR_LEAVING;
+	return ERR_TOO_LATE;
+}
+
 /* Only jobs that were never sent are dropped. */
 static void on_drop(void *ctx, struct slot_item *item, int code)
 {
 	struct home_job *job = job_from_item(item);
 
 	(void)ctx;
+	if (code == ERR_TOO_LATE)
+		code = too_late_error(job->query);
 	count_dequeued(job);
 	metric_inc(&job->query->home->board->counters.home_dropped);
 	finish_job(job, code);
 }
 
+static int64_t start_deadline(const struct home_query *query)
+{
+	int64_t start_by = blackboard_start_by(query->home->board);
+
+	return query->deadline_at < start_by ? query->deadline_at : start_by;
+}
+
 static int enqueue(struct home_job *job)
 {
 	struct home *home = job->query->home;
@@ -133,10 +153,12 @@
 	server->queue.slots = (int)server->slots;
 	job->item.priority = (int)job->query->message->priority;
 	job->item.goal = job->query->deadline_at;
-	job->item.deadline = job->query->deadline_at;
+	job->item.deadline = start_deadline(job->query);
 	job->item.random_rank = 0;
 	job->item.cost = 1;
 	ret = slot_queue_push(&server->queue, &job->item, on_drop, home);
+	if (ret == ERR_TOO_LATE)
+		return too_late_error(job->query);
 	if (ret)
 		return ret;
 	server->queued++;
@@ -387,9 +409,11 @@
 	query->link = link;
 	query->message = message;
 	query->run = run;
-	query->deadline_at = clock_now(home->board->clock) -
-			     blackboard_stall(home->board) +
-			     MSEC(message->deadline_ms);
+	query->deadline_at =
+		stop_plan_deadline(&home->board->stop,
+				   clock_now(home->board->clock) -
+					   blackboard_stall(home->board) +
+					   MSEC(message->deadline_ms));
 	query->n_jobs = (int)message->n_parts;
 	query->n_pending = query->n_jobs;
 	query->jobs = mem_zalloc((size_t)query->n_jobs * sizeof(*query->jobs));
@@ -688,10 +712,27 @@
 		return;
 	}
 	schedule_tick(home, query->deadline_at);
+	if (time < start_deadline(query))
+		schedule_tick(home, start_deadline(query));
 	for (i = 0; i < query->n_jobs; i++)
 		tick_job(home, &query->jobs[i], time);
 }
 
+void home_stop(struct home *home)
+{
+	const struct stop_plan *stop = &home->board->stop;
+	struct home_server *server;
+	struct home_server *next;
+	struct home_query *query;
+
+	HASH_ITER (hh, home->servers, server, next)
+		slot_queue_limit_deadlines(&server->queue,
+					   blackboard_start_by(home->board));
+	DL_FOREACH (home->queries, query)
+		query->deadline_at =
+			stop_plan_deadline(stop, query->deadline_at);
+}
+
 int64_t home_tick(struct home *home)
 {
 	int64_t time = clock_now(home->board->clock);
--- a/home.h
+++ b/home.h
@@ -295,6 +295,15 @@
  */
 void home_flush(struct home *home);
 
+/**
+ * home_stop() - end all queries before the process ends
+ * @home: the home
+ *
+ * Jobs that wait for a slot until blackboard_start_by() end with ERR_LEAVING,
+ * not sent. To be called when the stop has been planned, before home_tick().
+ */
+void home_stop(struct home *home);
+
 /**
  * home_tick() - process deadlines, late jobs and silent connections
  * @home: the home
--- a/home_net.c
+++ b/home_net.c
@@ -522,6 +522,16 @@
 	evtimer_add(net->poll_timer, &tv);
 }
 
+static void on_lifecycle(void *arg)
+{
+	struct home_net *net = arg;
+
+	if (!stop_plan_is_stopping(&net->board->stop))
+		return;
+	home_stop(&net->home);
+	tick_and_rearm(net);
+}
+
 void home_net_init(struct home_net *net, struct blackboard *board,
 		   struct peers *peers)
 {
@@ -544,6 +554,8 @@
 			 sync_servers, net);
 	blackboard_watch(board, BLACKBOARD_SHARES, &net->shares_watch,
 			 sync_servers, net);
+	blackboard_watch(board, BLACKBOARD_LIFECYCLE, &net->lifecycle_watch,
+			 on_lifecycle, net);
 	blackboard_watch(board, BLACKBOARD_CATALOG, &net->catalog_watch,
 			 on_catalog, net);
 	blackboard_watch(board, BLACKBOARD_USAGE, &net->usage_watch,
--- a/home_net.h
+++ b/home_net.h
@@ -27,6 +27,7 @@
  * @shares_watch: share changes
  * @usage_watch: requests to report the usage of shares
  * @catalog_watch: version changes seen by this instance
+ * @lifecycle_watch: the stop of this instance
  */
 struct home_net {
 	struct blackboard *board;
@@ -41,6 +42,7 @@
 	struct blackboard_watch shares_watch;
 	struct blackboard_watch usage_watch;
 	struct blackboard_watch catalog_watch;
+	struct blackboard_watch lifecycle_watch;
 };
 
 /**
--- a/slot_queue.c
+++ b/slot_queue.c
@@ -312,6 +312,16 @@
 	return NULL;
 }
 
+void slot_queue_limit_deadlines(struct slot_queue *queue, int64_t deadline)
+{
+	size_t i;
+
+	for (i = 0; i < queue->n; i++) {
+		if (queue->items[i]->deadline > deadline)
+			queue->items[i]->deadline = deadline;
+	}
+}
+
 void slot_queue_expire(struct slot_queue *queue, slot_drop_fn drop, void *ctx)
 {
 	int64_t now = clock_now(queue->clock);
--- a/slot_queue.h
+++ b/slot_queue.h
@@ -136,6 +136,15 @@
  */
 void slot_queue_remove(struct slot_queue *queue, struct slot_item *item);
 
+/**
+ * slot_queue_limit_deadlines() - move later deadlines of all items
+ * @queue: the queue
+ * @deadline: the latest one, microseconds
+ *
+ * The order of the items stays the same.
+ */
+void slot_queue_limit_deadlines(struct slot_queue *queue, int64_t deadline);
+
 /**
  * slot_queue_expire() - drop all items that can't be answered in time
  * @queue: the queue
--- a/tests/test_home.c
+++ b/tests/test_home.c
@@ -326,6 +326,60 @@
 	tear_down(&fixture);
 }
 
+static void stop(struct fixture *fixture, int64_t grace)
+{
+	stop_plan_init(&fixture->board.stop, clock_now(&fixture->clock), grace);
+	home_stop(&fixture->home);
+}
+
+static void advance_to(struct fixture *fixture, int64_t time)
+{
+	clock_advance(&fixture->clock, time - clock_now(&fixture->clock));
+	home_tick(&fixture->home);
+	home_flush(&fixture->home);
+}
+
+/* Guards against an exit with queries open that other instances wait for. */
+static void test_queries_end_before_the_exit(void)
+{
+	struct fixture fixture;
+
+	set_up(&fixture);
+	set_share(&fixture, "b1", 1);
+	send_query_to_one(&fixture, &link_a, 1, 9000);
+	send_query_to_one(&fixture, &link_a, 2, 9000);
+	stop(&fixture, MSEC(2000));
+	send_query_to_one(&fixture, &link_a, 3, 9000);
+	CU_ASSERT(home_tick(&fixture.home) <=
+		  blackboard_start_by(&fixture.board));
+	advance_to(&fixture, blackboard_start_by(&fixture.board));
+	CU_ASSERT_EQUAL(result_code(&fixture, 2), ERR_LEAVING);
+	CU_ASSERT_EQUAL(result_code(&fixture, 3), ERR_LEAVING);
+	CU_ASSERT_FALSE(fixture.results[0].sent || fixture.results[1].sent);
+	CU_ASSERT_EQUAL(fixture.n_cancelled, 0);
+	advance_to(&fixture, fixture.board.stop.answer_by);
+	CU_ASSERT_EQUAL(fixture.n_cancelled, 1);
+	CU_ASSERT_EQUAL(fixture.n_started, 1);
+	finish_all_jobs(&fixture);
+	tear_down(&fixture);
+}
+
+/* Guards against a retry elsewhere of what has no time left. */
+static void test_own_deadline_during_a_stop(void)
+{
+	struct fixture fixture;
+
+	set_up(&fixture);
+	set_share(&fixture, "b1", 1);
+	send_query_to_one(&fixture, &link_a, 1, 9000);
+	send_query_to_one(&fixture, &link_a, 2, 100);
+	stop(&fixture, MSEC(2000));
+	advance_to(&fixture, clock_now(&fixture.clock) + MSEC(100));
+	CU_ASSERT_EQUAL(result_code(&fixture, 2), ERR_TOO_LATE);
+	finish_all_jobs(&fixture);
+	tear_down(&fixture);
+}
+
 /* A cancelled job keeps its slot until home_job_done(). */
 static void test_deadline_while_running(void)
 {
@@ -640,6 +694,8 @@
 	{"share withdrawn", test_share_withdrawn},
 	{"deadline in the queue", test_deadline_in_the_queue},
 	{"deadline while running", test_deadline_while_running},
+	{"queries end before the exit", test_queries_end_before_the_exit},
+	{"own deadline during a stop", test_own_deadline_during_a_stop},
 	{"cancel queued and running", test_cancel_queued_and_running},
 	{"cancel of another entry", test_cancel_of_another_entry},
 	{"link lost", test_link_lost},
--- a/tests/test_slot_queue.c
+++ b/tests/test_slot_queue.c
@@ -186,6 +186,30 @@
 	slot_queue_finish(&f.queue);
 }
 
+/* Guards against items that wait for longer than their process lives. */
+static void test_limited_deadlines(void)
+{
+	struct slot_item items[3];
+	struct fixture f;
+	int i;
+
+	setup(&f, 10);
+	for (i = 0; i < 3; i++)
+		push(&f, &items[i], 5, i ? 1000 : 60);
+	slot_queue_limit_deadlines(&f.queue, clock_now(&f.clock) + MSEC(500));
+	clock_advance(&f.clock, MSEC(100));
+	slot_queue_expire(&f.queue, on_drop, &f);
+	CU_ASSERT_EQUAL(f.n_dropped, 1);
+	CU_ASSERT_PTR_EQUAL(f.dropped[0], &items[0]);
+	CU_ASSERT_PTR_EQUAL(pop(&f), &items[1]);
+	clock_advance(&f.clock, MSEC(400));
+	slot_queue_expire(&f.queue, on_drop, &f);
+	CU_ASSERT_EQUAL(f.n_dropped, 2);
+	CU_ASSERT_EQUAL(f.codes[1], ERR_TOO_LATE);
+	CU_ASSERT_PTR_NULL(pop(&f));
+	slot_queue_finish(&f.queue);
+}
+
 /*
  * A server was so slow that no request seems to meet its deadline. Some must
  * still be sent, or its recovery would go unnoticed.
@@ -251,6 +275,7 @@
 	{"remove", test_remove},
 	{"slow server is tried", test_slow_server_is_tried},
 	{"random", test_random},
+	{"limited deadlines", test_limited_deadlines},
 };
 
 UNIT_MAIN("slot_queue", tests)
