run: every caller is told of its run before the process ends

Callers of a request that must not be repeated saw their connection closed when the instance stopped at stop_max_ms, also for those that waited for a slot and had certainly not run; one whose issuer stopped was told so only by the lost link (error unavailable).

Waiters are answered by answer_by of the stop with an unknown outcome. A request that no server has by blackboard_start_by() is not sent any more, and is answered as not run.

--- a/run.c
+++ b/run.c
@@ -96,6 +96,11 @@
 	return (uint16_t)(str_hash(key) & UINT16_MAX);
 }
 
+static int64_t earlier(int64_t a, int64_t b)
+{
+	return a < b ? a : b;
+}
+
 static uint64_t request_digest(const struct run_message *request)
 {
 	uint64_t hash = str_hash(request->key);
@@ -274,7 +279,7 @@
 			  ticket_time_left(tracker->tickets, sequence);
 
 	call->sequence = sequence;
-	call->deadline = deadline < expires ? deadline : expires;
+	call->deadline = earlier(earlier(deadline, expires), tracker->start_by);
 	copy_request(call, request);
 	try_next(tracker, call, ERR_NOT_RUN, 0);
 }
@@ -353,7 +358,8 @@
 	waiter->call = NULL;
 	waiter->ticket_waiter.entry = NULL;
 	waiter->deadline =
-		clock_now(tracker->clock) + MSEC(request->deadline_ms);
+		earlier(clock_now(tracker->clock) + MSEC(request->deadline_ms),
+			tracker->answer_by);
 	DL_APPEND(tracker->waiters, waiter);
 }
 
@@ -386,6 +392,8 @@
 	tracker->ops = ops;
 	tracker->ctx = ctx;
 	tracker->calls_max = RUN_CALLS_MAX;
+	tracker->start_by = INT64_MAX;
+	tracker->answer_by = INT64_MAX;
 	/* Answers to an earlier incarnation must not match any call. */
 	tracker->last_id = tickets->incarnation;
 }
@@ -538,6 +546,20 @@
 	return NULL;
 }
 
+void run_stop(struct run_tracker *tracker, int64_t start_by, int64_t answer_by)
+{
+	struct run_waiter *waiter;
+	struct run_call *call;
+
+	tracker->start_by = start_by;
+	tracker->answer_by = answer_by;
+	DL_FOREACH (tracker->waiters, waiter)
+		waiter->deadline = earlier(waiter->deadline, answer_by);
+	for (call = tracker->calls; call; call = call->hh.next)
+		call->deadline = earlier(call->deadline,
+					 call->sequence ? start_by : answer_by);
+}
+
 int64_t run_tick(struct run_tracker *tracker)
 {
 	static const struct ticket_answer late = {.code = ERR_UNKNOWN};
--- a/run.h
+++ b/run.h
@@ -124,6 +124,9 @@
  * @n_calls: number of @calls
  * @calls_max: maximum of @n_calls; requests above it are refused
  * @last_id: last id given to a frame
+ * @start_by: requests executed here have this deadline at the latest,
+ *	microseconds; INT64_MAX while not stopping
+ * @answer_by: as @start_by, of all waiters
  */
 struct run_tracker {
 	const struct clock *clock;
@@ -135,6 +138,8 @@
 	int n_calls;
 	int calls_max;
 	uint64_t last_id;
+	int64_t start_by;
+	int64_t answer_by;
 };
 
 /**
@@ -235,6 +240,17 @@
  */
 void run_peer_lost(struct run_tracker *tracker, struct str instance);
 
+/**
+ * run_stop() - answer all waiters before the process ends
+ * @tracker: the tracker
+ * @start_by: end of the attempts to execute requests, microseconds
+ * @answer_by: waiters get ERR_UNKNOWN then, later than @start_by
+ *
+ * A request that has not been sent to its server by @start_by is answered with
+ * a code that says so.
+ */
+void run_stop(struct run_tracker *tracker, int64_t start_by, int64_t answer_by);
+
 /**
  * run_tick() - answer all waiters whose deadline has passed
  * @tracker: the tracker
--- a/run_net.c
+++ b/run_net.c
@@ -320,6 +320,17 @@
 	net->runs.calls_max = (int)tunables->run_max;
 }
 
+static void on_lifecycle(void *arg)
+{
+	struct run_net *net = arg;
+	const struct blackboard *board = net->board;
+
+	if (!stop_plan_is_stopping(&board->stop))
+		return;
+	run_stop(&net->runs, blackboard_start_by(board), board->stop.answer_by);
+	wake_timer_arm(&net->timer, run_tick(&net->runs));
+}
+
 void run_net_init(struct run_net *net, struct blackboard *board,
 		  struct peers *peers)
 {
@@ -339,6 +350,8 @@
 	peers_add_handler(peers, &net->handler);
 	blackboard_watch(board, BLACKBOARD_TABLE, &net->table_watch, on_table,
 			 net);
+	blackboard_watch(board, BLACKBOARD_LIFECYCLE, &net->lifecycle_watch,
+			 on_lifecycle, net);
 }
 
 void run_net_finish(struct run_net *net)
--- a/run_net.h
+++ b/run_net.h
@@ -23,6 +23,7 @@
  * @forwarded: requests that other instances forwarded to this one
  * @timer: fires when run_tick() is due
  * @table_watch: watch for changes of the limits
+ * @lifecycle_watch: for the stop of this instance
  */
 struct run_net {
 	struct blackboard *board;
@@ -33,6 +34,7 @@
 	struct run_forwarded *forwarded;
 	struct wake_timer timer;
 	struct blackboard_watch table_watch;
+	struct blackboard_watch lifecycle_watch;
 };
 
 /**
--- a/tests/test_run.c
+++ b/tests/test_run.c
@@ -974,6 +974,62 @@
 	fixture_finish(&fixture);
 }
 
+static void fixture_advance_to(struct fixture *fixture, int64_t time)
+{
+	clock_advance(&fixture->clock, time - clock_now(&fixture->clock));
+	run_tick(&fixture->runs);
+}
+
+/* Guards against an exit with runs open, whose callers are left in doubt. */
+static void test_runs_end_before_the_exit(void)
+{
+	struct fixture_waiter waiter;
+	struct fixture fixture;
+
+	fixture_init(&fixture);
+	fixture_accept(&fixture, &waiter);
+	run_stop(&fixture.runs, MSEC(101), MSEC(151));
+	CU_ASSERT(run_tick(&fixture.runs) <= MSEC(151));
+	fixture_advance_to(&fixture, MSEC(150));
+	CU_ASSERT_EQUAL(waiter.calls, 0);
+	fixture_advance_to(&fixture, MSEC(151));
+	CU_ASSERT_EQUAL(waiter.calls, 1);
+	CU_ASSERT_EQUAL(run_outcome(waiter.code), RUN_UNKNOWN);
+	fixture_finish(&fixture);
+}
+
+/* Guards against an order that is sent on when its issuer ends. */
+static void test_no_run_at_the_end_of_a_stop(void)
+{
+	struct fixture_waiter waiter;
+	struct fixture fixture;
+
+	fixture_init(&fixture);
+	fixture_accept(&fixture, &waiter);
+	run_stop(&fixture.runs, MSEC(101), MSEC(151));
+	fixture_advance_to(&fixture, MSEC(101));
+	fixture_result(&fixture, "h", ERR_NO_SLOT);
+	CU_ASSERT_EQUAL(fixture.sends, 1);
+	CU_ASSERT_EQUAL(waiter.calls, 1);
+	CU_ASSERT_EQUAL(run_outcome(waiter.code), RUN_NOT_RUN);
+	fixture_finish(&fixture);
+}
+
+/* Guards against homes that are given more time than their issuer has. */
+static void test_run_during_a_stop(void)
+{
+	struct fixture_waiter waiter;
+	struct fixture fixture;
+
+	fixture_init(&fixture);
+	run_stop(&fixture.runs, MSEC(101), MSEC(151));
+	fixture_accept(&fixture, &waiter);
+	CU_ASSERT_EQUAL(fixture.deadline_ms, 100);
+	fixture_advance_to(&fixture, MSEC(151));
+	CU_ASSERT_EQUAL(waiter.calls, 1);
+	fixture_finish(&fixture);
+}
+
 /* The deadline of an attempt doesn't exceed the expiry of the ticket. */
 static void test_deadline_within_lifetime(void)
 {
@@ -1162,6 +1218,9 @@
 	{"random histories, plain retries", test_histories_plain_retries},
 	{"random histories, no faults", test_histories_without_faults},
 	{"random histories", test_histories},
+	{"runs end before the exit", test_runs_end_before_the_exit},
+	{"no run at the end of a stop", test_no_run_at_the_end_of_a_stop},
+	{"run during a stop", test_run_during_a_stop},
 };
 
 UNIT_MAIN("run", tests)
