gateway_stop: what waits for a server is not sent just before the end

An order that waited here for its server when the stop began kept its old deadline in the queue: one that got its turn 0.2 s before the end was sent, ended with 504, and left its caller in doubt, where 503 would have been true.

Queued sends end by answer_by. What must not be repeated has to leave the queue early enough for the time that takes() asks of a new one (stop_plan_send_by()), and is not sent again later than that; a request that can't be sent any more is refused at once and not at its deadline.

--- a/dispatch.c
+++ b/dispatch.c
@@ -79,6 +79,7 @@
 	dispatch->latency = latency;
 	dispatch->start = clock_now(clock);
 	dispatch->deadline = deadline;
+	dispatch->send_by = INT64_MAX;
 	dispatch->soft_deadline = dispatch->start + soft_timeout;
 	dispatch->parts = mem_zalloc((size_t)n * sizeof(*dispatch->parts));
 	for (i = 0; i < n; i++)
--- a/dispatch.h
+++ b/dispatch.h
@@ -210,6 +210,7 @@
  * @deadline: of the caller and the route, or of dispatch_limit_time(),
  *	microseconds
  * @time_limited: dispatch_limit_time() has moved @deadline
+ * @send_by: nothing is sent later, microseconds; INT64_MAX: @deadline counts
  * @soft_deadline: from then on a partial answer is sent once it has the route's
  *	coverage_min, failed parts are not retried later, and an answer counts
  *	as late for the load limit; microseconds
@@ -254,6 +255,7 @@
 	int64_t start;
 	int64_t deadline;
 	bool time_limited;
+	int64_t send_by;
 	int64_t soft_deadline;
 	struct dispatch_part *parts;
 	int n_parts;
--- a/dispatch_send.c
+++ b/dispatch_send.c
@@ -183,6 +183,10 @@
 
 	if (!unused_send(part))
 		return ERR_NO_REPLICA;
+	if (clock_now(part->dispatch->clock) >= part->dispatch->send_by) {
+		part->code = ERR_LEAVING;
+		return ERR_NO_REPLICA;
+	}
 	collect_tried(part, &tried);
 	while (tried.n < DISPATCH_SENDS_MAX) {
 		server = pick_untried(part, &tried, preferred_only);
--- a/gateway_request.c
+++ b/gateway_request.c
@@ -240,12 +240,37 @@
 			    str_hash(str_from(inbound_conn_ip(conn))));
 }
 
+/* What is known of the time that a request of a route needs. */
+static struct stop_request describe_to_stop(struct gateway *gateway,
+					    const struct route *route,
+					    int64_t deadline)
+{
+	struct route_stats *stats = get_route_stats(gateway, route);
+	int64_t now = clock_now(&gateway->clock);
+
+	return (struct stop_request){
+		.deadline = deadline,
+		.goal = MSEC(route->goal_ms),
+		.usual = (int64_t)stats->latency.tail,
+		.slowest = peak_add(&stats->slowest, 0, now),
+		.repeatable = route->repeatable,
+		.others_ready =
+			gateway_fleet_has_ready_peer(&gateway->fleet,
+						     str_from(route->host)),
+	};
+}
+
 /* The end of the process is a deadline of each request. */
 static void limit_to_stop(struct gateway_request *request)
 {
-	dispatch_limit_time(&request->dispatch,
-			    request->gateway->stop.answer_by);
-	request->relay.deadline = request->dispatch.deadline;
+	struct gateway *gateway = request->gateway;
+	struct dispatch *dispatch = &request->dispatch;
+	const struct stop_request needs =
+		describe_to_stop(gateway, request->route, dispatch->deadline);
+
+	dispatch->send_by = stop_plan_send_by(&gateway->stop, &needs);
+	dispatch_limit_time(dispatch, gateway->stop.answer_by);
+	request->relay.deadline = dispatch->deadline;
 }
 
 /* @due: capacity reserved for this retry, or NULL */
@@ -299,18 +324,12 @@
 static bool outlasts_stop(struct gateway *gateway, const struct route *route,
 			  const struct http_message *message)
 {
-	struct route_stats *stats = get_route_stats(gateway, route);
 	int timeout_ms = parse_caller_timeout(gateway, message);
 	int64_t now = clock_now(&gateway->clock);
-	const struct stop_request request = {
-		.deadline = now + get_time_left(gateway, route, timeout_ms),
-		.goal = MSEC(route->goal_ms),
-		.usual = (int64_t)stats->latency.tail,
-		.slowest = peak_add(&stats->slowest, 0, now),
-		.repeatable = route->repeatable,
-		.others_ready = gateway_fleet_has_ready_peer(&gateway->fleet,
-							     host_of(message)),
-	};
+	const struct stop_request request =
+		describe_to_stop(gateway, route,
+				 now + get_time_left(gateway, route,
+						     timeout_ms));
 
 	return !stop_plan_takes(&gateway->stop, &request, now);
 }
@@ -492,6 +511,7 @@
 
 	DL_FOREACH (gateway->open_requests, request) {
 		limit_to_stop(request);
+		gateway_send_limit(request);
 		if (!gateway_trial_is_waiting(request))
 			arm_timer(request);
 	}
--- a/gateway_request_private.h
+++ b/gateway_request_private.h
@@ -102,6 +102,11 @@
  */
 extern const struct dispatch_ops gateway_send_ops;
 
+/**
+ * gateway_send_limit() - apply the dispatch's send_by to its queued sends
+ */
+void gateway_send_limit(struct gateway_request *request);
+
 /**
  * gateway_report_forecast() - log and count a request that is refused, or sent
  * without some parts, because of its forecast
--- a/gateway_send.c
+++ b/gateway_send.c
@@ -258,6 +258,7 @@
 	const struct server_job_rank rank = {
 		.priority = request->route->priority,
 		.goal_at = request->dispatch.soft_deadline,
+		.send_by = request->dispatch.send_by,
 	};
 	struct server_job *turn;
 	int ret;
@@ -299,6 +300,26 @@
 	return !send->relayed && server_job_is_unsent(send->handle);
 }
 
+void gateway_send_limit(struct gateway_request *request)
+{
+	const struct dispatch *dispatch = &request->dispatch;
+	int i;
+	int j;
+
+	for (i = 0; i < dispatch->n_parts; i++) {
+		const struct dispatch_part *part = &dispatch->parts[i];
+
+		for (j = 0; j < part->n_sends; j++) {
+			const struct dispatch_send *send = &part->sends[j];
+
+			if (send->state == SEND_IN_FLIGHT &&
+			    is_queued(request, send))
+				server_job_limit(send->handle,
+						 dispatch->send_by);
+		}
+	}
+}
+
 static void report_send(void *arg, const struct dispatch_send *send)
 {
 	struct gateway_request *request = arg;
--- a/gateway_stop.c
+++ b/gateway_stop.c
@@ -73,6 +73,8 @@
 		 LOG_I64("stall_us", stall), LOG_F64("grace_s", grace_s));
 	inbound_disable_keep_alive(&gateway->inbound);
 	gateway_request_limit_all(gateway);
+	server_queues_limit_time(&gateway->server_queues.queues,
+				 gateway->stop.answer_by);
 	relay_serve_limit_time(&gateway->relay_serve, gateway->stop.answer_by);
 	gateway_fleet_leave(&gateway->fleet);
 	event_add(gateway->stop_timer, &period);
--- a/relay_serve.c
+++ b/relay_serve.c
@@ -379,6 +379,7 @@
 	request->trial = read_trial(message->trial);
 	request->records_max = (int)message->records_max;
 	job->rank.priority = message->priority;
+	job->rank.send_by = INT64_MAX;
 	job->rank.goal_at = now + MSEC((int64_t)message->goal_ms) - held;
 	job->deadline = now + MSEC((int64_t)message->deadline_ms) - held;
 	if (job->deadline > job->relay->time_limit) {
--- a/server_queue.c
+++ b/server_queue.c
@@ -246,6 +246,24 @@
 	return 0;
 }
 
+static void limit_deadline(struct server_job *job, int64_t until)
+{
+	if (job->deadline > until)
+		job->deadline = until;
+}
+
+void server_queues_limit_time(struct server_queues *queues, int64_t until)
+{
+	struct server_queue *queue;
+	size_t i;
+
+	DL_FOREACH (queues->waiting, queue) {
+		slot_queue_limit_deadlines(&queue->items, until);
+		for (i = 0; i < queue->items.n; i++)
+			limit_deadline(job_of(queue->items.items[i]), until);
+	}
+}
+
 static bool must_wait(const struct server_queues *queues,
 		      const struct registry_server *server)
 {
@@ -253,6 +271,12 @@
 	       (server->queue || !server_queue_has_capacity(queues, server));
 }
 
+void server_job_limit(struct server_job *job, int64_t send_by)
+{
+	if (job->item.deadline > send_by)
+		job->item.deadline = send_by;
+}
+
 static struct server_job *new_job(struct server_queues *queues,
 				  struct registry_server *server,
 				  const struct upstream_request *request,
@@ -270,6 +294,7 @@
 		rank->priority < INT_MAX ? (int)rank->priority : INT_MAX;
 	job->item.goal = rank->goal_at < deadline ? rank->goal_at : deadline;
 	job->item.deadline = deadline;
+	server_job_limit(job, rank->send_by);
 	job->item.random_rank = (int)(str_hash(request->id) % RANDOM_RANKS);
 	job->item.cost = server_queue_cost(queues, rank->priority);
 	return job;
--- a/server_queue.h
+++ b/server_queue.h
@@ -28,10 +28,12 @@
  * struct server_job_rank - position of a request in the queue
  * @priority: of its route, 0 is the most urgent
  * @goal_at: soft deadline: an answer after it is worth little, microseconds
+ * @send_by: it is not sent later, microseconds; INT64_MAX: its deadline counts
  */
 struct server_job_rank {
 	int64_t priority;
 	int64_t goal_at;
+	int64_t send_by;
 };
 
 enum server_job_state {
@@ -154,12 +156,29 @@
 		      int64_t connections_max, exchange_cb cb, void *arg,
 		      struct server_job **out);
 
+/**
+ * server_queues_limit_time() - end the requests that are queued by a given time
+ * @queues: the queues of this instance
+ * @until: microseconds
+ *
+ * One that would not be answered by then is returned unsent, as of
+ * server_queue_send().
+ */
+void server_queues_limit_time(struct server_queues *queues, int64_t until);
+
 /**
  * server_job_is_unsent() - whether the request was not sent, and so did not run
  * @job: the request
  */
 bool server_job_is_unsent(const struct server_job *job);
 
+/**
+ * server_job_limit() - return a request unsent if it is still queued later on
+ * @job: the request
+ * @send_by: as of struct server_job_rank
+ */
+void server_job_limit(struct server_job *job, int64_t send_by);
+
 /**
  * server_job_abandon() - abandon a request without reporting its end
  * @job: the request
--- a/stop_plan.c
+++ b/stop_plan.c
@@ -64,6 +64,15 @@
 	return request->repeatable ? needed : max_of(needed, request->slowest);
 }
 
+int64_t stop_plan_send_by(const struct stop_plan *plan,
+			  const struct stop_request *request)
+{
+	if (!stop_plan_is_stopping(plan) || request->repeatable ||
+	    request->deadline <= plan->answer_by)
+		return INT64_MAX;
+	return plan->answer_by - time_needed(request);
+}
+
 bool stop_plan_takes(const struct stop_plan *plan,
 		     const struct stop_request *request, int64_t now)
 {
--- a/stop_plan.h
+++ b/stop_plan.h
@@ -64,6 +64,17 @@
  */
 int64_t stop_plan_deadline(const struct stop_plan *plan, int64_t deadline);
 
+/**
+ * stop_plan_send_by() - latest time to send a request to a server
+ *
+ * One that is not repeatable and still waits for a server then is refused: that
+ * it has not run is certain.
+ *
+ * Return: microseconds; INT64_MAX: its deadline alone counts.
+ */
+int64_t stop_plan_send_by(const struct stop_plan *plan,
+			  const struct stop_request *request);
+
 /**
  * stop_plan_takes() - whether to take a request rather than refuse it
  * @now: microseconds
--- a/tests/test_server_queue.c
+++ b/tests/test_server_queue.c
@@ -206,7 +206,8 @@
 	struct call *call = &world->calls[world->n++];
 	int64_t now = clock_now(&world->clock);
 	struct server_job_rank rank = {.priority = priority,
-				       .goal_at = now + goal};
+				       .goal_at = now + goal,
+				       .send_by = INT64_MAX};
 	int ret;
 
 	snprintf(call->id, sizeof(call->id), "%d", world->n);
@@ -513,6 +514,47 @@
 	finish(&world);
 }
 
+/* Guards against requests that are sent when nobody waits for them any more. */
+static void test_limited_time(void)
+{
+	struct call *queued;
+	struct world world;
+	int i;
+
+	start(&world);
+	for (i = 0; i < LIMIT; i++)
+		ask(&world, 1, MSEC(500), MSEC(200));
+	queued = ask(&world, 1, MSEC(500), MSEC(10));
+	server_queues_limit_time(&world.queues,
+				 clock_now(&world.clock) + MSEC(100));
+	CU_ASSERT_EQUAL(queued->n_ends, 0);
+	pass(&world, MSEC(105));
+	CU_ASSERT_EQUAL(queued->n_ends, 1);
+	CU_ASSERT_EQUAL(queued->code, ERR_OVERLOAD);
+	pass(&world, DEADLINE);
+	CU_ASSERT(!queued->ran);
+	finish(&world);
+}
+
+/* Guards against an order that gets its turn when it may take too long. */
+static void test_send_by(void)
+{
+	struct call *queued;
+	struct world world;
+	int i;
+
+	start(&world);
+	for (i = 0; i < LIMIT; i++)
+		ask(&world, 1, MSEC(500), MSEC(50));
+	queued = ask(&world, 1, MSEC(500), MSEC(10));
+	server_job_limit(queued->job, clock_now(&world.clock) + MSEC(40));
+	pass(&world, MSEC(45));
+	CU_ASSERT_EQUAL(queued->code, ERR_OVERLOAD);
+	pass(&world, MSEC(200));
+	CU_ASSERT(!queued->ran);
+	finish(&world);
+}
+
 /* A request that missed its goal does not delay one that can meet its goal. */
 static void test_late_goes_last(void)
 {
@@ -598,6 +640,8 @@
 	{"same requests", test_same_requests},
 	{"no wait without load", test_no_wait_without_load},
 	{"estimate", test_estimate},
+	{"limited time", test_limited_time},
+	{"latest time to send", test_send_by},
 	{"server leaves", test_server_leaves},
 	{"server restarts", test_server_restarts},
 	{"server silent", test_server_silent},
--- a/tests/test_stop_plan.c
+++ b/tests/test_stop_plan.c
@@ -55,6 +55,7 @@
 {
 	int64_t by = stop_plan_deadline(plan, request->deadline);
 
+	CU_ASSERT(now <= stop_plan_send_by(plan, request));
 	CU_ASSERT(by <= plan->answer_by && by <= request->deadline);
 	CU_ASSERT(now < by);
 	/* One that is answered in its usual time is answered by its server. */
@@ -120,7 +121,10 @@
 	CU_ASSERT(!stop_plan_takes(&plan, &request, now));
 	request.repeatable = true;
 	CU_ASSERT(stop_plan_takes(&plan, &request, now));
+	CU_ASSERT_EQUAL(stop_plan_send_by(&plan, &request), INT64_MAX);
 	request.repeatable = false;
+	CU_ASSERT_EQUAL(stop_plan_send_by(&plan, &request),
+			plan.answer_by - request.slowest);
 	request.others_ready = false;
 	CU_ASSERT(stop_plan_takes(&plan, &request, now));
 	request.others_ready = true;
--- a/tests/test_stops.py
+++ b/tests/test_stops.py
@@ -19,6 +19,10 @@
 
 # The time from SIGTERM until the process is killed.
 GRACE_S = 3
+# After SIGTERM: every request has its answer.
+ANSWER_BY_S = 2.625
+# To a server with two slots, of an instance that has it alone.
+SENDS_AT_ONCE = 3
 # Of a request, far longer than a stop.
 TIME_MS = 10000
 ROUTES = [
@@ -118,6 +122,37 @@
         self.assert_answered((got[0][0], got[0][1] - at), 504)
 
 
+class Queued(StopTest):
+    def work_long(self, server, request):
+        if "late" in request.target:
+            server.ran.append(request)
+            self.release.clear()
+            self.release.wait(test_gateway.WAIT_MAX_S)
+        return self.hang(server, request)
+
+    def test_order_that_gets_its_turn_at_the_end_is_not_sent(self):
+        """Guards against an order that waits here for its server, is sent just
+        before the process ends, and leaves its caller in doubt."""
+        gateway = self.start(load_control=["turns"])
+        server = self.servers[0]
+        server.respond = self.work_long
+        for i in range(SENDS_AT_ONCE):
+            self.send(gateway, f"/any/hang{i}", f"h{i}")
+        self.wait("at work", lambda: sum(
+            "hang" in r.target for r in server.seen) == SENDS_AT_ONCE)
+        thread, got = self.send(gateway, "/once/late", "late")
+        self.wait("queued", lambda: self.metric(
+            gateway, "turns_waited_total"))
+        at = time.monotonic()
+        gateway.process.send_signal(signal.SIGTERM)
+        time.sleep(ANSWER_BY_S - 0.2)
+        self.release.set()
+        self.assertEqual(gateway.process.wait(test_gateway.WAIT_MAX_S), 0)
+        thread.join()
+        self.assert_answered((got[0][0], got[0][1] - at), 503)
+        self.assertNotIn("late", [r.id for r in server.seen])
+
+
 class HalfRead(StopTest):
     def test_upload_half_read_is_refused(self):
         """Guards against a closed connection where 503 is true: what was not
