gateway_answer: promise no return to a process that is stopping

A request that was refused for lack of a server during a stop got Retry-After: 5, a reservation in an instance that ended within 0.6 s: its caller waited for nothing and was refused a second time. Refusals of a stop carry no Retry-After: the connection closes, and another instance may take the request at once.

The check in Queued.test_order_that_gets_its_turn_at_the_end_is_not_sent failed before this ('retry-after': '5.000').

--- a/gateway_answer.c
+++ b/gateway_answer.c
@@ -199,7 +199,8 @@
 		status = HTTP_STATUS_GATEWAY_TIMEOUT;
 	else if (ran)
 		status = HTTP_STATUS_BAD_GATEWAY;
-	else
+	/* A promise of this instance would outlive it. */
+	else if (!stop_plan_is_stopping(&request->gateway->stop))
 		retry_after = gateway_load_offer_return(request);
 	if (code == ERR_OVERLOAD) {
 		metric_inc(overload_metric(request));
--- a/tests/test_stops.py
+++ b/tests/test_stops.py
@@ -133,7 +133,7 @@
     def test_order_that_gets_its_turn_at_the_end_is_not_sent(self):
         """Guards against an order that waits here for its server, is sent just
         before the process ends, and leaves its caller in doubt."""
-        gateway = self.start(load_control=["turns"])
+        gateway = self.start(load_control=["turns", "returns"])
         server = self.servers[0]
         server.respond = self.work_long
         for i in range(SENDS_AT_ONCE):
@@ -151,6 +151,7 @@
         thread.join()
         self.assert_answered((got[0][0], got[0][1] - at), 503)
         self.assertNotIn("late", [r.id for r in server.seen])
+        self.assertNotIn("retry-after", got[0][0].headers)
 
 
 class HalfRead(StopTest):
