--- /dev/null
+++ b/conn_end.c
@@ -0,0 +1,77 @@
+#include "conn_end.h"
+
+#include <sys/ioctl.h>
+#include <sys/socket.h>
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+
+/* Input that is discarded, bytes and times. */
+#define DISCARD_SIZE 16384
+#define DISCARDS_MAX 1024
+
+size_t conn_unsent(const struct bufferevent *bev)
+{
+	return evbuffer_get_length(
+		bufferevent_get_output((struct bufferevent *)bev));
+}
+
+void conn_write(struct bufferevent *bev)
+{
+	struct evbuffer *out = bufferevent_get_output(bev);
+	int n = 1;
+
+	/* Only the bufferevent may remove from its output otherwise. */
+	evbuffer_unfreeze(out, 1);
+	while (n > 0 && evbuffer_get_length(out))
+		n = evbuffer_write(out, bufferevent_getfd(bev));
+	evbuffer_freeze(out, 1);
+}
+
+static void grow_send_buffer(struct bufferevent *bev)
+{
+	evutil_socket_t fd = bufferevent_getfd(bev);
+	int size = 0;
+	socklen_t len = sizeof(size);
+
+	if (getsockopt(fd, SOL_SOCKET, SO_SNDBUF, &size, &len))
+		return;
+	size += (int)conn_unsent(bev);
+	setsockopt(fd, SOL_SOCKET, SO_SNDBUF, &size, sizeof(size));
+}
+
+size_t conn_write_last(struct bufferevent *bev)
+{
+	if (!conn_unsent(bev))
+		return 0;
+	bufferevent_disable(bev, EV_WRITE);
+	conn_write(bev);
+	if (!conn_unsent(bev))
+		return 0;
+	grow_send_buffer(bev);
+	conn_write(bev);
+	return conn_unsent(bev);
+}
+
+bool conn_has_input(const struct bufferevent *bev)
+{
+	struct bufferevent *mutable = (struct bufferevent *)bev;
+	int unread = 0;
+
+	if (evbuffer_get_length(bufferevent_get_input(mutable)))
+		return true;
+	return !ioctl(bufferevent_getfd(mutable), FIONREAD, &unread) && unread;
+}
+
+void conn_discard_input(const struct bufferevent *bev)
+{
+	evutil_socket_t fd = bufferevent_getfd((struct bufferevent *)bev);
+	char discarded[DISCARD_SIZE];
+	int i;
+
+	for (i = 0; i < DISCARDS_MAX; i++) {
+		if (recv(fd, discarded, sizeof(discarded), MSG_DONTWAIT) <= 0)
+			return;
+	}
+}
--- a/inbound.c
+++ b/inbound.c
@@ -10,10 +10,10 @@
 #include <event2/event.h>
 #include <event2/listener.h>
 #include <netinet/tcp.h>
-#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <utlist.h>
 
+#include "conn_end.h"
 #include "error.h"
 #include "log.h"
 #include "mem.h"
@@ -34,9 +34,6 @@
 #define FIRST_REQUEST_TIME MSEC(200)
 /* Time for the caller to close the connection after the last response. */
 #define CLOSE_TIMEOUT MSEC(1000)
-/* Input that is discarded before a connection is closed, bytes and times. */
-#define DISCARD_SIZE 16384
-#define DISCARDS_MAX 1024
 
 enum inbound_state {
 	INBOUND_READING,
@@ -73,27 +70,11 @@
 	struct inbound_conn *next;
 };
 
-/*
- * Closing a socket with unread bytes sends a reset, which drops what the kernel
- * still has to send. Of a caller that never pauses, only so much is read.
- */
-static void discard_input(const struct inbound_conn *conn)
-{
-	evutil_socket_t fd = bufferevent_getfd(conn->bev);
-	char discarded[DISCARD_SIZE];
-	int i;
-
-	for (i = 0; i < DISCARDS_MAX; i++) {
-		if (recv(fd, discarded, sizeof(discarded), MSG_DONTWAIT) <= 0)
-			return;
-	}
-}
-
 static void free_conn(struct inbound_conn *conn)
 {
 	struct inbound *inbound = conn->inbound;
 
-	discard_input(conn);
+	conn_discard_input(conn->bev);
 	DL_DELETE(inbound->conns, conn);
 	if (inbound->n-- == inbound->max && inbound->listener)
 		evconnlistener_enable(inbound->listener);
@@ -379,59 +360,18 @@
 	inbound->listener = NULL;
 }
 
-static size_t unsent_bytes(const struct inbound_conn *conn)
-{
-	return evbuffer_get_length(bufferevent_get_output(conn->bev));
-}
-
-static void write_output(struct evbuffer *out, evutil_socket_t fd)
-{
-	while (evbuffer_get_length(out) && evbuffer_write(out, fd) > 0)
-		;
-}
-
-/* The kernel sends what is in its buffer after the process has ended. */
-static void grow_send_buffer(evutil_socket_t fd, size_t unsent)
-{
-	int size = 0;
-	socklen_t len = sizeof(size);
-
-	if (getsockopt(fd, SOL_SOCKET, SO_SNDBUF, &size, &len))
-		return;
-	size += (int)unsent;
-	setsockopt(fd, SOL_SOCKET, SO_SNDBUF, &size, sizeof(size));
-}
-
-/* Passes the output to the kernel as far as it fits; ends other writes. */
-static void flush_output(struct inbound_conn *conn)
-{
-	struct evbuffer *out = bufferevent_get_output(conn->bev);
-	evutil_socket_t fd = bufferevent_getfd(conn->bev);
-
-	if (!unsent_bytes(conn))
-		return;
-	bufferevent_disable(conn->bev, EV_WRITE);
-	/* Only the bufferevent may remove from its output otherwise. */
-	evbuffer_unfreeze(out, 1);
-	write_output(out, fd);
-	if (!unsent_bytes(conn))
-		return;
-	grow_send_buffer(fd, unsent_bytes(conn));
-	write_output(out, fd);
-}
-
 void inbound_finish(struct inbound *inbound)
 {
 	struct inbound_conn *conn;
 	struct inbound_conn *next;
+	size_t unsent;
 
 	stop_listening(inbound);
 	DL_FOREACH_SAFE (inbound->conns, conn, next) {
-		flush_output(conn);
-		if (unsent_bytes(conn))
+		unsent = conn_write_last(conn->bev);
+		if (unsent)
 			inbound->ops->answer_cut(inbound->arg, conn,
-						 &conn->message,
-						 unsent_bytes(conn));
+						 &conn->message, unsent);
 		free_conn(conn);
 	}
 }
@@ -450,16 +390,6 @@
 	inbound->keep_alive_disabled = true;
 }
 
-static bool has_unread_input(const struct inbound_conn *conn)
-{
-	int unread = 0;
-
-	if (evbuffer_get_length(bufferevent_get_input(conn->bev)))
-		return true;
-	return !ioctl(bufferevent_getfd(conn->bev), FIONREAD, &unread) &&
-	       unread;
-}
-
 /* A partly read request is still completed and answered. */
 static bool is_idle(const struct inbound_conn *conn)
 {
@@ -467,7 +397,7 @@
 
 	return conn->state == INBOUND_READING &&
 	       conn->message.state == MESSAGE_EMPTY &&
-	       age >= FIRST_REQUEST_TIME && !has_unread_input(conn);
+	       age >= FIRST_REQUEST_TIME && !conn_has_input(conn->bev);
 }
 
 int inbound_close_idle(struct inbound *inbound)
@@ -484,7 +414,7 @@
 			close_gracefully(conn);
 		else if (conn->state != INBOUND_CLOSING)
 			busy++;
-		else if (unsent_bytes(conn))
+		else if (conn_unsent(conn->bev))
 			busy++;
 	}
 	return busy;
--- a/peer.c
+++ b/peer.c
@@ -12,6 +12,7 @@
 #include <netinet/tcp.h>
 #include <utlist.h>
 
+#include "conn_end.h"
 #include "hubs.h"
 #include "log.h"
 #include "loop.h"
@@ -118,17 +119,6 @@
  * other end must get the last frames; bufferevent_flush() does nothing for
  * sockets.
  */
-static void write_pending(struct peer_link *link)
-{
-	struct evbuffer *out = bufferevent_get_output(link->bev);
-	int n = 1;
-
-	evbuffer_unfreeze(out, 1);
-	while (n > 0 && evbuffer_get_length(out))
-		n = evbuffer_write(out, bufferevent_getfd(link->bev));
-	evbuffer_freeze(out, 1);
-}
-
 static void close_with_failure(struct peer_link *link, int code)
 {
 	Peer__Failure failure = PEER__FAILURE__INIT;
@@ -139,7 +129,7 @@
 	failure.code = code;
 	failure.subject = (char *)"frame";
 	peer_send(link, FRAME_FAILURE, &failure.base);
-	write_pending(link);
+	conn_write(link->bev);
 	close_link(link);
 }
 
@@ -446,7 +436,7 @@
 
 	DL_FOREACH (peers->links, link) {
 		if (link->up && !link->closed)
-			write_pending(link);
+			conn_write(link->bev);
 	}
 }
 
