serve: no further signal ends a process that is stopping

A second SIGINT or SIGTERM after the event loop had ended killed an instance of serve by its default action, before it had passed its last answers on, as it did a gateway before: the same cause, on the other path.

One copy of the block of signals (signals.c).

--- a/cmd_gateway.c
+++ b/cmd_gateway.c
@@ -17,6 +17,7 @@
 #include "log.h"
 #include "loop.h"
 #include "platform/names.h"
+#include "signals.h"
 
 enum {
 	KEY_SETTINGS_FROM = 0x100,
@@ -146,18 +147,6 @@
 		reload_settings(process);
 }
 
-/* A second signal must not end the process before it has passed answers on. */
-static void block_signals(void)
-{
-	sigset_t signals;
-
-	sigemptyset(&signals);
-	sigaddset(&signals, SIGTERM);
-	sigaddset(&signals, SIGINT);
-	sigaddset(&signals, SIGHUP);
-	sigprocmask(SIG_BLOCK, &signals, NULL);
-}
-
 static int run(struct event_base *base, struct gateway_process *process)
 {
 	static const struct timeval period = {RELOAD_CHECK_PERIOD_S, 0};
@@ -188,7 +177,7 @@
 	LOG_INFO("started",
 		 LOG_TEXT("data_centre", process->settings.data_centre));
 	event_base_dispatch(base);
-	block_signals();
+	signals_block();
 	LOG_INFO("stopped",
 		 LOG_I64("requests", gateway->counters.requests.value));
 	for (i = 0; i < n; i++)
--- a/serve.c
+++ b/serve.c
@@ -19,6 +19,7 @@
 #include "loop_lag.h"
 #include "poison_net.h"
 #include "run_net.h"
+#include "signals.h"
 #include "table_control.h"
 
 struct instance {
@@ -120,6 +121,7 @@
 	}
 	LOG_INFO("started", LOG_U64("incarnation", instance.board.incarnation));
 	event_base_dispatch(base);
+	signals_block();
 	LOG_INFO("stopped",
 		 LOG_I64("searches", instance.board.counters.searches.value));
 	stop(&instance);
--- a/tests/test_serve_stop.py
+++ b/tests/test_serve_stop.py
@@ -5,6 +5,7 @@
 
 import json
 import pathlib
+import signal
 import socket
 import sys
 import tempfile
@@ -199,6 +200,15 @@
                 n += len(chunk)
         self.assertGreaterEqual(n, size * N_PAGES)
 
+    def test_signals_until_the_process_is_gone(self):
+        """Guards against a process that a further signal kills while it passes
+        its last answers on."""
+        (instance,) = self.start_fleet(1)
+        instance.ask_to_stop()
+        while instance.child.poll() is None:
+            instance.child.send_signal(signal.SIGINT)
+        self.assertEqual(instance.child.returncode, 0)
+
     def test_a_request_that_is_arriving_is_answered(self):
         """Guards against an exit beside a request that is half read."""
         (instance,) = self.start_fleet(1)
