caller_conn: a stop waits for requests and answers on their way

Callers of serve saw a connection closed without a byte for a request that was half read when its instance stopped, and the tail of a large answer missing if they read slowly: the process looked at searches and runs only, and dropped what its connections held.

An instance is idle once no request is being read and the kernel has all output. At answer_by of the stop requests that are half read get 503, not run; at the exit what is unsent is passed to the kernel with as much room as it needs, and the rest, if any, is logged (answer_cut).

test_a_request_that_is_arriving_is_answered failed before and passes. test_pages_are_read_to_their_end was wrong: of its 1,500 requests in one burst evhtp answers one at a time, as the reader takes them, so that at the end of the grace no answer to most of them existed. In its place test_a_large_answer_is_read_after_the_exit: an answer of 3.6 MB, not read before the process is gone (before: cut after 2.0 MB). test_a_request_that_never_arrives_is_refused failed before, too.

--- a/bench/generate.py
+++ b/bench/generate.py
@@ -314,6 +314,8 @@
     parser.add_argument("--records", type=int,
                         help="records per service in version 1; default 300, "
                              "or 10 per shard with --fanout if that is more")
+    parser.add_argument("--record-bytes", type=int, default=0,
+                        help="add so many bytes to each record's body")
     parser.add_argument("--version", type=int, default=1,
                         help="snapshot version that servers hold at startup")
     parser.add_argument("--base-port", type=int, default=0)
@@ -354,6 +356,9 @@
         for item in services:
             rng = random.Random("%d/%s" % (args.seed, item["name"]))
             rows = records(rng, market, item["name"], args.records)
+            if args.record_bytes:
+                for row in rows:
+                    row["body"]["note"] = "x" * args.record_bytes
             write_records(os.path.join(args.out, item["name"] + ".jsonl"),
                           rows)
     write_json(os.path.join(args.out, "servers.json"), {"servers": servers})
--- a/caller_conn.c
+++ b/caller_conn.c
@@ -1,11 +1,15 @@
+#define LOG_MODULE "caller"
 #include "caller_conn.h"
 
 #include <stdlib.h>
 
 #include <event2/buffer.h>
+#include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <utlist.h>
 
+#include "conn_end.h"
+#include "log.h"
 #include "mem.h"
 
 /* Connections above callers_max that get an error response, not a close. */
@@ -63,6 +67,11 @@
 	start_request_timer(conn);
 }
 
+static bool is_processing(const struct caller_conn *conn)
+{
+	return conn->evhtp->flags & EVHTP_CONN_FLAG_PAUSED;
+}
+
 /*
  * A client that sends a byte now and then never hits an idle timeout, and a
  * few hundred of them could occupy all connections indefinitely. This timeout
@@ -71,7 +80,7 @@
 static void on_request_timer(evutil_socket_t fd, short what, void *arg)
 {
 	struct caller_conn *conn = arg;
-	bool paused = conn->evhtp->flags & EVHTP_CONN_FLAG_PAUSED;
+	bool paused = is_processing(conn);
 
 	(void)fd;
 	(void)what;
@@ -220,8 +229,48 @@
 	evhtp_set_post_accept_cb(http, on_accept, conns);
 }
 
+bool caller_conns_are_idle(const struct caller_conns *conns)
+{
+	const struct caller_conn *conn;
+
+	DL_FOREACH (conns->open, conn) {
+		if (conn->evhtp->request || conn_unsent(conn->evhtp->bev) ||
+		    conn_has_input(conn->evhtp->bev))
+			return false;
+	}
+	return true;
+}
+
+void caller_conns_refuse_partial(struct caller_conns *conns)
+{
+	struct caller_conn *conn;
+	struct caller_conn *next;
+
+	DL_FOREACH_SAFE (conns->open, conn, next) {
+		evhtp_request_t *http = conn->evhtp->request;
+
+		if (!http || http->flags & EVHTP_REQ_FLAG_FINISHED ||
+		    is_processing(conn))
+			continue;
+		bufferevent_disable(conn->evhtp->bev, EV_READ);
+		evhtp_request_set_keepalive(http, 0);
+		conns->send_refusal(http, ERR_LEAVING);
+	}
+}
+
+static void end_conn(struct caller_conn *conn)
+{
+	struct bufferevent *bev = conn->evhtp->bev;
+	size_t unsent = conn_write_last(bev);
+
+	if (unsent)
+		LOG_WARN("answer_cut", LOG_U64("unsent_bytes", unsent));
+	conn_discard_input(bev);
+	evhtp_connection_free(conn->evhtp);
+}
+
 void caller_conns_finish(struct caller_conns *conns)
 {
 	while (conns->open)
-		evhtp_connection_free(conns->open->evhtp);
+		end_conn(conns->open);
 }
--- a/caller_conn.h
+++ b/caller_conn.h
@@ -5,6 +5,7 @@
 #ifndef CALLER_CONN_H
 #define CALLER_CONN_H
 
+#include <stdbool.h>
 #include <stdint.h>
 
 #include <evhtp.h>
@@ -35,8 +36,23 @@
 		       evhtp_t *http,
 		       void (*send_refusal)(evhtp_request_t *http, int code));
 
+/**
+ * caller_conns_are_idle() - whether no request is being read or processed, and
+ * all responses were passed to the kernel
+ */
+bool caller_conns_are_idle(const struct caller_conns *conns);
+
+/**
+ * caller_conns_refuse_partial() - answer requests that are still being read
+ *
+ * They have not run, and their callers can send them elsewhere.
+ */
+void caller_conns_refuse_partial(struct caller_conns *conns);
+
 /**
  * caller_conns_finish() - close all connections
+ *
+ * Passes what is unsent to the kernel, as far as it has room, without waiting.
  */
 void caller_conns_finish(struct caller_conns *conns);
 
--- a/lifecycle.c
+++ b/lifecycle.c
@@ -6,6 +6,7 @@
 
 #include <event2/event.h>
 
+#include "caller_conn.h"
 #include "log.h"
 
 #define STOP_CHECK_MS 20
@@ -22,7 +23,7 @@
 	blackboard_notify(board, BLACKBOARD_LIFECYCLE);
 }
 
-bool lifecycle_may_stop(const struct blackboard *board, bool home_idle)
+bool lifecycle_may_stop(const struct blackboard *board, bool idle)
 {
 	const struct tunables *tunables = blackboard_tunables(board);
 	int64_t now = clock_now(board->clock);
@@ -35,20 +36,32 @@
 	/* Others give its address to callers until they learn of the stop. */
 	return elapsed >= MSEC(tunables->address_lifetime_ms +
 			       tunables->leave_spread_ms) &&
-	       home_idle && !board->counters.searches_open.value &&
+	       idle && !board->counters.searches_open.value &&
 	       !board->counters.runs_open.value;
 }
 
 static void on_timer(evutil_socket_t fd, short what, void *arg)
 {
 	struct lifecycle_control *control = arg;
+	struct blackboard *board = control->board;
+	int64_t now = clock_now(board->clock);
+	bool idle;
 
 	(void)fd;
 	(void)what;
-	if (!lifecycle_may_stop(control->board, home_is_idle(control->home)))
+	/* What ends now is written before the next check. */
+	idle = home_is_idle(control->home) &&
+	       caller_conns_are_idle(control->callers);
+	if (now >= board->stop.answer_by)
+		caller_conns_refuse_partial(control->callers);
+	if (!lifecycle_may_stop(board, idle))
 		return;
-	control->board->lifecycle = LIFECYCLE_STOPPED;
-	event_base_loopexit(control->board->base, NULL);
+	LOG_INFO("stopping", LOG_I64("busy", !idle),
+		 LOG_I64("after_us", now - board->stop.since),
+		 LOG_I64("searches_open", board->counters.searches_open.value),
+		 LOG_I64("runs_open", board->counters.runs_open.value));
+	board->lifecycle = LIFECYCLE_STOPPED;
+	event_base_loopexit(board->base, NULL);
 }
 
 static void on_signal(evutil_socket_t fd, short what, void *arg)
@@ -69,10 +82,11 @@
 }
 
 void lifecycle_init(struct lifecycle_control *control, struct blackboard *board,
-		    const struct home *home)
+		    const struct home *home, struct caller_conns *callers)
 {
 	control->board = board;
 	control->home = home;
+	control->callers = callers;
 	control->term = evsignal_new(board->base, SIGTERM, on_signal, control);
 	control->interrupt =
 		evsignal_new(board->base, SIGINT, on_signal, control);
--- a/lifecycle.h
+++ b/lifecycle.h
@@ -16,12 +16,14 @@
 #include "blackboard.h"
 #include "home.h"
 
+struct caller_conns;
 struct event;
 
 /**
  * struct lifecycle_control - signal handlers and the stop check
  * @board: borrowed
  * @home: borrowed
+ * @callers: borrowed
  * @term: SIGTERM
  * @interrupt: SIGINT
  * @timer: periodic check once the instance is leaving
@@ -29,6 +31,7 @@
 struct lifecycle_control {
 	struct blackboard *board;
 	const struct home *home;
+	struct caller_conns *callers;
 	struct event *term;
 	struct event *interrupt;
 	struct event *timer;
@@ -39,9 +42,10 @@
  * @control: to be finished with lifecycle_finish()
  * @board: outlives @control
  * @home: outlives @control
+ * @callers: outlives @control
  */
 void lifecycle_init(struct lifecycle_control *control, struct blackboard *board,
-		    const struct home *home);
+		    const struct home *home, struct caller_conns *callers);
 void lifecycle_finish(struct lifecycle_control *control);
 
 /**
@@ -56,8 +60,9 @@
 /**
  * lifecycle_may_stop() - whether a leaving instance may exit now
  * @board: its lifecycle and counters of work in flight are read
- * @home_idle: no query of an entry is open at this home
+ * @idle: no query of an entry is open at this home, and no request or response
+ *	on a caller's connection
  */
-bool lifecycle_may_stop(const struct blackboard *board, bool home_idle);
+bool lifecycle_may_stop(const struct blackboard *board, bool idle);
 
 #endif
--- a/serve.c
+++ b/serve.c
@@ -80,7 +80,8 @@
 	poison_net_init(&instance->poison, board, &instance->peers);
 	run_net_init(&instance->runs, board, &instance->peers);
 	loop_lag_init(&instance->loop, board, on_loop_tick, instance);
-	lifecycle_init(&instance->lifecycle, board, &instance->home.home);
+	lifecycle_init(&instance->lifecycle, board, &instance->home.home,
+		       &instance->caller.conns);
 	ret = caller_init(&instance->caller, board, &instance->entry,
 			  &instance->runs);
 	if (ret)
