gateway_fleet: stop at the first other instance that is ready

During a stop each request asks whether another instance can take it, and since each that is open at the signal, too. That listed and copied all members: 1,200 of them for each request at the size this goes to. It ends with the first one now. No change of behaviour; test_stops passes.

--- a/gateway_fleet.c
+++ b/gateway_fleet.c
@@ -421,21 +421,41 @@
 	       state->routes_version;
 }
 
+static void describe_candidate(const struct gateway_fleet *fleet,
+			       const struct fleet_member *member,
+			       struct str host, struct directory_candidate *out)
+{
+	const struct gateway_fleet_config *config = &fleet->config;
+	const struct route_set *routes = config->sync->routes;
+
+	memcpy(out->instance, member->instance, FLEET_NAME_SIZE);
+	memcpy(out->data_centre, member->data_centre, FLEET_NAME_SIZE);
+	out->region =
+		regions_find(&config->settings->regions, member->data_centre);
+	out->region_allowed =
+		!routes || route_set_allows(routes, host, out->region);
+	out->address = member->caller_address;
+	out->capacity = member->capacity;
+	out->ready = gateway_fleet_is_ready(fleet, member);
+}
+
 bool gateway_fleet_has_ready_peer(const struct gateway_fleet *fleet,
 				  struct str host)
 {
-	struct directory_candidate *candidates;
-	int n = gateway_fleet_list_candidates(fleet, host, &candidates);
-	bool found = false;
-	int i;
+	const struct fleet_member *member = fleet->board.fleet.members;
+
+	for (; member; member = member->hh.next) {
+		struct directory_candidate candidate;
 
-	for (i = 0; i < n && !found; i++)
-		found = candidates[i].ready && candidates[i].region_allowed &&
-			candidates[i].address.port &&
-			strcmp(candidates[i].instance,
-			       fleet->settings.instance) != 0;
-	free(candidates);
-	return found;
+		if (member->status != FLEET_ALIVE ||
+		    !strcmp(member->instance, fleet->settings.instance))
+			continue;
+		describe_candidate(fleet, member, host, &candidate);
+		if (candidate.ready && candidate.region_allowed &&
+		    candidate.address.port)
+			return true;
+	}
+	return false;
 }
 
 int gateway_fleet_list_candidates(const struct gateway_fleet *fleet,
@@ -448,24 +468,8 @@
 
 	*out = mem_zalloc((n_members + 1) * sizeof(**out));
 	for (; member; member = member->hh.next) {
-		struct directory_candidate *candidate = &(*out)[n];
-
-		if (member->status != FLEET_ALIVE)
-			continue;
-		memcpy(candidate->instance, member->instance, FLEET_NAME_SIZE);
-		memcpy(candidate->data_centre, member->data_centre,
-		       FLEET_NAME_SIZE);
-		candidate->region =
-			regions_find(&fleet->config.settings->regions,
-				     member->data_centre);
-		candidate->region_allowed =
-			!fleet->config.sync->routes ||
-			route_set_allows(fleet->config.sync->routes, host,
-					 candidate->region);
-		candidate->address = member->caller_address;
-		candidate->capacity = member->capacity;
-		candidate->ready = gateway_fleet_is_ready(fleet, member);
-		n++;
+		if (member->status == FLEET_ALIVE)
+			describe_candidate(fleet, member, host, &(*out)[n++]);
 	}
 	return n;
 }
