tests: a relayed part that got its turn in a stop, failing

An entry sends parts to a relay, which queues one, as its server is busy. The relay is told to stop: server_queues_limit_time() moves the deadline of the queued send to the end of the stop, but its job isn't marked as shortened. The send gets its turn and its server works on past that end. The exchange times out at it, up to 20 ms before the check that would end the job with ERR_LEAVING, and on_result() passes ERR_SILENT on.

The entry, which has time left, takes the server for silent (server_result_of()), and its score falls for what the relay's end caused. The same holds for ERR_TOO_LATE and for a queued send that is dropped.

Fails on: code is ERR_SILENT, not ERR_LEAVING.

--- a/tests/test_relay_serve.c
+++ b/tests/test_relay_serve.c
@@ -325,6 +325,43 @@
 	tear_down(&fixture);
 }
 
+/*
+ * Guards against calling a server slow that got a part from the queue during a
+ * stop, as the entry has more time for it than this instance.
+ */
+static void test_limit_of_a_queued_part_is_no_fault_of_the_server(void)
+{
+	const struct exchange_result silent = {.code = ERR_SILENT,
+					       .stamp = STR("")};
+	const Peer__PartResult *message;
+	struct fixture fixture;
+	struct frame frame;
+	int64_t until;
+
+	set_up(&fixture);
+	ask(&fixture, SENDS);
+	CU_ASSERT_EQUAL_FATAL(fixture.n_sent, AT_WORK);
+	/* As gateway_stop() does. */
+	until = clock_now(&fixture.clock) + MSEC(1000);
+	server_queues_limit_time(&fixture.queues, until);
+	relay_serve_limit_time(&fixture.relay, until);
+	fixture.n_sent = 0;
+	server_queue_capacity_freed(&fixture.queues, fixture.server);
+	CU_ASSERT_EQUAL_FATAL(fixture.n_sent, 1);
+	/* Only if it is sent with the time of this instance. */
+	if (fixture.deadline == until) {
+		clock_advance(&fixture.clock, MSEC(1000));
+		server_job_done(fixture.sent, &silent);
+		peers_flush(&fixture.peers);
+		CU_ASSERT_FATAL(receive(&fixture, &frame));
+		message = (const Peer__PartResult *)frame.message;
+		check_part(message, 0, ERR_LEAVING, false);
+		frame_finish(&frame);
+	}
+	finish(&fixture);
+	tear_down(&fixture);
+}
+
 static const struct unit_test tests[] = {
 	{"an exit returns unfinished jobs", test_exit_returns_jobs},
 	{"no jobs are taken after the end", test_no_jobs_after_the_end},
@@ -333,6 +370,8 @@
 	 test_too_little_time},
 	{"limit of a job is no fault of its server",
 	 test_limit_is_no_fault_of_the_server},
+	{"limit of a queued part is no fault of its server",
+	 test_limit_of_a_queued_part_is_no_fault_of_the_server},
 };
 
 UNIT_MAIN("relay_serve", tests)
