relay_serve: a stop shortens jobs that are open as well

Found by the review.

relay_serve_limit_time() limits and marks open jobs, too. test_relay_serve, limit of a queued part, failed before (ERR_SILENT in place of ERR_LEAVING). The test is the reviewer's; its condition is an assertion now.

--- a/relay_serve.c
+++ b/relay_serve.c
@@ -240,6 +240,14 @@
 		done->cold_for_ms = (uint32_t)(left / USEC_PER_MSEC);
 }
 
+static void limit_job(struct relay_job *job)
+{
+	if (job->deadline <= job->relay->time_limit)
+		return;
+	job->deadline = job->relay->time_limit;
+	job->shortened = true;
+}
+
 /* An entry has more time than a shortened job, for another send of the part. */
 static int get_entry_code(const struct relay_job *job, int code)
 {
@@ -382,10 +390,7 @@
 	job->rank.send_by = INT64_MAX;
 	job->rank.goal_at = now + MSEC((int64_t)message->goal_ms) - held;
 	job->deadline = now + MSEC((int64_t)message->deadline_ms) - held;
-	if (job->deadline > job->relay->time_limit) {
-		job->deadline = job->relay->time_limit;
-		job->shortened = true;
-	}
+	limit_job(job);
 	job->connections_max = message->connections_max;
 }
 
@@ -508,7 +513,11 @@
 
 void relay_serve_limit_time(struct relay_serve *relay, int64_t until)
 {
+	struct relay_job *job;
+
 	relay->time_limit = until;
+	DL_FOREACH (relay->jobs, job)
+		limit_job(job);
 }
 
 static void end_send(struct job_send *send)
--- a/relay_serve.h
+++ b/relay_serve.h
@@ -64,11 +64,13 @@
 bool relay_serve_is_idle(const struct relay_serve *relay);
 
 /**
- * relay_serve_limit_time() - end sends of new jobs by a given time
+ * relay_serve_limit_time() - end the time of all jobs, also of new ones, by a
+ * given time
  * @relay: the jobs
  * @until: microseconds
  *
- * Sends that are expected to take longer are returned at once, as not run.
+ * Sends of new jobs that are expected to take longer are returned at once, as
+ * not run.
  */
 void relay_serve_limit_time(struct relay_serve *relay, int64_t until);
 
--- a/tests/test_relay_serve.c
+++ b/tests/test_relay_serve.c
@@ -325,10 +325,7 @@
 	tear_down(&fixture);
 }
 
-/*
- * Guards against calling a server slow that got a part from the queue during a
- * stop, as the entry has more time for it than this instance.
- */
+/* Guards against calling a server slow whose part waited for the relay. */
 static void test_limit_of_a_queued_part_is_no_fault_of_the_server(void)
 {
 	const struct exchange_result silent = {.code = ERR_SILENT,
@@ -348,16 +345,14 @@
 	fixture.n_sent = 0;
 	server_queue_capacity_freed(&fixture.queues, fixture.server);
 	CU_ASSERT_EQUAL_FATAL(fixture.n_sent, 1);
-	/* Only if it is sent with the time of this instance. */
-	if (fixture.deadline == until) {
-		clock_advance(&fixture.clock, MSEC(1000));
-		server_job_done(fixture.sent, &silent);
-		peers_flush(&fixture.peers);
-		CU_ASSERT_FATAL(receive(&fixture, &frame));
-		message = (const Peer__PartResult *)frame.message;
-		check_part(message, 0, ERR_LEAVING, false);
-		frame_finish(&frame);
-	}
+	CU_ASSERT_EQUAL(fixture.deadline, until);
+	clock_advance(&fixture.clock, MSEC(1000));
+	server_job_done(fixture.sent, &silent);
+	peers_flush(&fixture.peers);
+	CU_ASSERT_FATAL(receive(&fixture, &frame));
+	message = (const Peer__PartResult *)frame.message;
+	check_part(message, 0, ERR_LEAVING, false);
+	frame_finish(&frame);
 	finish(&fixture);
 	tear_down(&fixture);
 }
