tests: a search whose home ends its job before the exit, failing

An entry has time for a search, part of which runs at a home that stops. At answer_by the home takes its own end for the search's deadline: tick_query() cancels the job, the server answers 499 at once (docs/PROTOCOL.md), and the result goes to the entry with ERR_CANCELLED. A job that the home starts during its stop carries the cut deadline to its server, which answers 504: ERR_TOO_LATE.

is_retryable() of policy.c is false for both, so the entry gives the shard up though another home or replica could answer. Queued jobs are mended in by too_late_error(); jobs that run aren't.

Fails on: ERR_CANCELLED and ERR_TOO_LATE, not ERR_LEAVING.

--- a/tests/test_home.c
+++ b/tests/test_home.c
@@ -380,6 +380,32 @@
 	tear_down(&fixture);
 }
 
+/*
+ * Guards against an entry that gives up a shard, as a home that stops reports
+ * the end of its own time as that of the search: entries repeat neither
+ * ERR_CANCELLED nor ERR_TOO_LATE.
+ */
+static void test_entry_may_ask_again_after_a_stop(void)
+{
+	static const int codes[] = {ERR_CANCELLED, ERR_TOO_LATE};
+	struct fixture fixture;
+	size_t i;
+
+	for (i = 0; i < sizeof(codes) / sizeof(*codes); i++) {
+		set_up(&fixture);
+		set_share(&fixture, "b1", 1);
+		send_query_to_one(&fixture, &link_a, 1, 9000);
+		stop(&fixture, MSEC(2000));
+		advance_to(&fixture, fixture.board.stop.answer_by);
+		CU_ASSERT_EQUAL(fixture.n_cancelled, 1);
+		/* Status 499 of a server that was told, or 504. */
+		finish_oldest_job(&fixture, codes[i], true);
+		home_flush(&fixture.home);
+		CU_ASSERT_EQUAL(result_code(&fixture, 1), ERR_LEAVING);
+		tear_down(&fixture);
+	}
+}
+
 /* A cancelled job keeps its slot until home_job_done(). */
 static void test_deadline_while_running(void)
 {
@@ -696,6 +722,8 @@
 	{"deadline while running", test_deadline_while_running},
 	{"queries end before the exit", test_queries_end_before_the_exit},
 	{"own deadline during a stop", test_own_deadline_during_a_stop},
+	{"entry may ask again after a stop",
+	 test_entry_may_ask_again_after_a_stop},
 	{"cancel queued and running", test_cancel_queued_and_running},
 	{"cancel of another entry", test_cancel_of_another_entry},
 	{"link lost", test_link_lost},
