tests: a query to a home between its last answers and its exit, failing

From answer_by to exit_at (0.125 s with stop_max_ms 2000, up to 0.5 s) links are open and entries that haven't learned of the stop still send queries. Such a query's deadline is cut to answer_by, which has passed. too_late_error() compares the clock with this cut deadline and takes it for the entry's own: the entry gets ERR_TOO_LATE, which it doesn't repeat (is_retryable()), and gives the shard up. run.c is not affected, as ERR_TOO_LATE is repeated there.

Fails on: ERR_TOO_LATE, not ERR_LEAVING.

--- a/tests/test_home.c
+++ b/tests/test_home.c
@@ -406,6 +406,22 @@
 	}
 }
 
+/* Guards against the same for a query that arrives just before the exit. */
+static void test_query_after_the_last_answers(void)
+{
+	struct fixture fixture;
+
+	set_up(&fixture);
+	set_share(&fixture, "b1", 1);
+	stop(&fixture, MSEC(2000));
+	advance_to(&fixture, fixture.board.stop.answer_by);
+	send_query_to_one(&fixture, &link_a, 1, 9000);
+	home_flush(&fixture.home);
+	CU_ASSERT_EQUAL(fixture.n_started, 0);
+	CU_ASSERT_EQUAL(result_code(&fixture, 1), ERR_LEAVING);
+	tear_down(&fixture);
+}
+
 /* A cancelled job keeps its slot until home_job_done(). */
 static void test_deadline_while_running(void)
 {
@@ -724,6 +740,7 @@
 	{"own deadline during a stop", test_own_deadline_during_a_stop},
 	{"entry may ask again after a stop",
 	 test_entry_may_ask_again_after_a_stop},
+	{"query after the last answers", test_query_after_the_last_answers},
 	{"cancel queued and running", test_cancel_queued_and_running},
 	{"cancel of another entry", test_cancel_of_another_entry},
 	{"link lost", test_link_lost},
