home: say whose time has ended, the home's or the search's

An entry with time left gave a shard up when the home that ran a part of it stopped: at answer_by the home took its own end for the search's deadline and reported cancelled or too_late, which no entry repeats. The same came of a query that arrived between answer_by and the exit. Found by the review.

A query keeps its entry's deadline beside the one that is cut. What ends before the former is reported as leaving, but for runs that were sent: these may have run, and leaving says not run.

test_home, entry may ask again after a stop, and query after the last answers (the reviewer's): failed before, pass.

--- a/home.c
+++ b/home.c
@@ -114,11 +114,19 @@
 	const struct blackboard *board = query->home->board;
 
 	if (stop_plan_is_stopping(&board->stop) &&
-	    clock_now(board->clock) < query->deadline_at)
+	    clock_now(board->clock) < query->asked_until)
 		return ERR_LEAVING;
 	return ERR_TOO_LATE;
 }
 
+/* A run that was sent may have run, which ERR_LEAVING would deny. */
+static int end_error(const struct home_query *query, int code)
+{
+	if (query->run || (code != ERR_TOO_LATE && code != ERR_CANCELLED))
+		return code;
+	return too_late_error(query) == ERR_LEAVING ? ERR_LEAVING : code;
+}
+
 /* Only jobs that were never sent are dropped. */
 static void on_drop(void *ctx, struct slot_item *item, int code)
 {
@@ -409,11 +417,11 @@
 	query->link = link;
 	query->message = message;
 	query->run = run;
+	query->asked_until = clock_now(home->board->clock) -
+			     blackboard_stall(home->board) +
+			     MSEC(message->deadline_ms);
 	query->deadline_at =
-		stop_plan_deadline(&home->board->stop,
-				   clock_now(home->board->clock) -
-					   blackboard_stall(home->board) +
-					   MSEC(message->deadline_ms));
+		stop_plan_deadline(&home->board->stop, query->asked_until);
 	query->n_jobs = (int)message->n_parts;
 	query->n_pending = query->n_jobs;
 	query->jobs = mem_zalloc((size_t)query->n_jobs * sizeof(*query->jobs));
@@ -567,7 +575,7 @@
 	poison_end(&home->board->poison, &job->poison, !code);
 	server->in_flight--;
 	metric_add(&home->board->counters.home_in_flight, -1);
-	finish_job(job, code);
+	finish_job(job, end_error(job->query, code));
 	start_queued_jobs(home, server);
 }
 
@@ -708,7 +716,7 @@
 	int i;
 
 	if (time >= query->deadline_at) {
-		abort_query(query, ERR_TOO_LATE);
+		abort_query(query, too_late_error(query));
 		return;
 	}
 	schedule_tick(home, query->deadline_at);
--- a/home.h
+++ b/home.h
@@ -97,7 +97,9 @@
  * @link: connection that results are sent to; NULL once it is closed
  * @message: the query, owned; built from @run if that is set
  * @run: a non-repeatable request, owned; NULL for a search
- * @deadline_at: microseconds
+ * @asked_until: deadline of its entry, microseconds
+ * @deadline_at: earlier than @asked_until if the process ends before,
+ *	microseconds
  * @jobs: one for each part, owned
  * @n_jobs: entries in @jobs
  * @n_pending: jobs that are queued or running
@@ -110,6 +112,7 @@
 	void *link;
 	Peer__Query *message;
 	Peer__Run *run;
+	int64_t asked_until;
 	int64_t deadline_at;
 	struct home_job *jobs;
 	int n_jobs;
--- a/tests/test_home.c
+++ b/tests/test_home.c
@@ -380,11 +380,7 @@
 	tear_down(&fixture);
 }
 
-/*
- * Guards against an entry that gives up a shard, as a home that stops reports
- * the end of its own time as that of the search: entries repeat neither
- * ERR_CANCELLED nor ERR_TOO_LATE.
- */
+/* Guards against an entry that gives up a shard as its home stops. */
 static void test_entry_may_ask_again_after_a_stop(void)
 {
 	static const int codes[] = {ERR_CANCELLED, ERR_TOO_LATE};
