tests: orders that wait while the loop is late at a stop's end, failing

60 orders wait at an instance for 24 slots. It is told to stop (stop_max_ms 2000) and its event loop stands still for 0.16 s, from before start_by (1.65 s) to after answer_by (1.75 s), and so well before the end of the stop. All 60 callers get 504 with outcome unknown; 36 of the orders never left the queue, and 503 with not_run is true of them.

Both times have passed when the loop goes on: run_tick() of the issuer answers all waiters with ERR_UNKNOWN before the home's home_tick() drops its queue with ERR_LEAVING and the results are back. Between the two there are at most 100 ms (START_LEAD_MAX), 12.5 ms with a grace of 0.1 s, and the result of the home takes a frame over a link even if it is in the same process. What remains until exit_at (125 ms) isn't used.

--- a/tests/test_serve_stop.py
+++ b/tests/test_serve_stop.py
@@ -23,6 +23,8 @@
 SERVICE = "fanout"
 STOP_MAX_MS = 2000
 DEADLINE_MS = 6000
+REPLICAS = 2
+SLOTS = 12
 # Longer than any deadline.
 SLOW_US = 8000000
 # Requests have reached a server by then.
@@ -64,8 +66,8 @@
         bench = experiment.Bench("serve_stop", BUILD, out.name)
         self.addCleanup(bench.finish)
         self.deployment = bench.deployment(
-            "--fanout", 2, "--replicas", 2, "--data-centres", 1,
-            "--service-us", 0, "--connect-cost-us", 0, "--slots", 12,
+            "--fanout", 2, "--replicas", REPLICAS, "--data-centres", 1,
+            "--service-us", 0, "--connect-cost-us", 0, "--slots", SLOTS,
             "--deadline-ms", DEADLINE_MS,
             "--tunable", "address_lifetime_ms=100",
             "--tunable", "leave_spread_ms=0",
@@ -151,6 +153,27 @@
                     for asker in askers]
         self.assertEqual(set(outcomes), {"unknown", "not_run"}, outcomes)
 
+    def test_a_late_loop_leaves_no_doubt_about_orders_that_wait(self):
+        """Guards against orders known not to have run that are answered as
+        unknown, as the process stood still for a moment at its last start."""
+        (instance,) = self.start_fleet(1)
+        tickets = [self.ticket(instance) for _ in range(60)]
+        self.slow_down()
+        askers = [self.order(instance, ticket) for ticket in tickets]
+        time.sleep(HEAD_START_S)
+        instance.ask_to_stop()
+        # From before the last start, 1.65 s, to after the last answer, 1.75 s.
+        time.sleep(1.62)
+        instance.child.send_signal(signal.SIGSTOP)
+        time.sleep(0.16)
+        instance.child.send_signal(signal.SIGCONT)
+        self.assertEqual(instance.child.wait(10), 0)
+        outcomes = [self.check_whole(asker, instance)["outcome"]
+                    for asker in askers]
+        # All orders are for one shard.
+        self.assertLessEqual(outcomes.count("unknown"), REPLICAS * SLOTS)
+        self.assertEqual(set(outcomes), {"unknown", "not_run"}, outcomes)
+
     def test_searches_of_others_are_answered(self):
         """Guards against searches at other instances that fail because one
         with parts of them stops."""
