run_net: answer runs after the homes have reported, not with them

60 orders waited for 24 slots of an instance that stopped, and whose loop stood still for 0.16 s across start_by and answer_by: all 60 callers were told unknown, where 36 orders had never left the queue. Both times had passed when the loop went on, and the runs were answered before the home's results were back.

Runs that no result is known of are answered halfway between answer_by, at which homes end, and the exit: 62 ms later with stop_max_ms 2000. A loop that stands still for longer than start_by to there, 0.16 s of 2 s and up to 0.35 s of longer stops, still leaves callers in doubt.

--- a/run_net.c
+++ b/run_net.c
@@ -320,6 +320,12 @@
 	net->runs.calls_max = (int)tunables->run_max;
 }
 
+/* After answer_by, at which homes report what they end: these know more. */
+static int64_t last_answer(const struct stop_plan *stop)
+{
+	return stop->answer_by + (stop->exit_at - stop->answer_by) / 2;
+}
+
 static void on_lifecycle(void *arg)
 {
 	struct run_net *net = arg;
@@ -327,7 +333,8 @@
 
 	if (!stop_plan_is_stopping(&board->stop))
 		return;
-	run_stop(&net->runs, blackboard_start_by(board), board->stop.answer_by);
+	run_stop(&net->runs, blackboard_start_by(board),
+		 last_answer(&board->stop));
 	wake_timer_arm(&net->timer, run_tick(&net->runs));
 }
 
