tests: an order passed on to its issuer after the last answers, failing

From answer_by to exit_at an instance still reads requests. An order under a ticket of another instance is forwarded with its whole time (accept_request(), forward()), and run_tick() then answers its caller with ERR_UNKNOWN at once, as the waiter's deadline has passed. The order runs, and its caller is in doubt about it for nothing. Searches are refused from start_by on (prepare() of search.c) and orders under own tickets aren't sent (try_next()); forward() alone has no such check.

Fails on: one forward, none expected.

--- a/tests/test_run.c
+++ b/tests/test_run.c
@@ -381,6 +381,25 @@
 #define OTHER_TICKET "1-000000000000002b-0000000000000001-0000000000000001-b"
 #define FORMER_TICKET "1-000000000000002b-0000000000000001-0000000000000001-a"
 
+/*
+ * Guards against an order that is passed on to its issuer when its caller can't
+ * be told of it any more: it runs, and the caller is left in doubt.
+ */
+static void test_no_forward_at_the_end_of_a_stop(void)
+{
+	struct fixture_waiter waiter;
+	struct fixture fixture;
+
+	fixture_init(&fixture);
+	run_stop(&fixture.runs, MSEC(101), MSEC(151));
+	fixture_advance_to(&fixture, MSEC(151));
+	fixture_accept_text(&fixture, &waiter, OTHER_TICKET);
+	run_tick(&fixture.runs);
+	CU_ASSERT_EQUAL(waiter.calls, 1);
+	CU_ASSERT_EQUAL(fixture.forwards, 0);
+	fixture_finish(&fixture);
+}
+
 /* The issuer is gone or restarted: the outcome is unknown. */
 static void test_issuer_gone(void)
 {
@@ -529,6 +548,8 @@
 	{"runs end before the exit", test_runs_end_before_the_exit},
 	{"no run at the end of a stop", test_no_run_at_the_end_of_a_stop},
 	{"run during a stop", test_run_during_a_stop},
+	{"no forward at the end of a stop",
+	 test_no_forward_at_the_end_of_a_stop},
 };
 
 UNIT_MAIN("run", tests)
