run: forward no order that its caller can't be told of

From answer_by of a stop to the exit an order under a ticket of another instance was passed on with its whole time, and its caller answered with an unknown outcome at once: it ran, and left the caller in doubt for nothing. Searches and own tickets were checked, forward() alone was not. Found by the review.

The issuer gets the time that remains until start_by, so that its answer arrives before the last ones here; with none left the caller is told at once that the issuer can't be reached, and may send the same ticket again.

test_run, no forward at the end of a stop (the reviewer's) failed before; forward during a stop failed before, too (400 ms, not 100).

--- a/run.c
+++ b/run.c
@@ -330,20 +330,24 @@
 		    const struct run_message *request,
 		    struct run_waiter *waiter)
 {
+	int64_t left = earlier(waiter->deadline, tracker->start_by) -
+		       clock_now(tracker->clock);
+	struct run_message limited = *request;
 	struct run_call *call;
 	int ret;
 
-	if (tracker->n_calls >= tracker->calls_max) {
+	if (tracker->n_calls >= tracker->calls_max || left < USEC_PER_MSEC) {
 		reply_code(waiter, ERR_UNAVAILABLE, RETRY_AFTER_MS);
 		return;
 	}
+	limited.deadline_ms = (uint32_t)(left / USEC_PER_MSEC);
 	call = add_call(tracker);
 	call->waiter = waiter;
 	waiter->call = call;
 	call->deadline = waiter->deadline;
 	call->peer = mem_dup_len(id->instance.data, id->instance.len);
 	ret = tracker->ops->forward(tracker->ctx, call->id, id->instance,
-				    request);
+				    &limited);
 	if (!ret)
 		return;
 	drop_call(tracker, call);
--- a/tests/test_run.c
+++ b/tests/test_run.c
@@ -62,7 +62,7 @@
 	struct fixture *fixture = ctx;
 
 	(void)issuer;
-	(void)request;
+	fixture->deadline_ms = request->deadline_ms;
 	fixture->forwards++;
 	fixture->id = id;
 	return 0;
@@ -381,10 +381,21 @@
 #define OTHER_TICKET "1-000000000000002b-0000000000000001-0000000000000001-b"
 #define FORMER_TICKET "1-000000000000002b-0000000000000001-0000000000000001-a"
 
-/*
- * Guards against an order that is passed on to its issuer when its caller can't
- * be told of it any more: it runs, and the caller is left in doubt.
- */
+/* Guards against an issuer that has more time than who waits for it. */
+static void test_forward_during_a_stop(void)
+{
+	struct fixture_waiter waiter;
+	struct fixture fixture;
+
+	fixture_init(&fixture);
+	run_stop(&fixture.runs, MSEC(101), MSEC(151));
+	fixture_accept_text(&fixture, &waiter, OTHER_TICKET);
+	CU_ASSERT_EQUAL(fixture.forwards, 1);
+	CU_ASSERT_EQUAL(fixture.deadline_ms, 100);
+	fixture_finish(&fixture);
+}
+
+/* Guards against an order that runs when its caller is told nothing of it. */
 static void test_no_forward_at_the_end_of_a_stop(void)
 {
 	struct fixture_waiter waiter;
@@ -396,6 +407,7 @@
 	fixture_accept_text(&fixture, &waiter, OTHER_TICKET);
 	run_tick(&fixture.runs);
 	CU_ASSERT_EQUAL(waiter.calls, 1);
+	CU_ASSERT_EQUAL(run_outcome(waiter.code), RUN_UNKNOWN);
 	CU_ASSERT_EQUAL(fixture.forwards, 0);
 	fixture_finish(&fixture);
 }
@@ -548,6 +560,7 @@
 	{"runs end before the exit", test_runs_end_before_the_exit},
 	{"no run at the end of a stop", test_no_run_at_the_end_of_a_stop},
 	{"run during a stop", test_run_during_a_stop},
+	{"forward during a stop", test_forward_during_a_stop},
 	{"no forward at the end of a stop",
 	 test_no_forward_at_the_end_of_a_stop},
 };
