stop_log: name what a stop of serve ends or cuts

Operators of serve saw only `leaving` and `stopping` of an instance that was stopped: nothing told which searches and runs had ended for it, where they were then, or whether they could have run. Gateways have such lines.

`request_ended` for each search and run that ends before its own deadline since the process stops, also of another instance's callers (`peer`); `request_cut` for what is open when the process is gone. A home logs each job that it returns as leaving or stops waiting for (`job_ended`) and that is open at the end (`job_cut`). Counters have the names of the gateway's; `stopping` tells the numbers ended. `answer_cut` has the caller's address.

Whether the stop is the cause is decided by searches (search_ended_by_stop()) and the tracker of runs (run_ended_by_stop()) from the deadline that a request would have had. Runs know where they were sent last (run_asked()), so a call is dropped after its waiters have been answered, not before.

--- a/caller.c
+++ b/caller.c
@@ -17,6 +17,7 @@
 #include "operator_pages.h"
 #include "request.h"
 #include "run_trace.h"
+#include "stop_log.h"
 
 #define LISTEN_BACKLOG 1024
 #define RETRY_AFTER_DEFAULT_MS 100
@@ -26,12 +27,14 @@
  * @http: NULL once the caller's connection is closed
  * @paused: reading from the connection is paused until the response
  * @answered: the outcome is known
+ * @cut: the connection was closed because the process ends
  */
 struct pending_search {
 	struct caller *caller;
 	evhtp_request_t *http;
 	bool paused;
 	bool answered;
+	bool cut;
 };
 
 static void add_header(evhtp_request_t *http, const char *key,
@@ -101,12 +104,18 @@
 	return false;
 }
 
+static bool is_stopped(const struct caller *caller)
+{
+	return caller->board->lifecycle == LIFECYCLE_STOPPED;
+}
+
 static evhtp_res on_request_fini(evhtp_request_t *http, void *arg)
 {
 	struct pending_search *pending = arg;
 
 	(void)http;
 	pending->http = NULL;
+	pending->cut = is_stopped(pending->caller);
 	if (pending->answered)
 		free(pending);
 	return EVHTP_RES_OK;
@@ -118,10 +127,14 @@
 	evhtp_request_t *http = pending->http;
 
 	pending->answered = true;
+	if (pending->cut)
+		stop_log_search_cut(search);
 	if (!http) {
 		free(pending);
 		return;
 	}
+	if (search_ended_by_stop(search))
+		stop_log_search_ended(search);
 	if (answer_status(search->code, search->maybe_ran) == 503 &&
 	    !search->retry_after_ms)
 		search->retry_after_ms = RETRY_AFTER_DEFAULT_MS;
@@ -226,6 +239,36 @@
 	bool answered;
 };
 
+static void fill_stop_log(const struct pending_run *pending,
+			  struct stop_log_run *out)
+{
+	*out = (struct stop_log_run){
+		.waiter = &pending->wait,
+		.request_id = str_from(pending->trace.request_id),
+		.service = str_from(pending->trace.service),
+	};
+}
+
+static void log_run_cut(struct pending_run *pending)
+{
+	struct stop_log_run run;
+
+	pending->wait.asked = run_asked(&pending->wait);
+	fill_stop_log(pending, &run);
+	stop_log_run_cut(pending->caller->board, &run);
+}
+
+static void log_run_ended(const struct pending_run *pending, int code)
+{
+	const struct caller *caller = pending->caller;
+	struct stop_log_run run;
+
+	if (!run_ended_by_stop(&caller->runs->runs, &pending->wait, code))
+		return;
+	fill_stop_log(pending, &run);
+	stop_log_run_ended(caller->board, &run, code);
+}
+
 /*
  * If the caller disconnects, the run continues: a request with the same ticket
  * can still get its outcome.
@@ -236,6 +279,8 @@
 
 	(void)http;
 	if (!pending->answered) {
+		if (is_stopped(pending->caller))
+			log_run_cut(pending);
 		run_abandon(&pending->wait);
 		metric_add(&pending->caller->board->counters.runs_open, -1);
 	}
@@ -260,6 +305,7 @@
 	pending->answered = true;
 	count_run(&pending->caller->board->counters, answer->code);
 	run_trace_end(&pending->trace, pending->caller->board, answer);
+	log_run_ended(pending, answer->code);
 	send_run_answer(pending->http, pending->trace.request_id, answer);
 	if (pending->paused)
 		evhtp_request_resume(pending->http);
--- a/caller_conn.c
+++ b/caller_conn.c
@@ -1,6 +1,7 @@
 #define LOG_MODULE "caller"
 #include "caller_conn.h"
 
+#include <arpa/inet.h>
 #include <stdlib.h>
 
 #include <event2/buffer.h>
@@ -258,13 +259,27 @@
 	}
 }
 
+static void log_answer_cut(const struct caller_conn *conn, size_t unsent)
+{
+	const struct sockaddr_in *sin =
+		(const struct sockaddr_in *)conn->evhtp->saddr;
+	struct address caller = {.port = ntohs(sin->sin_port)};
+	char text[ADDRESS_TEXT_SIZE];
+
+	inet_ntop(AF_INET, &sin->sin_addr, caller.ip, sizeof(caller.ip));
+	address_format(&caller, text, sizeof(text));
+	metric_inc(&conn->conns->board->counters.answers_cut);
+	LOG_WARN("answer_cut", LOG_TEXT("caller", text),
+		 LOG_U64("unsent_bytes", unsent));
+}
+
 static void end_conn(struct caller_conn *conn)
 {
 	struct bufferevent *bev = conn->evhtp->bev;
 	size_t unsent = conn_write_last(bev);
 
 	if (unsent)
-		LOG_WARN("answer_cut", LOG_U64("unsent_bytes", unsent));
+		log_answer_cut(conn, unsent);
 	conn_discard_input(bev);
 	evhtp_connection_free(conn->evhtp);
 }
--- a/counters.h
+++ b/counters.h
@@ -107,7 +107,16 @@
 	  "garnetreach_member_datagrams_bad_total", "malformed heartbeats")    \
 	X(table_pull_timeouts, METRIC_COUNTER,                                 \
 	  "garnetreach_table_pull_timeouts_total",                             \
-	  "tables requested from peers and not received in time")
+	  "tables requested from peers and not received in time")              \
+	X(stop_ended, METRIC_COUNTER, "garnetreach_stop_ended_total",          \
+	  "requests ended before their deadline, as the process ends")         \
+	X(cut, METRIC_COUNTER, "garnetreach_requests_cut_total",               \
+	  "requests without an answer when the process ended")                 \
+	X(answers_cut, METRIC_COUNTER, "garnetreach_answers_cut_total",        \
+	  "answers not passed to the kernel when the process ended")           \
+	X(home_stop_ended, METRIC_COUNTER,                                     \
+	  "garnetreach_home_stop_ended_total",                                 \
+	  "requests to backend servers that a stopping home ended")
 
 #define COUNTER_MEMBER(member, kind, name, help) struct metric member;
 /* The metrics of COUNTER_LIST, registered in that order. */
--- a/home.c
+++ b/home.c
@@ -41,13 +41,47 @@
 	free(query);
 }
 
+/* One list of members for both events; their names have to be constants. */
+#define JOB_FIELDS(job, now)                                                   \
+	LOG_TEXT("request", (job)->query->message->request_id),                \
+		LOG_TEXT("service", (job)->query->message->service),           \
+		LOG_TEXT("server", (job)->server ? (job)->server->name : "-"), \
+		LOG_I64("run", (job)->query->run != NULL),                     \
+		LOG_I64("not_run", !(job)->started_at),                        \
+		LOG_I64("took_us", (now) - (job)->queued_at),                  \
+		LOG_I64("left_us", (job)->query->full_deadline_at - (now))
+
+static void log_job_ended(const struct home_job *job)
+{
+	struct blackboard *board = job->query->home->board;
+
+	metric_inc(&board->counters.home_stop_ended);
+	LOG_INFO("job_ended", JOB_FIELDS(job, clock_now(board->clock)));
+}
+
+/* Nobody waits for a job that was given up, or whose link is closed. */
+static void log_jobs_cut(const struct home_query *query)
+{
+	int64_t now = clock_now(query->home->board->clock);
+	int i;
+
+	for (i = 0; query->link && i < query->n_jobs; i++) {
+		const struct home_job *job = &query->jobs[i];
+
+		if (job->state != HOME_JOB_DONE && !job->is_given_up)
+			LOG_WARN("job_cut", JOB_FIELDS(job, now));
+	}
+}
+
 void home_finish(struct home *home)
 {
 	struct home_server *server;
 	struct home_server *next;
 
-	while (home->queries)
+	while (home->queries) {
+		log_jobs_cut(home->queries);
 		free_query(home->queries);
+	}
 	HASH_ITER (hh, home->servers, server, next)
 		home_remove_server(home, server);
 }
@@ -90,6 +124,8 @@
 {
 	struct home_query *query = job->query;
 
+	if (code == ERR_LEAVING)
+		log_job_ended(job);
 	if (!job->started_at)
 		job->done_at = clock_now(query->home->board->clock);
 	/* The result supersedes the notice that the job is late. */
@@ -409,11 +445,11 @@
 	query->link = link;
 	query->message = message;
 	query->run = run;
+	query->full_deadline_at = clock_now(home->board->clock) -
+				  blackboard_stall(home->board) +
+				  MSEC(message->deadline_ms);
 	query->deadline_at =
-		stop_plan_deadline(&home->board->stop,
-				   clock_now(home->board->clock) -
-					   blackboard_stall(home->board) +
-					   MSEC(message->deadline_ms));
+		stop_plan_deadline(&home->board->stop, query->full_deadline_at);
 	query->n_jobs = (int)message->n_parts;
 	query->n_pending = query->n_jobs;
 	query->jobs = mem_zalloc((size_t)query->n_jobs * sizeof(*query->jobs));
@@ -490,6 +526,19 @@
 	}
 }
 
+/* Its server is at work on it, and the entry would have waited longer. */
+static void log_given_up(const struct home_query *query)
+{
+	int i;
+
+	for (i = 0; i < query->n_jobs; i++) {
+		const struct home_job *job = &query->jobs[i];
+
+		if (job->state == HOME_JOB_RUNNING && !job->is_given_up)
+			log_job_ended(job);
+	}
+}
+
 static void abort_query(struct home_query *query, int code)
 {
 	int i;
@@ -708,6 +757,8 @@
 	int i;
 
 	if (time >= query->deadline_at) {
+		if (time < query->full_deadline_at)
+			log_given_up(query);
 		abort_query(query, ERR_TOO_LATE);
 		return;
 	}
--- a/home.h
+++ b/home.h
@@ -98,6 +98,7 @@
  * @message: the query, owned; built from @run if that is set
  * @run: a non-repeatable request, owned; NULL for a search
  * @deadline_at: microseconds
+ * @full_deadline_at: same, if the process does not stop
  * @jobs: one for each part, owned
  * @n_jobs: entries in @jobs
  * @n_pending: jobs that are queued or running
@@ -111,6 +112,7 @@
 	Peer__Query *message;
 	Peer__Run *run;
 	int64_t deadline_at;
+	int64_t full_deadline_at;
 	struct home_job *jobs;
 	int n_jobs;
 	int n_pending;
--- a/lifecycle.c
+++ b/lifecycle.c
@@ -59,7 +59,9 @@
 	LOG_INFO("stopping", LOG_I64("busy", !idle),
 		 LOG_I64("after_us", now - board->stop.since),
 		 LOG_I64("searches_open", board->counters.searches_open.value),
-		 LOG_I64("runs_open", board->counters.runs_open.value));
+		 LOG_I64("runs_open", board->counters.runs_open.value),
+		 LOG_I64("ended", board->counters.stop_ended.value),
+		 LOG_I64("jobs_ended", board->counters.home_stop_ended.value));
 	board->lifecycle = LIFECYCLE_STOPPED;
 	event_base_loopexit(board->base, NULL);
 }
--- a/run.c
+++ b/run.c
@@ -169,8 +169,60 @@
 	waiter->call = NULL;
 }
 
+static const struct run_call *find_asked(const struct run_waiter *waiter)
+{
+	const struct run_call *call = waiter->call;
+
+	if (call || !waiter->sequence)
+		return call;
+	for (call = waiter->tracker->calls; call; call = call->hh.next) {
+		if (call->sequence == waiter->sequence)
+			return call;
+	}
+	return NULL;
+}
+
+struct run_target run_asked(const struct run_waiter *waiter)
+{
+	const struct run_call *call = find_asked(waiter);
+	struct run_target asked = {STR(""), STR("")};
+
+	if (!call || !call->peer)
+		return asked;
+	asked.home = str_from(call->peer);
+	if (call->n_tried)
+		asked.server = str_from(call->tried[call->n_tried - 1]);
+	return asked;
+}
+
+static bool is_stopping(const struct run_tracker *tracker)
+{
+	return tracker->answer_by != INT64_MAX;
+}
+
+bool run_ended_by_stop(const struct run_tracker *tracker,
+		       const struct run_waiter *waiter, int code)
+{
+	int64_t now = clock_now(tracker->clock);
+
+	if (!is_stopping(tracker) || now >= waiter->full_deadline)
+		return false;
+	switch (code) {
+	case ERR_LEAVING:
+		return true;
+	case ERR_TOO_LATE:
+		return waiter->full_deadline > tracker->start_by;
+	case ERR_UNKNOWN:
+		return now >= tracker->start_by;
+	default:
+		return false;
+	}
+}
+
 static void reply(struct run_waiter *waiter, const struct ticket_answer *answer)
 {
+	if (is_stopping(waiter->tracker))
+		waiter->asked = run_asked(waiter);
 	detach_waiter(waiter);
 	waiter->answered(waiter, answer);
 }
@@ -206,8 +258,8 @@
 
 	if (run_outcome(final.code) == RUN_NOT_RUN && !final.retry_after_ms)
 		final.retry_after_ms = RETRY_AFTER_MS;
-	drop_call(tracker, call);
 	ticket_answer(tracker->tickets, sequence, &final);
+	drop_call(tracker, call);
 }
 
 static void finish_call_with_code(struct run_tracker *tracker,
@@ -311,6 +363,7 @@
 		reply(waiter, &answer);
 		return;
 	}
+	waiter->sequence = id->sequence;
 	waiter->ticket_waiter.answered = on_answer;
 	ticket_wait(tracker->tickets, id->sequence, &waiter->ticket_waiter);
 	if (state == TICKET_RUNNING)
@@ -357,9 +410,10 @@
 	waiter->tracker = tracker;
 	waiter->call = NULL;
 	waiter->ticket_waiter.entry = NULL;
-	waiter->deadline =
-		earlier(clock_now(tracker->clock) + MSEC(request->deadline_ms),
-			tracker->answer_by);
+	waiter->sequence = 0;
+	waiter->started_at = clock_now(tracker->clock);
+	waiter->full_deadline = waiter->started_at + MSEC(request->deadline_ms);
+	waiter->deadline = earlier(waiter->full_deadline, tracker->answer_by);
 	DL_APPEND(tracker->waiters, waiter);
 }
 
@@ -446,9 +500,9 @@
 {
 	struct run_waiter *waiter = call->waiter;
 
-	drop_call(tracker, call);
 	if (waiter)
 		reply(waiter, answer);
+	drop_call(tracker, call);
 }
 
 void run_handle_result(struct run_tracker *tracker, uint64_t id,
--- a/run.h
+++ b/run.h
@@ -98,7 +98,11 @@
  *	borrowed
  * @tracker: NULL if not waiting
  * @call: the forwarded request; NULL if it wasn't forwarded
+ * @sequence: of its ticket, if that was issued here; else 0
+ * @started_at: when it began to wait, microseconds
  * @deadline: time at which ERR_UNKNOWN is answered, microseconds
+ * @full_deadline: same, if the process does not stop
+ * @asked: for @answered during a stop, see run_asked()
  * @prev: previous waiter of @tracker
  * @next: next waiter of @tracker
  */
@@ -108,7 +112,11 @@
 			 const struct ticket_answer *answer);
 	struct run_tracker *tracker;
 	struct run_call *call;
+	uint64_t sequence;
+	int64_t started_at;
 	int64_t deadline;
+	int64_t full_deadline;
+	struct run_target asked;
 	struct run_waiter *prev;
 	struct run_waiter *next;
 };
@@ -251,6 +259,26 @@
  */
 void run_stop(struct run_tracker *tracker, int64_t start_by, int64_t answer_by);
 
+/**
+ * run_asked() - where the request of a waiter was sent last
+ * @waiter: is waiting
+ *
+ * Return: names, empty if not known; the server is also empty if the issuer of
+ * the ticket has the request. They are borrowed, and valid until the tracker is
+ * called.
+ */
+struct run_target run_asked(const struct run_waiter *waiter);
+
+/**
+ * run_ended_by_stop() - whether the stop of this process is why a request was
+ * not answered as done
+ * @tracker: the tracker
+ * @waiter: was just answered
+ * @code: of the answer
+ */
+bool run_ended_by_stop(const struct run_tracker *tracker,
+		       const struct run_waiter *waiter, int code);
+
 /**
  * run_tick() - answer all waiters whose deadline has passed
  * @tracker: the tracker
--- a/run_net.c
+++ b/run_net.c
@@ -10,6 +10,8 @@
 #include "catalog.h"
 #include "log.h"
 #include "mem.h"
+#include "request.h"
+#include "stop_log.h"
 
 #define LEAVING_RETRY_MS 50
 /* Deadline for a service that was removed from the table. */
@@ -21,6 +23,8 @@
 	struct run_net *net;
 	struct peer_link *link;
 	uint64_t id;
+	char request_id[REQUEST_ID_SIZE];
+	char service[REQUEST_NAME_SIZE];
 	struct run_forwarded *prev;
 	struct run_forwarded *next;
 };
@@ -214,6 +218,22 @@
 	free(forwarded);
 }
 
+static void log_end_by_stop(const struct run_forwarded *forwarded, int code)
+{
+	struct run_net *net = forwarded->net;
+	struct stop_log_run run = {
+		.waiter = &forwarded->waiter,
+		.request_id = str_from(forwarded->request_id),
+		.service = str_from(forwarded->service),
+		.peer = str_from(forwarded->link->instance),
+	};
+
+	if (net->board->lifecycle == LIFECYCLE_STOPPED)
+		stop_log_run_cut(net->board, &run);
+	else if (run_ended_by_stop(&net->runs, &forwarded->waiter, code))
+		stop_log_run_ended(net->board, &run, code);
+}
+
 static void on_forwarded_answer(struct run_waiter *waiter,
 				const struct ticket_answer *answer)
 {
@@ -225,6 +245,7 @@
 	result.body.data = (uint8_t *)answer->body.data;
 	result.body.len = answer->body.len;
 	result.retry_after_ms = answer->retry_after_ms;
+	log_end_by_stop(forwarded, answer->code);
 	peer_send(forwarded->link, FRAME_RUN_RESULT, &result.base);
 	end_forwarded(forwarded);
 }
@@ -254,6 +275,10 @@
 	forwarded->net = net;
 	forwarded->link = link;
 	forwarded->id = run->id;
+	str_copy(forwarded->request_id, sizeof(forwarded->request_id),
+		 str_from(run->request_id));
+	str_copy(forwarded->service, sizeof(forwarded->service),
+		 str_from(run->service));
 	DL_APPEND(net->forwarded, forwarded);
 	metric_add(&net->board->counters.runs_open, 1);
 	run_accept_forwarded(&net->runs, &message, &forwarded->waiter);
--- a/search.c
+++ b/search.c
@@ -317,6 +317,36 @@
 	return false;
 }
 
+static bool is_missing(const struct search *search, int code)
+{
+	int i;
+
+	for (i = 0; search->map && i < search->map->n_shards; i++) {
+		if (search->shards[i].state == SEARCH_SHARD_MISSING &&
+		    search->shards[i].code == code)
+			return true;
+	}
+	return false;
+}
+
+bool search_ended_by_stop(const struct search *search)
+{
+	const struct stop_plan *stop = &search->searches->board->stop;
+	int64_t now = search_now(search);
+
+	if (!stop_plan_is_stopping(stop) || now >= search->full_deadline_at)
+		return false;
+	if (!search->code && search->covered >= search_total(search))
+		return false;
+	if (now >= stop->answer_by || search->code == ERR_LEAVING ||
+	    is_missing(search, ERR_LEAVING))
+		return true;
+	/* Homes were told the limited deadline, in whole milliseconds. */
+	return search->full_deadline_at > stop->answer_by &&
+	       !may_answer_partially(search) &&
+	       is_missing(search, ERR_TOO_LATE);
+}
+
 static void set_answer_time(struct search *search,
 			    const struct service *service)
 {
@@ -336,7 +366,6 @@
 	struct blackboard *board = search->searches->board;
 	const struct catalog_placement *best;
 	const struct service *service;
-	int64_t deadline_ms;
 	int row;
 
 	if (!board->table)
@@ -350,13 +379,8 @@
 				 search->request.service,
 				 "a service of the table");
 	service = &board->table->services[row];
-	deadline_ms = service->deadline_ms;
-	if (search->request.deadline_ms &&
-	    search->request.deadline_ms < deadline_ms)
-		deadline_ms = search->request.deadline_ms;
 	search->deadline_at =
-		stop_plan_deadline(&board->stop,
-				   search->started_at + MSEC(deadline_ms));
+		stop_plan_deadline(&board->stop, search->full_deadline_at);
 	search->min_coverage = service->min_coverage;
 	search->mode = service->mode;
 	search->priority = (int)service->priority;
@@ -372,6 +396,22 @@
 	return 0;
 }
 
+static void set_full_deadline(struct search *search)
+{
+	const struct service *service;
+	int64_t ms;
+
+	if (!search->searches->board->table)
+		return;
+	service = search_service(search);
+	if (!service)
+		return;
+	ms = service->deadline_ms;
+	if (search->request.deadline_ms && search->request.deadline_ms < ms)
+		ms = search->request.deadline_ms;
+	search->full_deadline_at = search->started_at + MSEC(ms);
+}
+
 static struct search *create_search(struct searches *searches,
 				    struct search_request *request, void *owner)
 {
@@ -387,6 +427,7 @@
 	search->owner = owner;
 	search->started_at =
 		arrived_at ? arrived_at : clock_now(searches->board->clock);
+	set_full_deadline(search);
 	search_trace_begin(search);
 	assign_new_id(search);
 	return search;
--- a/search.h
+++ b/search.h
@@ -124,6 +124,7 @@
  * @owner: opaque, for struct search_ops.done
  * @started_at: microseconds, as all times here
  * @deadline_at: when it ends with the answers that it has
+ * @full_deadline_at: same, if the process does not stop; 0: service unknown
  * @partial_answer_at: when coverage of @min_coverage starts to be sufficient
  * @wake_at: no later than the next time searches_tick() must handle it
  * @move_wait_until: limit of the wait for the new place of moved data; 0: none
@@ -162,6 +163,7 @@
 	void *owner;
 	int64_t started_at;
 	int64_t deadline_at;
+	int64_t full_deadline_at;
 	int64_t partial_answer_at;
 	int64_t wake_at;
 	int64_t move_wait_until;
@@ -299,6 +301,13 @@
  */
 void searches_drop(struct searches *searches, struct search *search);
 
+/**
+ * search_ended_by_stop() - whether the stop of this process is why a search
+ * ends without all its answers
+ * @search: has its outcome
+ */
+bool search_ended_by_stop(const struct search *search);
+
 /**
  * search_total() - records in the search's snapshot
  */
--- a/tests/test_run.c
+++ b/tests/test_run.c
@@ -723,9 +723,12 @@
 
 struct fixture_waiter {
 	struct run_waiter base;
+	const struct run_tracker *runs;
 	int calls;
 	int code;
 	uint32_t retry_after_ms;
+	bool ended_by_stop;
+	char server[NAME_SIZE];
 };
 
 static int fixture_pick(void *ctx, struct str service, uint16_t point,
@@ -810,6 +813,9 @@
 	waiter->calls++;
 	waiter->code = answer->code;
 	waiter->retry_after_ms = answer->retry_after_ms;
+	waiter->ended_by_stop =
+		run_ended_by_stop(waiter->runs, base, answer->code);
+	str_copy(waiter->server, sizeof(waiter->server), base->asked.server);
 }
 
 static void fixture_accept_text(struct fixture *fixture,
@@ -825,6 +831,7 @@
 
 	memset(waiter, 0, sizeof(*waiter));
 	waiter->base.answered = fixture_answered;
+	waiter->runs = &fixture->runs;
 	run_accept(&fixture->runs, &request, &waiter->base);
 }
 
@@ -995,9 +1002,31 @@
 	fixture_advance_to(&fixture, MSEC(151));
 	CU_ASSERT_EQUAL(waiter.calls, 1);
 	CU_ASSERT_EQUAL(run_outcome(waiter.code), RUN_UNKNOWN);
+	CU_ASSERT(waiter.ended_by_stop);
+	CU_ASSERT_STRING_EQUAL(waiter.server, server_names[0]);
 	fixture_finish(&fixture);
 }
 
+/* Guards against a log that blames a stop for what it did not end. */
+static void test_runs_that_a_stop_does_not_end(void)
+{
+	static const int codes[] = {0, ERR_UNKNOWN, ERR_LOST};
+	struct fixture_waiter waiter;
+	struct fixture fixture;
+	size_t i;
+
+	for (i = 0; i < sizeof(codes) / sizeof(*codes); i++) {
+		fixture_init(&fixture);
+		fixture_accept(&fixture, &waiter);
+		run_stop(&fixture.runs, MSEC(101), MSEC(151));
+		fixture_result(&fixture, "h", codes[i]);
+		CU_ASSERT_EQUAL(waiter.calls, 1);
+		CU_ASSERT(!waiter.ended_by_stop);
+		CU_ASSERT_STRING_EQUAL(waiter.server, server_names[0]);
+		fixture_finish(&fixture);
+	}
+}
+
 /* Guards against an order that is sent on when its issuer ends. */
 static void test_no_run_at_the_end_of_a_stop(void)
 {
@@ -1012,6 +1041,7 @@
 	CU_ASSERT_EQUAL(fixture.sends, 1);
 	CU_ASSERT_EQUAL(waiter.calls, 1);
 	CU_ASSERT_EQUAL(run_outcome(waiter.code), RUN_NOT_RUN);
+	CU_ASSERT(waiter.ended_by_stop);
 	fixture_finish(&fixture);
 }
 
@@ -1221,6 +1251,7 @@
 	{"runs end before the exit", test_runs_end_before_the_exit},
 	{"no run at the end of a stop", test_no_run_at_the_end_of_a_stop},
 	{"run during a stop", test_run_during_a_stop},
+	{"runs that a stop does not end", test_runs_that_a_stop_does_not_end},
 };
 
 UNIT_MAIN("run", tests)
--- a/tests/test_search.c
+++ b/tests/test_search.c
@@ -38,6 +38,7 @@
 	int n_restarts;
 	int64_t retry_after_ms;
 	int n_shed;
+	int n_ended_by_stop;
 	int n_records;
 	char first_key[32];
 	int reasons[REASONS_MAX];
@@ -90,6 +91,7 @@
 	fixture->n_restarts = search->n_restarts;
 	fixture->retry_after_ms = search->retry_after_ms;
 	fixture->n_shed = search->n_shed;
+	fixture->n_ended_by_stop += search_ended_by_stop(search);
 	if (!search->map)
 		return;
 	fixture->version = search->map->version;
@@ -1340,10 +1342,46 @@
 	CU_ASSERT_EQUAL(fixture.n_done, 0);
 	advance_to(&fixture, plan->answer_by);
 	CU_ASSERT_EQUAL(fixture.n_done, 2);
+	CU_ASSERT_EQUAL(fixture.n_ended_by_stop, 2);
 	CU_ASSERT_EQUAL(fixture.n_cancels, 3);
 	tear_down(&fixture);
 }
 
+/* Guards against a log that blames a stop for what it did not end. */
+static void test_searches_that_a_stop_does_not_end(void)
+{
+	struct fixture fixture;
+
+	set_up(&fixture, 1);
+	board_fixture_put_server(&fixture.path, "h1", "b1", 1, 1, "0");
+	start(&fixture);
+	fail_part(&fixture, 0, 0, ERR_TOO_LARGE, false);
+	start(&fixture);
+	stop(&fixture);
+	answer(&fixture, 1, 0);
+	start(&fixture);
+	fail_part(&fixture, 2, 0, ERR_TOO_LARGE, false);
+	CU_ASSERT_EQUAL(fixture.n_done, 3);
+	CU_ASSERT_EQUAL(fixture.n_ended_by_stop, 0);
+	tear_down(&fixture);
+}
+
+/* Guards against a log that leaves out what a home's clock ends first. */
+static void test_home_ends_a_part_for_the_stop(void)
+{
+	struct fixture fixture;
+
+	set_up(&fixture, 1);
+	board_fixture_put_server(&fixture.path, "h1", "b1", 1, 1, "0");
+	stop(&fixture);
+	start(&fixture);
+	advance_to(&fixture, fixture.path.board.stop.answer_by - 1);
+	fail_part(&fixture, 0, 0, ERR_TOO_LATE, false);
+	CU_ASSERT_EQUAL(fixture.n_done, 1);
+	CU_ASSERT_EQUAL(fixture.n_ended_by_stop, 1);
+	tear_down(&fixture);
+}
+
 /* Guards against a wait for parts that nobody can be asked for in time. */
 static void test_no_search_at_the_end_of_a_stop(void)
 {
@@ -1356,6 +1394,7 @@
 	start(&fixture);
 	CU_ASSERT_EQUAL(fixture.n_sent, 0);
 	CU_ASSERT_EQUAL(fixture.code, ERR_LEAVING);
+	CU_ASSERT_EQUAL(fixture.n_ended_by_stop, 1);
 	CU_ASSERT_STRING_EQUAL(fixture.outcome, "not_run");
 	tear_down(&fixture);
 }
@@ -1412,6 +1451,9 @@
 	{"end all", test_end_all},
 	{"searches end before the exit", test_searches_end_before_the_exit},
 	{"no search at the end of a stop", test_no_search_at_the_end_of_a_stop},
+	{"searches that a stop does not end",
+	 test_searches_that_a_stop_does_not_end},
+	{"a home ends a part for the stop", test_home_ends_a_part_for_the_stop},
 };
 
 UNIT_MAIN("search", tests)
--- a/tests/test_serve_stop.py
+++ b/tests/test_serve_stop.py
@@ -109,6 +109,26 @@
                          instance.log_path.read_text())
         return time.monotonic() - started
 
+    def events(self, instance, name):
+        lines = instance.log_path.read_text().splitlines()
+        events = [json.loads(line) for line in lines if line[:1] == "{"]
+        return [event for event in events if event["event"] == name]
+
+    def check_line(self, line, answer, kind, instance):
+        self.assertEqual(line["request"], answer["request_id"])
+        self.assertEqual(line["kind"], kind)
+        self.assertEqual(line["error"], answer["error"])
+        self.assertEqual(line["service"], SERVICE)
+        self.assertEqual(line["home"], instance.name)
+        received = self.deployment.counters()[line["server"]]["received"]
+        self.assertGreater(received[kind], 0)
+        self.assertEqual(line["not_run"], 0)
+        self.assertEqual(line["time_us"], DEADLINE_MS * 1000)
+        self.assertLess(line["taken_after_us"], 0)
+        ended_after_us = line["taken_after_us"] + line["took_us"]
+        self.assertGreater(ended_after_us, 0)
+        self.assertLess(ended_after_us, STOP_MAX_MS * 1000)
+
     def check_whole(self, asker, instance):
         asker.join(DEADLINE_MS / 1000 + 2)
         self.assertIsNone(asker.error, instance.log_path.read_text()[-2000:])
@@ -122,9 +142,14 @@
         asker = self.search(instance)
         time.sleep(HEAD_START_S)
         took = self.stop(instance)
-        self.assertEqual(self.check_whole(asker, instance)["outcome"],
-                         "too_late")
+        answer = self.check_whole(asker, instance)
+        self.assertEqual(answer["outcome"], "too_late")
         self.assertLess(took, STOP_MAX_MS / 1000)
+        (line,) = self.events(instance, "request_ended")
+        self.check_line(line, answer, "search", instance)
+        (stopping,) = self.events(instance, "stopping")
+        self.assertEqual(stopping["ended"], 1)
+        self.assertEqual(self.events(instance, "request_cut"), [])
 
     def test_a_run_is_answered_before_the_exit(self):
         """Guards against a stop that closes the connection of a run that may
@@ -135,8 +160,11 @@
         asker = self.order(instance, ticket)
         time.sleep(HEAD_START_S)
         self.stop(instance)
-        self.assertEqual(self.check_whole(asker, instance)["outcome"],
-                         "unknown")
+        answer = self.check_whole(asker, instance)
+        self.assertEqual(answer["outcome"], "unknown")
+        (line,) = self.events(instance, "request_ended")
+        self.check_line(line, answer, "run", instance)
+        self.assertEqual(self.events(instance, "request_cut"), [])
 
     def test_orders_that_wait_are_answered_as_not_run(self):
         """Guards against a stop that leaves a caller in doubt about an order
@@ -150,6 +178,15 @@
         outcomes = [self.check_whole(asker, instance)["outcome"]
                     for asker in askers]
         self.assertEqual(set(outcomes), {"unknown", "not_run"}, outcomes)
+        lines = self.events(instance, "request_ended")
+        self.assertEqual(
+            {line["request"]: bool(line["not_run"]) for line in lines},
+            {asker.answer["request_id"]: asker.answer["outcome"] == "not_run"
+             for asker in askers})
+        returned = [line["request"]
+                    for line in self.events(instance, "job_ended")
+                    if line["not_run"]]
+        self.assertEqual(len(returned), outcomes.count("not_run"))
 
     def test_searches_of_others_are_answered(self):
         """Guards against searches at other instances that fail because one
@@ -159,8 +196,13 @@
         askers = [self.search(i) for i in instances[1:] for _ in range(3)]
         time.sleep(HEAD_START_S)
         self.stop(instances[0])
-        for asker in askers:
-            self.check_whole(asker, instances[0])
+        answers = {self.check_whole(asker, instances[0])["request_id"]
+                   for asker in askers}
+        jobs = self.events(instances[0], "job_ended")
+        self.assertTrue(jobs)
+        for job in jobs:
+            self.assertIn(job["request"].partition("/")[0], answers)
+            self.assertGreater(job["left_us"], 0)
 
     def test_an_order_of_another_is_answered_before_the_link_ends(self):
         """Guards against an order whose issuer stops, and whose caller waits
@@ -180,6 +222,9 @@
         answer = self.check_whole(asker, other)
         self.assertEqual(answer["outcome"], "unknown")
         self.assertEqual(answer["error"], "unknown", answer)
+        (line,) = self.events(issuer, "request_ended")
+        self.assertEqual(line["request"], answer["request_id"])
+        self.assertEqual(line["peer"], other.name)
 
     def test_a_large_answer_is_read_after_the_exit(self):
         """Guards against an exit that drops what the kernel has not taken of an
