--- a/home.h
+++ b/home.h
@@ -97,9 +97,8 @@
  * @link: connection that results are sent to; NULL once it is closed
  * @message: the query, owned; built from @run if that is set
  * @run: a non-repeatable request, owned; NULL for a search
- * @asked_until: deadline of its entry, microseconds
- * @deadline_at: earlier than @asked_until if the process ends before,
- *	microseconds
+ * @deadline_at: microseconds
+ * @full_deadline_at: same, if the process does not stop
  * @jobs: one for each part, owned
  * @n_jobs: entries in @jobs
  * @n_pending: jobs that are queued or running
@@ -112,8 +111,8 @@
 	void *link;
 	Peer__Query *message;
 	Peer__Run *run;
-	int64_t asked_until;
 	int64_t deadline_at;
+	int64_t full_deadline_at;
 	struct home_job *jobs;
 	int n_jobs;
 	int n_pending;
