gateway_pages: a stop waits for pages on their way

Who read a page of a gateway slowly (/metrics, /v1/directory) lost what the kernel had not taken when the process ended: the stop looked at callers' connections and relayed jobs only, and evhttp_free() drops what it has buffered.

An answer's body is a reference in the output, which libevent releases when it has been written or its connection is freed: so pages know what is open without more than evhttp tells. is_idle() waits for it, until exit_at at the latest; at the exit the rest is passed to the kernel with as much room as it needs, and what remains is logged (answer_cut of module pages, no test).

test_stop_callers.Pages: a reader that asks for 1,000 pages and reads none. Pages of real gateways (11 KB) need such a reader to be lost: the kernel takes a single one at once.

--- a/gateway.h
+++ b/gateway.h
@@ -98,6 +98,7 @@
  * @route_stats: hash table by route name
  * @counters: exposed metrics
  * @open_requests: list of requests without an answer yet
+ * @pages_open: answers of gateway_pages that are still being written
  * @state: progress of a shutdown
  * @stop: times of a shutdown
  * @stop_timer: fires periodically during shutdown
@@ -128,6 +129,7 @@
 	struct route_stats *route_stats;
 	struct gateway_stats counters;
 	struct gateway_request *open_requests;
+	int pages_open;
 	enum gateway_state state;
 	struct stop_plan stop;
 	struct event *stop_timer;
--- a/gateway_pages.c
+++ b/gateway_pages.c
@@ -5,13 +5,17 @@
 #include <string.h>
 
 #include <event2/buffer.h>
+#include <event2/bufferevent.h>
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
 #include <event2/listener.h>
+#include <utlist.h>
 
+#include "conn_end.h"
 #include "error.h"
 #include "gateway_second_sends.h"
 #include "log.h"
+#include "mem.h"
 
 /*
  * Cache lifetime of directory answers; some callers keep them three times as
@@ -19,20 +23,71 @@
  */
 #define DIRECTORY_LIFETIME_S 2.0
 
-static void reply(struct evhttp_request *http, int status, const char *type,
-		  struct evbuffer *body)
+/**
+ * struct page_answer - an answer until the kernel has accepted it
+ * @body: owned
+ * @bev: of its connection
+ */
+struct page_answer {
+	struct gateway_pages *pages;
+	char *body;
+	struct bufferevent *bev;
+	struct page_answer *prev;
+	struct page_answer *next;
+};
+
+static void free_answer(const void *data, size_t len, void *arg)
 {
-	if (type)
-		evhttp_add_header(evhttp_request_get_output_headers(http),
-				  "Content-Type", type);
-	evhttp_send_reply(http, status, NULL, body);
+	struct page_answer *answer = arg;
+
+	(void)data;
+	(void)len;
+	DL_DELETE(answer->pages->answers, answer);
+	answer->pages->gateway->pages_open--;
+	free(answer->body);
+	free(answer);
+}
+
+/* Returns a body that tells when it was written, or its connection freed. */
+static struct evbuffer *track_body(struct gateway_pages *pages,
+				   struct evhttp_request *http,
+				   struct evbuffer *body)
+{
+	struct page_answer *answer = mem_zalloc(sizeof(*answer));
+	struct evbuffer *tracked = evbuffer_new();
+	size_t len = evbuffer_get_length(body);
+
+	answer->pages = pages;
+	answer->body = mem_dup_len((char *)evbuffer_pullup(body, -1), len);
+	answer->bev = evhttp_connection_get_bufferevent(
+		evhttp_request_get_connection(http));
+	DL_APPEND(pages->answers, answer);
+	pages->gateway->pages_open++;
+	evbuffer_add_reference(tracked, answer->body, len, free_answer, answer);
+	return tracked;
+}
+
+static void reply_status(struct evhttp_request *http, int status)
+{
+	evhttp_send_reply(http, status, NULL, NULL);
+}
+
+static void reply(struct gateway_pages *pages, struct evhttp_request *http,
+		  const char *type, struct evbuffer *body)
+{
+	struct evbuffer *tracked = track_body(pages, http, body);
+
+	evhttp_add_header(evhttp_request_get_output_headers(http),
+			  "Content-Type", type);
+	evhttp_send_reply(http, 200, NULL, tracked);
+	evbuffer_free(tracked);
 }
 
 static void on_ready(struct evhttp_request *http, void *arg)
 {
 	struct gateway_pages *pages = arg;
 
-	reply(http, gateway_ready(pages->gateway) ? 200 : 503, NULL, NULL);
+	reply_status(http, gateway_ready(pages->gateway) ? 200 : 503);
 }
 
 /* Returns the value of a query parameter, empty if it is missing. */
@@ -81,7 +136,7 @@
 
 	/* The caller asks another instance next, which may be ready. */
 	if (!store_sync_ready(&gateway->sync)) {
-		reply(http, 503, NULL, NULL);
+		reply_status(http, 503);
 		return;
 	}
 	body = evbuffer_new();
@@ -92,7 +147,7 @@
 	add_addresses(gateway, &query, body);
 	evhttp_clear_headers(&query);
 	evbuffer_add_printf(body, "],\"ttl_s\":%.3g}", lifetime_s(gateway));
-	reply(http, 200, "application/json", body);
+	reply(pages, http, "application/json", body);
 	evbuffer_free(body);
 }
 
@@ -145,7 +200,7 @@
 	set_gauges(pages->gateway);
 	metric_expose(&pages->gateway->counters.registry, body);
 	peer_traffic_expose(&pages->gateway->fleet.peers.traffic, body);
-	reply(http, 200, "text/plain; version=0.0.4", body);
+	reply(pages, http, "text/plain; version=0.0.4", body);
 	evbuffer_free(body);
 }
 
@@ -175,6 +230,7 @@
 	int ret;
 
 	pages->gateway = gateway;
+	pages->answers = NULL;
 	pages->http = evhttp_new(gateway->base);
 	evhttp_set_allowed_methods(pages->http, EVHTTP_REQ_GET);
 	evhttp_set_cb(pages->http, "/v1/ready", on_ready, pages);
@@ -192,7 +248,35 @@
 	return ret;
 }
 
+/* Freed by evhttp, which takes effect in the event loop's next iteration. */
+static bool is_closed(struct bufferevent *bev)
+{
+	bufferevent_event_cb event = NULL;
+
+	bufferevent_getcb(bev, NULL, NULL, &event, NULL);
+	return !event;
+}
+
+static void write_last(struct gateway *gateway, struct bufferevent *bev)
+{
+	size_t unsent = conn_write_last(bev);
+
+	conn_discard_input(bev);
+	if (!unsent)
+		return;
+	metric_inc(&gateway->counters.answers_cut);
+	LOG_WARN("answer_cut", LOG_U64("unsent_bytes", unsent));
+}
+
 void gateway_pages_finish(struct gateway_pages *pages)
 {
+	struct page_answer *answer;
+	struct page_answer *next;
+
+	/* A connection has one answer at a time, which a write may free. */
+	DL_FOREACH_SAFE (pages->answers, answer, next) {
+		if (!is_closed(answer->bev))
+			write_last(pages->gateway, answer->bev);
+	}
 	evhttp_free(pages->http);
 }
--- a/gateway_stop.c
+++ b/gateway_stop.c
@@ -11,7 +11,7 @@
 
 static bool is_idle(const struct gateway *gateway)
 {
-	return !gateway->inbound.n &&
+	return !gateway->inbound.n && !gateway->pages_open &&
 	       relay_serve_is_idle(&gateway->relay_serve);
 }
 
--- a/tests/test_stop_callers.py
+++ b/tests/test_stop_callers.py
@@ -35,6 +35,10 @@
 PIPELINED_BODY = b"q" * 90_000
 N_PIPELINED = 4
 HALF = b"GET /any/"
+PAGE_REQUEST = b"GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n"
+# More pages than the kernel holds, and time until it holds all that it can.
+N_PAGES = 1000
+PAGES_S = 0.5
 
 
 class SlowCaller(test_gateway.Caller):
@@ -243,7 +247,73 @@
         self.wait_exit(gateway)
 
 
-CASES = (LargeAnswers, UnreadInput, NotYetRead)
+def bytes_in_kernel(conn):
+    """Return the bytes sent to `conn` that it has not read."""
+    ports = [conn.getsockname()[1], conn.getpeername()[1]]
+    total = 0
+    for row in pathlib.Path("/proc/net/tcp").read_text().splitlines()[1:]:
+        _, local, remote, _, queues = row.split()[:5]
+        row_ports = [int(a.partition(":")[2], 16) for a in (local, remote)]
+        sending, _, received = queues.partition(":")
+        if row_ports == ports:
+            total += int(received, 16)
+        elif row_ports == ports[::-1]:
+            total += int(sending, 16)
+    return total
+
+
+class Pages(StopTest):
+    def ask(self, gateway):
+        ip, _, port = gateway.settings["control_address"].partition(":")
+        conn = socket.socket()
+        self.addCleanup(conn.close)
+        conn.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER)
+        conn.settimeout(test_gateway.WAIT_MAX_S)
+        conn.connect((ip, int(port)))
+        conn.sendall(PAGE_REQUEST * N_PAGES)
+        time.sleep(PAGES_S)
+        return conn
+
+    def test_stop_waits_for_a_page(self):
+        """Guards against an exit while a page is being read."""
+        _, gateway = self.start()
+        self.ask(gateway)
+        at = self.terminate(gateway)
+        self.wait_exit(gateway)
+        self.assertGreaterEqual(time.monotonic() - at, EXIT_S)
+
+    def test_stop_does_not_wait_for_a_reader_that_left(self):
+        """Guards against a page that counts as open when it has no reader."""
+        _, gateway = self.start()
+        self.ask(gateway).close()
+        at = self.terminate(gateway)
+        self.wait_exit(gateway)
+        self.assertLess(time.monotonic() - at, EXIT_S)
+
+    def test_page_that_is_being_read_is_whole(self):
+        """Guards against an exit that drops what the kernel has not taken of a
+        page."""
+        _, gateway = self.start()
+        conn = self.ask(gateway)
+        in_kernel = bytes_in_kernel(conn)
+        self.assertGreater(in_kernel, 0)
+        self.terminate(gateway)
+        self.wait_exit(gateway)
+        data = b"".join(iter(lambda: conn.recv(READ_SIZE), b""))
+        self.assertGreater(len(data), in_kernel)
+        n = 0
+        while data:
+            head, _, rest = data.partition(b"\r\n\r\n")
+            size = int(head.partition(b"Content-Length: ")[2].split()[0])
+            self.assertGreaterEqual(len(rest), size, f"page {n} is cut")
+            data = rest[size:]
+            n += 1
+        self.assertGreater(n, 0)
+        self.assertLess(n, N_PAGES)
+        self.assertEqual(self.events(gateway, "answer_cut"), [])
+
+
+CASES = (LargeAnswers, UnreadInput, NotYetRead, Pages)
 
 
 def load_tests(loader, tests, pattern):
