--- a/run.h
+++ b/run.h
@@ -254,8 +254,9 @@
  * @start_by: end of the attempts to execute requests, microseconds
  * @answer_by: waiters get ERR_UNKNOWN then, later than @start_by
  *
- * A request that has not been sent to its server by @start_by is answered with
- * a code that says so.
+ * A request that no home has by @start_by is answered with a code that says so,
+ * and so is one that waits at this instance as a home. Homes of others that had
+ * it before keep the time that they were told.
  */
 void run_stop(struct run_tracker *tracker, int64_t start_by, int64_t answer_by);
 
