caller: deny no run whose request was not read

A caller in doubt about an order sent it again, with the same ticket, to an instance that stopped before it had read the request whole, and got 503 not_run: final for the ticket by docs/PROTOCOL.md, though the order had run through another instance. With a new ticket it would have run twice. The same holds for a connection above callers_max. Cause: the refusal speaks for the ticket, which was not read.

What may be a run is answered as unknown (502, unavailable), with retry_after_ms: the same ticket may be sent again safely, and runs if it never did. The path counts as a run's if it is missing or cut, too. Searches and tickets are refused as before.

ServeStop.test_half_an_order_that_ran_before_is_not_ denied failed before (503, not_run) and passes. test_a_request_that_never_ arrives_is_refused expected not_run for half a run, which can't be known; it expects the same of a search, and the new test what a run gets.

--- a/caller.c
+++ b/caller.c
@@ -20,6 +20,7 @@
 
 #define LISTEN_BACKLOG 1024
 #define RETRY_AFTER_DEFAULT_MS 100
+#define RUN_PATH "/v1/run"
 
 /**
  * struct pending_search - a request that waits for the outcome of its search
@@ -369,9 +370,30 @@
 	evhtp_set_timeouts(caller->http, &idle, &idle);
 }
 
+/* The path may be missing, or be cut, while the request is still read. */
+static bool may_be_run(const evhtp_request_t *http)
+{
+	const evhtp_uri_t *uri = http->uri;
+
+	return !uri || !uri->path || !uri->path->full ||
+	       !strncmp(uri->path->full, RUN_PATH, strlen(uri->path->full));
+}
+
+/*
+ * The request was not read, nor its ticket: an earlier one with that ticket may
+ * have run.
+ */
 static void refuse_request(evhtp_request_t *http, int code)
 {
-	send_refusal(http, "", code, NULL);
+	struct ticket_answer unknown = {
+		.code = ERR_UNAVAILABLE,
+		.retry_after_ms = RETRY_AFTER_DEFAULT_MS,
+	};
+
+	if (answer_status(code, false) == 503 && may_be_run(http))
+		send_run_answer(http, "", &unknown);
+	else
+		send_refusal(http, "", code, NULL);
 }
 
 static void on_accept_error(struct evconnlistener *listener, void *arg)
@@ -397,7 +419,7 @@
 	caller_conns_init(&caller->conns, board, caller->http, refuse_request);
 	evhtp_set_cb(caller->http, "/v1/search", handle_search, caller);
 	evhtp_set_cb(caller->http, "/v1/tickets", handle_tickets, caller);
-	evhtp_set_cb(caller->http, "/v1/run", handle_run, caller);
+	evhtp_set_cb(caller->http, RUN_PATH, handle_run, caller);
 	evhtp_set_cb(caller->http, "/v1/addresses", handle_addresses, caller);
 	evhtp_set_cb(caller->http, "/v1/status", handle_status, caller);
 	evhtp_set_cb(caller->http, "/metrics", handle_metrics, caller);
--- a/tests/test_serve_stop.py
+++ b/tests/test_serve_stop.py
@@ -200,18 +200,33 @@
         answer = json.loads(answer.partition(b"\r\n\r\n")[2])
         self.assertEqual(len(answer.get("records", ())), RECORDS, str(answer)[:900])
 
-    def test_a_request_that_never_arrives_is_refused(self):
-        """Guards against a closed connection where "not run" is true."""
-        (instance,) = self.start_fleet(1)
+    def send_half(self, instance, path, body=b"{"):
+        """Return the answer, given as the instance stops."""
         with socket.create_connection(("127.0.0.1", instance.port), 5) as conn:
-            conn.sendall(b"POST /v1/run HTTP/1.1\r\nHost: x\r\n"
-                         b"Content-Length: 99\r\n\r\n{")
+            conn.sendall(b"POST %s HTTP/1.1\r\nHost: x\r\nContent-Length: 999"
+                         b"\r\n\r\n" % path + body)
             time.sleep(HEAD_START_S)
             self.stop(instance)
-            answer = conn.recv(1 << 16)
-        self.assertIn(b" 503 ", answer[:20])
-        self.assertEqual(json.loads(answer.partition(b"\r\n\r\n")[2])
-                         ["outcome"], "not_run")
+            head, _, text = conn.recv(1 << 16).partition(b"\r\n\r\n")
+        return head[9:12], json.loads(text)
+
+    def test_a_request_that_never_arrives_is_refused(self):
+        """Guards against a closed connection where "not run" is true."""
+        (instance,) = self.start_fleet(1)
+        status, answer = self.send_half(instance, b"/v1/search")
+        self.assertEqual((status, answer["outcome"]), (b"503", "not_run"))
+
+    def test_half_an_order_that_ran_before_is_not_denied(self):
+        """Guards against "not run" to who repeats an order that ran, as the
+        instance that stops has not read its ticket."""
+        issuer, other = self.start_fleet(2)
+        ticket = self.ticket(issuer)
+        asker = self.order(issuer, ticket)
+        self.assertEqual(self.check_whole(asker, issuer)["outcome"], "done")
+        body = json.dumps({"ticket": ticket}).encode()
+        status, answer = self.send_half(other, b"/v1/run", body[:-1])
+        self.assertEqual((status, answer["outcome"]), (b"502", "unknown"))
+        self.assertGreater(answer["retry_after_ms"], 0)
 
     def test_signals_until_the_process_is_gone(self):
         """Guards against a process that a further signal kills while it passes
