soak_stops: stop instances from a process of its own

The soak of stops sent SIGSTOP, SIGTERM, SIGCONT and SIGKILL from the event loop of its 42 callers and 14 servers. Where that loop was late, it

- held instances for far longer than drawn, and killed them before it had sent SIGCONT at all, as the poll of the exit is due before that: "late" for an instance that could do nothing, and requests "cut" with it;
- didn't look at others for as long, so that an exit long after the grace time passed as one in time.

Now a small process for each stop holds, stops, waits by a pidfd and kills, on time. An instance that was held as drawn has GraceS and not, as before, up to 10 ms more (the period of the poll). One that was held for longer after SIGTERM has as much more. A bad exit is shown with the times at which the instance was held and the soak was late, and its last log lines.

--- a/bench/soak_stops.py
+++ b/bench/soak_stops.py
@@ -13,6 +13,7 @@
 
 import asyncio
 import collections
+import json
 import pathlib
 import random
 import shutil
@@ -34,6 +35,7 @@
     HOST, Gateway, Store, config_document, free_port, route,
 )
 
+STOPPER = str(pathlib.Path(__file__).with_name("soak_stopper.py"))
 INSTANCES = 7
 DATA_CENTRES = ("dc-0", "dc-1")
 DESKS = 8
@@ -96,17 +98,41 @@
 
 
 class Stopped:
-    """A stop as it went. `held`: times at which the instance was held."""
+    """A stop as it went. `held`: times at which the instance was held; `late`:
+    it had not ended in time and was killed."""
 
     def __init__(self, gateway):
         self.instance = gateway.settings["instance"]
         self.address = gateway.settings["caller_address"]
         self.grace_s = gateway.settings["stop_max_s"]
-        self.at = time.monotonic()
+        self.at = None
         self.exited = None
         self.status = None
         self.late = False
         self.held = []
+        self.last_lines = []
+
+    def note(self, told, gateway):
+        """`told`: what the stopper told of the stop."""
+        self.status = gateway.process.wait()
+        self.held = [told["held"]] if told["held"] else []
+        self.exited = told["exited"]
+        self.late = told["late"]
+        self.last_lines = gateway.last_lines()
+
+    def show_exit(self, lags):
+        """`lags`: when the process with the callers was late."""
+        return ["exit", self.instance, self.grace_s, self.status,
+                {"exited": round(self.exited - self.at, 3),
+                 "late": self.late,
+                 "held": self.since_term(self.held),
+                 "lags": self.since_term(
+                     lag for lag in lags
+                     if lag[1] > self.at and lag[0] < self.exited),
+                 "last_lines": self.last_lines}]
+
+    def since_term(self, spans):
+        return [[round(at - self.at, 3) for at in span] for span in spans]
 
     def covers(self, one):
         """Whether the rule holds for an attempt: it was sent in the stop, or
@@ -192,7 +218,9 @@
         while not await asyncio.to_thread(gateway.is_ready):
             if time.monotonic() > until:
                 raise experiment.Failed(
-                    f"{gateway.settings['instance']} did not start")
+                    f"{gateway.settings['instance']} did not start, exit "
+                    f"status {gateway.process.poll()}, last logged: "
+                    f"{gateway.last_lines()}")
             await asyncio.sleep(0.05)
 
     async def start(self):
@@ -229,7 +257,7 @@
         self.configure()
 
     async def signal_again(self, gateway, stopped, after_s, number):
-        await asyncio.sleep(after_s)
+        await asyncio.sleep(max(0, stopped.at + after_s - time.monotonic()))
         if stopped.exited:
             return
         if number == signal.SIGHUP:
@@ -237,37 +265,23 @@
             gateway.write_settings()
         gateway.process.send_signal(number)
 
-    async def hold(self, gateway, stopped, for_s):
-        begin = time.monotonic()
-        gateway.process.send_signal(signal.SIGSTOP)
-        await asyncio.sleep(for_s)
-        gateway.process.send_signal(signal.SIGCONT)
-        stopped.held.append((begin, time.monotonic()))
-
     async def stop(self, i, drawn):
         gateway = self.gateways[i]
         self.may_stop.discard(i)
         stopped = Stopped(gateway)
-        grace_s = stopped.grace_s
-        if drawn.held:
-            before, share = drawn.held
-            for_s = share * min(HELD_MAX_S, grace_s * HELD_MAX_SHARE)
-            self.spawn(self.hold(gateway, stopped, for_s))
-            await asyncio.sleep(before * for_s)
-        stopped.at = time.monotonic()
-        gateway.process.send_signal(signal.SIGTERM)
         self.stops.append(stopped)
+        grace_s = stopped.grace_s
+        before, share = drawn.held or (0, 0)
+        hold_s = share * min(HELD_MAX_S, grace_s * HELD_MAX_SHARE)
+        stopper = await asyncio.create_subprocess_exec(
+            sys.executable, STOPPER, str(gateway.process.pid), str(grace_s),
+            str(hold_s), str(before * hold_s), stdout=asyncio.subprocess.PIPE)
+        stopped.at = json.loads(await stopper.stdout.readline())["at"]
         for share, number in drawn.second:
             self.spawn(self.signal_again(gateway, stopped, share * grace_s,
                                          number))
-        while gateway.process.poll() is None:
-            if time.monotonic() > stopped.at + grace_s:
-                stopped.late = True
-                gateway.process.kill()
-                gateway.process.wait()
-            await asyncio.sleep(POLL_S)
-        stopped.exited = time.monotonic()
-        stopped.status = gateway.process.returncode
+        stopped.note(json.loads(await stopper.stdout.readline()), gateway)
+        await stopper.wait()
         self.spawn(self.start_again(i, drawn))
 
     async def start_again(self, i, drawn):
@@ -379,8 +393,7 @@
     def report(self):
         cuts = self.cuts()
         refused, twice = self.unsafe()
-        late = [["exit", s.instance, s.grace_s, s.status,
-                 round(s.exited - s.at, 3), s.late, len(s.held)]
+        late = [s.show_exit(self.lags)
                 for s in self.stops if s.late or s.status]
         asked = sum(caller.results.asked for caller in self.callers)
         served = sum(caller.results.served for caller in self.callers)
--- a/tests/gateway_fixtures.py
+++ b/tests/gateway_fixtures.py
@@ -22,6 +22,7 @@
 from fake_server import FakeServer  # noqa: E402
 
 ITEMS_PER_PAGE = 3
+LAST_LINES = 5
 HOST = "shop.example"
 
 
@@ -403,6 +404,9 @@
                 lines.append({"event": "no JSON", "text": line})
         return lines
 
+    def last_lines(self):
+        return self.log_path.read_text("utf-8").splitlines()[-LAST_LINES:]
+
     def stop(self):
         """Send SIGTERM and return the exit status."""
         if self.process.poll() is None:
