soak_removals, soak_stops: tell which gateway was not ready, and why

Gateways that aren't ready now come with their exit status and last log lines; shown on one whose port is taken ("exit status 1, ... start_failed").

Beside it, read and mended:

- soak_removals didn't look whether a gateway ended by itself: one that crashed, or didn't start again, was no failure.
It is one now.
- soak_stops dropped the exception of an instance that didn't start again, in a task that nobody awaited, and went on with fewer.
It awaits them, and reports the play as not played (a trial takes the port of a stopped instance: passed over before, failed now).
A play that could not start ended the whole series of seeds and left no logs; its logs are kept now.

--- a/bench/soak_removals.py
+++ b/bench/soak_removals.py
@@ -5,8 +5,8 @@
 usage: soak_removals.py BUILD --seeds 1-50 --jobs 2 [--instances N]
 
 Checked is that no gateway that was left alone sends to a server later than
-DRAIN_S after the store removed its entry. Prints a JSON line for each run. The
-exit status is 1 if one failed.
+DRAIN_S after the store removed its entry, and that none ends by itself.
+Prints a JSON line for each run. The exit status is 1 if one failed.
 """
 
 import http.client
@@ -105,6 +105,7 @@
         self.disturbed = [[] for _ in range(options.instances)]
         self.away = set()
         self.store_took = []
+        self.ended = []
         self.lock = threading.Lock()
         peer_port = experiment.free_ports(1)[0]
         seeds = [f"127.0.0.{10 + i}:{peer_port}" for i in range(3)]
@@ -210,14 +211,22 @@
             self.add_server()
         for gateway in self.gateways:
             gateway.start()
-        experiment.wait_until("ready", lambda: all(
-            gateway.is_ready() for gateway in self.gateways), READY_S)
+        self.until_ready()
         self.store.delay_s = self.rng.choice(STORE_DELAYS_S)
         for target in (self.beat, self.stall, self.watch_store):
             threading.Thread(target=target, daemon=True).start()
         for number in range(CALLERS):
             Caller(self, number).start()
 
+    def until_ready(self):
+        try:
+            experiment.wait_until("ready", lambda: all(
+                gateway.is_ready() for gateway in self.gateways), READY_S)
+        except experiment.Failed as error:
+            raise experiment.Failed(f"{error}: " + "; ".join(
+                gateway.describe() for gateway in self.gateways
+                if not gateway.is_ready())) from error
+
     def is_in_touch(self, gateway, at):
         return not any(begin < at and end > at - STABLE_S
                        for begin, end in self.disturbed[gateway])
@@ -242,6 +251,8 @@
             self.play_round(Trouble(self.rng, len(self.gateways)))
         time.sleep(DRAIN_S)
         self.over = True
+        self.ended = [gateway.describe() for gateway in self.gateways
+                      if gateway.process.poll() is not None]
 
     def finish(self):
         self.over = True
@@ -274,7 +285,7 @@
         "removals_held": [[line["instance"], line["silence_ms"]]
                           for line in held],
         "late": len(late),
-        "failed": late[:5],
+        "failed": late[:5] + run.ended,
     }
 
 
--- a/bench/soak_stops.py
+++ b/bench/soak_stops.py
@@ -177,6 +177,7 @@
         self.attempts = []
         self.callers = []
         self.stops = []
+        self.starting = []
         self.lags = []
         self.tasks = set()
 
@@ -217,10 +218,7 @@
         until = time.monotonic() + READY_S
         while not await asyncio.to_thread(gateway.is_ready):
             if time.monotonic() > until:
-                raise experiment.Failed(
-                    f"{gateway.settings['instance']} did not start, exit "
-                    f"status {gateway.process.poll()}, last logged: "
-                    f"{gateway.last_lines()}")
+                raise experiment.Failed(f"not ready: {gateway.describe()}")
             await asyncio.sleep(0.05)
 
     async def start(self):
@@ -282,7 +280,7 @@
                                          number))
         stopped.note(json.loads(await stopper.stdout.readline()), gateway)
         await stopper.wait()
-        self.spawn(self.start_again(i, drawn))
+        self.starting.append(self.spawn(self.start_again(i, drawn)))
 
     async def start_again(self, i, drawn):
         await asyncio.sleep(drawn.down_s)
@@ -317,6 +315,7 @@
             await asyncio.sleep(drawn.gap_s)
             stopping += self.begin_stop(drawn)
         await asyncio.gather(*stopping)
+        await asyncio.gather(*self.starting)
         for task in calling:
             task.cancel()
         await asyncio.gather(*calling, return_exceptions=True)
@@ -422,9 +421,11 @@
         run = Run(options, seed, pathlib.Path(directory))
         try:
             asyncio.run(run.play())
+            report = run.report()
+        except experiment.Failed as error:
+            report = {"seed": seed, "failed": [["not played", str(error)]]}
         finally:
             run.finish()
-        report = run.report()
         if report["failed"] and options.keep_logs:
             shutil.copytree(directory, f"stops-{seed}", dirs_exist_ok=True)
     return report
--- a/tests/gateway_fixtures.py
+++ b/tests/gateway_fixtures.py
@@ -407,6 +407,11 @@
     def last_lines(self):
         return self.log_path.read_text("utf-8").splitlines()[-LAST_LINES:]
 
+    def describe(self):
+        """Tell how a process does that isn't as expected."""
+        return (f"{self.settings['instance']}: exit status "
+                f"{self.process.poll()}, last logged: {self.last_lines()}")
+
     def stop(self):
         """Send SIGTERM and return the exit status."""
         if self.process.poll() is None:
