delivery: ask servers whether they read what second sends wait for

Cause: a look-up that gave up on a slow server counts as unread until that server answers something sent later. Two of them stop all hedges of a service, as the tokens left are under half of the capacity, for up to 60 s (UNREAD_AGE_MAX).

A second send that is refused beside unread ones makes the instance ask their servers for their health, on a new connection, once and then less and less often. Any answer, also a refusal, to what was sent after the end of a send shows that the server reads, as answers to requests did before; so do answers to the checks of servers that may have crashed. A server that stands still answers nothing, and the bound of the budget is what it was. Silence is told to nobody: it is no sign of a crash.

--- a/budget.h
+++ b/budget.h
@@ -21,6 +21,7 @@
  * @needed: total number of requests needed
  * @spent: total number of extra requests granted
  * @refused: total number of extra requests refused
+ * @refused_unread: those of @refused while @unread was not 0
  * @uncharged: extra requests that took no token because no earlier send had
  *	reached a server
  * @unread: extra requests that servers may still receive
@@ -36,6 +37,7 @@
 	uint64_t needed;
 	uint64_t spent;
 	uint64_t refused;
+	uint64_t refused_unread;
 	uint64_t uncharged;
 	int unread;
 };
--- a/delivery.c
+++ b/delivery.c
@@ -17,6 +17,10 @@
 /* The same if its entry is gone, most often because it has ended. */
 #define UNREAD_AGE_MAX_GONE MSEC(20000)
 
+/* Between two questions to a server; doubled with each one in a row. */
+#define ASK_INTERVAL_MIN MSEC(250)
+#define ASK_DOUBLINGS_MAX 5
+
 enum delivery_outcome delivery_outcome_of(int code, bool not_run)
 {
 	switch (code) {
@@ -119,6 +123,7 @@
 	struct unread_send *send;
 	struct unread_send *next;
 
+	server->unread_ask.n = 0;
 	DL_FOREACH_SAFE (*sends, send, next) {
 		if (send->server != server || sent_at < send->ended_at)
 			continue;
@@ -127,6 +132,30 @@
 	}
 }
 
+static bool may_ask(const struct unread_ask *ask, int64_t now)
+{
+	int shift = ask->n < ASK_DOUBLINGS_MAX ? ask->n : ASK_DOUBLINGS_MAX;
+
+	return !ask->n || now - ask->at >= ASK_INTERVAL_MIN << shift;
+}
+
+struct registry_server *unread_sends_to_ask(struct unread_send *sends,
+					    int64_t now)
+{
+	struct unread_send *send;
+
+	DL_FOREACH (sends, send) {
+		struct unread_ask *ask = &send->server->unread_ask;
+
+		if (!may_ask(ask, now))
+			continue;
+		ask->at = now;
+		ask->n++;
+		return send->server;
+	}
+	return NULL;
+}
+
 void unread_sends_expire(struct unread_send **sends, int64_t now)
 {
 	struct unread_send *send;
--- a/delivery.h
+++ b/delivery.h
@@ -89,6 +89,16 @@
 	struct unread_send *next;
 };
 
+/**
+ * struct unread_ask - how often a server with unread sends was asked
+ * @at: the last time, microseconds
+ * @n: times since it last answered
+ */
+struct unread_ask {
+	int64_t at;
+	int n;
+};
+
 /**
  * unread_sends_end() - end a pending send, or keep it among the unread ones of
  * its server's service
@@ -110,6 +120,18 @@
 void unread_sends_answered(struct registry_server *server, int64_t sent_at,
 			   int64_t now);
 
+/**
+ * unread_sends_to_ask() - choose a server to be asked whether it receives
+ * @sends: of a service
+ * @now: microseconds; counts as the time at which it is asked
+ *
+ * Servers that do not answer are asked less and less often.
+ *
+ * Return: NULL if none is to be asked now.
+ */
+struct registry_server *unread_sends_to_ask(struct unread_send *sends,
+					    int64_t now);
+
 /**
  * unread_sends_expire() - end sends that are too old to be received
  * @sends: of a service
--- a/dispatch.h
+++ b/dispatch.h
@@ -175,6 +175,8 @@
  *	log; may be NULL
  * @send_suppressed: another send of a part was not made as its answer would be
  *	too late, for the log; may be NULL
+ * @unread: another send was refused while servers may still receive earlier
+ *	ones of the service; may be NULL
  * @evidence: NULL: no retry is held back
  */
 struct dispatch_ops {
@@ -186,6 +188,7 @@
 	void (*forecast_decided)(void *arg, const struct forecast *forecast);
 	void (*send_suppressed)(void *arg, const struct dispatch_part *part,
 				const struct forecast_part *expected);
+	void (*unread)(void *arg, struct registry_service *service);
 	const struct dispatch_evidence *evidence;
 };
 
--- a/dispatch_send.c
+++ b/dispatch_send.c
@@ -222,11 +222,16 @@
 
 	if (!part->n_delivered)
 		return true;
-	if (hedge && !budget_is_half_full(budget, limit, now)) {
+	if (hedge && !budget_is_half_full(budget, limit, now))
 		budget->refused++;
+	else if (budget_take(budget, limit, 1, now))
+		return true;
+	if (!budget->unread)
 		return false;
-	}
-	return budget_take(budget, limit, 1, now);
+	budget->refused_unread++;
+	if (dispatch->ops->unread)
+		dispatch->ops->unread(dispatch->arg, part->service);
+	return false;
 }
 
 int dispatch_part_send_again(struct dispatch_part *part, const char *why,
--- a/gateway_pages.c
+++ b/gateway_pages.c
@@ -185,6 +185,8 @@
 		   (int64_t)gateway->server_queues.watch.n_unjudged);
 	metric_set(&counters->second_sends_refused,
 		   gateway_second_sends_refused(gateway));
+	metric_set(&counters->second_sends_refused_unread,
+		   gateway_second_sends_refused_unread(gateway));
 	metric_set(&counters->second_sends_unread,
 		   gateway_second_sends_unread(gateway));
 	metric_set(&counters->second_sends_entries,
--- a/gateway_second_sends.c
+++ b/gateway_second_sends.c
@@ -42,6 +42,9 @@
 			 counter_delta(budget->uncharged, logged->uncharged)),
 		 LOG_I64("refused",
 			 counter_delta(budget->refused, logged->refused)),
+		 LOG_I64("refused_unread",
+			 counter_delta(budget->refused_unread,
+				       logged->refused_unread)),
 		 LOG_I64("unread", budget->unread),
 		 LOG_I64("unread_ms", unread_age(service, now) / USEC_PER_MSEC),
 		 LOG_F64("budget", budget->tokens),
@@ -110,6 +113,16 @@
 	return n;
 }
 
+int64_t gateway_second_sends_refused_unread(const struct gateway *gateway)
+{
+	const struct registry_service *service = gateway->registry.services;
+	int64_t n = 0;
+
+	for (; service; service = service->hh.next)
+		n += (int64_t)service->budget.refused_unread;
+	return n;
+}
+
 int64_t gateway_second_sends_unread(const struct gateway *gateway)
 {
 	const struct registry_service *service = gateway->registry.services;
--- a/gateway_second_sends.h
+++ b/gateway_second_sends.h
@@ -23,6 +23,12 @@
  */
 int64_t gateway_second_sends_refused(const struct gateway *gateway);
 
+/**
+ * gateway_second_sends_refused_unread() - those of them that were refused while
+ * servers might still receive earlier ones
+ */
+int64_t gateway_second_sends_refused_unread(const struct gateway *gateway);
+
 /**
  * gateway_second_sends_unread() - count second sends that servers may still
  * receive, over all services
--- a/gateway_send.c
+++ b/gateway_send.c
@@ -418,6 +418,20 @@
 	.let_go = log_let_go,
 };
 
+/* Their answers show that they have received what may still be unread. */
+static void ask_servers(void *arg, struct registry_service *service)
+{
+	struct gateway_request *request = arg;
+	struct gateway *gateway = request->gateway;
+	int64_t now = clock_now(&gateway->clock);
+	struct registry_server *server;
+
+	while ((server = unread_sends_to_ask(service->unread_sends, now))) {
+		if (!upstream_ask(&gateway->upstream, server))
+			metric_inc(&gateway->counters.second_sends_asked);
+	}
+}
+
 const struct dispatch_ops gateway_send_ops = {
 	.send = send_part,
 	.abandon = abandon_send,
@@ -426,6 +440,7 @@
 	.limit_lowered = log_limit_lowered,
 	.forecast_decided = gateway_report_forecast,
 	.send_suppressed = gateway_report_resend_left_out,
+	.unread = ask_servers,
 	.evidence = &evidence,
 };
 
--- a/gateway_stats.h
+++ b/gateway_stats.h
@@ -78,6 +78,12 @@
 	X(second_sends_refused, METRIC_GAUGE,                                  \
 	  "garnetreach_second_sends_refused",                                  \
 	  "retries and hedges denied by the retry budget since start")         \
+	X(second_sends_refused_unread, METRIC_GAUGE,                           \
+	  "garnetreach_second_sends_refused_unread",                           \
+	  "those of them denied while earlier ones may still be received")     \
+	X(second_sends_asked, METRIC_COUNTER,                                  \
+	  "garnetreach_second_sends_asked_total",                              \
+	  "servers asked for their health to see that they receive")           \
 	X(second_sends_unread, METRIC_GAUGE,                                   \
 	  "garnetreach_second_sends_unread",                                   \
 	  "second sends that backend servers may still receive")               \
--- a/registry.h
+++ b/registry.h
@@ -83,6 +83,7 @@
  * @cold_until: end of the cold period, microseconds
  * @cold_sends: requests that this instance sent during the cold period, or NULL
  * @score: results of this instance's own requests
+ * @unread_ask: owned by delivery
  * @conns: open connections, owned by upstream
  * @n_conns: number of @conns
  * @earlier: an earlier run under the same id that still has open connections,
@@ -111,6 +112,7 @@
 	int64_t cold_until;
 	struct warmup_sends *cold_sends;
 	struct server_score score;
+	struct unread_ask unread_ask;
 	struct upstream_conn *conns;
 	int n_conns;
 	struct registry_server *earlier;
--- a/tests/dispatch_fixture.h
+++ b/tests/dispatch_fixture.h
@@ -31,6 +31,7 @@
  * @living: send whose server has answered since its connection broke, or NULL
  * @n_crashed: servers that are held for crashed by the request
  * @n_held: retries that were held back
+ * @n_unread: second sends that were refused while others were unread
  * @let_go: why the last of them was let go, or NULL
  */
 struct fixture {
@@ -55,6 +56,7 @@
 	const struct dispatch_send *living;
 	int n_crashed;
 	int n_held;
+	int n_unread;
 	const char *let_go;
 };
 
@@ -119,6 +121,14 @@
 	fixture->let_go = why;
 }
 
+static inline void on_unread(void *arg, struct registry_service *service)
+{
+	struct fixture *fixture = arg;
+
+	(void)service;
+	fixture->n_unread++;
+}
+
 static const struct dispatch_evidence evidence = {
 	.is_safe = on_is_safe,
 	.lives = on_lives,
@@ -131,6 +141,7 @@
 	.send = on_send,
 	.abandon = on_abandon,
 	.is_queued = on_is_queued,
+	.unread = on_unread,
 	.evidence = &evidence,
 };
 
--- a/tests/test_delivery.c
+++ b/tests/test_delivery.c
@@ -149,6 +149,46 @@
 	fixture_finish(&fixture);
 }
 
+/* Guards against second sends that stop, as nobody asks a slow server. */
+static void test_servers_are_asked(void)
+{
+	struct fixture fixture;
+	struct unread_send **sends;
+
+	fixture_init(&fixture);
+	sends = &fixture.service->unread_sends;
+	CU_ASSERT_PTR_NULL(unread_sends_to_ask(*sends, SENT_AT));
+	add_unread(&fixture, SENT_AT);
+	CU_ASSERT_PTR_EQUAL(unread_sends_to_ask(*sends, SENT_AT),
+			    fixture.server);
+	CU_ASSERT_PTR_NULL(unread_sends_to_ask(*sends, SENT_AT));
+	unread_sends_answered(fixture.server, SENT_AT + 1, SENT_AT + MSEC(1));
+	CU_ASSERT(unread(&fixture) == 0);
+	add_unread(&fixture, SENT_AT + MSEC(2));
+	CU_ASSERT_PTR_EQUAL(unread_sends_to_ask(*sends, SENT_AT + MSEC(2)),
+			    fixture.server);
+	fixture_finish(&fixture);
+}
+
+/* Guards against a load of questions on a server that stands still. */
+static void test_silent_server_is_asked_seldom(void)
+{
+	struct fixture fixture;
+	int asked = 0;
+	int ms;
+
+	fixture_init(&fixture);
+	add_unread(&fixture, SENT_AT);
+	for (ms = 0; ms < 60000; ms += 5) {
+		if (unread_sends_to_ask(fixture.service->unread_sends,
+					SENT_AT + MSEC(ms)))
+			asked++;
+	}
+	CU_ASSERT(asked >= 5 && asked <= 12);
+	CU_ASSERT(unread(&fixture) == 1);
+	fixture_finish(&fixture);
+}
+
 /* Guards against results that are taken for a sign of the server. */
 static void test_ends(void)
 {
@@ -168,6 +208,8 @@
 	{"removed server", test_removed_server},
 	{"silent server", test_silent_server},
 	{"restarted server", test_restarted_server},
+	{"servers are asked", test_servers_are_asked},
+	{"a silent server is asked seldom", test_silent_server_is_asked_seldom},
 	{"ends", test_ends},
 };
 
--- a/tests/test_dispatch.c
+++ b/tests/test_dispatch.c
@@ -787,6 +787,29 @@
 	fixture_finish(&fixture);
 }
 
+/* Guards against second sends that stop without anybody asking why. */
+static void test_refused_while_unread(void)
+{
+	struct fixture fixture;
+	struct budget *budget;
+
+	fixture_init(&fixture);
+	fixture.limits.budget.burst = 0;
+	start_dispatch(&fixture, "/any/");
+	budget = &fixture.dispatch.parts[0].service->budget;
+	advance(&fixture, 60);
+	CU_ASSERT(fixture.n_sent == 1);
+	CU_ASSERT(budget->refused > 0 && !budget->refused_unread);
+	CU_ASSERT(fixture.n_unread == 0);
+	budget->unread = 1;
+	advance(&fixture, 10);
+	CU_ASSERT(fixture.n_sent == 1);
+	CU_ASSERT(fixture.n_unread > 0);
+	CU_ASSERT(budget->refused_unread == (uint64_t)fixture.n_unread);
+	budget->unread = 0;
+	fixture_finish(&fixture);
+}
+
 /* Guards against counting a refused send as one that may still arrive. */
 static void test_unread_after_refusal(void)
 {
@@ -827,6 +850,7 @@
 
 static const struct unit_test tests[] = {
 	{"first send is unread after its hedge", test_unread_after_hedge},
+	{"refused while others are unread", test_refused_while_unread},
 	{"refused send is not unread", test_unread_after_refusal},
 	{"silent send is unread", test_unread_after_silence},
 	{"queued part is moved to another server", test_queued_part_is_moved},
--- a/upstream.c
+++ b/upstream.c
@@ -364,6 +364,10 @@
 			     crash_evidence_of(EVUTIL_SOCKET_ERROR()));
 		return;
 	}
+	if (conn->quiet && conn->asked_at) {
+		upstream_conn_end_asked(conn);
+		return;
+	}
 	if (what & BEV_EVENT_ERROR && conn->server->n_conns == 1)
 		presume_cold(conn->server, SUSPECTED_RESTART_COLD_TIME,
 			     clock_now(upstream->clock),
@@ -556,6 +560,22 @@
 	return 0;
 }
 
+int upstream_ask(struct upstream *upstream, struct registry_server *server)
+{
+	struct upstream_conn *conn;
+
+	if (!server->service->health_path || server->gone)
+		return ERR_NO_REPLICA;
+	conn = open_conn(upstream, server);
+	if (!conn)
+		return ERR_CONNECT;
+	conn->is_check = true;
+	conn->ask = true;
+	conn->quiet = true;
+	upstream_conn_set_timer(conn, upstream->limits.connect_timeout);
+	return 0;
+}
+
 void exchange_set_timeout(struct exchange *exchange, int64_t timeout)
 {
 	if (exchange->written)
--- a/upstream.h
+++ b/upstream.h
@@ -210,6 +210,16 @@
 void exchange_abandon(struct exchange *exchange, int64_t linger,
 		      struct delivery *delivery);
 
+/**
+ * upstream_ask() - ask a server for its health on a new connection
+ *
+ * Its answer shows that it has received what was sent to it before. Its silence
+ * shows nothing: nobody is told of it.
+ *
+ * Return: 0; or ERR_CONNECT; or ERR_NO_REPLICA if it can't be asked.
+ */
+int upstream_ask(struct upstream *upstream, struct registry_server *server);
+
 /**
  * exchange_set_timeout() - end an exchange early if no answer comes
  * @timeout: as @linger of exchange_abandon(), microseconds
--- a/upstream_private.h
+++ b/upstream_private.h
@@ -21,6 +21,7 @@
  * @is_check: opened by upstream_check(), and not connected yet
  * @check: callback of upstream_check(), or NULL
  * @ask: ask for the server's health once it is connected
+ * @quiet: that the server does not answer when asked tells nothing
  * @asked_at: when it was asked, microseconds; 0: no such answer is awaited
  * @idle_since: when it became idle, microseconds
  * @idle_for: how long it may stay idle, microseconds
@@ -39,6 +40,7 @@
 	upstream_check_cb check;
 	void *check_arg;
 	bool ask;
+	bool quiet;
 	int64_t asked_at;
 	int64_t idle_since;
 	int64_t idle_for;
--- a/upstream_read.c
+++ b/upstream_read.c
@@ -12,6 +12,8 @@
 
 /* A server that is asked for its health and pauses for less is not silent. */
 #define HEALTH_TIMEOUT MSEC(250)
+/* A slow server answers late, and its answer still tells that it reads. */
+#define QUIET_TIMEOUT MSEC(1000)
 /* Shorter answers are not given up to make room. */
 #define GIVEN_UP_SIZE_MIN 65536
 /* Interim responses and answers to earlier requests before the answer. */
@@ -80,7 +82,8 @@
 			    server->entry.address.ip);
 	conn->state = CONN_BUSY;
 	conn->asked_at = clock_now(conn->upstream->clock);
-	upstream_conn_set_timer(conn, HEALTH_TIMEOUT);
+	upstream_conn_set_timer(conn,
+				conn->quiet ? QUIET_TIMEOUT : HEALTH_TIMEOUT);
 }
 
 /* Any status is a sign of life; the id tells whose. */
@@ -94,8 +97,12 @@
 
 	event_del(conn->timer);
 	conn->asked_at = 0;
+	conn->quiet = false;
 	if (replaced)
 		server->gone = true;
+	else
+		unread_sends_answered(server, asked_at,
+				      clock_now(upstream->clock));
 	observe_answer(upstream, server, replaced ? ERR_FOREIGN : 0, asked_at);
 	upstream_conn_keep_or_close(conn);
 	upstream_notify_released(upstream, server);
@@ -106,9 +113,11 @@
 {
 	struct registry_server *server = registry_server_ref(conn->server);
 	struct upstream *upstream = conn->upstream;
+	bool quiet = conn->quiet;
 
 	upstream_conn_free(conn);
-	upstream_notify_broken(upstream, server);
+	if (!quiet)
+		upstream_notify_broken(upstream, server);
 	upstream_notify_released(upstream, server);
 }
 
