tests: see relays that end with work open, and links held up by others

* A relay that does not wait for what it sent for others (gateway_stop.c, is_idle()): its server answered after 2.7 s of a stop whose idle processes end after 3.0 s.
The server now works on until the relay no longer listens, and 0.3 s longer.
* A relay that ends half a second after SIGTERM passed as one that gets no new parts.
It has to run until the end of the test.
* peers_flush() that stops behind a link whose other end does not read, or writes to the first link only: there was one link.
A flush that waits was an endless test; it now ends after 5 s.
* relay_serve_end_jobs() that ends one job of several, or leaves its sends at their servers.
* relay_serve_limit_time() that lengthens deadlines; ERR_TOO_LATE of a shortened job passed on as if the caller's time was over; ERR_SILENT of a job that was not shortened reported as the instance's fault; a part refused as by the stop though its entry's own time is short.

Not seen by test_peer still: conn_write() that writes once in place of until the kernel has no room; a socket of the test takes less than one write.

--- a/tests/test_peer.c
+++ b/tests/test_peer.c
@@ -13,9 +13,12 @@
 #include "unit.h"
 
 #define FRAMES 300
+#define SUBJECT_SIZE 2
 #define LARGE_FRAMES 4
 #define LARGE_FRAME_SIZE (512 * 1024)
 #define LOOP_PRIORITIES 8
+/* A flush that takes longer ends the program. */
+#define FLUSH_MAX_S 5
 
 struct fixture {
 	struct clock clock;
@@ -28,7 +31,7 @@
 	struct evbuffer *received;
 };
 
-static void add_link(struct fixture *fixture)
+static struct peer_link *add_link(struct fixture *fixture, int *other_end)
 {
 	struct peer_link *link = mem_zalloc(sizeof(*link));
 	int fds[2];
@@ -36,13 +39,13 @@
 	CU_ASSERT_EQUAL_FATAL(socketpair(AF_UNIX, SOCK_STREAM, 0, fds), 0);
 	evutil_make_socket_nonblocking(fds[0]);
 	evutil_make_socket_nonblocking(fds[1]);
-	fixture->other_end = fds[1];
-	fixture->link = link;
+	*other_end = fds[1];
 	link->peers = &fixture->peers;
 	link->up = true;
 	link->bev = bufferevent_socket_new(fixture->base, fds[0],
 					   BEV_OPT_CLOSE_ON_FREE);
 	DL_APPEND(fixture->peers.links, link);
+	return link;
 }
 
 static void set_up(struct fixture *fixture)
@@ -55,7 +58,7 @@
 	blackboard_init(&fixture->board, &fixture->clock, &fixture->settings,
 			fixture->base, 1);
 	CU_ASSERT_EQUAL_FATAL(peers_init(&fixture->peers, &fixture->board), 0);
-	add_link(fixture);
+	fixture->link = add_link(fixture, &fixture->other_end);
 	fixture->received = evbuffer_new();
 }
 
@@ -67,24 +70,26 @@
 	event_base_free(fixture->base);
 }
 
-static void send_frames(struct fixture *fixture, int n, char *subject)
+static void send_frames(struct peer_link *link, int n, size_t size)
 {
+	static char subject[LARGE_FRAME_SIZE];
 	Peer__Failure failure = PEER__FAILURE__INIT;
 	int i;
 
+	memset(subject, 'x', size - 1);
+	subject[size - 1] = '\0';
 	failure.subject = subject;
 	for (i = 0; i < n; i++)
-		CU_ASSERT_EQUAL(peer_send(fixture->link, FRAME_FAILURE,
-					  &failure.base),
+		CU_ASSERT_EQUAL(peer_send(link, FRAME_FAILURE, &failure.base),
 				0);
 }
 
-static int count_received(struct fixture *fixture)
+static int count_received(struct fixture *fixture, int other_end)
 {
 	struct frame frame;
 	int n = 0;
 
-	while (evbuffer_read(fixture->received, fixture->other_end, -1) > 0)
+	while (evbuffer_read(fixture->received, other_end, -1) > 0)
 		continue;
 	while (frame_read(fixture->received, &frame) == 1) {
 		frame_finish(&frame);
@@ -99,9 +104,9 @@
 	struct fixture fixture;
 
 	set_up(&fixture);
-	send_frames(&fixture, FRAMES, (char *)"x");
+	send_frames(fixture.link, FRAMES, SUBJECT_SIZE);
 	peers_finish(&fixture.peers);
-	CU_ASSERT_EQUAL(count_received(&fixture), FRAMES);
+	CU_ASSERT_EQUAL(count_received(&fixture, fixture.other_end), FRAMES);
 	tear_down(&fixture);
 }
 
@@ -111,10 +116,10 @@
 	struct fixture fixture;
 
 	set_up(&fixture);
-	send_frames(&fixture, FRAMES, (char *)"x");
+	send_frames(fixture.link, FRAMES, SUBJECT_SIZE);
 	peers_flush(&fixture.peers);
 	CU_ASSERT_EQUAL(peer_backlog(fixture.link), 0);
-	CU_ASSERT_EQUAL(count_received(&fixture), FRAMES);
+	CU_ASSERT_EQUAL(count_received(&fixture, fixture.other_end), FRAMES);
 	peers_finish(&fixture.peers);
 	tear_down(&fixture);
 }
@@ -122,15 +127,21 @@
 /* Guards against an exit that waits for a peer that does not read. */
 static void test_flush_does_not_block(void)
 {
-	static char subject[LARGE_FRAME_SIZE];
+	struct peer_link *next;
 	struct fixture fixture;
+	int next_end;
 
 	set_up(&fixture);
-	memset(subject, 'x', sizeof(subject) - 1);
-	send_frames(&fixture, LARGE_FRAMES, subject);
+	next = add_link(&fixture, &next_end);
+	send_frames(fixture.link, LARGE_FRAMES, LARGE_FRAME_SIZE);
+	send_frames(next, FRAMES, SUBJECT_SIZE);
+	alarm(FLUSH_MAX_S);
 	peers_flush(&fixture.peers);
 	CU_ASSERT(peer_backlog(fixture.link) > 0);
+	CU_ASSERT_EQUAL(count_received(&fixture, next_end), FRAMES);
 	peers_finish(&fixture.peers);
+	alarm(0);
+	close(next_end);
 	tear_down(&fixture);
 }
 
--- a/tests/test_relay_serve.c
+++ b/tests/test_relay_serve.c
@@ -40,6 +40,8 @@
 	struct relay_serve relay;
 	struct server_job *sent;
 	int n_sent;
+	int n_abandoned;
+	uint32_t deadline_ms; /* of what the entry asks for */
 	int64_t deadline;
 };
 
@@ -56,10 +58,12 @@
 static void on_abandon(void *arg, struct server_job *job, int64_t linger,
 		       struct delivery *delivery)
 {
-	(void)arg;
+	struct fixture *fixture = arg;
+
 	(void)job;
 	(void)linger;
 	(void)delivery;
+	fixture->n_abandoned++;
 }
 
 static void on_hurry(void *arg, struct server_job *job, int64_t linger)
@@ -141,6 +145,7 @@
 	relay_serve_init(&fixture->relay, &fixture->board, &fixture->peers,
 			 &fixture->registry, &fixture->queues);
 	fixture->received = evbuffer_new();
+	fixture->deadline_ms = DEADLINE_MS;
 }
 
 static void finish(struct fixture *fixture)
@@ -175,7 +180,7 @@
 	}
 	message.id = 7;
 	message.request_id = (char *)"r";
-	message.deadline_ms = DEADLINE_MS;
+	message.deadline_ms = fixture->deadline_ms;
 	message.goal_ms = DEADLINE_MS;
 	message.flush_ms = 100;
 	message.connections_max = 10;
@@ -220,22 +225,26 @@
 	frame_finish(&frame);
 }
 
-static void check_not_run(struct fixture *fixture)
+static void check_only_part(struct fixture *fixture, int code, bool not_run)
 {
 	const Peer__PartResult *message;
 	struct frame frame;
 
-	peers_flush(&fixture->peers);
 	if (!receive(fixture, &frame)) {
 		CU_FAIL("the entry was told nothing");
 		return;
 	}
 	message = (const Peer__PartResult *)frame.message;
 	CU_ASSERT_EQUAL_FATAL(message->n_parts, 1);
-	check_part(message, 0, ERR_BUDGET, true);
+	check_part(message, 0, code, not_run);
 	frame_finish(&frame);
 }
 
+static void check_not_run(struct fixture *fixture)
+{
+	check_only_part(fixture, ERR_BUDGET, true);
+}
+
 /* Guards against an exit that leaves entries without a word of their parts. */
 static void test_exit_returns_jobs(void)
 {
@@ -244,8 +253,22 @@
 	set_up(&fixture);
 	ask(&fixture, SENDS);
 	CU_ASSERT_EQUAL(fixture.n_sent, AT_WORK);
+	ask(&fixture, 1);
 	finish(&fixture);
 	check_open_job(&fixture);
+	check_not_run(&fixture);
+	tear_down(&fixture);
+}
+
+/* Guards against servers that work on for parts that nobody waits for. */
+static void test_exit_cancels_sends(void)
+{
+	struct fixture fixture;
+
+	set_up(&fixture);
+	ask(&fixture, SENDS);
+	finish(&fixture);
+	CU_ASSERT_EQUAL(fixture.n_abandoned, AT_WORK);
 	tear_down(&fixture);
 }
 
@@ -265,6 +288,7 @@
 	ask(&fixture, 1);
 	CU_ASSERT(relay_serve_is_idle(&fixture.relay));
 	CU_ASSERT_EQUAL(fixture.n_sent, AT_WORK);
+	peers_flush(&fixture.peers);
 	check_not_run(&fixture);
 	finish(&fixture);
 	tear_down(&fixture);
@@ -296,43 +320,105 @@
 			       clock_now(&fixture.clock) + MSEC(1));
 	ask(&fixture, 1);
 	CU_ASSERT_EQUAL(fixture.n_sent, 0);
+	peers_flush(&fixture.peers);
 	check_not_run(&fixture);
 	finish(&fixture);
 	tear_down(&fixture);
 }
 
-/* Guards against calling a server slow when this instance ran out of time. */
-static void test_limit_is_no_fault_of_the_server(void)
+/* Guards against a stop that refuses a part though it takes no time from it. */
+static void test_entry_with_too_little_time(void)
 {
-	const struct exchange_result silent = {.code = ERR_SILENT,
-					       .stamp = STR("")};
-	const Peer__PartResult *message;
 	struct fixture fixture;
-	struct frame frame;
 
 	set_up(&fixture);
 	relay_serve_limit_time(&fixture.relay,
 			       clock_now(&fixture.clock) + MSEC(1000));
+	fixture.deadline_ms = 1;
+	ask(&fixture, 1);
+	CU_ASSERT_EQUAL(fixture.n_sent, 1);
+	finish(&fixture);
+	tear_down(&fixture);
+}
+
+/* Guards against a limit that gives a server more time than the entry has. */
+static void test_limit_is_no_extension(void)
+{
+	struct fixture fixture;
+	int64_t deadline;
+
+	set_up(&fixture);
+	deadline = clock_now(&fixture.clock) + MSEC(DEADLINE_MS);
+	relay_serve_limit_time(&fixture.relay, deadline + MSEC(1000));
+	ask(&fixture, 1);
+	CU_ASSERT_EQUAL(fixture.n_sent, 1);
+	CU_ASSERT_EQUAL(fixture.deadline, deadline);
+	finish(&fixture);
+	tear_down(&fixture);
+}
+
+/* The entry is told @code of a part that ends with @result. */
+static void check_told(int64_t limit, const struct exchange_result *result,
+		       int code)
+{
+	struct fixture fixture;
+
+	set_up(&fixture);
+	relay_serve_limit_time(&fixture.relay,
+			       clock_now(&fixture.clock) + limit);
 	ask(&fixture, 1);
-	clock_advance(&fixture.clock, MSEC(1010));
-	server_job_done(fixture.sent, &silent);
+	CU_ASSERT_EQUAL_FATAL(fixture.n_sent, 1);
+	clock_advance(&fixture.clock, limit + MSEC(10));
+	server_job_done(fixture.sent, result);
 	peers_flush(&fixture.peers);
-	CU_ASSERT_FATAL(receive(&fixture, &frame));
-	message = (const Peer__PartResult *)frame.message;
-	check_part(message, 0, ERR_LEAVING, false);
-	frame_finish(&frame);
+	check_only_part(&fixture, code, result->not_run);
 	finish(&fixture);
 	tear_down(&fixture);
 }
 
+/* Guards against calling a server slow when this instance ran out of time. */
+static void test_limit_is_no_fault_of_the_server(void)
+{
+	const struct exchange_result silent = {.code = ERR_SILENT,
+					       .stamp = STR("")};
+
+	check_told(MSEC(1000), &silent, ERR_LEAVING);
+}
+
+/* Guards against a part that an entry gives up as if its caller had no time. */
+static void test_limit_is_not_of_the_caller(void)
+{
+	const struct exchange_result too_late = {.code = ERR_TOO_LATE,
+						 .not_run = true,
+						 .stamp = STR("")};
+
+	check_told(MSEC(1000), &too_late, ERR_BUDGET);
+}
+
+/* Guards against a stop that hides from entries which servers are slow. */
+static void test_slow_server_is_told(void)
+{
+	const struct exchange_result silent = {.code = ERR_SILENT,
+					       .stamp = STR("")};
+
+	check_told(MSEC(DEADLINE_MS), &silent, ERR_SILENT);
+}
+
 static const struct unit_test tests[] = {
 	{"an exit returns unfinished jobs", test_exit_returns_jobs},
+	{"an exit cancels sends", test_exit_cancels_sends},
 	{"no jobs are taken after the end", test_no_jobs_after_the_end},
 	{"time of new jobs is limited", test_time_is_limited},
 	{"part that takes longer than the limit is not sent",
 	 test_too_little_time},
+	{"entry's own lack of time is left to the queue",
+	 test_entry_with_too_little_time},
+	{"limit later than a deadline changes nothing",
+	 test_limit_is_no_extension},
 	{"limit of a job is no fault of its server",
 	 test_limit_is_no_fault_of_the_server},
+	{"limit of a job is not its caller's", test_limit_is_not_of_the_caller},
+	{"slow server is told during a stop", test_slow_server_is_told},
 };
 
 UNIT_MAIN("relay_serve", tests)
--- a/tests/test_stop_relay.py
+++ b/tests/test_stop_relay.py
@@ -20,6 +20,8 @@
 # A relay has as many requests at a server as it has slots, and one in transfer.
 AT_WORK = SLOTS + 1
 N_CALLS = AT_WORK + 2
+# Time for a relay that thinks itself idle to end; stop_max_s 8 leaves 1 s.
+AT_WORK_AFTER_CLOSE_S = 0.3
 # From SIGTERM to the arrival of the news at the entry.
 NEWS_MAX_S = 1.5
 
@@ -68,6 +70,14 @@
         server.respond = respond
         return release
 
+    @staticmethod
+    def listens(gateway):
+        try:
+            test_gateway.Caller(gateway).close()
+        except ConnectionRefusedError:
+            return False
+        return True
+
     def failures(self, gateway):
         return [line for line in gateway.log()
                 if line["event"] == "send_failed"
@@ -103,14 +113,16 @@
     def test_part_at_work_when_its_relay_stops(self):
         """Guards against a relay that has no callers and ends before the
         servers have answered what it sent for others."""
-        entry, relay = self.start_shards("once", stop_max_s=4)
+        entry, relay = self.start_shards("once", stop_max_s=8)
         release = self.hold(self.servers[-1])
         seen = len(self.servers[-1].seen)
         call = Call(entry, 0)
         call.start()
         self.wait("at work", lambda: len(self.servers[-1].seen) > seen)
         relay.process.terminate()
-        threading.Timer(2.7, release.set).start()
+        self.wait("listening socket closed", lambda: not self.listens(relay))
+        time.sleep(AT_WORK_AFTER_CLOSE_S)
+        release.set()
         call.join()
         self.assertEqual(call.answer.status, 200)
         self.assertEqual(call.answer.headers["x-missing-parts"], "0")
@@ -138,6 +150,8 @@
             time.sleep(0.02)
         print(f"last job {last - start:.2f} s after SIGTERM", file=sys.stderr)
         self.assertLess(last - start, NEWS_MAX_S)
+        self.assertIsNone(relay.process.poll())
+        kept.close()
 
 
 def load_tests(loader, tests, pattern):
