lifecycle: a stop before the first table ends by that table

Cause: since a stop is planned at its signal, there by the default of 30 s; before, the end followed the table in force. Such a process has callers, who know its address, so that it is rarely idle.

The stop is planned again, from its signal, once the first table is in force. Later changes of stop_max_ms still don't move the end.

ServeStop.test_a_stop_before_the_first_table_ends_by_it failed before (not ended after 4 s) and passes; test_lifecycle has the plan alone.

--- a/lifecycle.c
+++ b/lifecycle.c
@@ -11,16 +11,24 @@
 
 #define STOP_CHECK_MS 20
 
-void lifecycle_leave(struct blackboard *board)
+static void plan_stop(struct blackboard *board, int64_t since)
 {
-	int64_t grace = MSEC(blackboard_tunables(board)->stop_max_ms);
+	stop_plan_init(&board->stop, since,
+		       MSEC(blackboard_tunables(board)->stop_max_ms));
+	blackboard_notify(board, BLACKBOARD_LIFECYCLE);
+}
 
+void lifecycle_leave(struct blackboard *board)
+{
 	board->lifecycle = LIFECYCLE_LEAVING;
 	board->leaving_since = clock_now(board->clock);
 	/* The signal may have waited since the event loop's last tick. */
-	stop_plan_init(&board->stop,
-		       board->leaving_since - blackboard_stall(board), grace);
-	blackboard_notify(board, BLACKBOARD_LIFECYCLE);
+	plan_stop(board, board->leaving_since - blackboard_stall(board));
+}
+
+void lifecycle_plan_again(struct blackboard *board)
+{
+	plan_stop(board, board->stop.since);
 }
 
 bool lifecycle_may_stop(const struct blackboard *board, bool idle)
@@ -77,16 +85,28 @@
 	LOG_INFO("leaving",
 		 LOG_I64("searches_open", board->counters.searches_open.value),
 		 LOG_I64("runs_open", board->counters.runs_open.value));
+	control->lacks_table = !board->table;
 	lifecycle_leave(board);
 	event_add(control->timer, &period);
 }
 
+static void on_table(void *arg)
+{
+	struct lifecycle_control *control = arg;
+
+	if (!control->lacks_table)
+		return;
+	control->lacks_table = false;
+	lifecycle_plan_again(control->board);
+}
+
 void lifecycle_init(struct lifecycle_control *control, struct blackboard *board,
 		    const struct home *home, struct caller_conns *callers)
 {
 	control->board = board;
 	control->home = home;
 	control->callers = callers;
+	control->lacks_table = false;
 	control->term = evsignal_new(board->base, SIGTERM, on_signal, control);
 	control->interrupt =
 		evsignal_new(board->base, SIGINT, on_signal, control);
@@ -94,6 +114,8 @@
 		event_new(board->base, -1, EV_PERSIST, on_timer, control);
 	event_add(control->term, NULL);
 	event_add(control->interrupt, NULL);
+	blackboard_watch(board, BLACKBOARD_TABLE, &control->table_watch,
+			 on_table, control);
 }
 
 void lifecycle_finish(struct lifecycle_control *control)
--- a/lifecycle.h
+++ b/lifecycle.h
@@ -27,6 +27,8 @@
  * @term: SIGTERM
  * @interrupt: SIGINT
  * @timer: periodic check once the instance is leaving
+ * @table_watch: of the first table
+ * @lacks_table: the stop was planned before the first table was in force
  */
 struct lifecycle_control {
 	struct blackboard *board;
@@ -35,6 +37,8 @@
 	struct event *term;
 	struct event *interrupt;
 	struct event *timer;
+	struct blackboard_watch table_watch;
+	bool lacks_table;
 };
 
 /**
@@ -57,6 +61,15 @@
  */
 void lifecycle_leave(struct blackboard *board);
 
+/**
+ * lifecycle_plan_again() - let a stop end by the tunables now in force
+ * @board: leaving; the plan of its stop is replaced, from the same beginning,
+ *	and its watchers of BLACKBOARD_LIFECYCLE notified
+ *
+ * For an instance that was told to stop before it had its first table.
+ */
+void lifecycle_plan_again(struct blackboard *board);
+
 /**
  * lifecycle_may_stop() - whether a leaving instance may exit now
  * @board: its lifecycle and counters of work in flight are read
--- a/tests/test_lifecycle.c
+++ b/tests/test_lifecycle.c
@@ -64,10 +64,29 @@
 	board_fixture_finish(&path);
 }
 
+/* Guards against a stop before the first table that lasts by the defaults. */
+static void test_first_table_plans_again(void)
+{
+	struct board_fixture path;
+	int64_t since;
+
+	leave(&path);
+	since = path.board.stop.since;
+	clock_advance(&path.clock, MSEC(100));
+	path.board.table->tunables.stop_max_ms = 2000;
+	lifecycle_plan_again(&path.board);
+	CU_ASSERT_EQUAL(path.board.stop.since, since);
+	CU_ASSERT_EQUAL(path.board.lifecycle, LIFECYCLE_LEAVING);
+	clock_advance(&path.clock, MSEC(2000 - 100));
+	CU_ASSERT_TRUE(lifecycle_may_stop(&path.board, false));
+	board_fixture_finish(&path);
+}
+
 static const struct unit_test tests[] = {
 	{"serving does not stop", test_serving_does_not_stop},
 	{"waits for address lists of others", test_waits_for_address_lists},
 	{"waits for work", test_waits_for_work},
+	{"first table plans again", test_first_table_plans_again},
 };
 
 UNIT_MAIN("lifecycle", tests)
--- a/tests/test_serve_stop.py
+++ b/tests/test_serve_stop.py
@@ -58,7 +58,7 @@
 
 
 class ServeStop(unittest.TestCase):
-    def start_fleet(self, n, *options):
+    def start_fleet(self, n, *options, publish=True):
         out = tempfile.TemporaryDirectory()
         self.addCleanup(out.cleanup)
         bench = experiment.Bench("serve_stop", BUILD, out.name)
@@ -71,11 +71,12 @@
             "--tunable", "leave_spread_ms=0",
             "--tunable", f"stop_max_ms={STOP_MAX_MS}", *options,
         )
-        platform = bench.platform()
-        platform.publish(self.deployment.table)
+        self.platform = bench.platform()
+        if publish:
+            self.platform.publish(self.deployment.table)
         instances = bench.instances(
-            platform, [(f"be1-{i}", "be1") for i in range(n)])
-        for instance in instances:
+            self.platform, [(f"be1-{i}", "be1") for i in range(n)])
+        for instance in instances if publish else ():
             experiment.wait_until(
                 "full coverage",
                 lambda: instance.search({"service": SERVICE})[1]
@@ -237,6 +238,18 @@
             instance.child.send_signal(signal.SIGINT)
         self.assertEqual(instance.child.returncode, 0)
 
+    def test_a_stop_before_the_first_table_ends_by_it(self):
+        """Guards against a process that outlasts stop_max_ms, as it was told to
+        stop before it knew it."""
+        (instance,) = self.start_fleet(1, publish=False)
+        experiment.wait_until("a start", instance.status)
+        with socket.create_connection(("127.0.0.1", instance.port), 5) as conn:
+            conn.sendall(b"POST /v1/search HTTP/1.1\r\n")
+            instance.ask_to_stop()
+            time.sleep(HEAD_START_S)
+            self.platform.publish(self.deployment.table)
+            self.assertEqual(instance.child.wait(2 * STOP_MAX_MS / 1000), 0)
+
     def test_a_request_that_is_arriving_is_answered(self):
         """Guards against an exit beside a request that is half read."""
         (instance,) = self.start_fleet(1)
