--- a/bench/soak_stops.py
+++ b/bench/soak_stops.py
@@ -12,7 +12,6 @@
 """
 
 import asyncio
-import collections
 import json
 import pathlib
 import random
@@ -27,7 +26,9 @@
 import soak_stop_caller
 from soak import LOAD_CONTROL
 from soak_stop_caller import StopCaller
-from soak_stop_server import AILMENTS, Records, Server
+from soak_stop_judge import Judge, Stopped
+from soak_stop_plan import GRACES_S, Stop
+from soak_stop_server import Records, Server
 
 sys.path.insert(0, str(experiment.ROOT / "tests"))
 
@@ -44,111 +45,10 @@
 CALLER_INTERVAL_S = 0.06
 PLAY_S = 40
 READY_S = 30
-STOP_GAP_S = 2
-ALL_AT_ONCE_SHARE = 0.03
-SERIES_SHARE = 0.3
-# Mostly GraceS as it is by default.
-GRACES_S = (6,) * 8 + (2, 3, 3, 12)
-HELD_SHARE = 0.3
-HELD_MAX_S = 0.4
-HELD_MAX_SHARE = 1 / 15
-AILING = 5
-SECOND_SIGNAL_SHARE = 0.4
-SECOND_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
-CONFIGURE_SHARE = 0.2
-STORE_AWAY_SHARE = 0.1
 # Uploads come in pieces, and whole in less.
 HEADER_TIMEOUT_MS = 3000
 POLL_S = 0.01
 LAG_MIN_S = 0.03
-# Rule LOST.
-LOSS_SLACK_S = 0.2
-AFTER_GRACE_S = 1
-EXEMPT_SENT_S = 3
-AT_WORK_SHARE = 5 / 6
-# An answer may cross with the end of the caller's time.
-OWN_TIME_SLACK_S = 0.05
-SHOWN_MAX = 12
-# A run that served less has tried nothing.
-SERVED_SHARE_MIN = 0.5
-
-
-class Stop:
-    """What is drawn for one planned stop; `order`: instances by preference."""
-
-    def __init__(self, rng, instances):
-        self.gap_s = rng.expovariate(1 / STOP_GAP_S)
-        self.order = rng.sample(range(instances), instances)
-        self.all = rng.random() < ALL_AT_ONCE_SHARE
-        self.series = rng.random() < SERIES_SHARE
-        self.held = (rng.uniform(0, 1), rng.uniform(0, 1)) \
-            if rng.random() < HELD_SHARE else None
-        self.next_grace_s = rng.choice(GRACES_S)
-        self.down_s = rng.uniform(0, 1)
-        self.second = [(rng.uniform(0, 1), rng.choice(SECOND_SIGNALS))
-                       for _ in range(rng.choice((1, 1, 3)))] \
-            if rng.random() < SECOND_SIGNAL_SHARE else []
-        self.ailing = [(rng.random(), rng.choice(AILMENTS),
-                        rng.uniform(1.5, 4.3), rng.uniform(0.3, 3))
-                       for _ in range(AILING)]
-        self.configure_after_s = (rng.uniform(0, 5)
-                                  if rng.random() < CONFIGURE_SHARE else None)
-        self.store_away_s = (rng.uniform(0.5, 3)
-                             if rng.random() < STORE_AWAY_SHARE else 0)
-
-
-class Stopped:
-    """A stop as it went. `held`: times at which the instance was held; `late`:
-    it had not ended in time and was killed."""
-
-    def __init__(self, gateway):
-        self.instance = gateway.settings["instance"]
-        self.address = gateway.settings["caller_address"]
-        self.grace_s = gateway.settings["stop_max_s"]
-        self.at = None
-        self.exited = None
-        self.status = None
-        self.late = False
-        self.held = []
-        self.last_lines = []
-
-    def note(self, told, gateway):
-        """`told`: what the stopper told of the stop."""
-        self.status = gateway.process.wait()
-        self.held = [told["held"]] if told["held"] else []
-        self.exited = told["exited"]
-        self.late = told["late"]
-        self.last_lines = gateway.last_lines()
-
-    def show_exit(self, lags):
-        """`lags`: when the process with the callers was late."""
-        return ["exit", self.instance, self.grace_s, self.status,
-                {"exited": round(self.exited - self.at, 3),
-                 "late": self.late,
-                 "held": self.since_term(self.held),
-                 "lags": self.since_term(
-                     lag for lag in lags
-                     if lag[1] > self.at and lag[0] < self.exited),
-                 "last_lines": self.last_lines}]
-
-    def since_term(self, spans):
-        return [[round(at - self.at, 3) for at in span] for span in spans]
-
-    def covers(self, one):
-        """Whether the rule holds for an attempt: it was sent in the stop, or
-        open when that began."""
-        return (one.address == self.address and one.whole_at is not None
-                and one.whole_at <= self.at + self.grace_s + AFTER_GRACE_S
-                and one.ended >= self.at)
-
-    def is_exempt(self, one, works):
-        return (one.whole_at <= self.at + EXEMPT_SENT_S and any(
-            work.is_at_work(self.at + self.grace_s * AT_WORK_SHARE)
-            for work in works))
-
-
-def overlap_s(spans, begin, end):
-    return sum(max(0, min(end, b) - max(begin, a)) for a, b in spans)
 
 
 class Run:
@@ -269,11 +169,10 @@
         stopped = Stopped(gateway)
         self.stops.append(stopped)
         grace_s = stopped.grace_s
-        before, share = drawn.held or (0, 0)
-        hold_s = share * min(HELD_MAX_S, grace_s * HELD_MAX_SHARE)
+        hold_s, before_s = drawn.hold_s(grace_s)
         stopper = await asyncio.create_subprocess_exec(
             sys.executable, STOPPER, str(gateway.process.pid), str(grace_s),
-            str(hold_s), str(before * hold_s), stdout=asyncio.subprocess.PIPE)
+            str(hold_s), str(before_s), stdout=asyncio.subprocess.PIPE)
         stopped.at = json.loads(await stopper.stdout.readline())["at"]
         for share, number in drawn.second:
             self.spawn(self.signal_again(gateway, stopped, share * grace_s,
@@ -334,94 +233,13 @@
         self.store.shutdown()
         self.store.server_close()
 
-    def is_cut(self, stopped, one):
-        """Rule LOST, of an attempt that the stop covers."""
-        works = self.records.of(one.id)
-        waited_s = (one.ended - one.whole_at
-                    - overlap_s(stopped.held, one.whole_at, one.ended)
-                    - overlap_s(self.lags, one.whole_at, one.ended))
-        return (one.end == "cut"
-                and (works or waited_s > LOSS_SLACK_S)
-                and one.ended < one.deadline - OWN_TIME_SLACK_S
-                and not stopped.is_exempt(one, works))
-
-    def show(self, stopped, one):
-        works = self.records.of(one.id)
-        return {
-            "id": one.id, "kind": one.kind, "instance": stopped.instance,
-            "grace_s": stopped.grace_s,
-            "sent": round(one.whole_at - stopped.at, 3),
-            "ended": round(one.ended - stopped.at, 3),
-            "exited": round(stopped.exited - stopped.at, 3),
-            "servers": [[work.server, round(work.read_at - stopped.at, 3)]
-                        for work in works],
-            "status": one.status, "bytes": one.bytes, "error": one.error}
-
-    def cuts(self):
-        return [self.show(stopped, one)
-                for stopped in self.stops for one in self.attempts
-                if one.ended and stopped.covers(one)
-                and self.is_cut(stopped, one)]
-
-    def ran(self, one):
-        return sum(work.ran_at is not None
-                   for work in self.records.of(one.id))
-
-    def unsafe(self):
-        """Requests that were refused and ran all the same, or ran twice, of
-        those that may run only once."""
-        once = [one for one in self.attempts if not one.may_repeat]
-        return ([["refused but ran", one.id, one.kind] for one in once
-                 if one.end == "answered" and one.status == 503
-                 and self.ran(one)],
-                [["ran twice", one.id, one.kind] for one in once
-                 if self.ran(one) > 1])
-
-    def outcomes(self):
-        """How attempts ended that were begun or open during a stop."""
-        counts = collections.Counter()
-        for stopped in self.stops:
-            for one in self.attempts:
-                if (one.ended and one.address == stopped.address
-                        and one.began <= stopped.exited
-                        and one.ended >= stopped.at):
-                    counts[str(one.status) if one.end == "answered"
-                           else one.end] += 1
-        return dict(sorted(counts.items()))
-
-    def report(self):
-        cuts = self.cuts()
-        refused, twice = self.unsafe()
-        late = [s.show_exit(self.lags)
-                for s in self.stops if s.late or s.status]
-        asked = sum(caller.results.asked for caller in self.callers)
-        served = sum(caller.results.served for caller in self.callers)
-        idle = ([["hardly served", asked, served]]
-                if served < asked * SERVED_SHARE_MIN else [])
-        return {
-            "seed": self.seed,
-            "asked": asked,
-            "served": served,
-            "stops": len(self.stops),
-            "graces_s": dict(sorted(collections.Counter(
-                s.grace_s for s in self.stops).items())),
-            "in_stops": self.outcomes(),
-            "cut": len(cuts),
-            "refused_but_ran": len(refused),
-            "ran_twice": len(twice),
-            "bad_exits": len(late),
-            "lag_s": round(sum(b - a for a, b in self.lags), 2),
-            "failed": (cuts[:SHOWN_MAX] + refused[:SHOWN_MAX]
-                       + twice[:SHOWN_MAX] + late[:SHOWN_MAX] + idle),
-        }
-
 
 def play_seed(options, seed):
     with tempfile.TemporaryDirectory(prefix="soak-") as directory:
         run = Run(options, seed, pathlib.Path(directory))
         try:
             asyncio.run(run.play())
-            report = run.report()
+            report = Judge(run).report()
         except experiment.Failed as error:
             report = {"seed": seed, "failed": [["not played", str(error)]]}
         finally:
