--- a/relay_serve.c
+++ b/relay_serve.c
@@ -253,7 +253,8 @@
 {
 	if (!job->shortened)
 		return code;
-	if (code == ERR_TOO_LATE)
+	/* It was not sent, or dropped from a queue that ends sooner. */
+	if (code == ERR_TOO_LATE || code == ERR_OVERLOAD)
 		return ERR_BUDGET;
 	return code == ERR_SILENT ? ERR_LEAVING : code;
 }
--- a/tests/test_relay_serve.c
+++ b/tests/test_relay_serve.c
@@ -395,6 +395,16 @@
 	check_told(MSEC(1000), &too_late, ERR_BUDGET);
 }
 
+/* Guards against a server called overloaded as its queue ends with a relay. */
+static void test_end_of_a_queue_is_no_overload(void)
+{
+	const struct exchange_result dropped = {.code = ERR_OVERLOAD,
+						.not_run = true,
+						.stamp = STR("")};
+
+	check_told(MSEC(1000), &dropped, ERR_BUDGET);
+}
+
 /* Guards against a stop that hides from entries which servers are slow. */
 static void test_slow_server_is_told(void)
 {
@@ -452,6 +462,7 @@
 	{"limit of a queued part is no fault of its server",
 	 test_limit_of_a_queued_part_is_no_fault_of_the_server},
 	{"limit of a job is not its caller's", test_limit_is_not_of_the_caller},
+	{"end of a queue is no overload", test_end_of_a_queue_is_no_overload},
 	{"slow server is told during a stop", test_slow_server_is_told},
 };
 
