peer: read a link's last frames before it is closed

A relay that stopped wrote its last results and ended; half a millisecond later a datagram told its entry, which closed the link with a result unread in the socket, and lost the part (relay_lost). The message about the end of a process had overtaken what the process had still said.

--- a/conn_end.c
+++ b/conn_end.c
@@ -54,6 +54,17 @@
 	return conn_unsent(bev);
 }
 
+void conn_read(struct bufferevent *bev)
+{
+	struct evbuffer *in = bufferevent_get_input(bev);
+	int n = 1;
+
+	evbuffer_unfreeze(in, 0);
+	while (n > 0)
+		n = evbuffer_read(in, bufferevent_getfd(bev), -1);
+	evbuffer_freeze(in, 0);
+}
+
 bool conn_has_input(const struct bufferevent *bev)
 {
 	struct bufferevent *mutable = (struct bufferevent *)bev;
--- a/conn_end.h
+++ b/conn_end.h
@@ -31,6 +31,11 @@
  */
 size_t conn_write_last(struct bufferevent *bev);
 
+/**
+ * conn_read() - read what has arrived into the input of a bufferevent
+ */
+void conn_read(struct bufferevent *bev);
+
 /**
  * conn_has_input() - whether bytes were received that nobody has read
  */
--- a/peer.c
+++ b/peer.c
@@ -318,6 +318,15 @@
 	set_nodelay(bufferevent_getfd(link->bev));
 }
 
+/* The news that an instance has ended may overtake its last frames. */
+static void read_last(struct peer_link *link)
+{
+	if (!link->up)
+		return;
+	conn_read(link->bev);
+	on_read(link->bev, link);
+}
+
 static bool is_unwanted(const struct peers *peers, const struct peer_link *link,
 			int64_t now)
 {
@@ -344,8 +353,10 @@
 				    str_from(link->instance));
 		if (!member ||
 		    !address_eq(&member->peer_address, &link->address) ||
-		    is_unwanted(peers, link, now))
+		    is_unwanted(peers, link, now)) {
+			read_last(link);
 			close_link(link);
+		}
 	}
 }
 
--- a/tests/test_peer.c
+++ b/tests/test_peer.c
@@ -145,11 +145,50 @@
 	tear_down(&fixture);
 }
 
+static void count_frame(void *arg, struct peer_link *link, struct frame *frame)
+{
+	int *n = arg;
+
+	(void)link;
+	(void)frame;
+	++*n;
+}
+
+/* Guards against last frames that are lost as news of the end comes first. */
+static void test_last_frames_are_read(void)
+{
+	Peer__QueryResult result = PEER__QUERY_RESULT__INIT;
+	struct fixture fixture;
+	struct evbuffer *out;
+	int n = 0;
+	struct peer_handler handler = {
+		.frame = count_frame,
+		.types = 1u << FRAME_QUERY_RESULT,
+		.arg = &n,
+	};
+
+	set_up(&fixture);
+	peers_add_handler(&fixture.peers, &handler);
+	fixture.link->outgoing = true;
+	str_copy(fixture.link->instance, sizeof(fixture.link->instance),
+		 STR("gone"));
+	out = evbuffer_new();
+	frame_write(out, FRAME_QUERY_RESULT, &result.base);
+	evbuffer_write(out, fixture.other_end);
+	evbuffer_free(out);
+	peers_update_links(&fixture.peers);
+	CU_ASSERT(fixture.link->closed);
+	CU_ASSERT_EQUAL(n, 1);
+	peers_finish(&fixture.peers);
+	tear_down(&fixture);
+}
+
 static const struct unit_test tests[] = {
 	{"an exit writes queued frames", test_exit_writes_frames},
 	{"queued frames are written at once", test_flush},
 	{"a peer that does not read holds nothing up",
 	 test_flush_does_not_block},
+	{"last frames are read", test_last_frames_are_read},
 };
 
 UNIT_MAIN("peer", tests)
