caller_conn: close connections that are told to end

Callers of an instance that was stopping kept their connections, and sent the next request on them.

Cause: evhtp_request_set_keepalive(http, 0) of libevhtp 1.2.18 does nothing (it sets the flag if its argument is not 0, and never clears it): no response of a stop said "Connection: close", and none was followed by a close; the same for connections above callers_max. The flag is cleared by hand.

--- a/caller.c
+++ b/caller.c
@@ -52,7 +52,7 @@
 	const struct caller *caller = http->htp->arg;
 
 	if (caller->board->lifecycle >= LIFECYCLE_LEAVING)
-		evhtp_request_set_keepalive(http, 0);
+		caller_conn_close_after(http);
 }
 
 static void send_json(evhtp_request_t *http, int status)
--- a/caller_conn.c
+++ b/caller_conn.c
@@ -92,12 +92,18 @@
 	start_request_timer(conn);
 }
 
+/* evhtp_request_set_keepalive(http, 0) of libevhtp 1.2.18 does nothing. */
+void caller_conn_close_after(evhtp_request_t *http)
+{
+	http->flags &= (uint16_t)~EVHTP_REQ_FLAG_KEEPALIVE;
+}
+
 static void answer_refused(evhtp_request_t *http, void *arg)
 {
 	struct caller_conn *conn = arg;
 
 	if (conn->is_refused)
-		evhtp_request_set_keepalive(http, 0);
+		caller_conn_close_after(http);
 	conn->conns->send_refusal(http, conn->refusal_code);
 }
 
@@ -253,7 +259,7 @@
 		    is_processing(conn))
 			continue;
 		bufferevent_disable(conn->evhtp->bev, EV_READ);
-		evhtp_request_set_keepalive(http, 0);
+		caller_conn_close_after(http);
 		conns->send_refusal(http, ERR_LEAVING);
 	}
 }
--- a/caller_conn.h
+++ b/caller_conn.h
@@ -56,4 +56,10 @@
  */
 void caller_conns_finish(struct caller_conns *conns);
 
+/**
+ * caller_conn_close_after() - end the connection once a request is answered
+ * @http: not answered yet; its response has "Connection: close"
+ */
+void caller_conn_close_after(evhtp_request_t *http);
+
 #endif
--- a/tests/test_serve_stop.py
+++ b/tests/test_serve_stop.py
@@ -250,6 +250,23 @@
             self.platform.publish(self.deployment.table)
             self.assertEqual(instance.child.wait(2 * STOP_MAX_MS / 1000), 0)
 
+    def test_answers_of_a_stop_close_their_connections(self):
+        """Guards against callers who keep a connection, and whose next request
+        is not read any more."""
+        (instance,) = self.start_fleet(1)
+        body = json.dumps({"service": SERVICE}).encode()
+        address = "127.0.0.1", instance.port
+        with (socket.create_connection(address, 5) as conn,
+              socket.create_connection(address, 5) as busy):
+            conn.settimeout(STOP_MAX_MS / 1000 / 4)
+            busy.sendall(b"POST /v1/search HTTP/1.1\r\n")
+            instance.ask_to_stop()
+            time.sleep(HEAD_START_S)
+            conn.sendall(b"POST /v1/search HTTP/1.1\r\nHost: x\r\n"
+                         b"Content-Length: %d\r\n\r\n" % len(body) + body)
+            answer = b"".join(iter(lambda: conn.recv(1 << 16), b""))
+        self.assertIn(b"\r\nConnection: close\r\n", answer)
+
     def test_a_request_that_is_arriving_is_answered(self):
         """Guards against an exit beside a request that is half read."""
         (instance,) = self.start_fleet(1)
