soak_stops: stops of 1 s and 30 s, of instances that just listen

--extremes draws, beside what a seed draws as before: GraceS of 1 s and 30 s, instances that are stopped again as soon as they listen, and uploads that are left half sent with the connection kept.

--- a/bench/soak_seeds.py
+++ b/bench/soak_seeds.py
@@ -18,7 +18,7 @@
         return list(pool.map(play_seed, [options] * len(seeds), seeds))
 
 
-def main(doc, play_seed, processes_option, processes=PROCESSES):
+def main(doc, play_seed, processes_option, processes=PROCESSES, flags=()):
     """Print the report of each run, a JSON line; return the exit status.
 
     `play_seed` takes the options and a seed, and returns a report whose
@@ -31,6 +31,8 @@
     parser.add_argument(processes_option, type=int, default=processes)
     parser.add_argument("--keep-logs", action="store_true",
                         help="of failed runs, in the current directory")
+    for flag in flags:
+        parser.add_argument(flag, action="store_true")
     options = parser.parse_args()
     failed = False
     with concurrent.futures.ProcessPoolExecutor(options.jobs) as pool:
--- a/bench/soak_stop_caller.py
+++ b/bench/soak_stop_caller.py
@@ -3,6 +3,7 @@
 ended."""
 
 import asyncio
+import random
 import socket
 import time
 
@@ -21,6 +22,8 @@
 UPLOAD_BYTES = 50_000
 UPLOAD_PIECES = 8
 UPLOAD_MAX_S = 1
+# With settings["leaves_uploads"].
+LEFT_SHARE = 0.3
 SLOW_READER_SHARE = 0.5
 SLOW_READ_MAX_S = 1
 READ_BUFFER_BYTES = 32 * 1024
@@ -38,6 +41,7 @@
         self.began = time.monotonic()
         self.address = None
         self.whole_at = None
+        self.left_half = False
         self.status = 0
         self.bytes = 0
         self.error = ""
@@ -61,6 +65,8 @@
         self.keeps_long = self.rng.random() < LONG_KEEPER_SHARE
         self.connects_anew = self.rng.random() < NEW_CONNECTIONS_SHARE
         self.reads_slowly = self.rng.random() < SLOW_READER_SHARE
+        self.left_share = LEFT_SHARE * settings["leaves_uploads"]
+        self.leaving = random.Random(f"{seed}-{number}-leaving")
 
     async def send(self, one, path, left_ms):
         writer = self.stream[1]
@@ -73,7 +79,8 @@
         writer.write(head.replace(b"GET", b"POST", 1)[:-2]
                      + b"Content-Length: %d\r\n\r\n" % UPLOAD_BYTES)
         pause_s = self.rng.uniform(0, UPLOAD_MAX_S) / UPLOAD_PIECES
-        for _ in range(UPLOAD_PIECES):
+        one.left_half = self.leaving.random() < self.left_share
+        for _ in range(UPLOAD_PIECES // (2 if one.left_half else 1)):
             await asyncio.sleep(pause_s)
             writer.write(bytes(UPLOAD_BYTES // UPLOAD_PIECES))
             await writer.drain()
@@ -122,7 +129,8 @@
             self.log.append(one)
             async with asyncio.timeout(left_s):
                 await self.send(one, path, int(left_s * 1000))
-                one.whole_at = time.monotonic()
+                if not one.left_half:
+                    one.whole_at = time.monotonic()
                 headers = await self.read(one)
             one.finish("answered")
         except TimeoutError:
--- a/bench/soak_stop_judge.py
+++ b/bench/soak_stop_judge.py
@@ -16,12 +16,14 @@
 
 class Stopped:
     """A stop as it went. `held`: times at which the instance was held; `late`:
-    it had not ended in time and was killed."""
+    it had not ended in time and was killed; `soon`: it had just
+    begun to listen."""
 
-    def __init__(self, gateway):
+    def __init__(self, gateway, soon):
         self.instance = gateway.settings["instance"]
         self.address = gateway.settings["caller_address"]
         self.grace_s = gateway.settings["stop_max_s"]
+        self.soon = soon
         self.at = None
         self.exited = None
         self.status = None
@@ -150,6 +152,7 @@
             "stops": len(self.stops),
             "graces_s": dict(sorted(collections.Counter(
                 s.grace_s for s in self.stops).items())),
+            "soon": sum(s.soon for s in self.stops),
             "in_stops": self.outcomes(),
             "cut": len(cuts),
             "refused_but_ran": len(refused),
--- a/bench/soak_stop_plan.py
+++ b/bench/soak_stop_plan.py
@@ -17,6 +17,11 @@
 SECOND_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 CONFIGURE_SHARE = 0.2
 STORE_AWAY_SHARE = 0.1
+EXTREME_GRACES_S = (1, 30)
+GRACE_MAX_S = max(GRACES_S + EXTREME_GRACES_S)
+EXTREME_GRACE_SHARE = 0.3
+SOON_SHARE = 0.3
+SOON_MAX_S = 0.2
 
 
 class Stop:
@@ -41,6 +46,14 @@
                                   if rng.random() < CONFIGURE_SHARE else None)
         self.store_away_s = (rng.uniform(0.5, 3)
                              if rng.random() < STORE_AWAY_SHARE else 0)
+        # After it listens again; not drawn by default.
+        self.soon_s = None
+
+    def draw_extremes(self, rng):
+        if rng.random() < EXTREME_GRACE_SHARE:
+            self.next_grace_s = rng.choice(EXTREME_GRACES_S)
+        if rng.random() < SOON_SHARE:
+            self.soon_s = rng.uniform(0, SOON_MAX_S)
 
     def hold_s(self, grace_s):
         """How long it is held, and how much of that before SIGTERM."""
--- a/bench/soak_stops.py
+++ b/bench/soak_stops.py
@@ -2,7 +2,10 @@
 overlapping and all at once, before servers that are slow, silent, shedding or
 don't read, and callers that use connections and addresses until the end.
 
-usage: soak_stops.py BUILD --seeds 1-50 --jobs 2 [--instances N]
+usage: soak_stops.py BUILD --seeds 1-50 --jobs 2 [--instances N] [--extremes]
+
+With --extremes some stops have 1 s or 30 s, some instances are stopped as soon
+as they listen, and some uploads are left half sent.
 
 Checked is, by what callers and servers saw, that no whole request is cut by a
 stop without an answer, that no request is refused which a server ran, and none
@@ -27,7 +30,7 @@
 from soak import LOAD_CONTROL
 from soak_stop_caller import StopCaller
 from soak_stop_judge import Judge, Stopped
-from soak_stop_plan import GRACES_S, Stop
+from soak_stop_plan import GRACE_MAX_S, GRACES_S, Stop
 from soak_stop_server import Records, Server
 
 sys.path.insert(0, str(experiment.ROOT / "tests"))
@@ -57,6 +60,8 @@
     def __init__(self, options, seed, directory):
         self.rng = random.Random(seed)
         self.seed = seed
+        self.extremes = (random.Random(f"extremes-{seed}")
+                         if options.extremes else None)
         self.store = Store()
         self.records = Records(random.Random(f"work-{seed}"))
         names = ["desk"] * DESKS + [f"s{i}" for i in range(SHARDS)] * 2
@@ -114,13 +119,18 @@
                 self.lags.append((before, now))
             before = now
 
-    async def until_ready(self, gateway):
+    async def until_page(self, gateway, is_expected):
+        """Wait until the status of its readiness is as expected."""
         until = time.monotonic() + READY_S
-        while not await asyncio.to_thread(gateway.is_ready):
+        while not is_expected((await asyncio.to_thread(
+                gateway.page, "ready_address", "/v1/ready"))[0]):
             if time.monotonic() > until:
                 raise experiment.Failed(f"not ready: {gateway.describe()}")
             await asyncio.sleep(0.05)
 
+    async def until_ready(self, gateway):
+        await self.until_page(gateway, lambda status: status == 200)
+
     async def start(self):
         self.configure()
         for server in self.servers:
@@ -136,7 +146,8 @@
                             for gateway in self.gateways],
             "host": HOST, "data_centres": DATA_CENTRES,
             "routes": soak_stop_caller.ROUTES,
-            "interval_s": CALLER_INTERVAL_S, "is_in_touch": lambda _: True}
+            "interval_s": CALLER_INTERVAL_S, "is_in_touch": lambda _: True,
+            "leaves_uploads": bool(self.extremes)}
         self.callers = [StopCaller(i, self.seed, settings, self.attempts)
                         for i in range(CALLERS)]
 
@@ -163,10 +174,10 @@
             gateway.write_settings()
         gateway.process.send_signal(number)
 
-    async def stop(self, i, drawn):
+    async def stop(self, i, drawn, soon=False):
         gateway = self.gateways[i]
         self.may_stop.discard(i)
-        stopped = Stopped(gateway)
+        stopped = Stopped(gateway, soon)
         self.stops.append(stopped)
         grace_s = stopped.grace_s
         hold_s, before_s = drawn.hold_s(grace_s)
@@ -187,6 +198,12 @@
         gateway.settings["stop_max_s"] = drawn.next_grace_s
         gateway.write_settings()
         gateway.start()
+        soon_s, drawn.soon_s = drawn.soon_s, None
+        if soon_s is not None:
+            await self.until_page(gateway, bool)
+            await asyncio.sleep(soon_s)
+            await self.stop(i, drawn, soon=True)
+            return
         await self.until_ready(gateway)
         self.may_stop.add(i)
 
@@ -204,17 +221,20 @@
     async def play(self):
         await self.start()
         until = time.monotonic() + PLAY_S
-        calling = [self.spawn(caller.run(until + max(GRACES_S)))
+        calling = [self.spawn(caller.run(until + GRACE_MAX_S))
                    for caller in self.callers]
         stopping = []
         while time.monotonic() < until:
             drawn = Stop(self.rng, len(self.gateways))
+            if self.extremes:
+                drawn.draw_extremes(self.extremes)
             if drawn.series:
                 await asyncio.gather(*stopping)
             await asyncio.sleep(drawn.gap_s)
             stopping += self.begin_stop(drawn)
         await asyncio.gather(*stopping)
-        await asyncio.gather(*self.starting)
+        for starting in self.starting:
+            await starting
         for task in calling:
             task.cancel()
         await asyncio.gather(*calling, return_exceptions=True)
@@ -250,4 +270,5 @@
 
 
 if __name__ == "__main__":
-    sys.exit(soak_seeds.main(__doc__, play_seed, "--instances", INSTANCES))
+    sys.exit(soak_seeds.main(__doc__, play_seed, "--instances", INSTANCES,
+                             ["--extremes"]))
--- a/tests/test_soak_stops.py
+++ b/tests/test_soak_stops.py
@@ -59,6 +59,7 @@
         """Guards against instances that end with requests open, which get no
         answer, or a false one, or that don't end in time."""
         options = argparse.Namespace(build=BUILD, keep_logs=False,
+                                     extremes=False,
                                      instances=soak_stops.INSTANCES)
         for report in soak_seeds.play_at_once(soak_stops.play_seed, options,
                                               SEEDS):
