--- a/tests/test_stops.py
+++ b/tests/test_stops.py
@@ -267,6 +267,19 @@
         self.assert_answered((got[0][0], got[0][1] - at), 504)
         self.assertLess(ended, 1)
 
+    def test_stop_before_the_first_view(self):
+        """Guards against a stop that hangs or closes connections without an
+        answer, as the instance knows no routes yet."""
+        self.store.set_unavailable(True)
+        gateway = self.gateway(stop_max_s=GRACE_S)
+        self.wait("listens", lambda: gateway.page("ready_address",
+                                                  "/v1/ready")[0])
+        self.assertFalse(gateway.is_ready())
+        answers, ended = self.stop_after(gateway, [
+            lambda: self.send(gateway, "/any/x", "first")], 0.2)
+        self.assert_answered(answers[0], 503)
+        self.assertLess(ended, GRACE_S)
+
 
 if __name__ == "__main__":
     test_gateway.BUILD = pathlib.Path(sys.argv.pop(1))
