--- a/bench/soak_serve_judge.py
+++ b/bench/soak_serve_judge.py
@@ -5,7 +5,9 @@
 
 import history_check
 from soak_serve_caller import NO_JSON
-from soak_stops import LOSS_SLACK_S, SERVED_SHARE_MIN, SHOWN_MAX, overlap_s
+from soak_stop_judge import (
+    LOSS_SLACK_S, SERVED_SHARE_MIN, SHOWN_MAX, overlap_s,
+)
 
 
 class Judge:
--- a/bench/soak_serve_stops.py
+++ b/bench/soak_serve_stops.py
@@ -22,7 +22,8 @@
 import soak_seeds
 from soak_serve_caller import DEADLINES_MS, SERVICE, Caller
 from soak_serve_judge import Judge
-from soak_stops import LAG_MIN_S, POLL_S, overlap_s
+from soak_stop_judge import overlap_s
+from soak_stops import LAG_MIN_S, POLL_S
 
 INSTANCES = 5
 SERVERS = 6
