--- a/bench/soak_crashing.py
+++ b/bench/soak_crashing.py
@@ -34,7 +34,6 @@
 REPLICAS = 2
 PLAY_S = 14
 READY_S = 20
-LOG_LINES_MAX = 20
 DEADLINE_S = 2.5
 CALLERS = 6
 PORTS_TRIED = 5
@@ -246,9 +245,7 @@
             while not await asyncio.to_thread(gateway.is_ready):
                 if time.monotonic() > until:
                     raise experiment.Failed(
-                        f"{gateway.settings['instance']} did not start, exit "
-                        f"status {gateway.process.poll()}, last logged: "
-                        f"{gateway.log()[-LOG_LINES_MAX:]}")
+                        f"did not start, {gateway.describe()}")
                 await asyncio.sleep(0.05)
 
     def is_in_touch(self, gateway):
--- a/tests/gateway_fixtures.py
+++ b/tests/gateway_fixtures.py
@@ -405,7 +405,11 @@
         return lines
 
     def last_lines(self):
-        return self.log_path.read_text("utf-8").splitlines()[-LAST_LINES:]
+        """Return errors, which a sanitizer's report may follow, and the end."""
+        lines = self.log_path.read_text("utf-8").splitlines()
+        errors = [line for line in lines[:-LAST_LINES]
+                  if '"level":"error"' in line]
+        return errors[-LAST_LINES:] + lines[-LAST_LINES:]
 
     def describe(self):
         """Tell how a process does that isn't as expected."""
