store: keys carry their length, so that a NUL does not end them

Callers saw (gateway with four servers, a NUL in the name of one more entry for each): all requests refused at a start, as "z-0\0x" was taken for z-0 and gave another address; 404 for every request with an item "op/config\0x", which replaced the routes; 503 with "op/evacuate/dc-0\0x", which cordoned the data centre. The removal of such an entry removed the server, or lifted the cordon, of the name before the NUL.

Cause: keys were read as C strings out of the JSON text, and were compared and stored up to the first NUL. Names of data centres of over 127 bytes were cut likewise, and so named another.

Keys are length-counted now (struct store_key), from the answer to the call for the next page. A key with a NUL equals no other; what names a server is decided in server_name.c, and a cordon whose name cannot be held as it is isn't added. Names that are refused never were in the view, so that their removal touches nothing.

The store of the fixtures refuses targets that are none with 400.

--- a/cordon.c
+++ b/cordon.c
@@ -14,6 +14,12 @@
 	return NULL;
 }
 
+static bool is_name(struct str data_centre)
+{
+	return data_centre.len && data_centre.len < CORDON_NAME_SIZE &&
+	       !memchr(data_centre.data, '\0', data_centre.len);
+}
+
 bool cordon_set_add(struct cordon_set *cordons, struct str data_centre,
 		    uint64_t changed_at)
 {
@@ -24,7 +30,7 @@
 			cordon->changed_at = changed_at;
 		return false;
 	}
-	if (cordons->n == CORDONS_MAX)
+	if (cordons->n == CORDONS_MAX || !is_name(data_centre))
 		return false;
 	cordon = &cordons->list[cordons->n++];
 	str_copy(cordon->data_centre, sizeof(cordon->data_centre), data_centre);
--- a/cordon.h
+++ b/cordon.h
@@ -43,7 +43,8 @@
  * cordon_set_add() - add a data centre, or raise its revision
  * @changed_at: the store's revision of the cordon
  *
- * Return: whether it was added; false if it is known or the set is full.
+ * Return: whether it was added; false if it is known, the set is full, or the
+ * name is empty, too long or has a NUL.
  */
 bool cordon_set_add(struct cordon_set *cordons, struct str data_centre,
 		    uint64_t changed_at);
--- a/cordon_sync.c
+++ b/cordon_sync.c
@@ -73,7 +73,7 @@
 			    const struct store_item *item)
 {
 	struct cordon_set *cordons = &sync->registry->cordons;
-	struct str name = str_from(item->name);
+	struct str name = store_key_str(&item->name);
 	bool changed;
 
 	if (item->removed) {
@@ -83,7 +83,7 @@
 		changed = cordon_set_add(cordons, name, item->changed_at);
 	}
 	if (!changed && !cordon_set_contains(cordons, name) && !item->removed)
-		LOG_ERROR("cordon_refused", LOG_TEXT("data_centre", item->name),
+		LOG_ERROR("cordon_refused", LOG_STR("data_centre", name),
 			  LOG_I64("hold", cordons->n));
 	if (changed)
 		apply(sync, "change");
--- a/json_value.c
+++ b/json_value.c
@@ -28,6 +28,16 @@
 	return json_object_get_string(value);
 }
 
+struct str json_value_str(struct json_object *object, const char *key)
+{
+	struct json_object *value = json_object_object_get(object, key);
+
+	if (!json_object_is_type(value, json_type_string))
+		return STR("");
+	return (struct str){json_object_get_string(value),
+			    (size_t)json_object_get_string_len(value)};
+}
+
 int64_t json_value_int(struct json_object *object, const char *key)
 {
 	return json_object_get_int64(json_object_object_get(object, key));
--- a/json_value.h
+++ b/json_value.h
@@ -27,6 +27,16 @@
  */
 const char *json_value_text(struct json_object *object, const char *key);
 
+/**
+ * json_value_str() - a member that is a string, with its length
+ * @object: the object
+ * @key: name of the member
+ *
+ * Return: borrowed from the object, and may hold a NUL; empty if the member is
+ * missing or no string.
+ */
+struct str json_value_str(struct json_object *object, const char *key);
+
 /**
  * json_value_int() - a member as an integer, 0 if it is missing
  * @object: the object
--- a/server_view.c
+++ b/server_view.c
@@ -16,7 +16,7 @@
 
 /* A server whose entry disappeared, and may come back. */
 struct vanished_server {
-	char id[STORE_KEY_SIZE];
+	char id[REGISTRY_NAME_SIZE];
 	int64_t until;
 	uint64_t changed_at;
 	struct vanished_server *prev;
--- a/store.h
+++ b/store.h
@@ -10,10 +10,9 @@
 #include <stdint.h>
 
 #include "registry.h"
+#include "store_key.h"
 #include "str.h"
 
-/* Size of a key buffer: 200 bytes and the terminating NUL. */
-#define STORE_KEY_SIZE 201
 #define STORE_TARGET_SIZE 512
 
 enum store_topic {
@@ -42,12 +41,13 @@
 	bool watch;
 	uint64_t after;
 	int64_t wait_ms;
-	char from[STORE_KEY_SIZE];
+	struct store_key from;
 };
 
 /**
  * struct store_item - an item of a list, or a change
- * @name: of the item within its topic; for a cordon the data centre
+ * @name: of the item within its topic; for a cordon the data centre; empty if
+ *	  its key names none
  * @kind: what it describes
  * @value: empty if it was removed
  * @changed_at: store revision of the last change
@@ -55,7 +55,7 @@
  * @removed: the change is the removal of the item
  */
 struct store_item {
-	char name[STORE_KEY_SIZE];
+	struct store_key name;
 	enum store_kind kind;
 	struct str value;
 	uint64_t changed_at;
@@ -81,7 +81,7 @@
 	uint64_t era;
 	uint64_t revision;
 	bool more;
-	char last_key[STORE_KEY_SIZE];
+	struct store_key last_key;
 	struct store_item *items;
 	int n_items;
 };
--- a/store_sync.c
+++ b/store_sync.c
@@ -7,6 +7,7 @@
 #include "error.h"
 #include "log.h"
 #include "metric.h"
+#include "server_name.h"
 #include "store_schedule.h"
 
 /* Beyond the wait: an answer takes 4 ms, up to 60 times that if slow. */
@@ -72,12 +73,21 @@
 static void apply_server(struct store_sync *sync, const struct store_item *item,
 			 bool listing)
 {
+	char id[REGISTRY_NAME_SIZE];
 	struct server_entry entry;
-	int ret;
+	int ret = server_name_check(store_key_str(&item->name));
 
+	/* No server of that name can be known. */
+	if (ret) {
+		LOG_WARN("server_entry_refused",
+			 LOG_STR("server", store_key_str(&item->name)),
+			 LOG_TEXT("error", error_name(ret)),
+			 LOG_U64("store_revision", item->changed_at));
+		return;
+	}
+	str_copy(id, sizeof(id), store_key_str(&item->name));
 	if (item->removed) {
-		server_view_vanished(&sync->servers, item->name,
-				     item->changed_at);
+		server_view_vanished(&sync->servers, id, item->changed_at);
 		return;
 	}
 	ret = sync->format->decode_server(item, &entry);
@@ -87,11 +97,10 @@
 	 * writes again, at most a heartbeat later.
 	 */
 	if (ret) {
-		LOG_WARN("server_entry_refused", LOG_TEXT("server", item->name),
+		LOG_WARN("server_entry_refused", LOG_TEXT("server", id),
 			 LOG_TEXT("error", error_name(ret)),
 			 LOG_U64("store_revision", item->changed_at));
-		server_view_vanished(&sync->servers, item->name,
-				     item->changed_at);
+		server_view_vanished(&sync->servers, id, item->changed_at);
 		return;
 	}
 	if (listing)
@@ -153,7 +162,7 @@
 	feed->gap_to = 0;
 	feed->listed = false;
 	feed->listing = false;
-	feed->list_from[0] = '\0';
+	feed->list_from.len = 0;
 	feed->call_outdated = feed->busy;
 	feed->next_at = clock_now(sync->clock);
 }
@@ -195,7 +204,7 @@
 
 	/* Pages of an own list must not count as part of this snapshot. */
 	feed->listing = false;
-	feed->list_from[0] = '\0';
+	feed->list_from.len = 0;
 	server_view_begin_list(&sync->servers);
 }
 
@@ -308,15 +317,14 @@
 			   const struct store_answer *answer)
 {
 	/* A watch from the first page finds changes during the later ones. */
-	if (!feed->list_from[0])
+	if (!feed->list_from.len)
 		feed->list_revision = answer->revision;
 	if (answer->more) {
-		str_copy(feed->list_from, sizeof(feed->list_from),
-			 str_from(answer->last_key));
+		feed->list_from = answer->last_key;
 		feed->next_at = clock_now(sync->clock);
 		return;
 	}
-	feed->list_from[0] = '\0';
+	feed->list_from.len = 0;
 	feed->listing = false;
 	feed->listed = true;
 	note_gap(feed, feed->list_revision);
@@ -369,7 +377,7 @@
 {
 	feed->listed = false;
 	feed->listing = true;
-	feed->list_from[0] = '\0';
+	feed->list_from.len = 0;
 	feed->next_at = clock_now(sync->clock);
 	if (feed->topic == STORE_ROUTES)
 		cordon_sync_begin_list(&sync->cordons);
@@ -459,7 +467,7 @@
 	call.watch = feed->listed;
 	if (call.watch)
 		call.wait_ms = store_schedule_wait_ms(sync, feed);
-	memcpy(call.from, feed->list_from, sizeof(call.from));
+	call.from = feed->list_from;
 	feed->busy = true;
 	feed->watching = call.watch;
 	feed->asked_at = clock_now(sync->clock);
--- a/store_sync.h
+++ b/store_sync.h
@@ -70,7 +70,7 @@
 	uint64_t gap_from;
 	uint64_t gap_to;
 	uint64_t list_revision;
-	char list_from[STORE_KEY_SIZE];
+	struct store_key list_from;
 	int64_t next_at;
 	int64_t asked_at;
 	int64_t fresh_at;
--- a/tests/fuzz/fuzz_entry.c
+++ b/tests/fuzz/fuzz_entry.c
@@ -17,10 +17,10 @@
 
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
 {
-	struct store_item item = {.name = "i",
-				  .value = {(const char *)data, size}};
+	struct store_item item = {.value = {(const char *)data, size}};
 	struct server_entry entry;
 
+	store_key_set(&item.name, STR("i"));
 	if (!platform_store.decode_server(&item, &entry))
 		check_entry(&entry);
 	return 0;
--- a/tests/gateway_fixtures.py
+++ b/tests/gateway_fixtures.py
@@ -7,6 +7,7 @@
 import http.server
 import json
 import pathlib
+import re
 import socket
 import struct
 import subprocess
@@ -24,6 +25,8 @@
 ITEMS_PER_PAGE = 3
 LAST_LINES = 5
 HOST = "shop.example"
+# What may stand in the target of a request, of RFC 3986.
+REQUEST_TARGET = re.compile(r"/[A-Za-z0-9\-._~:/?@!$&'()*+,;=%]*")
 
 
 def free_port():
@@ -179,12 +182,14 @@
         return f"127.0.0.1:{self.server_address[1]}"
 
     def put(self, key, value):
+        self.put_bytes(key, json.dumps(value).encode())
+
+    def put_bytes(self, key, value):
         with self.cond:
             self.revision += 1
-            text = json.dumps(value).encode()
             item = {
                 "key": key,
-                "value": base64.b64encode(text).decode(),
+                "value": base64.b64encode(value).decode(),
                 "changed_at": self.revision,
                 "CreatedRev": self.revision,
                 "LeaseId": 0,
@@ -287,6 +292,9 @@
     def do_GET(self):
         store = self.server
         store.call_count += 1
+        if not REQUEST_TARGET.fullmatch(self.path):
+            self.reply(400)
+            return
         if store.delay_s:
             time.sleep(store.delay_s)
         url = urllib.parse.urlsplit(self.path)
--- a/tests/store_fixture.c
+++ b/tests/store_fixture.c
@@ -14,7 +14,7 @@
 	memset(entry, 0, sizeof(*entry));
 	if (str_eq(item->value, STR("unreadable")))
 		return ERR_SYNTAX;
-	str_copy(entry->id, sizeof(entry->id), str_from(item->name));
+	str_copy(entry->id, sizeof(entry->id), store_key_str(&item->name));
 	snprintf(entry->service, sizeof(entry->service), "s");
 	entry->draining = str_eq(item->value, STR("draining"));
 	entry->started_at_ms = 1;
@@ -95,7 +95,7 @@
 {
 	struct store_item item = {.changed_at = at, .removed = removed};
 
-	snprintf(item.name, sizeof(item.name), "%s", name);
+	store_key_set(&item.name, str_from(name));
 	item.value = STR("ready");
 	return item;
 }
@@ -123,6 +123,12 @@
 	return registry_find(&fixture->registry, str_from(id));
 }
 
+bool fixture_list_from(const struct fixture *fixture, const char *key)
+{
+	return str_eq_text(store_key_str(&fixture->calls[STORE_SERVERS].from),
+			   key);
+}
+
 void fixture_answer_routes(struct fixture *fixture, int version)
 {
 	struct store_item item = make_item("", 1, false);
--- a/tests/store_fixture.h
+++ b/tests/store_fixture.h
@@ -34,6 +34,8 @@
 void fixture_fail(struct fixture *fixture, enum store_topic topic, int code);
 /* Return: true if the server @id is in the registry. */
 bool fixture_has_server(const struct fixture *fixture, const char *id);
+/* Return: whether the latest list of servers began after @key. */
+bool fixture_list_from(const struct fixture *fixture, const char *key);
 /* Answers the pending call for routes with an empty set of @version. */
 void fixture_answer_routes(struct fixture *fixture, int version);
 /* Answers the pending call for servers with the servers a and b. */
--- a/tests/test_cordon.c
+++ b/tests/test_cordon.c
@@ -48,7 +48,7 @@
 				  .changed_at = at,
 				  .removed = removed};
 
-	snprintf(item.name, sizeof(item.name), "%s", dc);
+	store_key_set(&item.name, str_from(dc));
 	cordon_sync_apply_item(&world->sync, &item);
 	cordon_sync_confirm(&world->sync, at);
 }
@@ -187,6 +187,30 @@
 	CU_ASSERT(cordons.n == CORDONS_MAX);
 }
 
+/* Guards against a name that is cut, and so names another data centre. */
+static void test_odd_names(void)
+{
+	struct store_item item = {.kind = STORE_ITEM_CORDON, .changed_at = 12};
+	char name[CORDON_NAME_SIZE + 1];
+	struct world world;
+
+	world_init(&world);
+	memset(name, 'd', sizeof(name));
+	name[CORDON_NAME_SIZE] = '\0';
+	apply_change(&world, name, 10, false);
+	apply_change(&world, "", 10, false);
+	store_key_set(&item.name, STR("dc1\0x"));
+	cordon_sync_apply_item(&world.sync, &item);
+	CU_ASSERT_EQUAL(world.registry.cordons.n, 0);
+	apply_change(&world, name + 1, 10, false);
+	apply_change(&world, "dc1", 10, false);
+	CU_ASSERT_EQUAL(world.registry.cordons.n, 2);
+	item.removed = true;
+	cordon_sync_apply_item(&world.sync, &item);
+	CU_ASSERT(cordon_set_contains(&world.registry.cordons, STR("dc1")));
+	registry_finish(&world.registry);
+}
+
 static const struct unit_test tests[] = {
 	{"cordoned server is not picked", test_cordoned_server_is_not_picked},
 	{"cold afterwards", test_cold_afterwards},
@@ -194,6 +218,7 @@
 	{"list without it", test_list_without_it},
 	{"late removal", test_late_removal},
 	{"bounded", test_bounded},
+	{"odd names", test_odd_names},
 };
 
 UNIT_MAIN("cordon", tests)
--- /dev/null
+++ b/tests/test_odd_entries.py
@@ -0,0 +1,121 @@
+"""Entries of other writers in the platform's store: names and rows that no
+server and no operator writes.
+
+usage: test_odd_entries.py BUILD [unittest options]
+"""
+
+import pathlib
+import sys
+import unittest
+
+TESTS_DIR = pathlib.Path(__file__).resolve().parent
+sys.path.insert(0, str(TESTS_DIR))
+
+import test_gateway  # noqa: E402
+
+N_GOOD = 4
+
+
+class OddEntriesTest(test_gateway.GatewayTest):
+    def start_good(self, prefix="b"):
+        """Four servers of one service, which sort behind the odd names."""
+        good = [self.server(f"{prefix}-{i}", "one") for i in range(N_GOOD)]
+        self.publish()
+        return good
+
+    def odd_server(self):
+        """A server at the address that odd entries give, with no entry of its
+        own."""
+        odd = self.server("odd", "one")
+        self.store.remove("servers/odd")
+        return odd
+
+    def check_all_known(self, gateway, n=N_GOOD):
+        """The whole list was read: it has the good servers and no other."""
+        self.wait("the servers known",
+                  lambda: self.metric(gateway, "servers") == n)
+
+    def check_served(self, gateway, odd=None, n=60):
+        caller = self.caller(gateway)
+        got = [caller.request("/any/x", request_id=f"q{i}") for i in range(n)]
+        self.assertEqual({a.status if a else None for a in got}, {200})
+        if odd:
+            self.assertEqual(odd.seen, [])
+
+
+class CutNames(OddEntriesTest):
+    """A NUL in a name does not end it."""
+
+    def put_and_remove(self, gateway, odd, names):
+        for name in names:
+            self.store.put(f"servers/{name}\0x", odd.entry())
+        self.check_all_known(gateway)
+        self.check_served(gateway, odd)
+        for name in names:
+            self.store.remove(f"servers/{name}\0x")
+        self.store.put("servers/z-last", self.servers[0].entry())
+        self.check_all_known(gateway, N_GOOD + 1)
+        self.check_served(gateway, odd)
+
+    def test_server_at_a_start(self):
+        """Guards against an entry that replaces a server's."""
+        good = self.start_good()
+        odd = self.odd_server()
+        for server in good:
+            self.store.put(f"servers/{server.name}\0x", odd.entry())
+        gateway = self.ready_gateway()
+        self.check_all_known(gateway)
+        self.check_served(gateway, odd)
+
+    def test_server_while_it_runs(self):
+        """Guards against an entry, or its removal, that takes a server out."""
+        good = self.start_good()
+        odd = self.odd_server()
+        gateway = self.ready_gateway()
+        self.put_and_remove(gateway, odd, [server.name for server in good])
+
+    def test_routes(self):
+        """Guards against an entry that replaces the routes."""
+        self.start_good()
+        self.store.put("op/config\0x", {"version": 9, "routes": [],
+                                        "services": []})
+        gateway = self.ready_gateway()
+        self.check_served(gateway)
+        self.store.put("op/config\0x", {"version": 10, "routes": [],
+                                        "services": []})
+        self.publish(2)
+        self.wait("routes known",
+                  lambda: self.metric(gateway, "routes_version") == 2)
+        self.check_served(gateway)
+
+    def test_cordon(self):
+        """Guards against an entry that cordons a data centre, and against its
+        removal, which lifts the cordon."""
+        self.start_good()
+        self.store.put("op/evacuate/dc-0\0x", {})
+        gateway = self.ready_gateway()
+        self.check_served(gateway)
+        self.store.put("op/evacuate/dc-0", {})
+        self.wait("cordoned", lambda: self.metric(gateway, "cordons") == 1)
+        self.store.remove("op/evacuate/dc-0\0x")
+        self.publish(2)
+        self.wait("routes known",
+                  lambda: self.metric(gateway, "routes_version") == 2)
+        self.assertEqual(self.metric(gateway, "cordons"), 1)
+        self.assertEqual(
+            self.caller(gateway).request("/any/x").status, 503)
+
+    def test_other_items_of_the_operator(self):
+        """Guards against names under op/ that mean nothing."""
+        self.start_good()
+        for name in ("zz", "evacuate/", "evacuate/a b&c%", "evacuate/\u00e9",
+                     "evacuate/" + "x" * 180, "config ", "config/"):
+            self.store.put(f"op/{name}", {"version": 9, "routes": [],
+                                          "services": []})
+        gateway = self.ready_gateway()
+        self.check_served(gateway)
+
+
+if __name__ == "__main__":
+    test_gateway.BUILD = pathlib.Path(sys.argv.pop(1))
+    unittest.main(verbosity=2)
--- a/tests/test_server_entry.c
+++ b/tests/test_server_entry.c
@@ -14,7 +14,7 @@
 {
 	struct store_item item = {.value = str_from(value)};
 
-	snprintf(item.name, sizeof(item.name), "%s", name);
+	store_key_set(&item.name, str_from(name));
 	return platform_store.decode_server(&item, entry);
 }
 
@@ -109,7 +109,8 @@
 
 static void test_out_of_bounds(void)
 {
-	char name[STORE_KEY_SIZE];
+	char name[201];
+	struct store_item item = {.value = STR(GOOD)};
 	struct server_entry entry;
 
 	CU_ASSERT(read_with("\"s\"", "\"\"") == ERR_RANGE);
@@ -119,6 +120,8 @@
 	CU_ASSERT(read_with("10.1.0.9:8080", "host:80") == ERR_ADDRESS);
 	CU_ASSERT(read_with("10.1.0.9:8080", "10.1.0.9:0") == ERR_ADDRESS);
 	CU_ASSERT(read_as("", GOOD, &entry) == ERR_RANGE);
+	store_key_set(&item.name, STR("i\0x"));
+	CU_ASSERT(platform_store.decode_server(&item, &entry) == ERR_RANGE);
 	memset(name, 'i', sizeof(name));
 	name[sizeof(name) - 1] = '\0';
 	CU_ASSERT(read_as(name, GOOD, &entry) == ERR_RANGE);
@@ -132,6 +135,52 @@
 	CU_ASSERT(read_value("\xff\xfe\x01") == ERR_SYNTAX);
 }
 
+/* Decodes a list with one row, which has @key in JSON. */
+static void read_list(enum store_topic topic, const char *key,
+		      struct store_answer *answer)
+{
+	char body[1200];
+	struct store_reply reply = {.status = 200, .era = STR("")};
+
+	snprintf(body, sizeof(body),
+		 "{\"read_at\":3,\"more\":true,\"items\":[{\"key\":\"%s\","
+		 "\"value\":\"e30=\",\"changed_at\":2}]}",
+		 key);
+	reply.body = str_from(body);
+	platform_store.decode_answer(topic, &reply, answer);
+	CU_ASSERT_FATAL(!answer->code && answer->n_items == 1);
+}
+
+static void check_key(enum store_topic topic, const char *key,
+		      enum store_kind kind, struct str name)
+{
+	struct store_answer answer;
+
+	read_list(topic, key, &answer);
+	CU_ASSERT_EQUAL(answer.items[0].kind, kind);
+	CU_ASSERT(str_eq(store_key_str(&answer.items[0].name), name));
+	platform_store.release_answer(&answer);
+}
+
+/* Guards against a NUL in a key that ends it: the rest names another item. */
+static void test_nul_in_key(void)
+{
+	struct store_answer answer;
+
+	check_key(STORE_SERVERS, "servers/i\\u0000x", STORE_ITEM_PLAIN,
+		  STR("i\0x"));
+	check_key(STORE_SERVERS, "servers/\\u0000", STORE_ITEM_PLAIN,
+		  STR("\0"));
+	check_key(STORE_ROUTES, "op/config\\u0000x", STORE_ITEM_OTHER,
+		  STR("op/config\0x"));
+	check_key(STORE_ROUTES, "op/evacuate/dc\\u0000x", STORE_ITEM_CORDON,
+		  STR("dc\0x"));
+	check_key(STORE_SERVERS, "elsewhere/i", STORE_ITEM_PLAIN, STR(""));
+	read_list(STORE_SERVERS, "servers/i\\u0000x", &answer);
+	CU_ASSERT(str_eq(store_key_str(&answer.last_key), STR("servers/i\0x")));
+	platform_store.release_answer(&answer);
+}
+
 static uint64_t era_of(int status, const char *header)
 {
 	const struct store_reply reply = {
@@ -163,6 +212,7 @@
 	{"era", test_era},
 	{"good", test_good},
 	{"missing", test_missing},
+	{"NUL in key", test_nul_in_key},
 	{"wrong type", test_wrong_type},
 	{"born", test_born},
 	{"unknown state", test_unknown_state},
--- a/tests/test_store_order.c
+++ b/tests/test_store_order.c
@@ -501,12 +501,12 @@
 	start_in_era(&fixture, 1);
 	restore_backup(&fixture, 30);
 	page.n_items = 1;
-	snprintf(page.last_key, sizeof(page.last_key), "servers/a");
+	store_key_set(&page.last_key, STR("servers/a"));
 	store_sync_answered(&fixture.sync, STORE_SERVERS, &page);
 	fixture_advance(&fixture, 1);
-	CU_ASSERT_STRING_EQUAL(fixture.calls[STORE_SERVERS].from, "servers/a");
+	CU_ASSERT(fixture_list_from(&fixture, "servers/a"));
 	restore_backup(&fixture, 12);
-	CU_ASSERT_STRING_EQUAL(fixture.calls[STORE_SERVERS].from, "");
+	CU_ASSERT(fixture_list_from(&fixture, ""));
 	fixture_answer(&fixture, STORE_SERVERS, 12, items, 2);
 	fixture_advance(&fixture, 900);
 	restore_backup(&fixture, 9);
--- a/tests/test_store_sync.c
+++ b/tests/test_store_sync.c
@@ -37,11 +37,11 @@
 	struct fixture fixture;
 
 	fixture_init(&fixture);
-	snprintf(page.last_key, sizeof(page.last_key), "servers/a");
+	store_key_set(&page.last_key, STR("servers/a"));
 	store_sync_answered(&fixture.sync, STORE_SERVERS, &page);
 	CU_ASSERT(fixture.sync.feeds[STORE_SERVERS].fresh_at < 0);
 	fixture_advance(&fixture, 1);
-	CU_ASSERT_STRING_EQUAL(fixture.calls[STORE_SERVERS].from, "servers/a");
+	CU_ASSERT(fixture_list_from(&fixture, "servers/a"));
 	items[0] = make_item("b", 2, false);
 	fixture_answer(&fixture, STORE_SERVERS, 15, items, 1);
 	fixture_advance(&fixture, 900);
--- a/tests/view_cluster.c
+++ b/tests/view_cluster.c
@@ -18,7 +18,7 @@
 		       struct server_entry *entry)
 {
 	memset(entry, 0, sizeof(*entry));
-	str_copy(entry->id, sizeof(entry->id), str_from(item->name));
+	str_copy(entry->id, sizeof(entry->id), store_key_str(&item->name));
 	snprintf(entry->service, sizeof(entry->service), "s");
 	snprintf(entry->data_centre, sizeof(entry->data_centre), "dc0");
 	address_parse(STR("127.0.0.1:1"), &entry->address);
@@ -299,9 +299,9 @@
 
 	if (!cluster->cordoned_at || (!call->watch && lifted))
 		return;
-	*item = (struct store_item){.name = "dc1",
-				    .kind = STORE_ITEM_CORDON,
+	*item = (struct store_item){.kind = STORE_ITEM_CORDON,
 				    .removed = lifted};
+	store_key_set(&item->name, STR("dc1"));
 	item->changed_at = lifted ? cluster->lifted_at : cluster->cordoned_at;
 	answer->n_items += !call->watch || call->after < item->changed_at;
 }
@@ -352,8 +352,7 @@
 					    .changed_at = stored->changed_at,
 					    .created_at = stored->created_at,
 					    .removed = stored->removed};
-		str_copy(item->name, sizeof(item->name),
-			 str_from(stored->name));
+		store_key_set(&item->name, str_from(stored->name));
 		answer->n_items++;
 	}
 }
@@ -362,12 +361,14 @@
 {
 	struct cluster *cluster = node->cluster;
 	struct store_item items[1 + STORED_SERVERS_MAX] = {
-		{.name = "server", .value = STR("ready")}};
-	struct store_item item = items[0];
+		{.value = STR("ready")}};
+	struct store_item item;
 	struct store_answer answer = {.era = cluster->era,
 				      .revision = cluster->revision,
 				      .items = items};
 
+	store_key_set(&items[0].name, STR("server"));
+	item = items[0];
 	item.changed_at = cluster->drained_at ? cluster->drained_at : 1;
 	if (cluster->created_at > item.changed_at)
 		item.changed_at = cluster->created_at;
