--- a/store.h
+++ b/store.h
@@ -13,7 +13,8 @@
 #include "store_key.h"
 #include "str.h"
 
-#define STORE_TARGET_SIZE 512
+/* Room for a key of which each byte takes three, and for what is around it. */
+#define STORE_TARGET_SIZE (3 * STORE_KEY_MAX + 128)
 
 enum store_topic {
 	STORE_ROUTES,  /* the operators' items: routes and cordons */
--- a/tests/fuzz/fuzz_store.c
+++ b/tests/fuzz/fuzz_store.c
@@ -1,9 +1,33 @@
 /* Fuzzes the decoding of store answers, including their routes and entries. */
 #include "fuzz.h"
 
+#include <stdlib.h>
+#include <string.h>
+
 #include "platform/names.h"
 #include "routes.h"
 
+#define PARAMETER "&after="
+
+/* The key that comes last must not change the call for the next page. */
+static void check_next_page(enum store_topic topic,
+			    const struct store_answer *answer)
+{
+	struct store_call call = {.topic = topic, .from = answer->last_key};
+	char target[STORE_TARGET_SIZE];
+	const char *after;
+
+	platform_store.format_target(&call, target, sizeof(target));
+	after = strstr(target, PARAMETER);
+	if (!call.from.len != !after)
+		abort();
+	if (after && strspn(after + strlen(PARAMETER),
+			    "%-._~0123456789abcdefghijklmnopqrstuvw"
+			    "xyzABCDEFGHIJKLMNOPQRSTUVWXYZ") !=
+			     strlen(after + strlen(PARAMETER)))
+		abort();
+}
+
 static void decode_reply(enum store_topic topic, int status, struct str body)
 {
 	const struct store_reply reply = {.status = status,
@@ -16,6 +40,7 @@
 	int i;
 
 	platform_store.decode_answer(topic, &reply, &answer);
+	check_next_page(topic, &answer);
 	for (i = 0; i < answer.n_items; i++) {
 		if (answer.items[i].removed)
 			continue;
--- a/tests/fuzz/seeds.py
+++ b/tests/fuzz/seeds.py
@@ -186,6 +186,10 @@
         item = {"key": "servers/i", "value": text, "changed_at": 4}
         yield json.dumps({"items": [item], "more": True,
                           "read_at": 7}).encode()
+        for name in ("a&after=x", "a b\r\n", "a\0x", "%41+#", "\ud800", ""):
+            odd = {"key": f"servers/{name}", "value": text, "changed_at": 4}
+            yield json.dumps({"items": [item, odd], "more": True,
+                              "read_at": 7}).encode()
         removed = {"key": "servers/j", "changed_at": 5, "removed": True}
         yield json.dumps({"events": [item, removed], "read_at": 8}).encode()
 
--- a/tests/gateway_fixtures.py
+++ b/tests/gateway_fixtures.py
@@ -175,6 +175,7 @@
         self.refused_addresses = set()
         self.unavailable = False
         self.compacted_revision = 0
+        self.items_per_page = ITEMS_PER_PAGE
         threading.Thread(target=self.serve_forever, daemon=True).start()
 
     @property
@@ -239,8 +240,8 @@
                 k for k in self.items if k.startswith(prefix) and k > after
             )
             return {
-                "items": [self.items[k] for k in keys[:ITEMS_PER_PAGE]],
-                "more": len(keys) > ITEMS_PER_PAGE,
+                "items": [self.items[k] for k in keys[:self.items_per_page]],
+                "more": len(keys) > self.items_per_page,
                 "read_at": self.revision,
             }
 
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -14,6 +14,36 @@
 import test_gateway  # noqa: E402
 
 N_GOOD = 4
+# Longest key of the store, bytes.
+KEY_MAX = 200
+# Names that no server has, each of which is before "b" in the store's order.
+ODD_NAMES = [
+    "",
+    "a ",
+    " a",
+    "a\tb",
+    'a"b\\c',
+    "a\r\nX-Injected: 1",
+    "a\x01b",
+    "a\x7fb",
+    "a\u00e9b",
+    "a\u20acb",
+    "a\ud800b",
+    "a&after=x",
+    "a&prefix=op/",
+    "a+b",
+    "a#b",
+    "a%41b",
+    "a%zzb",
+    "a%00b",
+    "a=;,b",
+    "a/../x?y=1",
+    "a\x00b",
+    "a" + "%" * (KEY_MAX - len("servers/a")),
+]
+N_MANY = 501
+# So that the names fill pages of their own.
+PAGE_SIZE = 100
 
 
 class OddEntriesTest(test_gateway.GatewayTest):
@@ -43,6 +73,52 @@
             self.assertEqual(odd.seen, [])
 
 
+class Pages(OddEntriesTest):
+    """Lists of several pages, with odd names anywhere in them."""
+
+    def check_start(self, names):
+        self.start_good()
+        for name in names:
+            self.store.put(f"servers/{name}", {})
+        gateway = self.ready_gateway()
+        self.check_all_known(gateway)
+        self.check_served(gateway)
+
+    def play_again(self):
+        self.tearDown()
+        self.setUp()
+
+    def test_each_name_as_last_of_a_page(self):
+        """Guards against a name that ends or misleads the list of servers."""
+        for size in range(1, 4):
+            with self.subTest(size=size):
+                self.store.items_per_page = size
+                self.check_start(ODD_NAMES)
+            self.play_again()
+
+    def test_many_names(self):
+        """Guards against pages that repeat."""
+        for sign in "+&":
+            with self.subTest(sign=sign):
+                self.store.items_per_page = PAGE_SIZE
+                self.check_start([f"a{sign}{i:04}" for i in range(N_MANY)])
+            self.play_again()
+
+    def test_after_the_history_is_gone(self):
+        """Guards against odd names in a list that follows 410."""
+        self.start_good()
+        gateway = self.ready_gateway()
+        self.check_all_known(gateway)
+        self.store.set_unavailable(True)
+        for name in ODD_NAMES:
+            self.store.put(f"servers/{name}", {})
+        self.store.remove(f"servers/{self.servers[0].name}")
+        self.store.compact()
+        self.store.set_unavailable(False)
+        self.check_all_known(gateway, N_GOOD - 1)
+        self.check_served(gateway)
+
+
 class CutNames(OddEntriesTest):
     """A NUL in a name does not end it."""
 
--- a/tests/test_server_entry.c
+++ b/tests/test_server_entry.c
@@ -181,6 +181,41 @@
 	platform_store.release_answer(&answer);
 }
 
+static void check_target(struct str key, const char *after)
+{
+	struct store_call call = {.topic = STORE_SERVERS};
+	char expected[STORE_TARGET_SIZE];
+	char target[STORE_TARGET_SIZE];
+
+	CU_ASSERT(!store_key_set(&call.from, key));
+	platform_store.format_target(&call, target, sizeof(target));
+	snprintf(expected, sizeof(expected),
+		 "/garnetreach/kv-range?prefix=servers/&after=%s", after);
+	CU_ASSERT_STRING_EQUAL(target, expected);
+}
+
+/* Guards against a key that ends the target, or adds to its query. */
+static void test_next_page(void)
+{
+	struct store_call call = {.topic = STORE_SERVERS};
+	char target[STORE_TARGET_SIZE];
+
+	check_target(STR("servers/i-7f3a91c2"), "servers%2Fi-7f3a91c2");
+	check_target(STR("servers/a&after=x"), "servers%2Fa%26after%3Dx");
+	check_target(STR("a+b c#d%41"), "a%2Bb%20c%23d%2541");
+	check_target(STR("a\r\nb\t\x01\x7f"), "a%0D%0Ab%09%01%7F");
+	check_target(STR("a\0x"), "a%00x");
+	check_target(STR("\xc3\xa9\xff"), "%C3%A9%FF");
+	memset(call.from.data, '%', STORE_KEY_MAX);
+	call.from.len = STORE_KEY_MAX;
+	platform_store.format_target(&call, target, sizeof(target));
+	CU_ASSERT_EQUAL(strlen(strstr(target, "after=")),
+			strlen("after=") + strlen("%25") * STORE_KEY_MAX);
+	call.from.len = 0;
+	platform_store.format_target(&call, target, sizeof(target));
+	CU_ASSERT_STRING_EQUAL(target, "/garnetreach/kv-range?prefix=servers/");
+}
+
 static uint64_t era_of(int status, const char *header)
 {
 	const struct store_reply reply = {
@@ -213,6 +248,7 @@
 	{"good", test_good},
 	{"missing", test_missing},
 	{"NUL in key", test_nul_in_key},
+	{"next page", test_next_page},
 	{"wrong type", test_wrong_type},
 	{"born", test_born},
 	{"unknown state", test_unknown_state},
