store_sync: fail a list that does not advance, and back off

Cause: the next page was asked for at once whatever key the last one ended with, so that a page that repeats, or has no key, was read without end and without a failure.

A page of a list that goes on must end after the page before it, by the order of the bytes; else the call counts as failed, the first in a row is logged as `store_list_stuck`, and the page is read again after the pause of other failures. The store was reached, so that this is no sign of an outage, and the view stays. Keys as such cannot cause it any more; a store may.

--- a/store_sync.c
+++ b/store_sync.c
@@ -425,6 +425,31 @@
 		advance_revision(sync, feed, answer);
 }
 
+/* Whether the next page would begin after this one. */
+static bool is_list_advancing(const struct store_feed *feed,
+			      const struct store_answer *answer)
+{
+	return !feed->listing || !answer->more ||
+	       str_cmp(store_key_str(&answer->last_key),
+		       store_key_str(&feed->list_from)) > 0;
+}
+
+/*
+ * The store answers, so that this is no outage of it. The page is read again
+ * after a pause: what is in its way may be gone then.
+ */
+static void list_stuck(struct store_sync *sync, struct store_feed *feed,
+		       const struct store_answer *answer)
+{
+	if (!feed->failures)
+		LOG_WARN("store_list_stuck", LOG_I64("topic", feed->topic),
+			 LOG_STR("after", store_key_str(&feed->list_from)),
+			 LOG_STR("last_key", store_key_str(&answer->last_key)),
+			 LOG_I64("items", answer->n_items));
+	note_answer(sync, feed);
+	store_schedule_failed(sync, feed);
+}
+
 /* A failure may come from a proxy in front of the store, without an era. */
 static int check_answer(struct store_sync *sync,
 			const struct store_answer *answer)
@@ -450,6 +475,8 @@
 		return;
 	else if (code)
 		history_gone(sync, feed);
+	else if (!is_list_advancing(feed, answer))
+		list_stuck(sync, feed, answer);
 	else
 		apply_answer(sync, feed, answer);
 }
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -6,6 +6,7 @@
 
 import pathlib
 import sys
+import time
 import unittest
 
 TESTS_DIR = pathlib.Path(__file__).resolve().parent
@@ -44,6 +45,9 @@
 N_MANY = 501
 # So that the names fill pages of their own.
 PAGE_SIZE = 100
+# A list of the routes, one of the servers and the watches behind them.
+CALLS_PER_S_MAX = 20
+CALM_S = 2
 
 
 class OddEntriesTest(test_gateway.GatewayTest):
@@ -192,6 +196,46 @@
         self.check_served(gateway)
 
 
+class ListsThatDoNotMoveOn(OddEntriesTest):
+    def play(self, list_page):
+        self.start_good()
+        self.store.list_page = list_page
+        gateway = self.gateway()
+        time.sleep(CALM_S)
+        before = self.store.call_count
+        time.sleep(CALM_S)
+        calls = self.store.call_count - before
+        failed = [line for line in gateway.log()
+                  if line["event"] == "store_list_stuck"]
+        del self.store.list_page
+        self.wait("ready", gateway.is_ready)
+        self.check_all_known(gateway)
+        self.check_served(gateway)
+        self.assertLess(calls, CALLS_PER_S_MAX * CALM_S)
+        self.assertGreater(len(failed), 0)
+        self.assertLess(len(failed), 10)
+
+    def test_first_page_for_ever(self):
+        """Guards against calls without a pause where the store repeats a
+        page."""
+        self.play(lambda prefix, after: {
+            **type(self.store).list_page(self.store, prefix, ""),
+            "more": True})
+
+    def test_empty_pages_for_ever(self):
+        """Guards against calls without a pause where no page has a key."""
+        self.play(lambda prefix, after: {"items": [], "more": True,
+                                         "read_at": 1})
+
+    def test_pages_that_alternate(self):
+        """Guards against two pages that lead to each other."""
+        def list_page(prefix, after):
+            key = prefix + ("b" if after.endswith("a") else "a")
+            return {"items": [{"key": key, "value": "", "changed_at": 1}],
+                    "more": True, "read_at": 1}
+        self.play(list_page)
+
+
 if __name__ == "__main__":
     test_gateway.BUILD = pathlib.Path(sys.argv.pop(1))
     unittest.main(verbosity=2)
--- a/tests/test_store_sync.c
+++ b/tests/test_store_sync.c
@@ -52,6 +52,47 @@
 	fixture_finish(&fixture);
 }
 
+static void answer_page(struct fixture *fixture, const char *last_key)
+{
+	struct store_item items[] = {make_item("a", 1, false)};
+	struct store_answer page = {.revision = 10,
+				    .more = true,
+				    .items = items,
+				    .n_items = 1};
+
+	store_key_set(&page.last_key, str_from(last_key));
+	store_sync_answered(&fixture->sync, STORE_SERVERS, &page);
+}
+
+/* Guards against a page that is asked for again and again without a pause. */
+static void test_list_does_not_advance(void)
+{
+	static const char *const last_keys[] = {"servers/b", "servers/a", ""};
+	struct fixture fixture;
+	size_t i;
+	int n;
+
+	fixture_init(&fixture);
+	answer_page(&fixture, "servers/b");
+	fixture_advance(&fixture, 1);
+	for (i = 0; i < 3; i++) {
+		n = fixture.n_calls[STORE_SERVERS];
+		answer_page(&fixture, last_keys[i]);
+		fixture_advance(&fixture, 190);
+		CU_ASSERT_EQUAL(fixture.n_calls[STORE_SERVERS], n);
+		fixture_advance(&fixture, 900);
+		CU_ASSERT_EQUAL(fixture.n_calls[STORE_SERVERS], n + 1);
+		CU_ASSERT(fixture_list_from(&fixture, "servers/b"));
+	}
+	CU_ASSERT(fixture.sync.feeds[STORE_SERVERS].fresh_at < 0);
+	answer_page(&fixture, "servers/c");
+	fixture_advance(&fixture, 1);
+	CU_ASSERT(fixture_list_from(&fixture, "servers/c"));
+	fixture_answer_servers(&fixture);
+	CU_ASSERT(fixture.sync.feeds[STORE_SERVERS].fresh_at >= 0);
+	fixture_finish(&fixture);
+}
+
 /* An older version from a peer or a slow answer is never applied. */
 static void test_routes_never_go_back(void)
 {
@@ -311,6 +352,7 @@
 	{"an instance joins others", test_joins},
 	{"start", test_start},
 	{"list of several pages", test_pages},
+	{"list does not advance", test_list_does_not_advance},
 	{"routes are never replaced by older ones", test_routes_never_go_back},
 	{"removal is applied at once", test_removed_at_once},
 	{"entries expire while the store is down",
