server_name: refuse names that can name no server

A control byte, and a line of its own, went into heads of requests to servers.

Cause: any key under servers/ that came with a server's value was used as a server, and its name written as it was into X-Expect-Instance, log lines and pages.

server_name_check() decides which names can name a server: letters, digits and "-._~:@", 127 bytes; the new error `name`. An entry that is refused is counted (`garnetreach_server_entries_refused`), twenty a minute are logged, and the list goes on; this holds for refused values too, which were logged without a bound. Rows of peers, which may be of an earlier version, pass the same check.

Before: "other bytes" of test_server_name, "odd name from a peer" of test_view_order and the three cases of Names in test_odd_entries failed. The fuzz target of the store looks at names that are accepted.

--- a/error.h
+++ b/error.h
@@ -69,7 +69,8 @@
 	  "the record of the request was evicted by later ones")               \
 	X(ERR_COLD, -48, "cold", "the backend server is still warming up")     \
 	X(ERR_LEFT_OUT, -49, "left_out",                                       \
-	  "not sent: the answer was expected too late")
+	  "not sent: the answer was expected too late")                        \
+	X(ERR_NAME, -50, "name", "the name can be that of no backend server")
 
 #define ERROR_ENUM(symbol, number, name, text) symbol = number,
 enum error_code {
--- a/gateway_pages.c
+++ b/gateway_pages.c
@@ -177,6 +177,8 @@
 		   (int64_t)gateway->inbound.memory.used);
 	metric_set(&counters->servers,
 		   (int64_t)HASH_COUNT(gateway->registry.servers));
+	metric_set(&counters->server_entries_refused,
+		   (int64_t)gateway->sync.servers.n_refused);
 	metric_set(&counters->load_reports_refused,
 		   (int64_t)gateway->upstream.bad_loads);
 	metric_set(&counters->cordons, gateway->registry.cordons.n);
--- a/gateway_stats.h
+++ b/gateway_stats.h
@@ -139,6 +139,9 @@
 	  "time between confirmations that the view of servers is current")    \
 	X(routes_age, METRIC_GAUGE, "garnetreach_routes_age_ms",               \
 	  "time since the routes were last confirmed to be current")           \
+	X(server_entries_refused, METRIC_GAUGE,                                \
+	  "garnetreach_server_entries_refused",                                \
+	  "entries refused for their name or value since start")               \
 	X(load_reports_refused, METRIC_GAUGE,                                  \
 	  "garnetreach_server_loads_refused",                                  \
 	  "malformed load reports from servers since start")                   \
--- a/server_name.h
+++ b/server_name.h
@@ -9,7 +9,11 @@
  * server_name_check() - whether a name can be that of a backend server
  * @name: of an item, or of an entry that a peer sent
  *
- * Return: 0; ERR_RANGE if it is empty, too long or has a NUL.
+ * Names stand in request heads, log lines, pages and C strings. Servers' own
+ * consist of letters, digits and "-._~:@".
+ *
+ * Return: 0; ERR_RANGE if it is empty or too long; ERR_NAME if it has any other
+ * character.
  */
 int server_name_check(struct str name);
 
--- a/server_view.h
+++ b/server_view.h
@@ -41,6 +41,9 @@
  *	server_view_enter_era()
  * @skipped_removed: a list contained a server that was ignored as removed in an
  *	earlier era
+ * @n_refused: entries that were refused
+ * @n_refused_logged: those of them in the present window of the log
+ * @refused_log_until: end of that window, microseconds
  */
 struct server_view {
 	const struct clock *clock;
@@ -53,6 +56,9 @@
 	int64_t store_returned_at;
 	int64_t era_until;
 	bool skipped_removed;
+	uint64_t n_refused;
+	int n_refused_logged;
+	int64_t refused_log_until;
 };
 
 void server_view_init(struct server_view *view, const struct clock *clock,
@@ -68,6 +74,17 @@
  */
 void server_view_store_returned(struct server_view *view);
 
+/**
+ * server_view_refuse() - count an entry that is not used, and log it unless
+ * many were refused of late
+ * @view: the view
+ * @name: of the entry, any bytes
+ * @code: why it is refused
+ * @changed_at: store revision of the entry
+ */
+void server_view_refuse(struct server_view *view, struct str name, int code,
+			uint64_t changed_at);
+
 /**
  * server_view_enter_era() - the store was restored from a backup
  * @view: the view
--- a/store_sync.c
+++ b/store_sync.c
@@ -79,10 +79,8 @@
 
 	/* No server of that name can be known. */
 	if (ret) {
-		LOG_WARN("server_entry_refused",
-			 LOG_STR("server", store_key_str(&item->name)),
-			 LOG_TEXT("error", error_name(ret)),
-			 LOG_U64("store_revision", item->changed_at));
+		server_view_refuse(&sync->servers, store_key_str(&item->name),
+				   ret, item->changed_at);
 		return;
 	}
 	str_copy(id, sizeof(id), store_key_str(&item->name));
@@ -97,9 +95,8 @@
 	 * writes again, at most a heartbeat later.
 	 */
 	if (ret) {
-		LOG_WARN("server_entry_refused", LOG_TEXT("server", id),
-			 LOG_TEXT("error", error_name(ret)),
-			 LOG_U64("store_revision", item->changed_at));
+		server_view_refuse(&sync->servers, str_from(id), ret,
+				   item->changed_at);
 		server_view_vanished(&sync->servers, id, item->changed_at);
 		return;
 	}
--- a/tests/fuzz/fuzz_store.c
+++ b/tests/fuzz/fuzz_store.c
@@ -28,13 +28,26 @@
 		abort();
 }
 
+/* A server's name must be fit to stand in a request's head. */
+static void decode_entry(const struct store_item *item)
+{
+	struct server_entry entry;
+	const char *c;
+
+	if (platform_store.decode_server(item, &entry))
+		return;
+	for (c = entry.id; *c; c++) {
+		if (*c <= ' ' || *c >= 127)
+			abort();
+	}
+}
+
 static void decode_reply(enum store_topic topic, int status, struct str body)
 {
 	const struct store_reply reply = {.status = status,
 					  .era = body,
 					  .body = body};
 	struct store_answer answer;
-	struct server_entry entry;
 	struct route_set *set;
 	struct error err;
 	int i;
@@ -45,7 +58,7 @@
 		if (answer.items[i].removed)
 			continue;
 		if (topic == STORE_SERVERS)
-			platform_store.decode_server(&answer.items[i], &entry);
+			decode_entry(&answer.items[i]);
 		else if (!route_set_parse(answer.items[i].value, &set, &err))
 			route_set_unref(set);
 	}
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -123,6 +123,58 @@
         self.check_served(gateway)
 
 
+class Names(OddEntriesTest):
+    """Odd names of entries that are a server's otherwise."""
+
+    def check_seen_by_watch(self, gateway):
+        """Wait until a server that comes now is known, and goes again."""
+        last = self.server("c-last", "two")
+        self.check_all_known(gateway, N_GOOD + 1)
+        self.store.remove(f"servers/{last.name}")
+        self.check_all_known(gateway)
+
+    def test_at_a_start(self):
+        """Guards against requests to a server by an odd name."""
+        self.start_good()
+        odd = self.odd_server()
+        for name in ODD_NAMES:
+            self.store.put(f"servers/{name}", odd.entry())
+        gateway = self.ready_gateway()
+        self.check_all_known(gateway)
+        self.check_served(gateway, odd)
+
+    def test_while_it_runs(self):
+        """Guards against entries that come, change and go after the start."""
+        self.start_good()
+        gateway = self.ready_gateway()
+        odd = self.odd_server()
+        for _ in range(2):
+            for name in ODD_NAMES:
+                self.store.put(f"servers/{name}", odd.entry())
+        self.check_seen_by_watch(gateway)
+        self.check_served(gateway, odd)
+        for name in ODD_NAMES:
+            self.store.remove(f"servers/{name}")
+        self.check_seen_by_watch(gateway)
+        self.check_served(gateway, odd)
+
+    def test_many_are_counted_and_few_logged(self):
+        """Guards against a log line for each of thousands of odd entries."""
+        self.start_good()
+        odd = self.odd_server()
+        for i in range(N_MANY):
+            self.store.put(f"servers/a {i:04}", odd.entry())
+        gateway = self.ready_gateway()
+        self.check_all_known(gateway)
+        self.check_served(gateway, odd)
+        refused = [line for line in gateway.log()
+                   if line["event"] == "server_entry_refused"]
+        self.assertGreater(len(refused), 0)
+        self.assertLess(len(refused), N_MANY / 10)
+        self.assertGreaterEqual(
+            self.metric(gateway, "server_entries_refused"), N_MANY)
+
+
 class CutNames(OddEntriesTest):
     """A NUL in a name does not end it."""
 
--- a/tests/test_server_entry.c
+++ b/tests/test_server_entry.c
@@ -121,7 +121,7 @@
 	CU_ASSERT(read_with("10.1.0.9:8080", "10.1.0.9:0") == ERR_ADDRESS);
 	CU_ASSERT(read_as("", GOOD, &entry) == ERR_RANGE);
 	store_key_set(&item.name, STR("i\0x"));
-	CU_ASSERT(platform_store.decode_server(&item, &entry) == ERR_RANGE);
+	CU_ASSERT(platform_store.decode_server(&item, &entry) == ERR_NAME);
 	memset(name, 'i', sizeof(name));
 	name[sizeof(name) - 1] = '\0';
 	CU_ASSERT(read_as(name, GOOD, &entry) == ERR_RANGE);
--- a/tests/test_view_order.c
+++ b/tests/test_view_order.c
@@ -411,6 +411,42 @@
 	cluster_finish(&pair.cluster);
 }
 
+static void init_row(Peer__ViewServer *row, const char *id, uint64_t at)
+{
+	peer__view_server__init(row);
+	row->id = (char *)id;
+	row->service = (char *)"s";
+	row->data_centre = (char *)"dc0";
+	row->address = (char *)"127.0.0.1:1";
+	row->changed_at = at;
+	row->created_at = at;
+}
+
+/* Guards against an odd name that an instance of an earlier version tells. */
+static void test_odd_name_from_a_peer(void)
+{
+	Peer__ViewUpdate message = PEER__VIEW_UPDATE__INIT;
+	Peer__ViewServer rows[2];
+	Peer__ViewServer *pointers[] = {&rows[0], &rows[1]};
+	struct pair pair;
+
+	pair_init(&pair);
+	message.servers_from = pair.cluster.revision;
+	message.servers_at = pair.cluster.revision + 1;
+	message.routes_version = pair.other->sync.routes->version;
+	init_row(&rows[0], "a b", message.servers_at);
+	init_row(&rows[1], "i-9", message.servers_at);
+	message.servers = pointers;
+	message.n_servers = 2;
+	CU_ASSERT(!view_share_update(&pair.other->share, pair.reader->name,
+				     &message));
+	CU_ASSERT(!registry_find(&pair.other->registry, STR("a b")));
+	CU_ASSERT_PTR_NOT_NULL(
+		registry_find(&pair.other->registry, STR("i-9")));
+	CU_ASSERT_EQUAL(pair.other->sync.servers.n_refused, 1);
+	cluster_finish(&pair.cluster);
+}
+
 /*
  * Guards against a server that is missing for good, as the message with it
  * stated an earlier revision and was lost.
@@ -443,6 +479,7 @@
 	{"gone between lists", test_gone_between_lists},
 	{"changes lack server", test_changes_lack_server},
 	{"lost newer change", test_lost_newer_change},
+	{"odd name from a peer", test_odd_name_from_a_peer},
 };
 
 UNIT_MAIN("view_order", tests)
--- a/view_apply.c
+++ b/view_apply.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "error.h"
+#include "server_name.h"
 
 static void apply_row(struct view_share *share, const Peer__ViewServer *row,
 		      bool listing)
@@ -10,10 +11,16 @@
 	uint64_t complete_to = share->sync->feeds[STORE_SERVERS].revision;
 	struct server_view *view = &share->sync->servers;
 	struct server_entry entry;
+	int ret = server_name_check(str_from(row->id));
 
 	/* From an earlier era, retained by the peer until it reads a list. */
 	if (!row->changed_at && complete_to)
 		return;
+	if (ret) {
+		server_view_refuse(view, str_from(row->id), ret,
+				   row->changed_at);
+		return;
+	}
 	if (row->removed) {
 		server_view_remove(view, row->id, row->changed_at, "peer");
 		return;
