test_odd_entries: rows and values that no server writes

No process ends and the list is followed, at a start and while it runs; both cases passed on as well. A row that is nested itself makes the answer none: rows hold text and numbers by the store's protocol, values are base64 text. The list is read once the row is gone.

--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -4,6 +4,7 @@
 usage: test_odd_entries.py BUILD [unittest options]
 """
 
+import json
 import pathlib
 import sys
 import time
@@ -48,6 +49,8 @@
 # A list of the routes, one of the servers and the watches behind them.
 CALLS_PER_S_MAX = 20
 CALM_S = 2
+# Longer than any row needs; json-c parses 32 levels.
+DEEP = 5000
 
 
 class OddEntriesTest(test_gateway.GatewayTest):
@@ -288,6 +291,107 @@
         self.play(list_page)
 
 
+class Rows(OddEntriesTest):
+    """Rows that no store of this protocol sends."""
+
+    WITHOUT_KEY = [
+        None, "row", [], {}, 7,
+        {"key": None, "value": "e30="},
+        {"key": 7, "value": "e30="},
+    ]
+    WITH_KEY = [
+        {"key": "servers/a"},
+        {"key": "servers/a", "value": "!not base64!", "changed_at": 1},
+        {"key": "servers/a", "value": "e30=", "changed_at": 10 ** 30},
+        {"key": "servers/a" + "x" * 900, "value": "e30=", "changed_at": 1},
+        {"key": "elsewhere", "value": "e30=", "changed_at": 1},
+    ]
+
+    def test_odd_rows(self):
+        """Guards against a row that ends the list, wherever it stands."""
+        self.start_good()
+        plain = self.store.list_page
+
+        def list_page(prefix, after):
+            page = plain(prefix, after)
+            if prefix != "servers/":
+                return page
+            return {**page, "items": self.WITH_KEY + page["items"]
+                    + self.WITHOUT_KEY}
+
+        self.store.list_page = list_page
+        gateway = self.ready_gateway()
+        self.check_all_known(gateway)
+        self.check_served(gateway)
+
+    def test_deeply_nested_row(self):
+        """A row's members are text and numbers, so that a nested row makes the
+        whole answer none; the list is read once the row is gone."""
+        self.start_good()
+        plain = self.store.list_page
+        nested = json.loads("[" * 900 + "]" * 900)
+
+        def list_page(prefix, after):
+            page = plain(prefix, after)
+            return {**page, "items": [nested] + page["items"]}
+
+        self.store.list_page = list_page
+        gateway = self.gateway()
+        self.wait("the call failed", lambda: any(
+            line["event"] == "store_lost" for line in gateway.log()))
+        self.assertFalse(gateway.is_ready())
+        del self.store.list_page
+        self.wait("ready", gateway.is_ready)
+        self.check_all_known(gateway)
+
+
+class Values(OddEntriesTest):
+    """Values of entries that a server could have by its name."""
+
+    def odd_values(self):
+        entry = self.servers[0].entry()
+        yield "[" * 100000 + "]" * 100000
+        yield '{"a":' * 200000
+        for key in ("slots", "cold_for_ms", "born", "Sequence"):
+            for number in ("1" * 40, str(2 ** 64 - 1), str(2 ** 63 - 1),
+                           "1e400", "-1", "NaN", '"1"', "null", "[]"):
+                if key == "Sequence" or number == str(2 ** 63 - 1):
+                    continue
+                text = json.dumps({**entry, key: "@"})
+                yield text.replace('"@"', number)
+        for port in ("0", "-1", "99999", "5" * 50, "", " 80"):
+            yield json.dumps({**entry, "address": f"127.0.0.1:{port}"})
+        for address in ("[::1]:80", "::1", "host:80", "", 7, None):
+            yield json.dumps({**entry, "address": address})
+        for service in ("", "a\0b", 7, None, "s" * 128):
+            yield json.dumps({**entry, "service": service})
+        yield b"\xff\xfe\0\1"
+        yield ""
+
+    def test_odd_values(self):
+        """Guards against a value that ends the process or the list. Numbers
+        that are too large count as the largest."""
+        self.start_good()
+        values = list(self.odd_values())
+        for i, value in enumerate(values):
+            self.store.put_bytes(
+                f"servers/a-{i:03}",
+                value if isinstance(value, bytes) else value.encode())
+        self.store.items_per_page = PAGE_SIZE
+        gateway = self.ready_gateway()
+        self.wait("the servers known",
+                  lambda: self.metric(gateway, "servers") >= N_GOOD)
+        self.check_served(gateway)
+        for i, value in enumerate(values):
+            self.store.put_bytes(
+                f"servers/c-{i:03}",
+                value if isinstance(value, bytes) else value.encode())
+        self.publish(2)
+        self.wait("routes known",
+                  lambda: self.metric(gateway, "routes_version") == 2)
+        self.check_served(gateway)
+
+
 if __name__ == "__main__":
     test_gateway.BUILD = pathlib.Path(sys.argv.pop(1))
     unittest.main(verbosity=2)
