http_strict: a status line that is none makes no answer

Callers saw: `HTTP/1.1 0 Unknown` with the body of a server whose answer had the status 000; 001, 007, 099, two digits, a blank inside and a status above 599 were passed on as well. An interim answer with status 000 before the right one: every request of that server got the empty 000, 18,000 in 4 s, and the server was never avoided.

Cause: http-parser reads any digits as a status and hardly looks at the rest of the line, and any status was an answer.

The bytes of a message are checked beside the parser now: a status line is `HTTP/1.`, a digit, a blank, a status of 100 to 599, and a blank and a reason of visible characters, blanks and tabs, or the end of the line (RFC 9112, 4; the blank before an empty reason may be missing, as many servers leave it out). Nothing comes before it: only a server skips blank lines (2.2). Anything else is a broken answer, as for a single server so in searches: the server is avoided, "may have run" is told, and the bytes behind it belong to no request. Versions 1.2 to 1.9 are accepted (2.5 of RFC 9110).

--- a/http_message.c
+++ b/http_message.c
@@ -223,6 +223,7 @@
 	message->limits = limits;
 	http_parser_init(&message->parser, type);
 	message->parser.data = message;
+	http_strict_init(&message->strict, type == HTTP_RESPONSE);
 }
 
 void http_message_finish(struct http_message *message)
@@ -250,6 +251,7 @@
 		free_fields(message);
 	http_parser_init(&message->parser, type);
 	message->parser.data = message;
+	http_strict_init(&message->strict, type == HTTP_RESPONSE);
 	message->state = MESSAGE_EMPTY;
 	message->error = 0;
 	message->head_too_large = false;
@@ -273,7 +275,10 @@
 	enum http_errno code;
 
 	*used = http_parser_execute(&message->parser, &callbacks, data, len);
-	if (message->state == MESSAGE_COMPLETE)
+	if (!message->error)
+		message->error =
+			http_strict_read(&message->strict, data, *used);
+	if (!message->error && message->state == MESSAGE_COMPLETE)
 		return 1;
 	code = HTTP_PARSER_ERRNO(&message->parser);
 	if (code != HPE_OK && !message->error)
--- a/http_message.h
+++ b/http_message.h
@@ -12,6 +12,7 @@
 
 #include <http_parser.h>
 
+#include "http_strict.h"
 #include "str.h"
 
 struct evbuffer;
@@ -61,6 +62,7 @@
 /**
  * struct http_message - a message that is being read or is complete
  * @parser: state of http-parser
+ * @strict: checks what the parser accepts
  * @limits: borrowed
  * @memory: counts what is allocated; set by the owner, may be NULL
  * @state: what has been received
@@ -84,6 +86,7 @@
  */
 struct http_message {
 	struct http_parser parser;
+	struct http_strict strict;
 	const struct http_limits *limits;
 	struct http_memory *memory;
 	enum message_state state;
--- /dev/null
+++ b/http_strict.h
@@ -0,0 +1,39 @@
+/*
+ * Checks the bytes of a message beside http-parser, which accepts heads
+ * that RFC 9112 does not allow. Their sender, or somebody before it,
+ * would read the message differently.
+ */
+#ifndef HTTP_STRICT_H
+#define HTTP_STRICT_H
+
+#include <stdbool.h>
+#include <stddef.h>
+
+/**
+ * struct http_strict - what has been seen of one message
+ * @state: enum strict_state
+ * @column: bytes of the status line so far
+ */
+struct http_strict {
+	int state;
+	int column;
+};
+
+/**
+ * http_strict_init() - prepare for a message
+ * @strict: the check
+ * @is_response: its first line is a status line
+ */
+void http_strict_init(struct http_strict *strict, bool is_response);
+
+/**
+ * http_strict_read() - check the next bytes of the message
+ * @strict: the check
+ * @data: accepted by http-parser, and no byte beyond the message
+ * @len: bytes of @data
+ *
+ * Return: 0, or ERR_SYNTAX.
+ */
+int http_strict_read(struct http_strict *strict, const char *data, size_t len);
+
+#endif
--- /dev/null
+++ b/tests/test_odd_answers.py
@@ -0,0 +1,110 @@
+"""Backend servers in trouble: their answers are none by RFC 9112, or hardly.
+
+usage: test_odd_answers.py BUILD [unittest options]
+"""
+
+import pathlib
+import sys
+import time
+import unittest
+
+TESTS_DIR = pathlib.Path(__file__).resolve().parent
+sys.path.insert(0, str(TESTS_DIR))
+
+import test_gateway  # noqa: E402
+from gateway_fixtures import OpaqueServer, route  # noqa: E402
+
+ODD_BODY = b"odd answer"
+SEARCH_S = 2
+# Of the searches, those that ask a server whose answers are none.
+ASKED_SHARE_MAX = 0.2
+
+
+def odd(server, request, first="HTTP/1.1 200 OK", fields=(), body=ODD_BODY,
+        length=True):
+    """Build an answer as this server would give it, but for what differs."""
+    lines = [first] + [f"{n}: {v}" for n, v in server.headers(request)]
+    lines += fields
+    if length:
+        lines.append(f"Content-Length: {len(body)}")
+    return "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n" + body
+
+
+class OddAnswersTest(test_gateway.GatewayTest):
+    def start_odd(self):
+        self.server_of_all, gateway, caller = self.start_one()
+        return self.server_of_all, caller
+
+    def check_none_passed_on(self, forms):
+        """An odd answer is none: callers of both kinds get an error."""
+        server, caller = self.start_odd()
+        for i, form in enumerate(forms):
+            server.respond = form
+            for path in ("/once/x", "/any/x"):
+                with self.subTest(form=i, path=path):
+                    n = len(server.seen)
+                    got = caller.request(path, request_id=f"{path}{i}")
+                    self.assertIn(got.status, (502, 503))
+                    self.assertNotIn(ODD_BODY, got.body)
+                    self.assertTrue(got.status == 502 or
+                                    len(server.seen) == n)
+            server.respond = OpaqueServer.echo
+            self.wait("the server used again", lambda: caller.request(
+                "/any/y").status == 200)
+
+
+class Statuses(OddAnswersTest):
+    NONE = ["000 Unknown", "000", "001 Odd", "007 Odd", "099 Odd", "20 OK",
+            "20 0 OK", "600 Odd", "999 Odd"]
+
+    def test_none_is_passed_on(self):
+        """Guards against a status that is none as a caller's answer."""
+        self.check_none_passed_on([
+            lambda s, r, status=status: odd(s, r, f"HTTP/1.1 {status}")
+            for status in self.NONE])
+
+    def test_before_the_answer(self):
+        """Guards against a status that is none in place of an interim one: the
+        right answer behind it belongs to no request."""
+        self.check_none_passed_on([
+            lambda s, r: b"HTTP/1.1 000 Unknown\r\n\r\n" + s.echo(r),
+            lambda s, r: b"HTTP/1.1 099 Odd\r\n\r\n" + s.echo(r),
+        ])
+
+    def test_interim_answers(self):
+        """Interim answers are skipped."""
+        server, caller = self.start_odd()
+        server.respond = lambda s, r: (
+            b"HTTP/1.1 100 Continue\r\n\r\n"
+            b"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + s.echo(r))
+        for _ in range(3):
+            self.assertEqual(caller.request("/once/x").status, 200)
+
+    def test_part_of_searches(self):
+        """Guards against a server that is asked in each search though its
+        answers are none."""
+        servers = []
+        for i in range(4):
+            for n in range(2):
+                server = self.server(f"s{i}-{i}{n}", f"s{i}")
+                server.respond = OpaqueServer.send_records
+                servers.append(server)
+        servers[0].respond = lambda s, r: odd(s, r, "HTTP/1.1 000 Unknown")
+        self.publish(routes=[route(
+            "/shards/", shards=["s0", "s1", "s2", "s3"], records_max=3,
+            coverage_min=0.75, timeout_ms=2000, goal_ms=500)])
+        caller = self.caller(self.ready_gateway())
+        end = time.monotonic() + SEARCH_S
+        n = 0
+        while time.monotonic() < end:
+            got = caller.request("/shards/x", request_id=f"s{n}")
+            n += 1
+            self.assertEqual(got.status, 200)
+            self.assertNotIn("s0-00.", got.headers["x-part-stamps"])
+        self.assertGreater(n, 20)
+        self.assertLess(len(servers[0].seen), ASKED_SHARE_MAX * n)
+
+
+if __name__ == "__main__":
+    test_gateway.BUILD = pathlib.Path(sys.argv.pop(1))
+    unittest.main(verbosity=2)
