http_strict: refuse folded lines and heads without their end

Callers saw: answers with folded lines passed on, also a length on the line after `Content-Length:`; and a head whose last line was CR and any byte.

Cause: http-parser joins folded lines, and takes any byte behind the CR of an empty line for its LF.

No server may generate a folded line, and a gateway may discard an answer with one (RFC 9112, 5.2): it is a broken answer now. A CR in a head is followed by LF, in requests too. Folded lines of requests and lines that end with LF alone are read as before.

All other names of fields with blanks, tabs, control bytes, NUL, 0x7f, bytes above, quotes or none were refused already; the tests stay.

--- a/http_strict.h
+++ b/http_strict.h
@@ -11,10 +11,12 @@
 
 /**
  * struct http_strict - what has been seen of one message
+ * @is_response: its first line is a status line, and no line may be folded
  * @state: enum strict_state
  * @column: bytes of the status line so far
  */
 struct http_strict {
+	bool is_response;
 	int state;
 	int column;
 };
@@ -22,7 +24,7 @@
 /**
  * http_strict_init() - prepare for a message
  * @strict: the check
- * @is_response: its first line is a status line
+ * @is_response: false for a request
  */
 void http_strict_init(struct http_strict *strict, bool is_response);
 
--- a/tests/test_http_strict.c
+++ b/tests/test_http_strict.c
@@ -143,6 +143,46 @@
 	REFUSED(texts);
 }
 
+/* Guards against a field whose name no server sends. */
+static void test_field_names(void)
+{
+	static const struct str texts[] = {
+		STR(OK " X: x\r\n" LENGTH "\r\nok"),
+		STR(OK "X y: x\r\n" LENGTH "\r\nok"),
+		STR(OK "X : x\r\n" LENGTH "\r\nok"),
+		STR(OK "Content-Length : 2\r\n\r\nok"),
+		STR(OK "X\ty: x\r\n" LENGTH "\r\nok"),
+		STR(OK "X\x01y: x\r\n" LENGTH "\r\nok"),
+		STR(OK "X\0y: x\r\n" LENGTH "\r\nok"),
+		STR(OK "X\x7fy: x\r\n" LENGTH "\r\nok"),
+		STR(OK "X\xc3\xa9: x\r\n" LENGTH "\r\nok"),
+		STR(OK ": x\r\n" LENGTH "\r\nok"),
+		STR(OK "X\"y: x\r\n" LENGTH "\r\nok"),
+		STR(OK "X\ry: x\r\n" LENGTH "\r\nok"),
+		STR(OK "X\r\n" LENGTH "\r\nok"),
+		STR(OK "X: a\rb\r\n" LENGTH "\r\nok"),
+		STR(OK "X: a\0b\r\n" LENGTH "\r\nok"),
+		STR(OK "X: a\x01"
+		       "b\r\n" LENGTH "\r\nok"),
+		STR(OK LENGTH "\r_ok"),
+	};
+
+	REFUSED(texts);
+}
+
+/* RFC 9112, 5.2: no sender may generate a folded line. */
+static void test_folded_lines(void)
+{
+	static const struct str texts[] = {
+		STR(OK "Content-Length:\r\n 2\r\n\r\nok"),
+		STR(OK "X: a\r\n b\r\n" LENGTH "\r\nok"),
+		STR(OK "X: a\r\n\tb\r\n" LENGTH "\r\nok"),
+		STR(OK LENGTH " \r\n\r\nok"),
+	};
+
+	REFUSED(texts);
+}
+
 /* RFC 9112, 6.3: an invalid length makes the message's end unknown. */
 static void test_lengths(void)
 {
@@ -164,10 +204,9 @@
 }
 
 static const struct unit_test tests[] = {
-	{"accepted", test_accepted},
-	{"status", test_status},
-	{"status line", test_status_line},
-	{"lengths", test_lengths},
+	{"accepted", test_accepted},	     {"status", test_status},
+	{"status line", test_status_line},   {"field names", test_field_names},
+	{"folded lines", test_folded_lines}, {"lengths", test_lengths},
 };
 
 UNIT_MAIN("http_strict", tests)
--- a/tests/test_odd_answers.py
+++ b/tests/test_odd_answers.py
@@ -105,6 +105,29 @@
         self.assertLess(len(servers[0].seen), ASKED_SHARE_MAX * n)
 
 
+class Heads(OddAnswersTest):
+    def test_names_of_fields(self):
+        """Guards against a field whose name holds what no name may."""
+        names = ["X y", "X ", " X", "X\ty", "X\x01y", "X\0y", "X\x7fy",
+                 "X\xe9", "", 'X"y', "X\ry"]
+        self.check_none_passed_on([
+            lambda s, r, name=name: odd(s, r, fields=[f"{name}: x"])
+            for name in names])
+
+    def test_lines(self):
+        """Guards against heads that another reader would read differently."""
+        self.check_none_passed_on([
+            lambda s, r: odd(s, r, "HTTP/1.1 200 O\x01K"),
+            lambda s, r: odd(s, r, "HTTP/1.1 200 O\0K"),
+            lambda s, r: odd(s, r, "HTTP/2.0 200 OK"),
+            lambda s, r: b"\r\n" + odd(s, r),
+            lambda s, r: odd(s, r, fields=["X: a", " b"]),
+            lambda s, r: odd(s, r, fields=["Content-Length:",
+                                           f" {len(ODD_BODY)}"],
+                             length=False),
+        ])
+
+
 if __name__ == "__main__":
     test_gateway.BUILD = pathlib.Path(sys.argv.pop(1))
     unittest.main(verbosity=2)
