http_strict: each chunk and its size end with CR LF

Callers saw: a body of chunks that lacked their line ends, with bytes taken for line ends that were none.

Cause: the parser, as Debian builds it, skips two bytes behind a chunk whatever they are, and anything behind a size up to CR, LF included.

The size, its extension and the end of each chunk are checked (RFC 9112, 7.1), in answers and requests; control bytes in an extension are refused.

Before: "chunks" of test_http_strict and test_chunks of test_odd_answers failed.

--- a/http_message.c
+++ b/http_message.c
@@ -277,7 +277,8 @@
 	*used = http_parser_execute(&message->parser, &callbacks, data, len);
 	if (!message->error)
 		message->error =
-			http_strict_read(&message->strict, data, *used);
+			http_strict_read(&message->strict, data, *used,
+					 message->parser.flags & F_CHUNKED);
 	if (!message->error && message->state == MESSAGE_COMPLETE)
 		return 1;
 	code = HTTP_PARSER_ERRNO(&message->parser);
--- a/tests/test_http_strict.c
+++ b/tests/test_http_strict.c
@@ -183,6 +183,28 @@
 	REFUSED(texts);
 }
 
+/* RFC 9112, 7.1: each line and each chunk ends with CR LF. */
+static void test_chunks(void)
+{
+	static const struct str texts[] = {
+		STR(CHUNKED "\r\n2\r\nokXY0\r\n\r\n"),
+		STR(CHUNKED "\r\n2\r\nok\r0\r\n\r\n"),
+		STR(CHUNKED "\r\n2\r\nok0\r\n\r\n"),
+		STR(CHUNKED "\r\n2\nok\r\n0\r\n\r\n"),
+		STR(CHUNKED "\r\n2\rXok\r\n0\r\n\r\n"),
+		STR(CHUNKED "\r\n2;a\nok\r\n0\r\n\r\n"),
+		STR(CHUNKED "\r\n2;a\x01\r\nok\r\n0\r\n\r\n"),
+		STR(CHUNKED "\r\n\r\n0\r\n\r\n"),
+		STR(CHUNKED "\r\n;a\r\n0\r\n\r\n"),
+		STR(CHUNKED "\r\n-2\r\nok\r\n0\r\n\r\n"),
+		STR(CHUNKED "\r\n0x2\r\nok\r\n0\r\n\r\n"),
+		STR(CHUNKED "\r\n2\r\nok\r\n"),
+		STR(CHUNKED "\r\n1000000000000000002\r\nok\r\n0\r\n\r\n"),
+	};
+
+	REFUSED(texts);
+}
+
 /* RFC 9112, 6.3: an invalid length makes the message's end unknown. */
 static void test_lengths(void)
 {
@@ -206,7 +228,8 @@
 static const struct unit_test tests[] = {
 	{"accepted", test_accepted},	     {"status", test_status},
 	{"status line", test_status_line},   {"field names", test_field_names},
-	{"folded lines", test_folded_lines}, {"lengths", test_lengths},
+	{"folded lines", test_folded_lines}, {"chunks", test_chunks},
+	{"lengths", test_lengths},
 };
 
 UNIT_MAIN("http_strict", tests)
--- a/tests/test_odd_answers.py
+++ b/tests/test_odd_answers.py
@@ -30,6 +30,11 @@
     return "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n" + body
 
 
+def chunked(server, request, chunks, trailer=b""):
+    return odd(server, request, fields=["Transfer-Encoding: chunked"],
+               length=False, body=chunks + b"0\r\n" + trailer + b"\r\n")
+
+
 class OddAnswersTest(test_gateway.GatewayTest):
     def start_odd(self):
         self.server_of_all, gateway, caller = self.start_one()
@@ -128,6 +133,14 @@
         ])
 
 
+class Bodies(OddAnswersTest):
+    def test_chunks(self):
+        """Guards against bytes that no chunk holds."""
+        self.check_none_passed_on([
+            lambda s, r: chunked(s, r, b"a\r\nodd answerXY"),
+            lambda s, r: chunked(s, r, b"a;x\nodd answer\r\n"),
+        ])
+
 if __name__ == "__main__":
     test_gateway.BUILD = pathlib.Path(sys.argv.pop(1))
     unittest.main(verbosity=2)
