http_message: read names of trailers as those of heads

Callers saw: an answer passed on whose trailer had a field with a blank in its name, while one with a control byte was refused.

Cause: the check of names came after trailers were left out.

Before: "trailers" of test_http_strict and test_trailers of test_odd_answers failed.

--- a/http_message.c
+++ b/http_message.c
@@ -111,13 +111,6 @@
 {
 	struct http_message *message = get_message(parser);
 
-	/* Trailers after the last chunk are ignored. */
-	if (message->state == MESSAGE_BODY)
-		return 0;
-	if (!message->n_fields || message->in_value) {
-		add_field(message);
-		message->in_value = false;
-	}
 	/*
 	 * http-parser and a server may read "Content-Length : 5" differently,
 	 * which would allow request smuggling.
@@ -126,6 +119,13 @@
 		message->error = ERR_SYNTAX;
 		return 1;
 	}
+	/* Trailers after the last chunk are ignored. */
+	if (message->state == MESSAGE_BODY)
+		return 0;
+	if (!message->n_fields || message->in_value) {
+		add_field(message);
+		message->in_value = false;
+	}
 	return append_head(message, at, len,
 			   &message->fields[message->n_fields - 1].name);
 }
--- a/tests/test_http_strict.c
+++ b/tests/test_http_strict.c
@@ -205,6 +205,22 @@
 	REFUSED(texts);
 }
 
+/* Guards against trailers that are read by other rules than heads. */
+static void test_trailers(void)
+{
+	static const struct str texts[] = {
+		STR(CHUNKED "\r\n0\r\nX y: x\r\n\r\n"),
+		STR(CHUNKED "\r\n0\r\nX : x\r\n\r\n"),
+		STR(CHUNKED "\r\n0\r\nX\x01y: x\r\n\r\n"),
+		STR(CHUNKED "\r\n0\r\nX: a\x01"
+			    "b\r\n\r\n"),
+		STR(CHUNKED "\r\n0\r\nX: a\r\n b\r\n\r\n"),
+		STR(CHUNKED "\r\n0\r\nX: a\r\n\r_"),
+	};
+
+	REFUSED(texts);
+}
+
 /* RFC 9112, 6.3: an invalid length makes the message's end unknown. */
 static void test_lengths(void)
 {
@@ -229,7 +245,7 @@
 	{"accepted", test_accepted},	     {"status", test_status},
 	{"status line", test_status_line},   {"field names", test_field_names},
 	{"folded lines", test_folded_lines}, {"chunks", test_chunks},
-	{"lengths", test_lengths},
+	{"trailers", test_trailers},	     {"lengths", test_lengths},
 };
 
 UNIT_MAIN("http_strict", tests)
--- a/tests/test_odd_answers.py
+++ b/tests/test_odd_answers.py
@@ -141,6 +141,15 @@
             lambda s, r: chunked(s, r, b"a;x\nodd answer\r\n"),
         ])
 
+    def test_trailers(self):
+        """Guards against trailers that are read by other rules than heads."""
+        self.check_none_passed_on([
+            lambda s, r: chunked(s, r, b"a\r\nodd answer\r\n",
+                                 b"X y: x\r\n"),
+            lambda s, r: chunked(s, r, b"a\r\nodd answer\r\n",
+                                 b"X: a\r\n b\r\n"),
+        ])
+
 if __name__ == "__main__":
     test_gateway.BUILD = pathlib.Path(sys.argv.pop(1))
     unittest.main(verbosity=2)
