http_message: refuse transfer codings but chunked

Callers saw: an answer in another transfer coding passed on without the field that says so, so that the body was not the server's.

Cause: Transfer-Encoding concerns one connection and is left out, and the parser only looks whether chunked comes last.

Nothing asks servers for a coding, so that honest ones send chunked or none (RFC 9112, 6.1 and 7). The same holds for requests: one whose coding isn't understood is refused with 400 instead of being sent on as another.

Before: "transfer codings" and a form of "requests" of test_http_strict failed, and the first form of test_other_coding of test_odd_answers.

--- a/http_message.c
+++ b/http_message.c
@@ -142,6 +142,37 @@
 			   &message->fields[message->n_fields - 1].value);
 }
 
+static struct str trim(struct str s)
+{
+	while (s.len && (*s.data == ' ' || *s.data == '\t')) {
+		s.data++;
+		s.len--;
+	}
+	while (s.len && (s.data[s.len - 1] == ' ' || s.data[s.len - 1] == '\t'))
+		s.len--;
+	return s;
+}
+
+/* Another coding, which nobody asked for, would be taken off with its field. */
+static bool has_other_coding(const struct http_message *message)
+{
+	int n = 0;
+	int i;
+
+	for (i = 0; i < message->n_fields; i++) {
+		const struct http_field *field = &message->fields[i];
+
+		if (!eq_nocase(http_message_span(message, field->name),
+			       STR("transfer-encoding")))
+			continue;
+		if (n++ ||
+		    !eq_nocase(trim(http_message_span(message, field->value)),
+			       STR("chunked")))
+			return true;
+	}
+	return false;
+}
+
 static int on_headers(struct http_parser *parser)
 {
 	struct http_message *message = get_message(parser);
@@ -150,6 +181,10 @@
 
 	message->state = MESSAGE_BODY;
 	message->keep_alive = http_should_keep_alive(parser);
+	if (has_other_coding(message)) {
+		message->error = ERR_SYNTAX;
+		return -1;
+	}
 	if (framed && !(parser->flags & F_CHUNKED) &&
 	    parser->content_length > message->limits->body) {
 		message->error = ERR_TOO_LARGE;
--- a/tests/test_http_strict.c
+++ b/tests/test_http_strict.c
@@ -221,6 +221,27 @@
 	REFUSED(texts);
 }
 
+/* RFC 9112, 6.1: a coding that was not asked for leaves another body. */
+static void test_transfer_codings(void)
+{
+	static const struct str texts[] = {
+		STR(OK "Transfer-Encoding: gzip\r\n\r\nok"),
+		STR(OK "Transfer-Encoding: gzip, chunked\r\n\r\n"
+		       "2\r\nok\r\n0\r\n\r\n"),
+		STR(OK "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked"
+		       "\r\n\r\n2\r\nok\r\n0\r\n\r\n"),
+		STR(OK "Transfer-Encoding: chunked, chunked\r\n\r\n"
+		       "2\r\nok\r\n0\r\n\r\n"),
+		STR(OK "Transfer-Encoding: identity\r\n\r\nok"),
+		STR(OK "Transfer-Encoding:\r\n\r\nok"),
+		STR(OK "Transfer-Encoding: xchunked\r\n\r\n"
+		       "2\r\nok\r\n0\r\n\r\n"),
+		STR(CHUNKED LENGTH "\r\n2\r\nok\r\n0\r\n\r\n"),
+	};
+
+	REFUSED(texts);
+}
+
 /* RFC 9112, 6.3: an invalid length makes the message's end unknown. */
 static void test_lengths(void)
 {
@@ -241,11 +262,42 @@
 	REFUSED(texts);
 }
 
+/* Requests keep what RFC 9112 lets a server accept. */
+static void test_requests(void)
+{
+	static const struct str good[] = {
+		STR("\r\n\nGET / HTTP/1.1\r\nHost: h\r\n\r\n"),
+		STR("GET / HTTP/1.1\nHost: h\n\n"),
+		STR("GET / HTTP/1.1\r\nHost: h\r\nX: a\r\n b\r\n\r\n"),
+		STR("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+		    "2;a\r\nok\r\n0\r\n\r\n"),
+	};
+	static const struct str bad[] = {
+		STR("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+		    "2\r\nokXY0\r\n\r\n"),
+		STR("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+		    "2;\nok\r\n0\r\n\r\n"),
+		STR("POST / HTTP/1.1\r\nTransfer-Encoding: gzip, chunked\r\n"
+		    "\r\n2\r\nok\r\n0\r\n\r\n"),
+		STR("GET / HTTP/1.1\r\nHost: h\r\n\r_"),
+		STR("GET / HTTP/1.1\r\nX y: h\r\n\r\n"),
+	};
+
+	check_all(HTTP_REQUEST, good, sizeof(good) / sizeof(*good), true);
+	check_all(HTTP_REQUEST, bad, sizeof(bad) / sizeof(*bad), false);
+}
+
 static const struct unit_test tests[] = {
-	{"accepted", test_accepted},	     {"status", test_status},
-	{"status line", test_status_line},   {"field names", test_field_names},
-	{"folded lines", test_folded_lines}, {"chunks", test_chunks},
-	{"trailers", test_trailers},	     {"lengths", test_lengths},
+	{"accepted", test_accepted},
+	{"status", test_status},
+	{"status line", test_status_line},
+	{"field names", test_field_names},
+	{"folded lines", test_folded_lines},
+	{"chunks", test_chunks},
+	{"trailers", test_trailers},
+	{"transfer codings", test_transfer_codings},
+	{"lengths", test_lengths},
+	{"requests", test_requests},
 };
 
 UNIT_MAIN("http_strict", tests)
--- a/tests/test_odd_answers.py
+++ b/tests/test_odd_answers.py
@@ -150,6 +150,15 @@
                                  b"X: a\r\n b\r\n"),
         ])
 
+    def test_other_coding(self):
+        """Guards against a body in a coding that is taken off with its field."""
+        self.check_none_passed_on([
+            lambda s, r: odd(s, r, fields=["Transfer-Encoding: gzip, chunked"],
+                             length=False,
+                             body=b"a\r\nodd answer\r\n0\r\n\r\n"),
+            lambda s, r: odd(s, r, fields=["Transfer-Encoding: identity"]),
+        ])
+
 if __name__ == "__main__":
     test_gateway.BUILD = pathlib.Path(sys.argv.pop(1))
     unittest.main(verbosity=2)
