http_message: 1xx, 204 and 304 end with their head

Callers saw: the status of a 204 or 304 only at its deadline, as a body of the length in its head was waited for (a 304 may state one, though it has none); or with a body that cannot be. A HEAD whose answer states a length over the limit was a broken answer.

Cause: the parser reads a body wherever fields say so.

Such answers end with their head, whatever its fields say (RFC 9112, 6.3).

--- a/http_message.c
+++ b/http_message.c
@@ -173,6 +173,17 @@
 	return false;
 }
 
+/* Whether the message ends with its head, whatever its fields say. */
+static bool ends_with_head(const struct http_message *message)
+{
+	unsigned int status = message->parser.status_code;
+
+	if (message->no_body || message->parser.type == HTTP_REQUEST)
+		return message->no_body;
+	return status / 100 == 1 || status == HTTP_STATUS_NO_CONTENT ||
+	       status == HTTP_STATUS_NOT_MODIFIED;
+}
+
 static int on_headers(struct http_parser *parser)
 {
 	struct http_message *message = get_message(parser);
@@ -185,14 +196,15 @@
 		message->error = ERR_SYNTAX;
 		return -1;
 	}
+	if (ends_with_head(message))
+		return 1;
 	if (framed && !(parser->flags & F_CHUNKED) &&
 	    parser->content_length > message->limits->body) {
 		message->error = ERR_TOO_LARGE;
 		return -1;
 	}
-	message->until_close =
-		parser->type == HTTP_RESPONSE && !framed && !message->no_body;
-	return message->no_body;
+	message->until_close = parser->type == HTTP_RESPONSE && !framed;
+	return 0;
 }
 
 static size_t body_capacity(const struct http_message *message, size_t len)
--- a/tests/test_http_strict.c
+++ b/tests/test_http_strict.c
@@ -262,6 +262,52 @@
 	REFUSED(texts);
 }
 
+static int read_head(const char *text, bool no_body, size_t *left)
+{
+	struct evbuffer *in = evbuffer_new();
+	struct http_message message;
+	int ret;
+
+	http_message_init(&message, HTTP_RESPONSE, &limits);
+	message.no_body = no_body;
+	evbuffer_add(in, text, strlen(text));
+	ret = http_message_read(&message, in);
+	*left = evbuffer_get_length(in);
+	CU_ASSERT_EQUAL(message.body_len, 0);
+	http_message_finish(&message);
+	evbuffer_free(in);
+	return ret;
+}
+
+/*
+ * Guards against an answer without a body that is waited on for one, or gets
+ * one. RFC 9112, 6.3: it ends with its head, whatever its fields say.
+ */
+static void test_no_body(void)
+{
+	static const char *const statuses[] = {"204", "304", "103"};
+	static const char *const fields[] = {"", "Content-Length: 2\r\n",
+					     "Content-Length: 99999\r\n",
+					     "Transfer-Encoding: chunked\r\n"};
+	char text[200];
+	size_t left;
+	size_t i;
+	size_t k;
+
+	for (i = 0; i < 3; i++) {
+		for (k = 0; k < 4; k++) {
+			snprintf(text, sizeof(text),
+				 "HTTP/1.1 %s No\r\n%s\r\n2\r\nok\r\n",
+				 statuses[i], fields[k]);
+			CU_ASSERT_EQUAL(read_head(text, false, &left), 1);
+			CU_ASSERT_EQUAL(left, strlen("2\r\nok\r\n"));
+		}
+	}
+	CU_ASSERT_EQUAL(read_head(OK "Content-Length: 99999\r\n\r\n", true,
+				  &left),
+			1);
+}
+
 /* Requests keep what RFC 9112 lets a server accept. */
 static void test_requests(void)
 {
@@ -297,6 +343,7 @@
 	{"trailers", test_trailers},
 	{"transfer codings", test_transfer_codings},
 	{"lengths", test_lengths},
+	{"no body", test_no_body},
 	{"requests", test_requests},
 };
 
--- a/tests/test_odd_answers.py
+++ b/tests/test_odd_answers.py
@@ -12,9 +12,11 @@
 sys.path.insert(0, str(TESTS_DIR))
 
 import test_gateway  # noqa: E402
-from gateway_fixtures import OpaqueServer, route  # noqa: E402
+from gateway_fixtures import OpaqueServer, answer, route  # noqa: E402
 
 ODD_BODY = b"odd answer"
+# Of an answer that is told apart from those of this test.
+FOREIGN_BODY = b"answer to nobody"
 SEARCH_S = 2
 # Of the searches, those that ask a server whose answers are none.
 ASKED_SHARE_MAX = 0.2
@@ -159,6 +161,28 @@
             lambda s, r: odd(s, r, fields=["Transfer-Encoding: identity"]),
         ])
 
+    def test_answers_without_a_body(self):
+        """Guards against a body where none can be, and against a wait for one:
+        what follows the head belongs to no request."""
+        server, caller = self.start_odd()
+        foreign = answer(FOREIGN_BODY, headers=[("X-Server-Stamp", "x")])
+        for status in ("204 No Content", "304 Not Modified"):
+            for fields in ([f"Content-Length: {len(foreign)}"],
+                           ["Transfer-Encoding: chunked"], []):
+                for body in (b"", foreign):
+                    with self.subTest(status=status, fields=fields,
+                                      body=body):
+                        server.respond = lambda s, r: odd(
+                            s, r, f"HTTP/1.1 {status}", fields, body, False)
+                        got = caller.request("/once/x")
+                        self.assertEqual(got.status, int(status[:3]))
+                        self.assertEqual(got.body, b"")
+                        server.respond = OpaqueServer.echo
+                        got = caller.request("/any/y")
+                        self.assertEqual(got.status, 200)
+                        self.assertNotIn(FOREIGN_BODY, got.body)
+
+
 if __name__ == "__main__":
     test_gateway.BUILD = pathlib.Path(sys.argv.pop(1))
     unittest.main(verbosity=2)
