upstream: an answer that switches protocols is none

Callers saw: the bytes behind a 101 that nobody had asked for as the answer to their request.

Cause: a 101 was skipped as an interim answer. What follows it isn't HTTP/1.1 any more; no request asks for another protocol, since Upgrade isn't passed on.

Before: test_other_protocol of test_odd_answers failed.

--- a/tests/test_odd_answers.py
+++ b/tests/test_odd_answers.py
@@ -78,6 +78,12 @@
             lambda s, r: b"HTTP/1.1 099 Odd\r\n\r\n" + s.echo(r),
         ])
 
+    def test_other_protocol(self):
+        """Guards against bytes of a protocol that nobody asked for."""
+        self.check_none_passed_on([
+            lambda s, r: b"HTTP/1.1 101 Switching Protocols\r\n\r\n"
+            + odd(s, r)])
+
     def test_interim_answers(self):
         """Interim answers are skipped."""
         server, caller = self.start_odd()
--- a/upstream_read.c
+++ b/upstream_read.c
@@ -128,6 +128,9 @@
 	struct registry_server *server;
 	int64_t sent_at;
 
+	/* What would follow belongs to a protocol that nobody asked for. */
+	if (conn->message.parser.status_code == HTTP_STATUS_SWITCHING_PROTOCOLS)
+		return ERR_PROTOCOL;
 	if (conn->message.parser.status_code / 100 == 1)
 		return expect_next_message(conn);
 	if (conn->asked_at)
