server_pool: a transfer coding but chunked gives no length

Callers of `serve` could have got: a part cut off by a crash as a whole one, or one in a coding that nobody asked for.

Cause: any Transfer-Encoding counted as a length, while evhttp reads a body in another coding than chunked up to the end of the connection.

--- a/server_pool.c
+++ b/server_pool.c
@@ -3,6 +3,7 @@
 
 #include <stdlib.h>
 #include <string.h>
+#include <strings.h>
 #include <sys/socket.h>
 
 #include <event2/buffer.h>
@@ -189,12 +190,15 @@
 /*
  * evhttp treats the end of the connection as the end of a body without length,
  * so a body truncated by a crash would be accepted. The protocol requires a
- * length.
+ * length. A coding other than chunked has none, and leaves another body.
  */
 static bool has_length(const struct evkeyvalq *headers)
 {
-	return evhttp_find_header(headers, "Content-Length") ||
-	       evhttp_find_header(headers, "Transfer-Encoding");
+	const char *coding = evhttp_find_header(headers, "Transfer-Encoding");
+
+	if (coding)
+		return !strcasecmp(coding, "chunked");
+	return evhttp_find_header(headers, "Content-Length");
 }
 
 static void fill_reply(struct server_conn *conn, struct evhttp_request *request,
--- a/tests/test_server_pool.c
+++ b/tests/test_server_pool.c
@@ -25,6 +25,7 @@
 	ANSWER_NO_LENGTH,  /* the body ends with the connection */
 	ANSWER_CUT_CHUNKS, /* closes between two chunks */
 	ANSWER_GARBAGE,
+	ANSWER_ODD,   /* what the test says */
 	CLOSE_UNREAD, /* closes as soon as it accepted */
 	CLOSE_READ,   /* resets after it received the request */
 	SILENT,
@@ -43,6 +44,7 @@
 	int n_requests;
 	int n_cancels;
 	enum behaviour behaviour;
+	const char *odd;
 	struct server_pool pool;
 	struct server_reply reply;
 	int n_replies;
@@ -128,6 +130,9 @@
 	case ANSWER_GARBAGE:
 		send_text(world, bev, "\x01\x02 no HTTP at all\r\n\r\n", true);
 		break;
+	case ANSWER_ODD:
+		send_text(world, bev, world->odd, true);
+		break;
 	case CLOSE_READ:
 		reset(world, bev);
 		break;
@@ -427,6 +432,43 @@
 	}
 }
 
+#define LENGTH "Content-Length: 4\r\n"
+
+/* Guards against an odd answer that counts, or as a request never sent. */
+static void test_odd_answers_are_none(void)
+{
+	static const char *const odd[] = {
+		"HTTP/1.1 000 Unknown\r\n" LENGTH "\r\nbody",
+		"HTTP/1.1 000\r\n\r\n",
+		"HTTP/1.1 000 Unknown\r\n\r\nHTTP/1.1 200 OK\r\n" LENGTH
+		"\r\nbody",
+		"HTTP/1.1 007 Odd\r\n" LENGTH "\r\nbody",
+		"HTTP/1.1 20 OK\r\n" LENGTH "\r\nbody",
+		"HTTP/1.1 999 Odd\r\n" LENGTH "\r\nbody",
+		"HTTP/1.1 200 OK\r\nContent-Length : 4\r\n\r\nbody",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+		"4\r\nbodyXY0\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\nbody",
+		"HTTP/1.1 200 OK\r\n" LENGTH "X\r\n\r\nbody",
+	};
+	size_t i;
+
+	for (i = 0; i < sizeof(odd) / sizeof(*odd); i++) {
+		struct world world;
+
+		set_up(&world, 2);
+		world.behaviour = ANSWER_ODD;
+		world.odd = odd[i];
+		ask(&world);
+		if (!world.reply.code || !world.reply.sent)
+			printf("\n    %zu: code %d, sent %d\n", i,
+			       world.reply.code, world.reply.sent);
+		CU_ASSERT_NOT_EQUAL(world.reply.code, 0);
+		CU_ASSERT_TRUE(world.reply.sent);
+		tear_down(&world);
+	}
+}
+
 /* Opens all descriptors but @spare. Returns how many are open. */
 static int take_descriptors(int *taken, struct rlimit *old, int spare)
 {
@@ -652,6 +694,7 @@
 	{"closed while sending", test_closed_while_sending},
 	{"accepted and closed is lost", test_accepted_and_closed_is_lost},
 	{"cut answers are never whole", test_cut_answers_are_never_whole},
+	{"odd answers are none", test_odd_answers_are_none},
 	{"out of descriptors", test_out_of_descriptors},
 	{"never more than the share", test_never_more_than_the_share},
 	{"abandoned request is cancelled", test_abandoned_request_is_cancelled},
