instances: a NUL in a name does not end it

Users of `serve` could have lost an instance: a row "i-1\0x" of the platform's list of instances was taken for i-1, with its addresses, or its row went in place of that of i-1.

Cause: as with the store's keys, names were read as C strings out of the JSON text.

Rows with a NUL in the name of the instance or its data centre are no rows. Other odd rows (none, numbers, without a name or an address, ports out of range) were passed over already; the tests stay.

--- a/instances.c
+++ b/instances.c
@@ -1,33 +1,32 @@
 #define LOG_MODULE "instances"
 #include "instances.h"
 
+#include <string.h>
+
 #include <json-c/json.h>
 
 #include "error.h"
+#include "json_value.h"
 #include "log.h"
 
-static struct str member_text(struct json_object *item, const char *key)
+/* Names are kept as C strings of limited size. */
+static bool is_name(struct str text)
 {
-	struct json_object *value;
-
-	if (!json_object_object_get_ex(item, key, &value) ||
-	    !json_object_is_type(value, json_type_string))
-		return STR("");
-	return str_from(json_object_get_string(value));
+	return text.len && text.len < FLEET_NAME_SIZE &&
+	       !memchr(text.data, '\0', text.len);
 }
 
 static void apply_instance(struct fleet *fleet, struct json_object *item)
 {
-	struct str name = member_text(item, "instance");
-	struct str dc = member_text(item, "data_centre");
+	struct str name = json_value_str(item, "instance");
+	struct str dc = json_value_str(item, "data_centre");
 	struct fleet_member *member;
 	struct address peer;
 	struct address caller;
 
-	if (!name.len || name.len >= FLEET_NAME_SIZE || !dc.len ||
-	    dc.len >= FLEET_NAME_SIZE ||
-	    address_parse(member_text(item, "peer_address"), &peer) ||
-	    address_parse(member_text(item, "caller_address"), &caller)) {
+	if (!is_name(name) || !is_name(dc) ||
+	    address_parse(json_value_str(item, "peer_address"), &peer) ||
+	    address_parse(json_value_str(item, "caller_address"), &caller)) {
 		LOG_WARN("instance_bad", LOG_STR("name", name));
 		return;
 	}
@@ -35,7 +34,7 @@
 	str_copy(member->data_centre, sizeof(member->data_centre), dc);
 	member->peer_address = peer;
 	member->caller_address = caller;
-	member->status = str_eq_text(member_text(item, "state"), "leaving")
+	member->status = str_eq_text(json_value_str(item, "state"), "leaving")
 				 ? FLEET_LEAVING
 				 : FLEET_ALIVE;
 	member->seen = true;
--- a/list_sync.c
+++ b/list_sync.c
@@ -8,6 +8,7 @@
 #include <json-c/json.h>
 
 #include "error.h"
+#include "json_value.h"
 #include "log.h"
 #include "mem.h"
 
@@ -75,13 +76,12 @@
 static void parse_row(struct instance_list *list, int *cap,
 		      struct json_object *item)
 {
-	struct json_object *name;
+	struct str name = json_value_str(item, "instance");
 
-	if (!json_object_is_type(item, json_type_object) ||
-	    !json_object_object_get_ex(item, "instance", &name) ||
-	    !json_object_is_type(name, json_type_string))
+	/* Rows are ordered by their names as C strings. */
+	if (!name.len || memchr(name.data, '\0', name.len))
 		return;
-	add_row(list, cap, json_object_get_string(name),
+	add_row(list, cap, name.data,
 		json_object_to_json_string_ext(item, JSON_C_TO_STRING_PLAIN));
 }
 
--- a/tests/test_list_sync.c
+++ b/tests/test_list_sync.c
@@ -339,10 +339,33 @@
 	net_finish(&net);
 }
 
+/* Guards against a NUL in a name that ends it: another instance's row goes. */
+static void test_odd_names(void)
+{
+	static const struct str rows =
+		STR("[{\"instance\":\"i0\\u0000x\"},{\"instance\":\"i0\"},"
+		    "{\"instance\":\"\"},{\"instance\":7},{\"instance\":null},"
+		    "{},[],null,7]");
+	const struct instance_list *list;
+	struct net net;
+
+	net_init(&net);
+	start(&net);
+	CU_ASSERT_EQUAL(list_sync_platform_list(&reader_of(&net)->sync, rows,
+						11),
+			0);
+	list = list_sync_newest(&reader_of(&net)->sync);
+	CU_ASSERT_EQUAL_FATAL(list->n, 1);
+	CU_ASSERT_STRING_EQUAL(list->rows[0].instance, "i0");
+	CU_ASSERT_STRING_EQUAL(list->rows[0].text, "{\"instance\":\"i0\"}");
+	net_finish(&net);
+}
+
 static const struct unit_test tests[] = {
 	{"push", test_push},
 	{"loss", test_loss},
 	{"refused", test_refused},
+	{"odd names", test_odd_names},
 };
 
 int main(void)
