store_client: limit what an answer of the store may take

An instance that reads the store would have been killed for its memory, and all its callers' requests with it, if the store or a proxy before it sent without end: 719 MB, 757 MB and 628 MB after 2 s of chunks, of a body up to the end of the connection and of a head, where 260 MB are allowed.

Cause: evhttp has no limit unless one is set, and its time-out is only for a connection on which nothing comes.

Heads have 64 KB and bodies 16 MB at most; a page of a list has 1 MB. An answer beyond is a failed call (`too_large`). A watch has no such bound: it would be too large each time, so that the list is read instead.

--- a/store.h
+++ b/store.h
@@ -68,7 +68,7 @@
  * struct store_answer - a decoded answer
  * @code: 0; ERR_STALE if the store no longer has all changes after the given
  *	  revision; ERR_BUDGET for too many calls; ERR_UNAVAILABLE;
- *	  ERR_PROTOCOL
+ *	  ERR_PROTOCOL; ERR_TOO_LARGE if it was given up for its size
  * @era: how often the store was restored from a backup so far, set also for a
  *	 failure; 0: not known. Revisions of different eras cannot be compared.
  * @revision: of the store when it answered
--- a/store_client.c
+++ b/store_client.c
@@ -12,6 +12,13 @@
 #include "log.h"
 #include "loop.h"
 
+/*
+ * Limits of an answer, bytes. A page has 1 MB at most, a watch what came since.
+ * A store, or a proxy before it, may send without end.
+ */
+#define HEADERS_MAX_SIZE 65536
+#define BODY_MAX_SIZE (16 * 1024 * 1024)
+
 void store_client_init(struct store_client *client, struct event_base *base,
 		       const struct store_ops *ops,
 		       const struct address *address,
@@ -55,13 +62,22 @@
 
 static void fail(struct store_channel *channel)
 {
-	struct store_answer answer = {.code = ERR_UNAVAILABLE};
+	struct store_answer answer = {
+		.code = channel->too_large ? ERR_TOO_LARGE : ERR_UNAVAILABLE};
 
 	channel->busy = false;
 	channel->client->answered(channel->client->arg, channel->topic,
 				  &answer);
 }
 
+/* Followed by on_answer(). */
+static void on_error(enum evhttp_request_error error, void *arg)
+{
+	struct store_channel *channel = arg;
+
+	channel->too_large = error == EVREQ_HTTP_DATA_TOO_LONG;
+}
+
 /* @reply points into @request. */
 static void read_reply(const struct store_client *client,
 		       struct evhttp_request *request,
@@ -99,6 +115,17 @@
 	client->ops->release_answer(&answer);
 }
 
+static void open_connection(struct store_channel *channel)
+{
+	const struct store_client *client = channel->client;
+
+	channel->http = evhttp_connection_base_new(client->base, NULL,
+						   client->address.ip,
+						   client->address.port);
+	evhttp_connection_set_max_headers_size(channel->http, HEADERS_MAX_SIZE);
+	evhttp_connection_set_max_body_size(channel->http, BODY_MAX_SIZE);
+}
+
 void store_client_call(struct store_client *client,
 		       const struct store_call *call, int64_t timeout)
 {
@@ -112,17 +139,16 @@
 	if (channel->busy)
 		close_connection(channel);
 	if (!channel->http)
-		channel->http =
-			evhttp_connection_base_new(client->base, NULL,
-						   client->address.ip,
-						   client->address.port);
+		open_connection(channel);
 	evhttp_connection_set_timeout_tv(channel->http, &tv);
 	client->ops->format_target(call, target, sizeof(target));
 	address_format(&client->address, host, sizeof(host));
 	request = evhttp_request_new(on_answer, channel);
+	evhttp_request_set_error_cb(request, on_error);
 	evhttp_add_header(evhttp_request_get_output_headers(request), "Host",
 			  host);
 	channel->busy = true;
+	channel->too_large = false;
 	client->calls++;
 	if (evhttp_make_request(channel->http, request, EVHTTP_REQ_GET,
 				target)) {
--- a/store_client.h
+++ b/store_client.h
@@ -16,12 +16,14 @@
  * @topic: that it reads
  * @http: NULL while there is no connection
  * @busy: a call is under way
+ * @too_large: its answer was given up
  */
 struct store_channel {
 	struct store_client *client;
 	enum store_topic topic;
 	struct evhttp_connection *http;
 	bool busy;
+	bool too_large;
 };
 
 /**
--- a/store_sync.c
+++ b/store_sync.c
@@ -447,6 +447,12 @@
 	store_schedule_failed(sync, feed);
 }
 
+/* Pages of a list are limited, what a watch returns is not. */
+static bool needs_list(const struct store_feed *feed, int code)
+{
+	return code == ERR_STALE || (code == ERR_TOO_LARGE && feed->watching);
+}
+
 /* A failure may come from a proxy in front of the store, without an era. */
 static int check_answer(struct store_sync *sync,
 			const struct store_answer *answer)
@@ -466,7 +472,7 @@
 
 	feed->busy = false;
 	feed->call_outdated = false;
-	if (code && code != ERR_STALE)
+	if (code && !needs_list(feed, code))
 		call_failed(sync, feed, code);
 	else if (outdated)
 		return;
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -6,6 +6,7 @@
 
 import json
 import pathlib
+import re
 import sys
 import time
 import unittest
@@ -14,6 +15,7 @@
 sys.path.insert(0, str(TESTS_DIR))
 
 import test_gateway  # noqa: E402
+from gateway_fixtures import StoreHandler  # noqa: E402
 
 N_GOOD = 4
 # Longest key of the store, bytes.
@@ -49,8 +51,10 @@
 # A list of the routes, one of the servers and the watches behind them.
 CALLS_PER_S_MAX = 20
 CALM_S = 2
-# Longer than any row needs; json-c parses 32 levels.
-DEEP = 5000
+# The memory of an instance on the users' machines, and what a stand-in sends
+# for a call at most.
+MEMORY_MAX_MB = 260
+ENDLESS_MAX_BYTES = 2 * 1024 ** 3
 
 
 class OddEntriesTest(test_gateway.GatewayTest):
@@ -345,6 +349,57 @@
         self.check_all_known(gateway)
 
 
+class EndlessHandler(StoreHandler):
+    """Answers each call with bytes that do not end."""
+
+    first = b""
+    more = b""
+
+    def do_GET(self):
+        self.server.call_count += 1
+        self.close_connection = True
+        try:
+            self.wfile.write(self.first)
+            for _ in range(ENDLESS_MAX_BYTES // len(self.more)):
+                self.wfile.write(self.more)
+        except OSError:
+            pass
+
+
+class EndlessAnswers(OddEntriesTest):
+    def play(self, first, more):
+        """The process stays within its memory, and reads the list later."""
+        self.start_good()
+        self.store.RequestHandlerClass = type(
+            "Handler", (EndlessHandler,), {"first": first, "more": more})
+        gateway = self.gateway()
+        time.sleep(CALM_S)
+        status = pathlib.Path(f"/proc/{gateway.process.pid}/status").read_text(
+            encoding="utf-8")
+        most_kb = int(re.search(r"VmHWM:\s+(\d+)", status).group(1))
+        self.store.RequestHandlerClass = StoreHandler
+        self.assertLess(most_kb / 1024, MEMORY_MAX_MB)
+        self.wait("ready", gateway.is_ready)
+        self.check_all_known(gateway)
+
+    def test_chunks(self):
+        """Guards against chunks without end that are all kept."""
+        self.play(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+                  b"10000\r\n" + b" " * 0x10000 + b"\r\n")
+
+    def test_until_close(self):
+        """Guards against a body without end that is kept."""
+        self.play(b"HTTP/1.1 200 OK\r\n\r\n", b" " * 0x10000)
+
+    def test_head(self):
+        """Guards against a head without end that is kept."""
+        self.play(b"HTTP/1.1 200 OK\r\n", b"X-Field: value\r\n" * 0x1000)
+
+    def test_line(self):
+        """Guards against a line without end that is kept."""
+        self.play(b"HTTP/1.1 200 OK\r\nX-Field: ", b"v" * 0x10000)
+
+
 class Values(OddEntriesTest):
     """Values of entries that a server could have by its name."""
 
--- a/tests/test_store_sync.c
+++ b/tests/test_store_sync.c
@@ -93,6 +93,31 @@
 	fixture_finish(&fixture);
 }
 
+/* Guards against a watch whose answer is too large each time. */
+static void test_watch_too_large(void)
+{
+	struct fixture fixture;
+	int n;
+
+	fixture_init(&fixture);
+	fixture_answer_servers(&fixture);
+	fixture_advance(&fixture, 900);
+	CU_ASSERT(fixture.calls[STORE_SERVERS].watch);
+	fixture_fail(&fixture, STORE_SERVERS, ERR_TOO_LARGE);
+	fixture_advance(&fixture, 1);
+	CU_ASSERT(!fixture.calls[STORE_SERVERS].watch);
+	n = fixture.n_calls[STORE_SERVERS];
+	fixture_fail(&fixture, STORE_SERVERS, ERR_TOO_LARGE);
+	fixture_advance(&fixture, 190);
+	CU_ASSERT_EQUAL(fixture.n_calls[STORE_SERVERS], n);
+	fixture_advance(&fixture, 900);
+	fixture_answer_servers(&fixture);
+	fixture_advance(&fixture, 900);
+	CU_ASSERT(fixture.calls[STORE_SERVERS].watch);
+	CU_ASSERT(fixture_has_server(&fixture, "a"));
+	fixture_finish(&fixture);
+}
+
 /* An older version from a peer or a slow answer is never applied. */
 static void test_routes_never_go_back(void)
 {
@@ -353,6 +378,7 @@
 	{"start", test_start},
 	{"list of several pages", test_pages},
 	{"list does not advance", test_list_does_not_advance},
+	{"watch too large", test_watch_too_large},
 	{"routes are never replaced by older ones", test_routes_never_go_back},
 	{"removal is applied at once", test_removed_at_once},
 	{"entries expire while the store is down",
