log: lines and pages stay JSON whatever a text holds

Operators would have lost lines: those with a path or a request id that is no UTF-8 were no JSON to a strict reader, and those with texts of over 4,000 bytes in all were cut in their middle. Names of items in the store come into lines since they are refused.

Bytes that are no UTF-8 become U+FFFD, in lines and in pages, and texts of a line are cut so that the keys and numbers behind them still fit.

--- a/json_text.c
+++ b/json_text.c
@@ -4,29 +4,45 @@
 
 #include <event2/buffer.h>
 
+/* A byte that is no text becomes U+FFFD. */
 static void add_escaped(struct evbuffer *out, unsigned char c)
 {
-	if (c == '"' || c == '\\')
+	if (c >= 0x80)
+		evbuffer_add_printf(out, "\\ufffd");
+	else if (c == '"' || c == '\\')
 		evbuffer_add_printf(out, "\\%c", c);
 	else
 		evbuffer_add_printf(out, "\\u%04x", c);
 }
 
-void json_text_add_string(struct evbuffer *out, struct str s)
+/* Return: how many bytes at the start of @s need no escape. */
+static size_t plain_len(struct str s)
 {
-	size_t start = 0;
-	size_t i;
+	size_t i = 0;
+	size_t len;
 
-	evbuffer_add(out, "\"", 1);
-	for (i = 0; i < s.len; i++) {
+	while (i < s.len) {
 		unsigned char c = s.data[i];
 
-		if (c >= 0x20 && c != '"' && c != '\\')
-			continue;
-		evbuffer_add(out, s.data + start, i - start);
-		add_escaped(out, c);
-		start = i + 1;
+		len = str_utf8_len((struct str){s.data + i, s.len - i});
+		if (!len || c < 0x20 || c == '"' || c == '\\')
+			break;
+		i += len;
+	}
+	return i;
+}
+
+void json_text_add_string(struct evbuffer *out, struct str s)
+{
+	evbuffer_add(out, "\"", 1);
+	while (s.len) {
+		size_t len = plain_len(s);
+
+		evbuffer_add(out, s.data, len);
+		if (len < s.len)
+			add_escaped(out, (unsigned char)s.data[len++]);
+		s.data += len;
+		s.len -= len;
 	}
-	evbuffer_add(out, s.data + start, s.len - start);
 	evbuffer_add(out, "\"", 1);
 }
--- a/json_text.h
+++ b/json_text.h
@@ -9,7 +9,7 @@
 /**
  * json_text_add_string() - append a quoted and escaped string
  * @out: the buffer
- * @s: UTF-8
+ * @s: any bytes; those that are no UTF-8 become U+FFFD
  */
 void json_text_add_string(struct evbuffer *out, struct str s);
 
--- a/log.c
+++ b/log.c
@@ -13,6 +13,8 @@
 #include "error.h"
 
 #define LINE_SIZE 4096
+/* Texts of a line are cut here, to leave room for the keys and numbers. */
+#define TEXT_END (LINE_SIZE - 1024)
 
 /*
  * A pipe accepts a write of up to this many bytes (PIPE_BUF) in full once
@@ -74,33 +76,46 @@
 		put_char(line, *text++);
 }
 
-static void put_quoted(struct line *line, struct str s)
+static void put_ascii(struct line *line, char c)
 {
-	size_t i;
+	char hex[8];
+
+	if (c == '"' || c == '\\') {
+		put_char(line, '\\');
+		put_char(line, c);
+	} else if (c < 0x20 || c == 0x7f) {
+		snprintf(hex, sizeof(hex), "\\u%04x", (unsigned int)c);
+		put_raw(line, hex);
+	} else {
+		put_char(line, c);
+	}
+}
 
+/* Texts from outside may be of any bytes and length: the line stays JSON. */
+static void put_quoted(struct line *line, struct str s)
+{
 	put_char(line, '"');
-	for (i = 0; i < s.len; i++) {
-		unsigned char c = s.data[i];
-		char hex[8];
-
-		if (c == '"' || c == '\\') {
-			put_char(line, '\\');
-			put_char(line, c);
-		} else if (c < 0x20 || c == 0x7f) {
-			snprintf(hex, sizeof(hex), "\\u%04x", c);
-			put_raw(line, hex);
-		} else {
-			put_char(line, c);
-		}
+	while (s.len && line->len < TEXT_END) {
+		size_t len = str_utf8_len(s);
+		size_t i;
+
+		if (!len)
+			put_raw(line, "\\ufffd");
+		if (len == 1)
+			put_ascii(line, *s.data);
+		for (i = 0; len > 1 && i < len; i++)
+			put_char(line, s.data[i]);
+		s.data += len ? len : 1;
+		s.len -= len ? len : 1;
 	}
 	put_char(line, '"');
 }
 
 static void put_key(struct line *line, const char *key)
 {
-	put_char(line, ',');
-	put_quoted(line, str_from(key));
-	put_char(line, ':');
+	put_raw(line, ",\"");
+	put_raw(line, key);
+	put_raw(line, "\":");
 }
 
 static void put_field(struct line *line, const struct log_field *field)
--- a/str.c
+++ b/str.c
@@ -61,6 +61,38 @@
 	return 0;
 }
 
+/* RFC 3629, 4: no longer forms than needed, no surrogates. */
+size_t str_utf8_len(struct str s)
+{
+	static const uint32_t min[] = {0, 0, 0x80, 0x800, 0x10000};
+	uint32_t code;
+	size_t len;
+	size_t i;
+
+	if (!s.len)
+		return 0;
+	code = (unsigned char)s.data[0];
+	if (code < 0x80)
+		return 1;
+	if (code < 0xc0 || code > 0xf4)
+		return 0;
+	len = code < 0xe0 ? 2 : code < 0xf0 ? 3 : 4;
+	if (s.len < len)
+		return 0;
+	code &= 0x7fU >> len;
+	for (i = 1; i < len; i++) {
+		unsigned char c = (unsigned char)s.data[i];
+
+		if ((c & 0xc0) != 0x80)
+			return 0;
+		code = code << 6 | (c & 0x3f);
+	}
+	if (code < min[len] || code > 0x10ffff ||
+	    (code >= 0xd800 && code <= 0xdfff))
+		return 0;
+	return len;
+}
+
 int str_copy(char *dst, size_t size, struct str s)
 {
 	size_t len = s.len < size ? s.len : size - 1;
--- a/str.h
+++ b/str.h
@@ -57,6 +57,14 @@
  */
 int str_parse_u64(struct str s, uint64_t *out);
 
+/**
+ * str_utf8_len() - length of the UTF-8 character that a string begins with
+ * @s: any bytes
+ *
+ * Return: 1 to 4; 0 if it begins with none.
+ */
+size_t str_utf8_len(struct str s);
+
 /**
  * str_copy() - copy into a buffer and NUL-terminate
  * @dst: the buffer
