http_strict: refuse white space in request targets

A caller could have had a request run with another target than its own: a tab or a form feed in the target went to the server as it was, and a server may take any white space for the end of the target (RFC 9112, 3).

Cause: the parser, as Debian builds it, takes both as letters of a URL.

A request line holds no control bytes now; such a request is none and gets 400, as with other control bytes before. Letters beyond ASCII and quotes are passed on as they were; callers do send them.

--- a/http_strict.c
+++ b/http_strict.c
@@ -7,6 +7,7 @@
 enum strict_state {
 	FIRST_LINE_START,
 	STATUS_LINE,
+	REQUEST_LINE,
 	LINE_START,
 	LINE,
 	LINE_CR,
@@ -100,7 +101,17 @@
 		return read_status_line(strict, c);
 	}
 	/* Before a request, blank lines are skipped. */
-	return c == '\r' || c == '\n' ? 0 : enter(strict, LINE);
+	return c == '\r' || c == '\n' ? 0 : enter(strict, REQUEST_LINE);
+}
+
+/* Servers may take any white space for the end of the target. */
+static int read_request_line(struct http_strict *strict, char c)
+{
+	if (c == '\r')
+		return enter(strict, LINE_CR);
+	if (c == '\n')
+		return enter(strict, LINE_START);
+	return c == '\t' || is_control(c) ? ERR_SYNTAX : 0;
 }
 
 static int end_head(struct http_strict *strict, bool is_chunked)
@@ -163,6 +174,8 @@
 		return read_first_line(strict, c);
 	case STATUS_LINE:
 		return read_status_line(strict, c);
+	case REQUEST_LINE:
+		return read_request_line(strict, c);
 	case LINE_START:
 		return read_line_start(strict, c, is_chunked);
 	case LINE:
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -864,6 +864,28 @@
                 self.assertEqual(caller.read().status, status)
                 self.assertIsNone(caller.read())
 
+    def test_odd_bytes(self):
+        """Guards against a request line that a server reads as another, and
+        against log lines that are no JSON."""
+        server, gateway, _ = self.start_one()
+        cases = [
+            (b"/any/a\tb", b"r1", 400),
+            (b"/any/a\fb", b"r1", 400),
+            (b"/any/a", b"r\x01", 400),
+            (b"/any/a", b"r\0", 400),
+            (b"/none/\xe9", b"r1", 404),
+            (b"/none/a", b"\xff\xfe", 404),
+            (b"/none/" + b"\xe9" * 3500, b"r1", 404),
+        ]
+        for target, request_id, status in cases:
+            with self.subTest(target=target[:20], request_id=request_id):
+                caller = self.caller(gateway)
+                caller.send(b"GET " + target + b" HTTP/1.1\r\nHost: "
+                            + HOST.encode() + b"\r\nX-Request-Id: "
+                            + request_id + b"\r\n\r\n")
+                self.assertEqual(caller.read().status, status)
+        self.assertEqual(server.seen, [])
+
     def test_no_request_id(self):
         server, _, caller = self.start_one()
         self.assertEqual(caller.request("/any/x", request_id="").status, 400)
--- a/tests/test_http_strict.c
+++ b/tests/test_http_strict.c
@@ -314,6 +314,7 @@
 	static const struct str good[] = {
 		STR("\r\n\nGET / HTTP/1.1\r\nHost: h\r\n\r\n"),
 		STR("GET / HTTP/1.1\nHost: h\n\n"),
+		STR("GET /\xc3\xa9?a=\"b\" HTTP/1.1\r\nHost: \xff\r\n\r\n"),
 		STR("GET / HTTP/1.1\r\nHost: h\r\nX: a\r\n b\r\n\r\n"),
 		STR("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
 		    "2;a\r\nok\r\n0\r\n\r\n"),
@@ -327,6 +328,13 @@
 		    "\r\n2\r\nok\r\n0\r\n\r\n"),
 		STR("GET / HTTP/1.1\r\nHost: h\r\n\r_"),
 		STR("GET / HTTP/1.1\r\nX y: h\r\n\r\n"),
+		STR("GET /a\tb HTTP/1.1\r\nHost: h\r\n\r\n"),
+		STR("GET /a\fb HTTP/1.1\r\nHost: h\r\n\r\n"),
+		STR("GET /a\vb HTTP/1.1\r\nHost: h\r\n\r\n"),
+		STR("GET /a\x01 HTTP/1.1\r\nHost: h\r\n\r\n"),
+		STR("GET /a b HTTP/1.1\r\nHost: h\r\n\r\n"),
+		STR("GET / HTTP/1.1\r\nHost: h\x01\r\n\r\n"),
+		STR("GET / HTTP/1.1\r\nX-Request-Id: a\0b\r\n\r\n"),
 	};
 
 	check_all(HTTP_REQUEST, good, sizeof(good) / sizeof(*good), true);
