fuzz: odd heads of answers as seeds, and what is accepted is checked

The target of HTTP messages fails if a response with a status that is none, or a field whose name holds a blank, a control byte or nothing, is accepted.

--- a/tests/fuzz/fuzz_http.c
+++ b/tests/fuzz/fuzz_http.c
@@ -1,6 +1,8 @@
 /* Fuzzes the HTTP parser with requests and responses, whole or in chunks. */
 #include "fuzz.h"
 
+#include <stdlib.h>
+
 #include <event2/buffer.h>
 
 #include "http_message.h"
@@ -15,6 +17,34 @@
 #define RESPONSE_TO_HEAD 2
 #define IN_CHUNKS 4
 
+static bool is_odd(char c)
+{
+	return (unsigned char)c <= ' ' || c == 127;
+}
+
+/* What is passed on must not be read as something else. */
+static void check_message(const struct http_message *message)
+{
+	unsigned int status = message->parser.status_code;
+	int i;
+	size_t k;
+
+	if (message->parser.type == HTTP_RESPONSE &&
+	    (status < 100 || status > 599))
+		abort();
+	for (i = 0; i < message->n_fields; i++) {
+		struct str name =
+			http_message_span(message, message->fields[i].name);
+
+		if (!name.len)
+			abort();
+		for (k = 0; k < name.len; k++) {
+			if (is_odd(name.data[k]))
+				abort();
+		}
+	}
+}
+
 static void read_fields(const struct http_message *message)
 {
 	struct server_load load;
@@ -35,6 +65,7 @@
 			  bool no_body)
 {
 	while (evbuffer_get_length(in) && http_message_read(message, in) == 1) {
+		check_message(message);
 		read_fields(message);
 		http_message_reset(message);
 		message->no_body = no_body;
--- a/tests/fuzz/seeds.py
+++ b/tests/fuzz/seeds.py
@@ -151,6 +151,17 @@
         yield bytes([kind | 1]) + answer + b"Content-Length: 2\r\n\r\nok"
         yield bytes([kind | 1]) + answer + b"\r\nuntil the end"
         yield bytes([kind | 3]) + answer + b"Content-Length: 9\r\n\r\n"
+        for status in (b"000", b"099", b"20", b"20 0", b"600", b"101", b"204"):
+            yield (bytes([kind | 1]) + b"HTTP/1.1 " + status + b" X\r\n"
+                   b"Content-Length: 2\r\n\r\nok")
+        for field in (b"X y: z", b"X : z", b"X: y\r\n z", b"X\x01: y",
+                      b": y", b"Transfer-Encoding: gzip, chunked"):
+            yield (bytes([kind | 1]) + answer + field
+                   + b"\r\nContent-Length: 2\r\n\r\nok")
+        for chunks in (b"2\r\nokXY", b"2;a\nok\r\n", b"2;a=b\r\nok\r\n"):
+            yield (bytes([kind | 1]) + answer
+                   + b"Transfer-Encoding: chunked\r\n\r\n" + chunks
+                   + b"0\r\nX: y\r\n\r\n")
 
 
 SERVER_ENTRY = {"service": "s", "address": "127.0.0.1:1", "data_centre": "d",
