--- a/server_name.h
+++ b/server_name.h
@@ -1,5 +1,4 @@
-/* Decides which names of items in the platform's store name a backend server.
- */
+/* Decides which names of items in the store name a backend server. */
 #ifndef SERVER_NAME_H
 #define SERVER_NAME_H
 
--- a/tests/test_server_entry.c
+++ b/tests/test_server_entry.c
@@ -181,6 +181,30 @@
 	platform_store.release_answer(&answer);
 }
 
+/* Guards against a value that is cut, and so is another one. */
+static void test_odd_values_of_items(void)
+{
+	static const char *const values[] = {
+		"\"e30=\\u0000e30=\"", "\"-\"", "7", "null", "[]", "\"!\""};
+	char body[200];
+	size_t i;
+
+	for (i = 0; i < sizeof(values) / sizeof(*values); i++) {
+		struct store_reply reply = {.status = 200, .era = STR("")};
+		struct store_answer answer;
+
+		snprintf(body, sizeof(body),
+			 "{\"read_at\":3,\"items\":[{\"key\":\"servers/i\","
+			 "\"value\":%s}]}",
+			 values[i]);
+		reply.body = str_from(body);
+		platform_store.decode_answer(STORE_SERVERS, &reply, &answer);
+		CU_ASSERT_FATAL(!answer.code && answer.n_items == 1);
+		CU_ASSERT_EQUAL(answer.items[0].value.len, 0);
+		platform_store.release_answer(&answer);
+	}
+}
+
 static void check_target(struct str key, const char *after)
 {
 	struct store_call call = {.topic = STORE_SERVERS};
@@ -248,6 +272,7 @@
 	{"good", test_good},
 	{"missing", test_missing},
 	{"NUL in key", test_nul_in_key},
+	{"odd values of items", test_odd_values_of_items},
 	{"next page", test_next_page},
 	{"wrong type", test_wrong_type},
 	{"born", test_born},
