--- a/server_view.c
+++ b/server_view.c
@@ -14,9 +14,6 @@
  * Entries that expired during an outage of the store are back after about 2 s.
  */
 #define RETURN_GRACE MSEC(2300)
-/* Another writer may leave thousands: so many are logged in each window. */
-#define REFUSED_LOGGED_MAX 20
-#define REFUSED_LOG_WINDOW MSEC(60000)
 
 /* A server whose entry disappeared, and may come back. */
 struct vanished_server {
@@ -37,7 +34,6 @@
 	view->ops = ops;
 	view->arg = arg;
 	view->store_returned_at = INT64_MIN / 2;
-	view->refused_log_until = INT64_MIN / 2;
 	view->era_until = INT64_MIN / 2;
 }
 
@@ -114,11 +110,7 @@
 	int64_t now = clock_now(view->clock);
 
 	view->n_refused++;
-	if (now >= view->refused_log_until) {
-		view->refused_log_until = now + REFUSED_LOG_WINDOW;
-		view->n_refused_logged = 0;
-	}
-	if (view->n_refused_logged++ < REFUSED_LOGGED_MAX)
+	if (log_quota_take(&view->refused_log, now))
 		LOG_WARN("server_entry_refused", LOG_STR("server", name),
 			 LOG_TEXT("error", error_name(code)),
 			 LOG_U64("store_revision", changed_at),
--- a/server_view.h
+++ b/server_view.h
@@ -11,6 +11,7 @@
 #include <stdint.h>
 
 #include "clock.h"
+#include "log_quota.h"
 #include "registry.h"
 #include "store.h"
 
@@ -42,8 +43,7 @@
  * @skipped_removed: a list contained a server that was ignored as removed in an
  *	earlier era
  * @n_refused: entries that were refused
- * @n_refused_logged: those of them in the present window of the log
- * @refused_log_until: end of that window, microseconds
+ * @refused_log: limits their lines, as another writer may leave thousands
  */
 struct server_view {
 	const struct clock *clock;
@@ -57,8 +57,7 @@
 	int64_t era_until;
 	bool skipped_removed;
 	uint64_t n_refused;
-	int n_refused_logged;
-	int64_t refused_log_until;
+	struct log_quota refused_log;
 };
 
 void server_view_init(struct server_view *view, const struct clock *clock,
