--- a/bench/experiment.py
+++ b/bench/experiment.py
@@ -55,6 +55,15 @@
     return json.loads(text)
 
 
+def peak_mb(pid):
+    """Return the most memory that a process has had resident."""
+    status = pathlib.Path(f"/proc/{pid}/status").read_text(encoding="utf-8")
+    for line in status.splitlines():
+        if line.startswith("VmHWM:"):
+            return int(line.split()[1]) / 1024
+    raise OSError(f"process {pid} has ended")
+
+
 def wait_until(what, check, seconds=READY_SECONDS):
     """Polls until check() is true; connection errors count as false.
 
--- a/tests/test_endless_bytes.py
+++ b/tests/test_endless_bytes.py
@@ -13,7 +13,9 @@
 
 TESTS_DIR = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(TESTS_DIR))
+sys.path.insert(0, str(TESTS_DIR.parent / "bench"))
 
+import experiment  # noqa: E402
 import test_gateway  # noqa: E402
 from gateway_fixtures import (  # noqa: E402
     HOST, OpaqueServer, answer, config_document, route,
@@ -199,13 +201,6 @@
         self.gateways.append(gateway)
         return gateway
 
-    def peak_mb(self, gateway):
-        path = pathlib.Path(f"/proc/{gateway.process.pid}/status")
-        for line in path.read_text(encoding="utf-8").splitlines():
-            if line.startswith("VmHWM:"):
-                return int(line.split()[1]) / 1024
-        return None
-
     def play(self, gateway):
         """Return (statuses of searches, statuses of ordinary requests)."""
         deadline = time.monotonic() + PLAY_S
@@ -222,7 +217,7 @@
 
     def check(self, gateway, what):
         searches, once = self.play(gateway)
-        peak = self.peak_mb(gateway)
+        peak = experiment.peak_mb(gateway.process.pid)
         print(f"{what}: peak memory {peak:.0f} MB, {len(searches)} searches, "
               f"{searches.count(200)} answered 200; {len(once)} ordinary")
         self.assertIsNone(gateway.process.poll())
@@ -325,7 +320,7 @@
             self.assertEqual(result.status, 200)
             self.assertEqual(result.body, body)
             time.sleep(PLAY_S)
-        self.assertLess(self.peak_mb(gateway), MEMORY_MAX_MB)
+        self.assertLess(experiment.peak_mb(gateway.process.pid), MEMORY_MAX_MB)
 
 
 def load_tests(loader, tests, pattern):
