resource_plan: shares of memory and descriptors in one place

The gateway took quarters of its memory and half of its descriptors here and there; what pages, peers and callers' unsent answers take had no share at all. The shares that nothing uses yet follow with the limits that take them.

--- a/gateway.c
+++ b/gateway.c
@@ -28,8 +28,6 @@
 #define REMOTE_CONNECTIONS_SHARE 0.45
 
 #define BYTES_PER_MB (1024 * 1024)
-/* Leaves room for what is copied from messages, and for all else. */
-#define MESSAGES_MEMORY_DIVISOR 4
 
 bool gateway_ready(const struct gateway *gateway)
 {
@@ -125,13 +123,6 @@
 	gateway_fleet_update_seeds(&gateway->fleet);
 }
 
-/* Of the answers that are being read, and of the requests. */
-static size_t messages_memory(const struct gateway_settings *settings)
-{
-	return (size_t)settings->memory_max_mb * BYTES_PER_MB /
-	       MESSAGES_MEMORY_DIVISOR;
-}
-
 /* Called after routes or servers may have changed. */
 static void on_view_changed(void *arg, bool was_ready)
 {
@@ -281,7 +272,10 @@
 	gateway->registry.regions = &settings->regions;
 	upstream_init(&gateway->upstream, base, &gateway->clock,
 		      &names->upstream);
-	gateway->upstream.memory.max = messages_memory(settings);
+	memory_plan_init(&gateway->memory,
+			 (size_t)settings->memory_max_mb * BYTES_PER_MB);
+	descriptor_plan_init(&gateway->descriptors, settings->descriptors_max);
+	gateway->upstream.memory.max = gateway->memory.answers_read;
 	server_queue_net_init(&gateway->server_queues, base, &gateway->upstream,
 			      &gateway->fleet.board.poison, &gateway->counters);
 	gateway_outage_init(gateway);
@@ -293,9 +287,8 @@
 			   gateway);
 	if (ret)
 		return ret;
-	gateway->inbound.memory.max = messages_memory(settings);
-	if (settings->descriptors_max)
-		gateway->inbound.max = (int)(settings->descriptors_max / 2);
+	gateway->inbound.memory.max = gateway->memory.requests;
+	gateway->inbound.max = gateway->descriptors.callers;
 	store_client_init(&gateway->store, base, store,
 			  &settings->store_address, on_store_answer, gateway);
 	store_sync_init(&gateway->sync, &gateway->clock, store, &sync_ops,
--- a/gateway.h
+++ b/gateway.h
@@ -24,6 +24,7 @@
 #include "registry.h"
 #include "relay_ask.h"
 #include "relay_serve.h"
+#include "resource_plan.h"
 #include "retry_share.h"
 #include "server_queue_net.h"
 #include "stop_plan.h"
@@ -97,6 +98,8 @@
  * @second_sends_window_start: start of the current window, microseconds
  * @route_stats: hash table by route name
  * @counters: exposed metrics
+ * @memory: limits on memory
+ * @descriptors: limits on connections
  * @open_requests: list of requests without an answer yet
  * @pages_open: answers of gateway_pages that are still being written
  * @state: progress of a shutdown
@@ -128,6 +131,8 @@
 	int64_t second_sends_window_start;
 	struct route_stats *route_stats;
 	struct gateway_stats counters;
+	struct memory_plan memory;
+	struct descriptor_plan descriptors;
 	struct gateway_request *open_requests;
 	int pages_open;
 	enum gateway_state state;
