inbound: do not read on while answers are unsent

Callers saw nothing at first, then the process was killed with all their requests: eight clients that sent request after request and read nothing took 4,204 MB of 128 MB (refusals) or 724 MB (answers of 4 MB).

Cause: inbound_respond() went back to reading whatever was unsent, so one connection collected answers as fast as it sent requests, and answers have no limit behind the connection.

The next request of a connection is read once the kernel has taken the whole last answer; until then it stays in the caller's own kernel. A connection holds one answer of a server at the most, as many as there are requests in progress. Callers that wait for each answer see no difference.

--- a/inbound.c
+++ b/inbound.c
@@ -106,15 +106,6 @@
 	arm_timer(conn, CLOSE_TIMEOUT);
 }
 
-static void on_write(struct bufferevent *bev, void *arg)
-{
-	struct inbound_conn *conn = arg;
-
-	(void)bev;
-	if (conn->state == INBOUND_CLOSING)
-		close_gracefully(conn);
-}
-
 static bool keeps_alive(const struct inbound_conn *conn)
 {
 	return conn->message.keep_alive && !conn->message.error &&
@@ -211,9 +202,13 @@
 	struct evbuffer *in = bufferevent_get_input(conn->bev);
 	int ret = 1;
 
+	/*
+	 * A caller that does not take its responses sends no further requests:
+	 * they are left in its own kernel's buffer.
+	 */
 	conn->processing = true;
 	while (ret == 1 && conn->state == INBOUND_READING &&
-	       evbuffer_get_length(in)) {
+	       evbuffer_get_length(in) && !conn_unsent(conn->bev)) {
 		ret = http_message_read(&conn->message, in);
 		if (ret == 1)
 			start_request(conn);
@@ -242,6 +237,18 @@
 		process(conn);
 }
 
+/* Called once all responses were passed to the kernel. */
+static void on_write(struct bufferevent *bev, void *arg)
+{
+	struct inbound_conn *conn = arg;
+
+	(void)bev;
+	if (conn->state == INBOUND_CLOSING)
+		close_gracefully(conn);
+	else if (conn->state == INBOUND_READING)
+		process(conn);
+}
+
 static void on_event(struct bufferevent *bev, short what, void *arg)
 {
 	struct inbound_conn *conn = arg;
