inbound: close connections whose callers take nothing of an answer

A caller that read nothing of its last answer before "Connection: close", of a refusal, or of the answer before an idle time-out, kept the answer and a descriptor until it closed the connection itself, so for ever. Ten such clients were still connected 20 s after an idle time-out of 1 s, and forty that had shut a side of their connection.

Cause: close_gracefully() deleted the timer and returned while anything was unsent, and so did the idle time-out, which ends there.

While something is unsent, the timer looks each idle_timeout_ms whether the kernel took any of it since the last look (answer_progress, no I/O); if not, the connection is reset, which drops what the kernel holds, too. The idle time counts from the end of the answer.

--- a/gateway_stats.h
+++ b/gateway_stats.h
@@ -151,6 +151,8 @@
 	  "long answers given up for want of memory since the start")          \
 	X(callers_size, METRIC_GAUGE, "garnetreach_caller_requests_bytes",     \
 	  "memory of the requests of callers")                                 \
+	X(callers_stalled, METRIC_GAUGE, "garnetreach_callers_stalled",        \
+	  "callers cut off since the start: took nothing of an answer")        \
 	X(servers, METRIC_GAUGE, "garnetreach_servers",                        \
 	  "known backend servers")                                             \
 	X(caller_connections, METRIC_GAUGE, "garnetreach_caller_connections",  \
--- a/inbound.c
+++ b/inbound.c
@@ -13,6 +13,7 @@
 #include <sys/socket.h>
 #include <utlist.h>
 
+#include "answer_progress.h"
 #include "conn_end.h"
 #include "error.h"
 #include "log.h"
@@ -51,6 +52,7 @@
  * @processing: in process(), which a synchronous response must not re-enter
  * @header_timer_armed: @timer limits the duration of the current request
  * @continue_sent: 100 Continue was sent for the current request
+ * @progress: of what is unsent
  * @ip: of the caller
  * @request: of inbound_conn_set_request()
  */
@@ -64,6 +66,7 @@
 	bool processing;
 	bool header_timer_armed;
 	bool continue_sent;
+	struct answer_progress progress;
 	char ip[INET_ADDRSTRLEN];
 	void *request;
 	struct inbound_conn *prev;
@@ -91,6 +94,37 @@
 	evtimer_add(conn->timer, &tv);
 }
 
+/*
+ * Ends the connection with a reset, so that the kernel drops what it holds,
+ * too. The caller sees that the response is not complete.
+ */
+static void give_up(struct inbound_conn *conn, enum inbound_cause cause)
+{
+	static const char *const names[INBOUND_CAUSES] = {
+		[INBOUND_STALLED] = "stalled",
+	};
+	static const struct linger reset = {.l_onoff = 1};
+	struct inbound *inbound = conn->inbound;
+
+	inbound->n_given_up[cause]++;
+	if (log_quota_take(&inbound->given_up_log, clock_now(inbound->clock)))
+		LOG_WARN("caller_given_up", LOG_TEXT("caller", conn->ip),
+			 LOG_TEXT("why", names[cause]),
+			 LOG_U64("unsent_bytes", conn_unsent(conn->bev)),
+			 LOG_U64("given_up", inbound->n_given_up[cause]));
+	setsockopt(bufferevent_getfd(conn->bev), SOL_SOCKET, SO_LINGER, &reset,
+		   sizeof(reset));
+	free_conn(conn);
+}
+
+/* From now on, the caller must take some of what is unsent now and then. */
+static void start_sending(struct inbound_conn *conn)
+{
+	answer_progress_start(&conn->progress, conn_unsent(conn->bev),
+			      clock_now(conn->inbound->clock));
+	arm_timer(conn, conn->inbound->idle_timeout);
+}
+
 /*
  * Closing a socket with unread bytes sends a reset, and the caller may lose the
  * response. So only the sending side is shut down, and input is discarded until
@@ -99,9 +133,10 @@
 static void close_gracefully(struct inbound_conn *conn)
 {
 	conn->state = INBOUND_CLOSING;
-	event_del(conn->timer);
-	if (evbuffer_get_length(bufferevent_get_output(conn->bev)))
+	if (conn_unsent(conn->bev)) {
+		start_sending(conn);
 		return;
+	}
 	shutdown(bufferevent_getfd(conn->bev), SHUT_WR);
 	arm_timer(conn, CLOSE_TIMEOUT);
 }
@@ -243,10 +278,13 @@
 	struct inbound_conn *conn = arg;
 
 	(void)bev;
-	if (conn->state == INBOUND_CLOSING)
+	if (conn->state == INBOUND_CLOSING) {
 		close_gracefully(conn);
-	else if (conn->state == INBOUND_READING)
+	} else if (conn->state == INBOUND_READING) {
+		if (conn->message.state == MESSAGE_EMPTY)
+			arm_timer(conn, conn->inbound->idle_timeout);
 		process(conn);
+	}
 }
 
 static void on_event(struct bufferevent *bev, short what, void *arg)
@@ -261,6 +299,15 @@
 	free_conn(conn);
 }
 
+/* A slow caller may take its time, as long as it takes something. */
+static void look_at_progress(struct inbound_conn *conn)
+{
+	if (answer_progress_look(&conn->progress, conn_unsent(conn->bev)))
+		arm_timer(conn, conn->inbound->idle_timeout);
+	else
+		give_up(conn, INBOUND_STALLED);
+}
+
 static void on_timer(evutil_socket_t fd, short what, void *arg)
 {
 	struct inbound_conn *conn = arg;
@@ -270,6 +317,8 @@
 	if (conn->state == INBOUND_READING &&
 	    conn->message.state != MESSAGE_EMPTY)
 		refuse(conn, HTTP_STATUS_REQUEST_TIMEOUT, "slow");
+	else if (conn_unsent(conn->bev))
+		look_at_progress(conn);
 	else if (conn->state != INBOUND_CLOSING)
 		close_gracefully(conn);
 	else
@@ -474,7 +523,7 @@
 	}
 	http_message_reset(&conn->message);
 	conn->state = INBOUND_READING;
-	arm_timer(conn, conn->inbound->idle_timeout);
+	start_sending(conn);
 	if (!conn->processing)
 		process(conn);
 }
--- a/inbound.h
+++ b/inbound.h
@@ -12,6 +12,7 @@
 #include "address.h"
 #include "clock.h"
 #include "http_message.h"
+#include "log_quota.h"
 #include "routes.h"
 
 struct evbuffer;
@@ -20,6 +21,12 @@
 struct inbound;
 struct inbound_conn;
 
+/* Why a connection is closed to keep within the limits. */
+enum inbound_cause {
+	INBOUND_STALLED, /* the caller took nothing of its response */
+	INBOUND_CAUSES,
+};
+
 /**
  * struct inbound_ops - callbacks
  * @request: a complete request was received; @message stays valid until
@@ -50,10 +57,13 @@
  * @memory: of all requests that are held; the longest one that is being read is
  *	refused if they exceed its limit
  * @header_timeout: from the first byte of a request to its end, microseconds
- * @idle_timeout: of a connection without a request, microseconds
+ * @idle_timeout: of a connection without a request, or whose caller takes
+ *	nothing of its response, microseconds
  * @conns: open connections
  * @n: length of @conns
  * @max: connections are accepted while @n is below
+ * @n_given_up: connections closed to keep within the limits, by cause
+ * @given_up_log: limits the lines about them
  * @keep_alive_disabled: each response closes its connection
  */
 struct inbound {
@@ -70,6 +80,8 @@
 	struct inbound_conn *conns;
 	int n;
 	int max;
+	uint64_t n_given_up[INBOUND_CAUSES];
+	struct log_quota given_up_log;
 	bool keep_alive_disabled;
 };
 
