inbound: a share of the memory for answers that callers have not taken

This is what the users met: a hundred clients that ask for 4 MB each and read 512 bytes each half second took 472 MB of 128 MB (502 MB across a stop), and the platform ends such a process with all its requests.

Cause: an answer that is read from its server is counted (answers_read), and no longer once it is copied to the caller's output, beside the message and the saved answer: three copies, and no limit on their sum.

* The body is moved from the message to the output, without a copy (http_message_take_body(), inbound_respond_owned()).
* A request whose answer does not fit, by the mean size of its route's answers and what open requests expect, is not run: callers who had a second and take little make room first; then it gets 503, which is true.

New: garnetreach_answers_unsent_bytes, garnetreach_callers_slow, garnetreach_requests_no_memory_total; why "memory" of caller_given_up.

--- a/gateway.h
+++ b/gateway.h
@@ -56,12 +56,14 @@
  * @caller_timeout: recent maximum of the timeouts sent by callers,
  *	milliseconds
  * @slowest: recent maximum of the time that a request took, microseconds
+ * @answer_size: mean size of recent answers, bytes
  */
 struct route_stats {
 	char name[REGISTRY_NAME_SIZE];
 	struct latency latency;
 	struct peak caller_timeout;
 	struct peak slowest;
+	double answer_size;
 	UT_hash_handle hh;
 };
 
@@ -100,6 +102,7 @@
  * @counters: exposed metrics
  * @memory: limits on memory
  * @descriptors: limits on connections
+ * @expected_answers: expected size of the answers to @open_requests, bytes
  * @open_requests: list of requests without an answer yet
  * @pages_open: answers of gateway_pages that are still being written
  * @state: progress of a shutdown
@@ -133,6 +136,7 @@
 	struct gateway_stats counters;
 	struct memory_plan memory;
 	struct descriptor_plan descriptors;
+	size_t expected_answers;
 	struct gateway_request *open_requests;
 	int pages_open;
 	enum gateway_state state;
--- a/gateway_answer.c
+++ b/gateway_answer.c
@@ -110,6 +110,8 @@
 			    STR_ARG(names->parts_missing),
 			    dispatch->n_parts - dispatch->n_answered);
 	gateway_request_log(request, HTTP_STATUS_OK);
+	gateway_request_add_size(request,
+				 (size_t)dispatch->records.n * RECORD_SIZE);
 	log_missing_parts(request);
 	inbound_respond(request->conn, HTTP_STATUS_OK, fields,
 			(struct str){dispatch->records.bytes,
@@ -129,12 +131,20 @@
 static bool send_saved_answer(struct gateway_request *request)
 {
 	struct saved_answer *saved = &request->saved;
+	char *body;
+	size_t len;
 
 	if (!saved->fields || gateway_status_implies_not_run(saved->status))
 		return false;
 	gateway_request_log(request, saved->status);
-	inbound_respond(request->conn, saved->status, saved->fields,
-			(struct str){saved->body, saved->body_len});
+	gateway_request_add_size(request, saved->body_len);
+	body = saved->body;
+	len = saved->body_len;
+	saved->body = NULL;
+	saved->body_len = 0;
+	request->gateway->inbound.answers.used -= len;
+	inbound_respond_owned(request->conn, saved->status, saved->fields, body,
+			      len);
 	return true;
 }
 
--- a/gateway_pages.c
+++ b/gateway_pages.c
@@ -177,6 +177,10 @@
 		   (int64_t)gateway->inbound.memory.used);
 	metric_set(&counters->callers_stalled,
 		   (int64_t)gateway->inbound.n_given_up[INBOUND_STALLED]);
+	metric_set(&counters->unsent_size,
+		   (int64_t)gateway->inbound.answers.used);
+	metric_set(&counters->callers_memory,
+		   (int64_t)gateway->inbound.n_given_up[INBOUND_MEMORY]);
 	metric_set(&counters->servers,
 		   (int64_t)HASH_COUNT(gateway->registry.servers));
 	metric_set(&counters->server_entries_refused,
--- a/gateway_request.c
+++ b/gateway_request.c
@@ -28,20 +28,37 @@
 #define SLOWEST_SPAN MSEC(30000)
 /* Limits the timeout sent by a caller, which is not trusted. */
 #define CALLER_TIMEOUT_MAX_MS 3600000
+/* Weight of an answer in the mean size of a route's answers. */
+#define ANSWER_SIZE_WEIGHT 0.125
+/* Callers that take nothing have made room by then. */
+#define MEMORY_RETRY_MS 500
 /* Routes and servers arrive within about a second of a start. */
 #define STARTUP_RETRY_MS 500
 
+void gateway_request_drop_saved(struct gateway_request *request)
+{
+	struct saved_answer *saved = &request->saved;
+
+	if (!saved->fields)
+		return;
+	evbuffer_free(saved->fields);
+	saved->fields = NULL;
+	request->gateway->inbound.answers.used -= saved->body_len;
+	free(saved->body);
+	saved->body = NULL;
+	saved->body_len = 0;
+}
+
 static void free_request(struct gateway_request *request)
 {
+	request->gateway->expected_answers -= request->expected_size;
+	gateway_request_drop_saved(request);
 	DL_DELETE(request->gateway->open_requests, request);
 	dispatch_finish(&request->dispatch);
 	relay_client_finish(&request->gateway->relay_ask, &request->relay);
 	route_set_unref(request->routes);
 	evbuffer_free(request->head);
 	event_free(request->timer);
-	if (request->saved.fields)
-		evbuffer_free(request->saved.fields);
-	free(request->saved.body);
 	free(request);
 }
 
@@ -115,6 +132,16 @@
 	return stats;
 }
 
+void gateway_request_add_size(const struct gateway_request *request,
+			      size_t size)
+{
+	struct route_stats *stats =
+		get_route_stats(request->gateway, request->route);
+
+	stats->answer_size +=
+		((double)size - stats->answer_size) * ANSWER_SIZE_WEIGHT;
+}
+
 void gateway_request_add_time(const struct gateway_request *request)
 {
 	struct gateway *gateway = request->gateway;
@@ -286,6 +313,8 @@
 
 	request->gateway = gateway;
 	request->conn = conn;
+	request->expected_size = (size_t)stats->answer_size;
+	gateway->expected_answers += request->expected_size;
 	request->routes = route_set_ref(gateway->sync.routes);
 	request->route = route;
 	request->fingerprint = fingerprint;
@@ -390,6 +419,24 @@
 		       0, error_name(ERR_LEAVING));
 }
 
+/* A request whose answer could not be held must not run. */
+static bool has_room(struct gateway *gateway, const struct route *route)
+{
+	const struct route_stats *stats = get_route_stats(gateway, route);
+
+	return inbound_make_room(&gateway->inbound,
+				 gateway->expected_answers +
+					 (size_t)stats->answer_size);
+}
+
+static void refuse_no_memory(struct gateway *gateway, struct inbound_conn *conn,
+			     const struct http_message *message)
+{
+	metric_inc(&gateway->counters.refused_memory);
+	refuse_request(gateway, conn, message, HTTP_STATUS_SERVICE_UNAVAILABLE,
+		       MEMORY_RETRY_MS, "memory");
+}
+
 static void start_or_refuse(struct gateway *gateway, struct inbound_conn *conn,
 			    const struct http_message *message,
 			    const struct route *route, uint64_t fingerprint)
@@ -439,6 +486,10 @@
 		refuse_no_route(gateway, conn, message);
 		return;
 	}
+	if (!has_room(gateway, route)) {
+		refuse_no_memory(gateway, conn, message);
+		return;
+	}
 	if (stop_plan_is_stopping(&gateway->stop)) {
 		if (outlasts_stop(gateway, route, message)) {
 			refuse_leaving(gateway, conn, message);
--- a/gateway_request_private.h
+++ b/gateway_request_private.h
@@ -8,7 +8,7 @@
  * struct saved_answer - latest answer of a server, sent if no better one comes
  * @status: HTTP status code
  * @fields: header fields, owned; NULL if there is no answer
- * @body: owned, @body_len bytes
+ * @body: owned, @body_len bytes; counted in the memory of answers
  */
 struct saved_answer {
 	int status;
@@ -28,6 +28,7 @@
  * @head: bytes of the request line and header fields in @request
  * @timer: fires when the dispatch has something to do
  * @deadline: of the caller and the route, also while stopping, microseconds
+ * @expected_size: of the answer, bytes
  * @saved: used by routes that are not sharded
  * @relay: sends made through relays
  * @fingerprint: identifies the request if it crashes servers
@@ -50,6 +51,7 @@
 	struct evbuffer *head;
 	struct event *timer;
 	int64_t deadline;
+	size_t expected_size;
 	struct saved_answer saved;
 	struct relay_client relay;
 	uint64_t fingerprint;
@@ -67,6 +69,19 @@
  */
 void gateway_answer(struct gateway_request *request);
 
+/**
+ * gateway_request_drop_saved() - free the saved answer, if there is one
+ */
+void gateway_request_drop_saved(struct gateway_request *request);
+
+/**
+ * gateway_request_add_size() - add the size of an answer to the statistics of
+ * its route
+ * @size: bytes
+ */
+void gateway_request_add_size(const struct gateway_request *request,
+			      size_t size);
+
 /**
  * gateway_request_add_time() - add the time that a request took to the
  * statistics of its route
--- a/gateway_send.c
+++ b/gateway_send.c
@@ -38,18 +38,15 @@
 }
 
 static void save_answer(struct gateway_request *request,
-			const struct http_message *message)
+			struct http_message *message)
 {
 	struct saved_answer *saved = &request->saved;
-	struct str body = http_message_body(message);
 
-	if (saved->fields)
-		evbuffer_free(saved->fields);
-	free(saved->body);
+	gateway_request_drop_saved(request);
 	saved->fields = evbuffer_new();
 	saved->status = (int)message->parser.status_code;
-	saved->body = mem_dup_len(body.data, body.len);
-	saved->body_len = body.len;
+	saved->body = http_message_take_body(message, &saved->body_len);
+	request->gateway->inbound.answers.used += saved->body_len;
 	copy_fields(message, saved->fields);
 }
 
--- a/gateway_stats.h
+++ b/gateway_stats.h
@@ -14,6 +14,9 @@
 	  "requests answered with enough parts, but not all")                  \
 	X(refused, METRIC_COUNTER, "garnetreach_requests_refused_total",       \
 	  "requests refused without running")                                  \
+	X(refused_memory, METRIC_COUNTER,                                      \
+	  "garnetreach_requests_no_memory_total",                              \
+	  "requests refused at once: no memory for their answers")             \
 	X(no_server, METRIC_COUNTER, "garnetreach_requests_no_server_total",   \
 	  "requests refused at once: too few shards had a usable server")      \
 	X(forecast_refused, METRIC_COUNTER,                                    \
@@ -153,6 +156,10 @@
 	  "memory of the requests of callers")                                 \
 	X(callers_stalled, METRIC_GAUGE, "garnetreach_callers_stalled",        \
 	  "callers cut off since the start: took nothing of an answer")        \
+	X(unsent_size, METRIC_GAUGE, "garnetreach_answers_unsent_bytes",       \
+	  "memory of the answers that callers have not taken yet")             \
+	X(callers_memory, METRIC_GAUGE, "garnetreach_callers_slow",            \
+	  "callers cut off since the start: read slowly as memory ran short")  \
 	X(servers, METRIC_GAUGE, "garnetreach_servers",                        \
 	  "known backend servers")                                             \
 	X(caller_connections, METRIC_GAUGE, "garnetreach_caller_connections",  \
--- a/http_message.c
+++ b/http_message.c
@@ -280,6 +280,21 @@
 	free_fields(message);
 }
 
+char *http_message_take_body(struct http_message *message, size_t *len)
+{
+	char *body = message->body;
+
+	*len = message->body_len;
+	/* It was grown for more to come. */
+	if (body && *len < message->body_cap)
+		body = mem_realloc(body, *len);
+	count_memory(message, message->body_cap, 0);
+	message->body = NULL;
+	message->body_cap = 0;
+	message->body_len = 0;
+	return body;
+}
+
 size_t http_message_allocated(const struct http_message *message)
 {
 	return message->head_cap + message->body_cap + fields_size(message);
--- a/http_message.h
+++ b/http_message.h
@@ -132,6 +132,16 @@
  */
 void http_message_reset(struct http_message *message);
 
+/**
+ * http_message_take_body() - move the body out of a complete message
+ * @len: set to its length, bytes
+ *
+ * The message's memory no longer counts it.
+ *
+ * Return: the body, to be freed; not terminated. NULL if there is none.
+ */
+char *http_message_take_body(struct http_message *message, size_t *len);
+
 /**
  * http_message_allocated() - bytes that are allocated for the message
  */
--- a/inbound.c
+++ b/inbound.c
@@ -17,6 +17,7 @@
 #include "conn_end.h"
 #include "error.h"
 #include "log.h"
+#include "loop.h"
 #include "mem.h"
 
 #define CONNS_MAX 2000
@@ -25,8 +26,9 @@
 #define IDLE_TIMEOUT MSEC(15000)
 #define HEADER_SIZE_MAX 16384
 #define BODY_SIZE_MAX (1024 * 1024)
-/* Maximum size of all requests that are held, bytes. */
+/* Maximum size of all requests that are held, and of all responses, bytes. */
 #define REQUESTS_SIZE_MAX (64 * 1024 * 1024)
+#define ANSWERS_SIZE_MAX (64 * 1024 * 1024)
 /* Shorter requests are not refused to make room. */
 #define REFUSED_SIZE_MIN 65536
 /* Bytes that are buffered for a caller while its request is processed. */
@@ -35,6 +37,8 @@
 #define FIRST_REQUEST_TIME MSEC(200)
 /* Time for the caller to close the connection after the last response. */
 #define CLOSE_TIMEOUT MSEC(1000)
+/* Time to take a response before others may need its memory more. */
+#define TAKING_TIME MSEC(1000)
 
 enum inbound_state {
 	INBOUND_READING,
@@ -53,6 +57,7 @@
  * @header_timer_armed: @timer limits the duration of the current request
  * @continue_sent: 100 Continue was sent for the current request
  * @progress: of what is unsent
+ * @held: memory of responses that were not passed to the kernel as a whole
  * @ip: of the caller
  * @request: of inbound_conn_set_request()
  */
@@ -67,16 +72,37 @@
 	bool header_timer_armed;
 	bool continue_sent;
 	struct answer_progress progress;
+	size_t held;
 	char ip[INET_ADDRSTRLEN];
 	void *request;
 	struct inbound_conn *prev;
 	struct inbound_conn *next;
 };
 
+/* Counts what was added to the output since it had @before bytes. */
+static void hold(struct inbound_conn *conn, size_t before)
+{
+	struct inbound *inbound = conn->inbound;
+	size_t size = conn_unsent(conn->bev) - before;
+
+	conn->held += size;
+	inbound->answers.used += size;
+	/* Deferred, as connections are freed. */
+	if (inbound->answers.used > inbound->answers.max)
+		event_active(inbound->limiter, EV_TIMEOUT, 1);
+}
+
+static void release_held(struct inbound_conn *conn)
+{
+	conn->inbound->answers.used -= conn->held;
+	conn->held = 0;
+}
+
 static void free_conn(struct inbound_conn *conn)
 {
 	struct inbound *inbound = conn->inbound;
 
+	release_held(conn);
 	conn_discard_input(conn->bev);
 	DL_DELETE(inbound->conns, conn);
 	if (inbound->n-- == inbound->max && inbound->listener)
@@ -102,6 +128,7 @@
 {
 	static const char *const names[INBOUND_CAUSES] = {
 		[INBOUND_STALLED] = "stalled",
+		[INBOUND_MEMORY] = "memory",
 	};
 	static const struct linger reset = {.l_onoff = 1};
 	struct inbound *inbound = conn->inbound;
@@ -147,8 +174,8 @@
 	       !conn->inbound->keep_alive_disabled;
 }
 
-static void write_response(struct inbound_conn *conn, int status,
-			   struct evbuffer *fields, struct str body, bool keep)
+static void write_head(struct inbound_conn *conn, int status,
+		       struct evbuffer *fields, size_t len, bool keep)
 {
 	struct evbuffer *out = bufferevent_get_output(conn->bev);
 
@@ -156,16 +183,22 @@
 			    http_status_text(status));
 	if (fields)
 		evbuffer_add_buffer(out, fields);
-	evbuffer_add_printf(out, "Content-Length: %zu\r\n%s\r\n", body.len,
+	evbuffer_add_printf(out, "Content-Length: %zu\r\n%s\r\n", len,
 			    keep ? "" : "Connection: close\r\n");
-	if (conn->message.parser.method != HTTP_HEAD)
-		evbuffer_add(out, body.data, body.len);
+}
+
+static bool has_body(const struct inbound_conn *conn)
+{
+	return conn->message.parser.method != HTTP_HEAD;
 }
 
 static void refuse(struct inbound_conn *conn, int status, const char *why)
 {
+	size_t before = conn_unsent(conn->bev);
+
 	conn->inbound->ops->refused(conn->inbound->arg, status, why);
-	write_response(conn, status, NULL, STR(""), false);
+	write_head(conn, status, NULL, 0, false);
+	hold(conn, before);
 	close_gracefully(conn);
 }
 
@@ -278,6 +311,7 @@
 	struct inbound_conn *conn = arg;
 
 	(void)bev;
+	release_held(conn);
 	if (conn->state == INBOUND_CLOSING) {
 		close_gracefully(conn);
 	} else if (conn->state == INBOUND_READING) {
@@ -299,6 +333,55 @@
 	free_conn(conn);
 }
 
+/*
+ * Finds the response that costs most to keep.
+ *
+ * @min_age: time that its caller must have had, microseconds
+ */
+static struct inbound_conn *find_costliest(const struct inbound *inbound,
+					   int64_t min_age)
+{
+	int64_t now = clock_now(inbound->clock);
+	struct inbound_conn *costliest = NULL;
+	struct inbound_conn *conn;
+	double most = 0;
+
+	DL_FOREACH (inbound->conns, conn) {
+		double cost = answer_progress_cost(&conn->progress, conn->held,
+						   conn_unsent(conn->bev), now);
+
+		if (!conn->held || now - conn->progress.since < min_age ||
+		    (costliest && cost <= most))
+			continue;
+		most = cost;
+		costliest = conn;
+	}
+	return costliest;
+}
+
+bool inbound_make_room(struct inbound *inbound, size_t size)
+{
+	const struct http_memory *answers = &inbound->answers;
+	struct inbound_conn *conn;
+
+	while (answers->used + size > answers->max &&
+	       (conn = find_costliest(inbound, TAKING_TIME)))
+		give_up(conn, INBOUND_MEMORY);
+	return answers->used + size <= answers->max;
+}
+
+static void on_limiter(evutil_socket_t fd, short what, void *arg)
+{
+	struct inbound *inbound = arg;
+	struct inbound_conn *conn;
+
+	(void)fd;
+	(void)what;
+	while (inbound->answers.used > inbound->answers.max &&
+	       (conn = find_costliest(inbound, 0)))
+		give_up(conn, INBOUND_MEMORY);
+}
+
 /* A slow caller may take its time, as long as it takes something. */
 static void look_at_progress(struct inbound_conn *conn)
 {
@@ -377,6 +460,7 @@
 	inbound->limits.head = HEADER_SIZE_MAX;
 	inbound->limits.body = BODY_SIZE_MAX;
 	inbound->memory.max = REQUESTS_SIZE_MAX;
+	inbound->answers.max = ANSWERS_SIZE_MAX;
 	inbound->listener = evconnlistener_new_bind(base, on_accept, inbound,
 						    LEV_OPT_CLOSE_ON_FREE |
 							    LEV_OPT_REUSEABLE,
@@ -384,6 +468,8 @@
 						    sizeof(sin));
 	if (!inbound->listener)
 		return ERR_ADDRESS;
+	inbound->limiter = evtimer_new(base, on_limiter, inbound);
+	event_priority_set(inbound->limiter, LOOP_STATE);
 	accept_backoff_init(&inbound->guard, base, inbound->listener);
 	evconnlistener_set_error_cb(inbound->listener, on_accept_error);
 	return 0;
@@ -430,6 +516,7 @@
 						 &conn->message, unsent);
 		free_conn(conn);
 	}
+	event_free(inbound->limiter);
 }
 
 void inbound_set_limits(struct inbound *inbound,
@@ -510,12 +597,10 @@
 	return conn->ip;
 }
 
-void inbound_respond(struct inbound_conn *conn, int status,
-		     struct evbuffer *fields, struct str body)
+/* The response was written. */
+static void end_request(struct inbound_conn *conn, bool keep, size_t before)
 {
-	bool keep = keeps_alive(conn);
-
-	write_response(conn, status, fields, body, keep);
+	hold(conn, before);
 	conn->request = NULL;
 	if (!keep) {
 		close_gracefully(conn);
@@ -527,3 +612,37 @@
 	if (!conn->processing)
 		process(conn);
 }
+
+void inbound_respond(struct inbound_conn *conn, int status,
+		     struct evbuffer *fields, struct str body)
+{
+	struct evbuffer *out = bufferevent_get_output(conn->bev);
+	size_t before = evbuffer_get_length(out);
+	bool keep = keeps_alive(conn);
+
+	write_head(conn, status, fields, body.len, keep);
+	if (has_body(conn))
+		evbuffer_add(out, body.data, body.len);
+	end_request(conn, keep, before);
+}
+
+static void free_body(const void *data, size_t len, void *arg)
+{
+	(void)data;
+	(void)len;
+	free(arg);
+}
+
+void inbound_respond_owned(struct inbound_conn *conn, int status,
+			   struct evbuffer *fields, char *body, size_t len)
+{
+	struct evbuffer *out = bufferevent_get_output(conn->bev);
+	size_t before = evbuffer_get_length(out);
+	bool keep = keeps_alive(conn);
+
+	write_head(conn, status, fields, len, keep);
+	if (!len || !has_body(conn) ||
+	    evbuffer_add_reference(out, body, len, free_body, body))
+		free(body);
+	end_request(conn, keep, before);
+}
--- a/inbound.h
+++ b/inbound.h
@@ -16,6 +16,7 @@
 #include "routes.h"
 
 struct evbuffer;
+struct event;
 struct event_base;
 struct evconnlistener;
 struct inbound;
@@ -24,6 +25,7 @@
 /* Why a connection is closed to keep within the limits. */
 enum inbound_cause {
 	INBOUND_STALLED, /* the caller took nothing of its response */
+	INBOUND_MEMORY,	 /* all responses together take too much memory */
 	INBOUND_CAUSES,
 };
 
@@ -56,6 +58,9 @@
  * @limits: on the size of requests
  * @memory: of all requests that are held; the longest one that is being read is
  *	refused if they exceed its limit
+ * @answers: memory of responses that were not taken yet; the slowest are given
+ *	up if they exceed its limit
+ * @limiter: gives them up
  * @header_timeout: from the first byte of a request to its end, microseconds
  * @idle_timeout: of a connection without a request, or whose caller takes
  *	nothing of its response, microseconds
@@ -75,6 +80,8 @@
 	struct accept_backoff guard;
 	struct http_limits limits;
 	struct http_memory memory;
+	struct http_memory answers;
+	struct event *limiter;
 	int64_t header_timeout;
 	int64_t idle_timeout;
 	struct inbound_conn *conns;
@@ -153,4 +160,21 @@
 void inbound_respond(struct inbound_conn *conn, int status,
 		     struct evbuffer *fields, struct str body);
 
+/**
+ * inbound_respond_owned() - as inbound_respond(), without a copy of the body
+ * @body: @len bytes, owned from now on; may be NULL
+ */
+void inbound_respond_owned(struct inbound_conn *conn, int status,
+			   struct evbuffer *fields, char *body, size_t len);
+
+/**
+ * inbound_make_room() - make room for further responses
+ * @size: of them, bytes
+ *
+ * Gives up responses that their callers have had time to take, slowest first.
+ *
+ * Return: whether there is room.
+ */
+bool inbound_make_room(struct inbound *inbound, size_t size);
+
 #endif
--- a/upstream.h
+++ b/upstream.h
@@ -77,7 +77,8 @@
  *	not run; ERR_CONNECT, ERR_BUDGET, ERR_DRAINING, ERR_COLD, ERR_TOO_LATE:
  *	not sent; ERR_LOST, ERR_PROTOCOL, ERR_SILENT: it may have run
  * @not_run: the server certainly did not run the request
- * @message: with code 0 and ERR_SHED: the answer, borrowed for the call
+ * @message: with code 0 and ERR_SHED: the answer, borrowed for the call; its
+ *	body may be taken
  * @stamp: signature of the answer, empty if there is none
  * @took: time since it was sent, microseconds
  * @waited: time in this instance's queue before that, microseconds
@@ -85,7 +86,7 @@
 struct exchange_result {
 	int code;
 	bool not_run;
-	const struct http_message *message;
+	struct http_message *message;
 	struct str stamp;
 	int64_t took;
 	int64_t waited;
