inbound: a new connection takes the place of one that does no work

While 220 clients sat on connections and sent nothing, part of a head, or requests whose answers they did not read, none of ten ordinary requests was answered; with the users' limits, 2,000 keep everybody out for the idle time-out of 15 s, and again.

Cause: at the limit the listener was disabled, so that further callers hung in the kernel's queue until connections ended by themselves.

The listener stays enabled. At the limit, the connection makes place that has waited longest for its caller: for a request, for the rest of one (which gets 503: it has not run), or for the answer to be taken, if its caller had a second or sends further requests meanwhile. Connections whose request is processed are spared, and so are those whose next request has arrived but was not read. If there is no other, the new one is closed at once; its caller goes elsewhere instead of waiting.

New: garnetreach_callers_replaced, garnetreach_callers_no_place; why "replaced" and "no_place" of caller_given_up.

--- a/gateway_pages.c
+++ b/gateway_pages.c
@@ -181,6 +181,10 @@
 		   (int64_t)gateway->inbound.answers.used);
 	metric_set(&counters->callers_memory,
 		   (int64_t)gateway->inbound.n_given_up[INBOUND_MEMORY]);
+	metric_set(&counters->callers_replaced,
+		   (int64_t)gateway->inbound.n_given_up[INBOUND_REPLACED]);
+	metric_set(&counters->callers_no_place,
+		   (int64_t)gateway->inbound.n_given_up[INBOUND_NO_PLACE]);
 	metric_set(&counters->servers,
 		   (int64_t)HASH_COUNT(gateway->registry.servers));
 	metric_set(&counters->server_entries_refused,
--- a/inbound.c
+++ b/inbound.c
@@ -53,6 +53,8 @@
  * @timer: for the timeouts of idle, reading and closing connections
  * @message: the request being read or processed
  * @accepted_at: microseconds
+ * @waiting_since: when it began to wait for its caller to send a request, to
+ *	complete it or to take the response, microseconds
  * @processing: in process(), which a synchronous response must not re-enter
  * @header_timer_armed: @timer limits the duration of the current request
  * @continue_sent: 100 Continue was sent for the current request
@@ -68,6 +70,7 @@
 	struct http_message message;
 	enum inbound_state state;
 	int64_t accepted_at;
+	int64_t waiting_since;
 	bool processing;
 	bool header_timer_armed;
 	bool continue_sent;
@@ -105,8 +108,7 @@
 	release_held(conn);
 	conn_discard_input(conn->bev);
 	DL_DELETE(inbound->conns, conn);
-	if (inbound->n-- == inbound->max && inbound->listener)
-		evconnlistener_enable(inbound->listener);
+	inbound->n--;
 	bufferevent_free(conn->bev);
 	event_free(conn->timer);
 	http_message_finish(&conn->message);
@@ -120,25 +122,33 @@
 	evtimer_add(conn->timer, &tv);
 }
 
-/*
- * Ends the connection with a reset, so that the kernel drops what it holds,
- * too. The caller sees that the response is not complete.
- */
-static void give_up(struct inbound_conn *conn, enum inbound_cause cause)
+static void count_given_up(struct inbound *inbound, const char *ip,
+			   enum inbound_cause cause, size_t unsent)
 {
 	static const char *const names[INBOUND_CAUSES] = {
 		[INBOUND_STALLED] = "stalled",
 		[INBOUND_MEMORY] = "memory",
+		[INBOUND_REPLACED] = "replaced",
+		[INBOUND_NO_PLACE] = "no_place",
 	};
-	static const struct linger reset = {.l_onoff = 1};
-	struct inbound *inbound = conn->inbound;
 
 	inbound->n_given_up[cause]++;
 	if (log_quota_take(&inbound->given_up_log, clock_now(inbound->clock)))
-		LOG_WARN("caller_given_up", LOG_TEXT("caller", conn->ip),
+		LOG_WARN("caller_given_up", LOG_TEXT("caller", ip),
 			 LOG_TEXT("why", names[cause]),
-			 LOG_U64("unsent_bytes", conn_unsent(conn->bev)),
+			 LOG_U64("unsent_bytes", unsent),
 			 LOG_U64("given_up", inbound->n_given_up[cause]));
+}
+
+/*
+ * Ends the connection with a reset, so that the kernel drops what it holds,
+ * too. The caller sees that the response is not complete.
+ */
+static void give_up(struct inbound_conn *conn, enum inbound_cause cause)
+{
+	static const struct linger reset = {.l_onoff = 1};
+
+	count_given_up(conn->inbound, conn->ip, cause, conn_unsent(conn->bev));
 	setsockopt(bufferevent_getfd(conn->bev), SOL_SOCKET, SO_LINGER, &reset,
 		   sizeof(reset));
 	free_conn(conn);
@@ -147,8 +157,9 @@
 /* From now on, the caller must take some of what is unsent now and then. */
 static void start_sending(struct inbound_conn *conn)
 {
+	conn->waiting_since = clock_now(conn->inbound->clock);
 	answer_progress_start(&conn->progress, conn_unsent(conn->bev),
-			      clock_now(conn->inbound->clock));
+			      conn->waiting_since);
 	arm_timer(conn, conn->inbound->idle_timeout);
 }
 
@@ -289,8 +300,10 @@
 	    conn->message.state == MESSAGE_EMPTY)
 		return;
 	send_continue(conn);
-	if (!conn->header_timer_armed)
-		arm_timer(conn, conn->inbound->header_timeout);
+	if (conn->header_timer_armed)
+		return;
+	conn->waiting_since = clock_now(conn->inbound->clock);
+	arm_timer(conn, conn->inbound->header_timeout);
 	conn->header_timer_armed = true;
 }
 
@@ -316,7 +329,7 @@
 		close_gracefully(conn);
 	} else if (conn->state == INBOUND_READING) {
 		if (conn->message.state == MESSAGE_EMPTY)
-			arm_timer(conn, conn->inbound->idle_timeout);
+			start_sending(conn);
 		process(conn);
 	}
 }
@@ -408,19 +421,97 @@
 		free_conn(conn);
 }
 
+/* Whether a request that the kernel holds is about to be read. */
+static bool has_next_request(const struct inbound_conn *conn)
+{
+	return !conn_unsent(conn->bev) &&
+	       conn->message.state == MESSAGE_EMPTY &&
+	       conn_has_input(conn->bev);
+}
+
+/*
+ * Finds the connection that has waited longest for its caller. One that sends a
+ * response is spared, unless its caller had time to take it, or sends further
+ * requests without taking it.
+ */
+static struct inbound_conn *find_replaceable(const struct inbound *inbound)
+{
+	int64_t taking = clock_now(inbound->clock) - TAKING_TIME;
+	struct inbound_conn *idle = NULL;
+	struct inbound_conn *sending = NULL;
+	struct inbound_conn *conn;
+
+	DL_FOREACH (inbound->conns, conn) {
+		bool unsent = conn_unsent(conn->bev);
+		struct inbound_conn **found = unsent ? &sending : &idle;
+
+		if (conn->state == INBOUND_BUSY ||
+		    (*found && conn->waiting_since >= (*found)->waiting_since))
+			continue;
+		if (unsent ? conn->waiting_since > taking &&
+				     !conn_has_input(conn->bev)
+			   : has_next_request(conn))
+			continue;
+		*found = conn;
+	}
+	return idle ? idle : sending;
+}
+
+/* What was read of a request has not run: its caller may send it elsewhere. */
+static void replace(struct inbound_conn *conn)
+{
+	if (conn_unsent(conn->bev)) {
+		give_up(conn, INBOUND_REPLACED);
+		return;
+	}
+	count_given_up(conn->inbound, conn->ip, INBOUND_REPLACED, 0);
+	if (conn->state == INBOUND_READING &&
+	    conn->message.state != MESSAGE_EMPTY) {
+		refuse(conn, HTTP_STATUS_SERVICE_UNAVAILABLE, "replaced");
+		conn_write(conn->bev);
+	}
+	free_conn(conn);
+}
+
+/*
+ * Callers that do nothing must not keep others waiting, so that a connection is
+ * not left to the kernel's queue. Returns whether there is a place for it.
+ */
+static bool make_place(struct inbound *inbound)
+{
+	struct inbound_conn *conn;
+
+	if (inbound->n < inbound->max)
+		return true;
+	conn = find_replaceable(inbound);
+	if (conn)
+		replace(conn);
+	return conn;
+}
+
 static void on_accept(struct evconnlistener *listener, evutil_socket_t fd,
 		      struct sockaddr *sa, int len, void *arg)
 {
 	struct inbound *inbound = arg;
-	struct inbound_conn *conn = mem_zalloc(sizeof(*conn));
+	struct inbound_conn *conn;
+	char ip[INET_ADDRSTRLEN];
 	int on = 1;
 
+	(void)listener;
 	(void)len;
+	inet_ntop(AF_INET, &((struct sockaddr_in *)sa)->sin_addr, ip,
+		  sizeof(ip));
+	if (!make_place(inbound)) {
+		count_given_up(inbound, ip, INBOUND_NO_PLACE, 0);
+		evutil_closesocket(fd);
+		return;
+	}
+	conn = mem_zalloc(sizeof(*conn));
 	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
 	conn->inbound = inbound;
 	conn->accepted_at = clock_now(inbound->clock);
-	inet_ntop(AF_INET, &((struct sockaddr_in *)sa)->sin_addr, conn->ip,
-		  sizeof(conn->ip));
+	conn->waiting_since = conn->accepted_at;
+	memcpy(conn->ip, ip, sizeof(ip));
 	http_message_init(&conn->message, HTTP_REQUEST, &inbound->limits);
 	conn->message.memory = &inbound->memory;
 	conn->timer = evtimer_new(inbound->base, on_timer, conn);
@@ -429,8 +520,7 @@
 	bufferevent_setcb(conn->bev, on_read, on_write, on_event, conn);
 	bufferevent_setwatermark(conn->bev, EV_READ, 0, READ_BUFFER_MAX);
 	DL_APPEND(inbound->conns, conn);
-	if (++inbound->n == inbound->max)
-		evconnlistener_disable(listener);
+	inbound->n++;
 	arm_timer(conn, inbound->idle_timeout);
 	bufferevent_enable(conn->bev, EV_READ | EV_WRITE);
 }
@@ -482,8 +572,10 @@
 	struct sockaddr_in sin;
 	socklen_t len = sizeof(sin);
 	int fd;
+	int i;
 
-	while (inbound->n < inbound->max) {
+	/* No more than there is place for, however fast they come. */
+	for (i = 0; i < inbound->max; i++) {
 		fd = accept4(listening, (struct sockaddr *)&sin, &len,
 			     SOCK_NONBLOCK | SOCK_CLOEXEC);
 		if (fd < 0)
--- a/inbound.h
+++ b/inbound.h
@@ -24,8 +24,10 @@
 
 /* Why a connection is closed to keep within the limits. */
 enum inbound_cause {
-	INBOUND_STALLED, /* the caller took nothing of its response */
-	INBOUND_MEMORY,	 /* all responses together take too much memory */
+	INBOUND_STALLED,  /* the caller took nothing of its response */
+	INBOUND_MEMORY,	  /* all responses together take too much memory */
+	INBOUND_REPLACED, /* a new connection took its place */
+	INBOUND_NO_PLACE, /* a new connection, and all others do work */
 	INBOUND_CAUSES,
 };
 
@@ -66,7 +68,8 @@
  *	nothing of its response, microseconds
  * @conns: open connections
  * @n: length of @conns
- * @max: connections are accepted while @n is below
+ * @max: of @n; beyond it, a new connection takes the place of the one that has
+ *	waited longest for its caller, or is closed at once
  * @n_given_up: connections closed to keep within the limits, by cause
  * @given_up_log: limits the lines about them
  * @keep_alive_disabled: each response closes its connection
