inbound: requests of all lengths keep within their memory

1,200 clients with unfinished bodies of 30,000 bytes each held 39.4 MB of requests where 33.6 MB were allowed, and nothing would have stopped more of them; a request that was complete was never refused, whatever the others held.

Cause: limit_memory() refused only requests that are still read, and of these only those of 64 KB or more.

Beyond three quarters of the share the longest requests that are being read are refused, down to 4 KB (what a connection keeps anyway); beyond the share, complete ones, too, before they are processed. They get 503 and have not run. The last quarter is for short requests, which are served while long ones fill the rest.

--- a/inbound.c
+++ b/inbound.c
@@ -29,8 +29,12 @@
 /* Maximum size of all requests that are held, and of all responses, bytes. */
 #define REQUESTS_SIZE_MAX (64 * 1024 * 1024)
 #define ANSWERS_SIZE_MAX (64 * 1024 * 1024)
-/* Shorter requests are not refused to make room. */
-#define REFUSED_SIZE_MIN 65536
+/*
+ * Shorter requests are not refused to make room, and a share of the memory is
+ * kept for them, so that they are served while long ones fill the rest.
+ */
+#define LONG_REQUEST_MIN 4096
+#define SHORT_REQUESTS_DIVISOR 4
 /* Bytes that are buffered for a caller while its request is processed. */
 #define READ_BUFFER_MAX 65536
 /* From accepting a connection until its first request has surely arrived. */
@@ -250,7 +254,7 @@
 static struct inbound_conn *find_longest(const struct inbound *inbound)
 {
 	struct inbound_conn *longest = NULL;
-	size_t most = REFUSED_SIZE_MIN;
+	size_t most = LONG_REQUEST_MIN;
 	struct inbound_conn *conn;
 
 	DL_FOREACH (inbound->conns, conn) {
@@ -264,16 +268,36 @@
 	return longest;
 }
 
+static void refuse_for_memory(struct inbound_conn *conn)
+{
+	refuse(conn, HTTP_STATUS_SERVICE_UNAVAILABLE, "memory");
+	http_message_reset(&conn->message);
+}
+
 /* Requests that are being processed keep their memory until the response. */
 static void limit_memory(struct inbound *inbound)
 {
+	const struct http_memory *memory = &inbound->memory;
 	struct inbound_conn *conn;
 
-	while (inbound->memory.used > inbound->memory.max &&
-	       (conn = find_longest(inbound))) {
-		refuse(conn, HTTP_STATUS_SERVICE_UNAVAILABLE, "memory");
-		http_message_reset(&conn->message);
-	}
+	while (memory->used >
+		       memory->max - memory->max / SHORT_REQUESTS_DIVISOR &&
+	       (conn = find_longest(inbound)))
+		refuse_for_memory(conn);
+}
+
+/* Processes the request that was read, unless there is no memory for it. */
+static void admit_request(struct inbound_conn *conn)
+{
+	const struct http_memory *memory = &conn->inbound->memory;
+
+	limit_memory(conn->inbound);
+	if (conn->state != INBOUND_READING)
+		return;
+	if (memory->used > memory->max)
+		refuse_for_memory(conn);
+	else
+		start_request(conn);
 }
 
 static void process(struct inbound_conn *conn)
@@ -290,7 +314,7 @@
 	       evbuffer_get_length(in) && !conn_unsent(conn->bev)) {
 		ret = http_message_read(&conn->message, in);
 		if (ret == 1)
-			start_request(conn);
+			admit_request(conn);
 		else if (ret < 0)
 			refuse_error(conn);
 	}
--- a/inbound.h
+++ b/inbound.h
@@ -58,8 +58,9 @@
  * @listener: NULL after inbound_close_idle()
  * @guard: pauses @listener when accept() fails
  * @limits: on the size of requests
- * @memory: of all requests that are held; the longest one that is being read is
- *	refused if they exceed its limit
+ * @memory: of all requests that are read or processed, with what their owner
+ *	adds for them. Near its limit, the longest that are read are refused,
+ *and beyond it, all others, too
  * @answers: memory of responses that were not taken yet; the slowest are given
  *	up if they exceed its limit
  * @limiter: gives them up
