upstream: one copy of a request body for all its sends

Three hundred clients that sent bodies of 262,000 bytes to six shards whose servers read nothing took 168 MB of 128 MB; with thirty shards a few dozen requests are enough.

Cause: each send copied the head and the body into its own buffer, and none of these copies was counted.

A body of 4 KB or more is moved out of the message into a counted reference (shared_body), which every send's buffer holds until its bytes are written, also that of a send whose request has ended. Heads and shorter bodies are still copied, which is cheaper for few sends, and are counted as memory of requests as long as their exchange lasts, so that further requests are refused beyond it.

--- a/gateway_request.c
+++ b/gateway_request.c
@@ -32,6 +32,8 @@
 #define ANSWER_SIZE_WEIGHT 0.125
 /* Callers that take nothing have made room by then. */
 #define MEMORY_RETRY_MS 500
+/* Bytes; longer bodies are not copied for each send. */
+#define SHARED_BODY_MIN 4096
 /* Routes and servers arrive within about a second of a start. */
 #define STARTUP_RETRY_MS 500
 
@@ -58,6 +60,7 @@
 	relay_client_finish(&request->gateway->relay_ask, &request->relay);
 	route_set_unref(request->routes);
 	evbuffer_free(request->head);
+	shared_body_unref(request->request.shared);
 	event_free(request->timer);
 	free(request);
 }
@@ -161,9 +164,22 @@
 		!strncasecmp(name.data, names->server_id.data, name.len));
 }
 
+/* Short bodies are copied for each send, which is cheaper. */
+static void share_body(struct gateway_request *request,
+		       struct http_message *message)
+{
+	request->request.memory = &request->gateway->inbound.memory;
+	request->request.body = http_message_body(message);
+	if (request->request.body.len < SHARED_BODY_MIN)
+		return;
+	request->request.shared =
+		shared_body_take(message, request->request.memory);
+	request->request.body = shared_body_str(request->request.shared);
+}
+
 /* Builds the request head, without the header fields that differ by server. */
 static void build_head(struct gateway_request *request,
-		       const struct http_message *message)
+		       struct http_message *message)
 {
 	struct evbuffer *head = request->head;
 	int i;
@@ -183,7 +199,7 @@
 			evbuffer_add_printf(head, STR_FMT ": " STR_FMT "\r\n",
 					    STR_ARG(name), STR_ARG(value));
 	}
-	request->request.body = http_message_body(message);
+	share_body(request, message);
 	if (request->request.body.len ||
 	    http_message_has_field(message, STR("content-length")))
 		evbuffer_add_printf(head, "Content-Length: %zu\r\n",
@@ -302,7 +318,7 @@
 
 /* @due: capacity reserved for this retry, or NULL */
 static void start_request(struct gateway *gateway, struct inbound_conn *conn,
-			  const struct http_message *message,
+			  struct http_message *message,
 			  const struct route *route, uint64_t fingerprint,
 			  const struct scheduled_return *due)
 {
@@ -438,7 +454,7 @@
 }
 
 static void start_or_refuse(struct gateway *gateway, struct inbound_conn *conn,
-			    const struct http_message *message,
+			    struct http_message *message,
 			    const struct route *route, uint64_t fingerprint)
 {
 	struct scheduled_return entry;
@@ -459,7 +475,7 @@
 }
 
 static void on_request(void *arg, struct inbound_conn *conn,
-		       const struct http_message *message)
+		       struct http_message *message)
 {
 	struct gateway *gateway = arg;
 	struct poison *poison = &gateway->fleet.board.poison;
--- a/inbound.h
+++ b/inbound.h
@@ -33,8 +33,8 @@
 
 /**
  * struct inbound_ops - callbacks
- * @request: a complete request was received; @message stays valid until
- *	inbound_respond()
+ * @request: a complete request was received; @message, whose body may be taken,
+ *	stays valid until inbound_respond()
  * @closed: the caller closed the connection during the request, which must not
  *	be answered; @request is from inbound_conn_set_request()
  * @refused: a malformed, oversized or slow message was answered with @status
@@ -43,7 +43,7 @@
  */
 struct inbound_ops {
 	void (*request)(void *arg, struct inbound_conn *conn,
-			const struct http_message *message);
+			struct http_message *message);
 	void (*closed)(void *arg, struct inbound_conn *conn, void *request);
 	void (*refused)(void *arg, int status, const char *why);
 	void (*answer_cut)(void *arg, const struct inbound_conn *conn,
--- a/upstream.c
+++ b/upstream.c
@@ -72,6 +72,8 @@
 {
 	if (exchange->out)
 		evbuffer_free(exchange->out);
+	if (exchange->memory)
+		exchange->memory->used -= exchange->copied;
 	delivery_end(exchange->delivery, false);
 	free(exchange->id);
 	free(exchange);
@@ -450,7 +452,17 @@
 
 	exchange->out = evbuffer_new();
 	evbuffer_add(exchange->out, request->head.data, request->head.len);
-	evbuffer_add(exchange->out, request->body.data, request->body.len);
+	exchange->copied = request->head.len;
+	if (request->shared) {
+		shared_body_write(request->shared, exchange->out);
+	} else {
+		evbuffer_add(exchange->out, request->body.data,
+			     request->body.len);
+		exchange->copied += request->body.len;
+	}
+	exchange->memory = request->memory;
+	if (exchange->memory)
+		exchange->memory->used += exchange->copied;
 	exchange->head_len = request->head.len;
 	exchange->id = mem_dup_len(request->id.data, request->id.len);
 	exchange->id_len = request->id.len;
--- a/upstream.h
+++ b/upstream.h
@@ -14,6 +14,7 @@
 #include "http_message.h"
 #include "poison.h"
 #include "registry.h"
+#include "shared_body.h"
 #include "str.h"
 
 struct event;
@@ -50,6 +51,8 @@
  * @head: request line and header lines with their CRLFs, without the deadline,
  *	the server id and the empty line at the end
  * @body: complete body
+ * @shared: owner of @body, which sends hold; NULL: each send copies @body
+ * @memory: counts what sends copy; may be NULL
  * @id: request id
  * @fingerprint: identifies requests that crash servers
  * @trial: of a suspect
@@ -62,6 +65,8 @@
 struct upstream_request {
 	struct str head;
 	struct str body;
+	struct shared_body *shared;
+	struct http_memory *memory;
 	struct str id;
 	uint64_t fingerprint;
 	enum poison_trial trial;
--- a/upstream_private.h
+++ b/upstream_private.h
@@ -55,6 +55,7 @@
 /**
  * struct exchange - one request on one connection
  * @out: head and body, until they are written
+ * @memory: counts @copied bytes of it; may be NULL
  * @id: request id, owned
  * @is_head: the method is HEAD, so that the answer has no body
  * @records_max: as of struct upstream_request
@@ -70,6 +71,8 @@
 	struct upstream_conn *conn;
 	struct evbuffer *out;
 	size_t head_len;
+	struct http_memory *memory;
+	size_t copied;
 	char *id;
 	size_t id_len;
 	bool is_head;
