inbound: limit what callers send ahead

Four hundred clients that sent requests ahead, while their first one was processed, took 142 MB of 128 MB: 64 KB of buffer each, and about as much in the kernel, which counts, too (the platform counts received bytes that are not read).

Cause: the process read on up to 64 KB while a request was processed, and nothing looked at what the kernel holds.

8 KB are read ahead now, enough to see that a caller closes. Without such callers nothing is looked at.

New: garnetreach_callers_ahead; why "ahead" of caller_given_up.

--- a/conn_end.c
+++ b/conn_end.c
@@ -65,14 +65,30 @@
 	evbuffer_freeze(in, 0);
 }
 
-bool conn_has_input(const struct bufferevent *bev)
+static size_t received(const struct bufferevent *bev)
 {
-	struct bufferevent *mutable = (struct bufferevent *)bev;
+	return evbuffer_get_length(
+		bufferevent_get_input((struct bufferevent *)bev));
+}
+
+static size_t kernel_unread(const struct bufferevent *bev)
+{
+	evutil_socket_t fd = bufferevent_getfd((struct bufferevent *)bev);
 	int unread = 0;
 
-	if (evbuffer_get_length(bufferevent_get_input(mutable)))
-		return true;
-	return !ioctl(bufferevent_getfd(mutable), FIONREAD, &unread) && unread;
+	if (ioctl(fd, FIONREAD, &unread) || unread < 0)
+		return 0;
+	return (size_t)unread;
+}
+
+size_t conn_unread(const struct bufferevent *bev)
+{
+	return received(bev) + kernel_unread(bev);
+}
+
+bool conn_has_input(const struct bufferevent *bev)
+{
+	return received(bev) || kernel_unread(bev);
 }
 
 void conn_discard_input(const struct bufferevent *bev)
--- a/conn_end.h
+++ b/conn_end.h
@@ -36,6 +36,11 @@
  */
 void conn_read(struct bufferevent *bev);
 
+/**
+ * conn_unread() - received bytes that were not read yet, the kernel's included
+ */
+size_t conn_unread(const struct bufferevent *bev);
+
 /**
  * conn_has_input() - whether bytes were received that nobody has read
  */
--- a/gateway.c
+++ b/gateway.c
@@ -289,6 +289,7 @@
 		return ret;
 	gateway->inbound.memory.max = gateway->memory.requests;
 	gateway->inbound.answers.max = gateway->memory.answers_sent;
+	gateway->inbound.unread_max = gateway->memory.unread;
 	gateway->inbound.max = gateway->descriptors.callers;
 	store_client_init(&gateway->store, base, store,
 			  &settings->store_address, on_store_answer, gateway);
--- a/gateway_pages.c
+++ b/gateway_pages.c
@@ -181,6 +181,8 @@
 		   (int64_t)gateway->inbound.answers.used);
 	metric_set(&counters->callers_memory,
 		   (int64_t)gateway->inbound.n_given_up[INBOUND_MEMORY]);
+	metric_set(&counters->callers_ahead,
+		   (int64_t)gateway->inbound.n_given_up[INBOUND_AHEAD]);
 	metric_set(&counters->callers_replaced,
 		   (int64_t)gateway->inbound.n_given_up[INBOUND_REPLACED]);
 	metric_set(&counters->callers_no_place,
--- a/gateway_stats.h
+++ b/gateway_stats.h
@@ -160,6 +160,8 @@
 	  "memory of the answers that callers have not taken yet")             \
 	X(callers_memory, METRIC_GAUGE, "garnetreach_callers_slow",            \
 	  "callers cut off since the start: read slowly as memory ran short")  \
+	X(callers_ahead, METRIC_GAUGE, "garnetreach_callers_ahead",            \
+	  "callers cut off since the start: sent too many requests ahead")     \
 	X(callers_replaced, METRIC_GAUGE, "garnetreach_callers_replaced",      \
 	  "connections closed since the start to make place for new ones")     \
 	X(callers_no_place, METRIC_GAUGE, "garnetreach_callers_no_place",      \
--- a/inbound.c
+++ b/inbound.c
@@ -36,7 +36,10 @@
 #define LONG_REQUEST_MIN 4096
 #define SHORT_REQUESTS_DIVISOR 4
 /* Bytes that are buffered for a caller while its request is processed. */
-#define READ_BUFFER_MAX 65536
+#define READ_BUFFER_MAX 8192
+/* Maximum size of all requests that were sent ahead, bytes. */
+#define UNREAD_SIZE_MAX (16 * 1024 * 1024)
+#define UNREAD_CHECK_PERIOD_S 1
 /* From accepting a connection until its first request has surely arrived. */
 #define FIRST_REQUEST_TIME MSEC(200)
 /* Time for the caller to close the connection after the last response. */
@@ -62,6 +65,7 @@
  * @processing: in process(), which a synchronous response must not re-enter
  * @header_timer_armed: @timer limits the duration of the current request
  * @continue_sent: 100 Continue was sent for the current request
+ * @sent_too_much: ahead; it is given up next
  * @progress: of what is unsent
  * @held: memory of responses that were not passed to the kernel as a whole
  * @ip: of the caller
@@ -78,6 +82,7 @@
 	bool processing;
 	bool header_timer_armed;
 	bool continue_sent;
+	bool sent_too_much;
 	struct answer_progress progress;
 	size_t held;
 	char ip[INET_ADDRSTRLEN];
@@ -132,6 +137,7 @@
 	static const char *const names[INBOUND_CAUSES] = {
 		[INBOUND_STALLED] = "stalled",
 		[INBOUND_MEMORY] = "memory",
+		[INBOUND_AHEAD] = "ahead",
 		[INBOUND_REPLACED] = "replaced",
 		[INBOUND_NO_PLACE] = "no_place",
 	};
@@ -331,11 +337,73 @@
 	conn->header_timer_armed = true;
 }
 
+/* Whether its caller may have sent more than the buffer holds. */
+static bool is_ahead(const struct inbound_conn *conn)
+{
+	struct evbuffer *in = bufferevent_get_input(conn->bev);
+
+	return conn->state != INBOUND_CLOSING &&
+	       evbuffer_get_length(in) >= READ_BUFFER_MAX;
+}
+
+static void check_unread_later(struct inbound *inbound)
+{
+	static const struct timeval period = {UNREAD_CHECK_PERIOD_S, 0};
+
+	if (!evtimer_pending(inbound->unread_timer, NULL))
+		evtimer_add(inbound->unread_timer, &period);
+}
+
+/* Adds up what callers sent ahead, and counts them. */
+static size_t sum_unread(const struct inbound *inbound, size_t *n)
+{
+	const struct inbound_conn *conn;
+	size_t sum = 0;
+
+	*n = 0;
+	DL_FOREACH (inbound->conns, conn) {
+		if (!is_ahead(conn))
+			continue;
+		sum += conn_unread(conn->bev);
+		++*n;
+	}
+	return sum;
+}
+
+/* Gives up callers who sent no less than the mean, until the rest fits. */
+static void on_unread_timer(evutil_socket_t fd, short what, void *arg)
+{
+	struct inbound *inbound = arg;
+	struct inbound_conn *conn;
+	size_t n;
+	size_t sum = sum_unread(inbound, &n);
+	size_t mean = n ? sum / n : 0;
+
+	(void)fd;
+	(void)what;
+	if (n)
+		check_unread_later(inbound);
+	DL_FOREACH (inbound->conns, conn) {
+		size_t unread = is_ahead(conn) ? conn_unread(conn->bev) : 0;
+
+		if (sum <= inbound->unread_max)
+			return;
+		if (!unread || unread < mean)
+			continue;
+		sum -= unread < sum ? unread : sum;
+		/* Deferred, as the end of one request may end others. */
+		conn->sent_too_much = true;
+		event_active(conn->timer, EV_TIMEOUT, 1);
+	}
+}
+
 static void on_read(struct bufferevent *bev, void *arg)
 {
 	struct inbound_conn *conn = arg;
 	struct evbuffer *in = bufferevent_get_input(bev);
 
+	if (is_ahead(conn))
+		check_unread_later(conn->inbound);
 	if (conn->state == INBOUND_CLOSING)
 		evbuffer_drain(in, evbuffer_get_length(in));
 	else if (conn->state == INBOUND_READING)
@@ -428,14 +496,24 @@
 		give_up(conn, INBOUND_STALLED);
 }
 
+static void give_up_ahead(struct inbound_conn *conn)
+{
+	if (conn->state == INBOUND_BUSY)
+		conn->inbound->ops->closed(conn->inbound->arg, conn,
+					   conn->request);
+	give_up(conn, INBOUND_AHEAD);
+}
+
 static void on_timer(evutil_socket_t fd, short what, void *arg)
 {
 	struct inbound_conn *conn = arg;
 
 	(void)fd;
 	(void)what;
-	if (conn->state == INBOUND_READING &&
-	    conn->message.state != MESSAGE_EMPTY)
+	if (conn->sent_too_much)
+		give_up_ahead(conn);
+	else if (conn->state == INBOUND_READING &&
+		 conn->message.state != MESSAGE_EMPTY)
 		refuse(conn, HTTP_STATUS_REQUEST_TIMEOUT, "slow");
 	else if (conn_unsent(conn->bev))
 		look_at_progress(conn);
@@ -575,6 +653,7 @@
 	inbound->limits.body = BODY_SIZE_MAX;
 	inbound->memory.max = REQUESTS_SIZE_MAX;
 	inbound->answers.max = ANSWERS_SIZE_MAX;
+	inbound->unread_max = UNREAD_SIZE_MAX;
 	inbound->listener = evconnlistener_new_bind(base, on_accept, inbound,
 						    LEV_OPT_CLOSE_ON_FREE |
 							    LEV_OPT_REUSEABLE,
@@ -584,6 +663,7 @@
 		return ERR_ADDRESS;
 	inbound->limiter = evtimer_new(base, on_limiter, inbound);
 	event_priority_set(inbound->limiter, LOOP_STATE);
+	inbound->unread_timer = evtimer_new(base, on_unread_timer, inbound);
 	accept_backoff_init(&inbound->guard, base, inbound->listener);
 	evconnlistener_set_error_cb(inbound->listener, on_accept_error);
 	return 0;
@@ -633,6 +713,7 @@
 		free_conn(conn);
 	}
 	event_free(inbound->limiter);
+	event_free(inbound->unread_timer);
 }
 
 void inbound_set_limits(struct inbound *inbound,
--- a/inbound.h
+++ b/inbound.h
@@ -26,6 +26,7 @@
 enum inbound_cause {
 	INBOUND_STALLED,  /* the caller took nothing of its response */
 	INBOUND_MEMORY,	  /* all responses together take too much memory */
+	INBOUND_AHEAD,	  /* the caller sent too much ahead */
 	INBOUND_REPLACED, /* a new connection took its place */
 	INBOUND_NO_PLACE, /* a new connection, and all others do work */
 	INBOUND_CAUSES,
@@ -64,6 +65,10 @@
  * @answers: memory of responses that were not taken yet; the slowest are given
  *	up if they exceed its limit
  * @limiter: gives them up
+ * @unread_max: limit on the bytes that all callers together send ahead, while
+ *	an earlier request is processed or its response not taken; beyond it,
+ *	those that sent most are given up
+ * @unread_timer: checks it, while there are such callers
  * @header_timeout: from the first byte of a request to its end, microseconds
  * @idle_timeout: of a connection without a request, or whose caller takes
  *	nothing of its response, microseconds
@@ -86,6 +91,8 @@
 	struct http_memory memory;
 	struct http_memory answers;
 	struct event *limiter;
+	size_t unread_max;
+	struct event *unread_timer;
 	int64_t header_timeout;
 	int64_t idle_timeout;
 	struct inbound_conn *conns;
