gateway_pages: serve pages with the limits of callers

Clients of the directory, which every caller asks, could end the process or stop it: with one request after another, unread, 242 MB of 128 MB; with a body, chunks or a head without end over 1,000 MB; with a request line without end the process looked for its end and nothing else (81 s of 82 s of processor time, until it was ended), so that nobody was served at all. Connections had no limit but the process's descriptors. The same held for the addresses of readiness, control and metrics.

Cause: pages were served by evhttp with none of its limits set.

Weighed: setting evhttp's limits (head, body, time-out, connections). It has none for unread answers or for what is sent ahead, and would have been the same decision a second time. struct inbound has all of them, so that each address with pages is one of its own now: connections from the plan of descriptors, an eighth of the pages' memory for requests, answers and what is sent ahead each, no body, the default time-outs. A crowd at one address takes nothing from the others, readiness included. Answers are as before, but 405 instead of 501 for other methods. A stop waits for unsent pages as it did.

New: garnetreach_pages_refused_total, garnetreach_pages_callers_cut.

--- a/gateway.h
+++ b/gateway.h
@@ -35,6 +35,7 @@
 
 struct event;
 struct event_base;
+struct gateway_pages;
 struct gateway_request;
 
 /**
@@ -104,7 +105,7 @@
  * @descriptors: limits on connections
  * @expected_answers: expected size of the answers to @open_requests, bytes
  * @open_requests: list of requests without an answer yet
- * @pages_open: answers of gateway_pages that are still being written
+ * @pages: endpoints; NULL without
  * @state: progress of a shutdown
  * @stop: times of a shutdown
  * @stop_timer: fires periodically during shutdown
@@ -138,7 +139,7 @@
 	struct descriptor_plan descriptors;
 	size_t expected_answers;
 	struct gateway_request *open_requests;
-	int pages_open;
+	const struct gateway_pages *pages;
 	enum gateway_state state;
 	struct stop_plan stop;
 	struct event *stop_timer;
--- a/gateway_pages.c
+++ b/gateway_pages.c
@@ -5,13 +5,9 @@
 #include <string.h>
 
 #include <event2/buffer.h>
-#include <event2/bufferevent.h>
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
-#include <event2/listener.h>
-#include <utlist.h>
 
-#include "conn_end.h"
 #include "error.h"
 #include "gateway_second_sends.h"
 #include "log.h"
@@ -23,71 +19,30 @@
  */
 #define DIRECTORY_LIFETIME_S 2.0
 
-/**
- * struct page_answer - an answer until the kernel has accepted it
- * @body: owned
- * @bev: of its connection
- */
-struct page_answer {
-	struct gateway_pages *pages;
-	char *body;
-	struct bufferevent *bev;
-	struct page_answer *prev;
-	struct page_answer *next;
-};
-
-static void free_answer(const void *data, size_t len, void *arg)
+static void respond_status(struct inbound_conn *conn, int status)
 {
-	struct page_answer *answer = arg;
-
-	(void)data;
-	(void)len;
-	DL_DELETE(answer->pages->answers, answer);
-	answer->pages->gateway->pages_open--;
-	free(answer->body);
-	free(answer);
+	inbound_respond(conn, status, NULL, STR(""));
 }
 
-/* Returns a body that tells when it was written, or its connection freed. */
-static struct evbuffer *track_body(struct gateway_pages *pages,
-				   struct evhttp_request *http,
-				   struct evbuffer *body)
+static void respond(struct inbound_conn *conn, const char *type,
+		    struct evbuffer *body)
 {
-	struct page_answer *answer = mem_zalloc(sizeof(*answer));
-	struct evbuffer *tracked = evbuffer_new();
+	struct evbuffer *fields = evbuffer_new();
 	size_t len = evbuffer_get_length(body);
 
-	answer->pages = pages;
-	answer->body = mem_dup_len((char *)evbuffer_pullup(body, -1), len);
-	answer->bev = evhttp_connection_get_bufferevent(
-		evhttp_request_get_connection(http));
-	DL_APPEND(pages->answers, answer);
-	pages->gateway->pages_open++;
-	evbuffer_add_reference(tracked, answer->body, len, free_answer, answer);
-	return tracked;
-}
-
-static void reply_status(struct evhttp_request *http, int status)
-{
-	evhttp_send_reply(http, status, NULL, NULL);
-}
-
-static void reply(struct gateway_pages *pages, struct evhttp_request *http,
-		  const char *type, struct evbuffer *body)
-{
-	struct evbuffer *tracked = track_body(pages, http, body);
-
-	evhttp_add_header(evhttp_request_get_output_headers(http),
-			  "Content-Type", type);
-	evhttp_send_reply(http, 200, NULL, tracked);
-	evbuffer_free(tracked);
+	evbuffer_add_printf(fields, "Content-Type: %s\r\n", type);
+	inbound_respond(conn, HTTP_STATUS_OK, fields,
+			(struct str){(char *)evbuffer_pullup(body, -1), len});
+	evbuffer_free(fields);
 }
 
-static void on_ready(struct evhttp_request *http, void *arg)
+static void send_ready(struct gateway *gateway, struct inbound_conn *conn,
+		       const struct evhttp_uri *uri)
 {
-	struct gateway_pages *pages = arg;
-
-	reply_status(http, gateway_ready(pages->gateway) ? 200 : 503);
+	(void)uri;
+	respond_status(conn, gateway_ready(gateway)
+				     ? HTTP_STATUS_OK
+				     : HTTP_STATUS_SERVICE_UNAVAILABLE);
 }
 
 /* Returns the value of a query parameter, empty if it is missing. */
@@ -127,30 +82,41 @@
 						   : DIRECTORY_LIFETIME_S;
 }
 
-static void on_directory(struct evhttp_request *http, void *arg)
+static void send_directory(struct gateway *gateway, struct inbound_conn *conn,
+			   const struct evhttp_uri *uri)
 {
-	struct gateway_pages *pages = arg;
-	const struct gateway *gateway = pages->gateway;
 	struct evkeyvalq query = {NULL};
+	const char *text = evhttp_uri_get_query(uri);
 	struct evbuffer *body;
 
 	/* The caller asks another instance next, which may be ready. */
 	if (!store_sync_ready(&gateway->sync)) {
-		reply_status(http, 503);
+		respond_status(conn, HTTP_STATUS_SERVICE_UNAVAILABLE);
 		return;
 	}
 	body = evbuffer_new();
 	evbuffer_add_printf(body, "{\"addrs\":[");
-	evhttp_parse_query_str(evhttp_uri_get_query(
-				       evhttp_request_get_evhttp_uri(http)),
-			       &query);
+	evhttp_parse_query_str(text ? text : "", &query);
 	add_addresses(gateway, &query, body);
 	evhttp_clear_headers(&query);
 	evbuffer_add_printf(body, "],\"ttl_s\":%.3g}", lifetime_s(gateway));
-	reply(pages, http, "application/json", body);
+	respond(conn, "application/json", body);
 	evbuffer_free(body);
 }
 
+static uint64_t n_given_up(const struct gateway_pages *pages)
+{
+	uint64_t n = 0;
+	int cause;
+	int i;
+
+	for (i = 0; i < pages->n; i++) {
+		for (cause = 0; cause < INBOUND_CAUSES; cause++)
+			n += pages->servers[i].n_given_up[cause];
+	}
+	return n;
+}
+
 static void set_gauges(struct gateway *gateway)
 {
 	struct gateway_stats *counters = &gateway->counters;
@@ -175,10 +141,10 @@
 		   (int64_t)gateway->upstream.given_up);
 	metric_set(&counters->callers_size,
 		   (int64_t)gateway->inbound.memory.used);
-	metric_set(&counters->callers_stalled,
-		   (int64_t)gateway->inbound.n_given_up[INBOUND_STALLED]);
 	metric_set(&counters->unsent_size,
 		   (int64_t)gateway->inbound.answers.used);
+	metric_set(&counters->callers_stalled,
+		   (int64_t)gateway->inbound.n_given_up[INBOUND_STALLED]);
 	metric_set(&counters->callers_memory,
 		   (int64_t)gateway->inbound.n_given_up[INBOUND_MEMORY]);
 	metric_set(&counters->callers_ahead,
@@ -187,6 +153,8 @@
 		   (int64_t)gateway->inbound.n_given_up[INBOUND_REPLACED]);
 	metric_set(&counters->callers_no_place,
 		   (int64_t)gateway->inbound.n_given_up[INBOUND_NO_PLACE]);
+	metric_set(&counters->pages_given_up,
+		   (int64_t)n_given_up(gateway->pages));
 	metric_set(&counters->servers,
 		   (int64_t)HASH_COUNT(gateway->registry.servers));
 	metric_set(&counters->server_entries_refused,
@@ -208,91 +176,168 @@
 	metric_set(&counters->log_dropped, (int64_t)log_dropped());
 }
 
-static void on_metrics(struct evhttp_request *http, void *arg)
+static void send_metrics(struct gateway *gateway, struct inbound_conn *conn,
+			 const struct evhttp_uri *uri)
 {
-	struct gateway_pages *pages = arg;
 	struct evbuffer *body = evbuffer_new();
 
-	set_gauges(pages->gateway);
-	metric_expose(&pages->gateway->counters.registry, body);
-	peer_traffic_expose(&pages->gateway->fleet.peers.traffic, body);
-	reply(pages, http, "text/plain; version=0.0.4", body);
+	(void)uri;
+	set_gauges(gateway);
+	metric_expose(&gateway->counters.registry, body);
+	peer_traffic_expose(&gateway->fleet.peers.traffic, body);
+	respond(conn, "text/plain; version=0.0.4", body);
 	evbuffer_free(body);
 }
 
-static int bind_to(struct gateway_pages *pages, const struct address *address)
+static const struct {
+	const char *path;
+	void (*send)(struct gateway *gateway, struct inbound_conn *conn,
+		     const struct evhttp_uri *uri);
+} pages_by_path[] = {
+	{"/v1/ready", send_ready},
+	{"/v1/directory", send_directory},
+	{"/metrics", send_metrics},
+};
+
+static void send_page(struct gateway *gateway, struct inbound_conn *conn,
+		      const struct evhttp_uri *uri)
+{
+	const char *path = evhttp_uri_get_path(uri);
+	size_t i;
+
+	for (i = 0; i < sizeof(pages_by_path) / sizeof(*pages_by_path); i++) {
+		if (path && !strcmp(path, pages_by_path[i].path)) {
+			pages_by_path[i].send(gateway, conn, uri);
+			return;
+		}
+	}
+	respond_status(conn, HTTP_STATUS_NOT_FOUND);
+}
+
+static void on_request(void *arg, struct inbound_conn *conn,
+		       struct http_message *message)
+{
+	struct gateway_pages *pages = arg;
+	struct str target = http_message_target(message);
+	struct evhttp_uri *uri;
+	char *text;
+
+	if (message->parser.method != HTTP_GET) {
+		respond_status(conn, HTTP_STATUS_METHOD_NOT_ALLOWED);
+		return;
+	}
+	text = mem_dup_len(target.data, target.len);
+	uri = evhttp_uri_parse(text);
+	if (uri) {
+		send_page(pages->gateway, conn, uri);
+		evhttp_uri_free(uri);
+	} else {
+		respond_status(conn, HTTP_STATUS_BAD_REQUEST);
+	}
+	free(text);
+}
+
+/* Pages are answered at once. */
+static void on_closed(void *arg, struct inbound_conn *conn, void *request)
+{
+	(void)arg;
+	(void)conn;
+	(void)request;
+}
+
+static void on_refused(void *arg, int status, const char *why)
+{
+	struct gateway_pages *pages = arg;
+
+	(void)status;
+	(void)why;
+	metric_inc(&pages->gateway->counters.pages_refused);
+}
+
+static void on_answer_cut(void *arg, const struct inbound_conn *conn,
+			  const struct http_message *message, size_t unsent)
+{
+	struct gateway_pages *pages = arg;
+
+	(void)message;
+	metric_inc(&pages->gateway->counters.answers_cut);
+	LOG_WARN("answer_cut", LOG_TEXT("caller", inbound_conn_ip(conn)),
+		 LOG_U64("unsent_bytes", unsent));
+}
+
+static const struct inbound_ops ops = {
+	.request = on_request,
+	.closed = on_closed,
+	.refused = on_refused,
+	.answer_cut = on_answer_cut,
+};
+
+/*
+ * Each address has connections and memory of its own, so that a crowd at one
+ * does not take the instance's readiness away.
+ */
+static int listen_at(struct gateway_pages *pages, const struct address *address,
+		     int connections_max)
 {
-	struct sockaddr_in sin = address_sockaddr(address);
-	struct evconnlistener *listener;
+	struct gateway *gateway = pages->gateway;
+	struct inbound *server = &pages->servers[pages->n];
+	size_t memory = gateway->memory.pages / GATEWAY_PAGES_ADDRESSES / 2;
 
 	if (!address->port)
 		return 0;
-	listener = evconnlistener_new_bind(pages->gateway->base, NULL, NULL,
-					   LEV_OPT_CLOSE_ON_FREE |
-						   LEV_OPT_REUSEABLE,
-					   -1, (struct sockaddr *)&sin,
-					   sizeof(sin));
-	if (!listener || !evhttp_bind_listener(pages->http, listener)) {
+	if (inbound_init(server, gateway->base, &gateway->clock, address, &ops,
+			 pages)) {
 		LOG_ERROR("page_address", LOG_TEXT("ip", address->ip),
 			  LOG_I64("port", address->port));
 		return ERR_ADDRESS;
 	}
+	server->max = connections_max;
+	server->limits.body = 0;
+	server->memory.max = memory;
+	server->answers.max = memory;
+	server->unread_max = memory;
+	pages->n++;
 	return 0;
 }
 
 int gateway_pages_init(struct gateway_pages *pages, struct gateway *gateway)
 {
 	const struct gateway_settings *settings = gateway->settings;
+	const struct descriptor_plan *plan = &gateway->descriptors;
 	int ret;
 
+	memset(pages, 0, sizeof(*pages));
 	pages->gateway = gateway;
-	pages->answers = NULL;
-	pages->http = evhttp_new(gateway->base);
-	evhttp_set_allowed_methods(pages->http, EVHTTP_REQ_GET);
-	evhttp_set_cb(pages->http, "/v1/ready", on_ready, pages);
-	evhttp_set_cb(pages->http, "/v1/directory", on_directory, pages);
-	evhttp_set_cb(pages->http, "/metrics", on_metrics, pages);
-	ret = bind_to(pages, &settings->ready_address);
+	ret = listen_at(pages, &settings->ready_address, plan->page);
 	if (!ret)
-		ret = bind_to(pages, &settings->directory_address);
+		ret = listen_at(pages, &settings->directory_address,
+				plan->directory);
 	if (!ret)
-		ret = bind_to(pages, &settings->control_address);
+		ret = listen_at(pages, &settings->control_address, plan->page);
 	/* Serving callers matters more than metrics: only log the failure. */
-	if (!ret && bind_to(pages, &settings->metrics_address))
+	if (!ret && listen_at(pages, &settings->metrics_address, plan->page))
 		LOG_WARN("no_metrics_address",
 			 LOG_I64("port", settings->metrics_address.port));
+	gateway->pages = pages;
 	return ret;
 }
 
-/* Freed by evhttp, which takes effect in the event loop's next iteration. */
-static bool is_closed(struct bufferevent *bev)
-{
-	bufferevent_event_cb event = NULL;
-
-	bufferevent_getcb(bev, NULL, NULL, &event, NULL);
-	return !event;
-}
-
-static void write_last(struct gateway *gateway, struct bufferevent *bev)
+bool gateway_pages_are_sent(const struct gateway_pages *pages)
 {
-	size_t unsent = conn_write_last(bev);
+	int i;
 
-	conn_discard_input(bev);
-	if (!unsent)
-		return;
-	metric_inc(&gateway->counters.answers_cut);
-	LOG_WARN("answer_cut", LOG_U64("unsent_bytes", unsent));
+	for (i = 0; i < pages->n; i++) {
+		if (inbound_has_unsent(&pages->servers[i]))
+			return false;
+	}
+	return true;
 }
 
 void gateway_pages_finish(struct gateway_pages *pages)
 {
-	struct page_answer *answer;
-	struct page_answer *next;
+	int i;
 
-	/* A connection has one answer at a time, which a write may free. */
-	DL_FOREACH_SAFE (pages->answers, answer, next) {
-		if (!is_closed(answer->bev))
-			write_last(pages->gateway, answer->bev);
-	}
-	evhttp_free(pages->http);
+	pages->gateway->pages = NULL;
+	for (i = 0; i < pages->n; i++)
+		inbound_finish(&pages->servers[i]);
 }
--- a/gateway_pages.h
+++ b/gateway_pages.h
@@ -3,20 +3,20 @@
 #define GATEWAY_PAGES_H
 
 #include "gateway.h"
+#include "inbound.h"
 
-struct evhttp;
-struct page_answer;
+/* Addresses with pages: readiness, directory, control and metrics. */
+#define GATEWAY_PAGES_ADDRESSES 4
 
 /**
- * struct gateway_pages - HTTP server of the endpoints
+ * struct gateway_pages - HTTP servers of the endpoints
  * @gateway: the instance they report on
- * @http: bound to all addresses
- * @answers: answers that the kernel has not accepted as a whole
+ * @servers: one for each address, @n of them
  */
 struct gateway_pages {
 	struct gateway *gateway;
-	struct evhttp *http;
-	struct page_answer *answers;
+	struct inbound servers[GATEWAY_PAGES_ADDRESSES];
+	int n;
 };
 
 /**
@@ -30,6 +30,11 @@
  */
 int gateway_pages_init(struct gateway_pages *pages, struct gateway *gateway);
 
+/**
+ * gateway_pages_are_sent() - whether all answers were passed to the kernel
+ */
+bool gateway_pages_are_sent(const struct gateway_pages *pages);
+
 /**
  * gateway_pages_finish() - close all connections
  *
--- a/gateway_stats.h
+++ b/gateway_stats.h
@@ -62,6 +62,10 @@
 	  "requests whose caller disconnected before the answer")              \
 	X(malformed, METRIC_COUNTER, "garnetreach_requests_malformed_total",   \
 	  "messages refused because they are not valid requests")              \
+	X(pages_refused, METRIC_COUNTER, "garnetreach_pages_refused_total",    \
+	  "messages to the addresses of pages that are not valid requests")    \
+	X(pages_given_up, METRIC_GAUGE, "garnetreach_pages_callers_cut",       \
+	  "connections to the addresses of pages cut off since the start")     \
 	X(no_route, METRIC_COUNTER, "garnetreach_requests_no_route_total",     \
 	  "requests that match no route")                                      \
 	X(sends, METRIC_COUNTER, "garnetreach_sends_total",                    \
--- a/gateway_stop.c
+++ b/gateway_stop.c
@@ -4,6 +4,7 @@
 #include <event2/event.h>
 
 #include "gateway.h"
+#include "gateway_pages.h"
 #include "gateway_request.h"
 #include "log.h"
 
@@ -11,7 +12,8 @@
 
 static bool is_idle(const struct gateway *gateway)
 {
-	return !gateway->inbound.n && !gateway->pages_open &&
+	return !gateway->inbound.n &&
+	       (!gateway->pages || gateway_pages_are_sent(gateway->pages)) &&
 	       relay_serve_is_idle(&gateway->relay_serve);
 }
 
--- a/inbound.c
+++ b/inbound.c
@@ -760,6 +760,17 @@
 	return busy;
 }
 
+bool inbound_has_unsent(const struct inbound *inbound)
+{
+	const struct inbound_conn *conn;
+
+	DL_FOREACH (inbound->conns, conn) {
+		if (conn_unsent(conn->bev))
+			return true;
+	}
+	return false;
+}
+
 void inbound_refuse_partial(struct inbound *inbound)
 {
 	struct inbound_conn *conn;
--- a/inbound.h
+++ b/inbound.h
@@ -139,6 +139,12 @@
  */
 int inbound_close_idle(struct inbound *inbound);
 
+/**
+ * inbound_has_unsent() - whether a response was not passed to the kernel as a
+ * whole
+ */
+bool inbound_has_unsent(const struct inbound *inbound);
+
 /**
  * inbound_refuse_partial() - answer requests that are still being read with 503
  *
