peer: limit connections that tell no name

The address for other instances was open to anybody for 3 s a connection: 220 clients that sent the beginning of a frame of 8 MB took 225 descriptors of 200, and each could have made the process keep 8 MB.

Cause: a link had a time for its hello, but no limit on its bytes before, and there was no limit on the number of such links.

A link is closed with more than 16 KB and no hello. Links without one take a sixteenth of the descriptors; beyond that the first that had a second makes place, as instances say hello at once, or else the new one is closed (an instance tries again after 0.2 s). Links with a hello are not limited: they are as many as there are instances. Who says hello is not checked.

New: garnetreach_peer_strangers_closed_total, of gateways garnetreach_gateway_links_refused.

test_strangers_with_long_frames fails without the change (above) and passes.

--- a/counters.h
+++ b/counters.h
@@ -60,6 +60,10 @@
 	  "cancellations sent to backend servers")                             \
 	X(peer_frames_in, METRIC_COUNTER, "garnetreach_peer_frames_in_total",  \
 	  "frames received from other instances")                              \
+	X(peer_strangers_closed, METRIC_COUNTER,                               \
+	  "garnetreach_peer_strangers_closed_total",                           \
+	  "connections closed as too many did not say which instance they "    \
+	  "are")                                                               \
 	X(peer_frames_bad, METRIC_COUNTER,                                     \
 	  "garnetreach_peer_frames_bad_total",                                 \
 	  "invalid frames that closed their connection")                       \
--- a/gateway.c
+++ b/gateway.c
@@ -303,6 +303,7 @@
 	ret = init_fleet(gateway);
 	if (ret)
 		return ret;
+	gateway->fleet.peers.strangers_max = gateway->descriptors.strangers;
 	gateway_load_init(gateway);
 	gateway_second_sends_init(gateway);
 	gateway->upstream.limits.warmup = &gateway->fleet.warmup;
--- a/gateway_pages.c
+++ b/gateway_pages.c
@@ -128,6 +128,8 @@
 		   (int64_t)gateway->relay_ask.jobs_sent);
 	metric_set(&counters->gateway_links,
 		   gateway->fleet.board.counters.peer_links.value);
+	metric_set(&counters->strangers_closed,
+		   gateway->fleet.board.counters.peer_strangers_closed.value);
 	metric_set(&counters->heartbeat_bytes,
 		   gateway->fleet.board.counters.member_bytes_out.value);
 	metric_set(&counters->store_calls, (int64_t)gateway->store.calls);
--- a/gateway_stats.h
+++ b/gateway_stats.h
@@ -135,6 +135,8 @@
 	  "batches of sends given to relays since start")                      \
 	X(gateway_links, METRIC_GAUGE, "garnetreach_gateway_links",            \
 	  "open connections between gateways, both directions")                \
+	X(strangers_closed, METRIC_GAUGE, "garnetreach_gateway_links_refused", \
+	  "connections closed as too many did not tell their instance")        \
 	X(heartbeat_bytes, METRIC_GAUGE,                                       \
 	  "garnetreach_gateway_heartbeat_bytes",                               \
 	  "heartbeat bytes sent since start")                                  \
--- a/peer.c
+++ b/peer.c
@@ -27,6 +27,11 @@
  */
 #define UNWANTED_IDLE MSEC(10000)
 #define BACKLOG_MAX_BYTES (64 * 1024 * 1024)
+#define STRANGERS_MAX 256
+/* Time to send a hello before another connection may take the place. */
+#define STRANGER_TIME MSEC(1000)
+/* Of a hello and what may come right behind it, bytes. */
+#define HELLO_SIZE_MAX 16384
 
 static void free_link(struct peer_link *link)
 {
@@ -50,6 +55,12 @@
 	}
 }
 
+/* Whether it has not told its name, and may be no instance at all. */
+static bool is_stranger(const struct peer_link *link)
+{
+	return !link->outgoing && !link->up;
+}
+
 static void close_link(struct peer_link *link)
 {
 	struct peers *peers = link->peers;
@@ -58,6 +69,8 @@
 	if (link->closed)
 		return;
 	link->closed = true;
+	if (is_stranger(link))
+		peers->n_strangers--;
 	bufferevent_disable(link->bev, EV_READ | EV_WRITE);
 	event_active(peers->reaper, EV_TIMEOUT, 1);
 	if (!link->up)
@@ -148,6 +161,8 @@
 	str_copy(link->instance, sizeof(link->instance),
 		 str_from(hello->instance));
 	link->incarnation = hello->incarnation;
+	if (is_stranger(link))
+		peers->n_strangers--;
 	link->up = true;
 	metric_add(&peers->board->counters.peer_links, 1);
 	if (!link->outgoing)
@@ -198,8 +213,12 @@
 		if (frame.message)
 			frame_finish(&frame);
 	}
-	if (ret < 0 && !link->closed)
+	if (link->closed)
+		return;
+	if (ret < 0)
 		close_with_failure(link, ret);
+	else if (!link->up && evbuffer_get_length(in) > HELLO_SIZE_MAX)
+		close_with_failure(link, ERR_TOO_LARGE);
 }
 
 static void notify_refused(struct peer_link *link)
@@ -255,14 +274,40 @@
 	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
 }
 
+/* Instances tell their name at once, but many may connect at the same time. */
+static bool replace_stranger(struct peers *peers)
+{
+	int64_t latest = clock_now(peers->board->clock) - STRANGER_TIME;
+	struct peer_link *link;
+
+	DL_FOREACH (peers->links, link) {
+		if (!is_stranger(link) || link->closed ||
+		    link->opened_at > latest)
+			continue;
+		metric_inc(&peers->board->counters.peer_strangers_closed);
+		close_link(link);
+		return true;
+	}
+	return false;
+}
+
 static void on_accept(struct evconnlistener *listener, evutil_socket_t fd,
 		      struct sockaddr *sa, int len, void *arg)
 {
+	struct peers *peers = arg;
+
 	(void)listener;
 	(void)sa;
 	(void)len;
 	set_nodelay(fd);
-	add_link(arg, fd, false);
+	if (peers->n_strangers >= peers->strangers_max &&
+	    !replace_stranger(peers)) {
+		metric_inc(&peers->board->counters.peer_strangers_closed);
+		evutil_closesocket(fd);
+		return;
+	}
+	peers->n_strangers++;
+	add_link(peers, fd, false);
 }
 
 static struct peer_link *find_outgoing(struct peers *peers, struct str instance)
@@ -424,6 +469,7 @@
 
 	memset(peers, 0, sizeof(*peers));
 	peers->board = board;
+	peers->strangers_max = STRANGERS_MAX;
 	peers->listener = evconnlistener_new_bind(board->base, on_accept, peers,
 						  LEV_OPT_CLOSE_ON_FREE |
 							  LEV_OPT_REUSEABLE,
--- a/peer.h
+++ b/peer.h
@@ -85,6 +85,8 @@
  * @reaper: frees closed links
  * @links: incoming and outgoing
  * @handlers: registered by peers_add_handler()
+ * @n_strangers: incoming links that have not said hello
+ * @strangers_max: of them; beyond it, the first of them makes place
  * @traffic: frames and bytes sent
  * @fleet_watch: for changes of the fleet
  */
@@ -97,6 +99,8 @@
 	struct event *reaper;
 	struct peer_link *links;
 	struct peer_handler *handlers;
+	int n_strangers;
+	int strangers_max;
 	struct peer_traffic traffic;
 	struct blackboard_watch fleet_watch;
 };
--- a/tests/test_misbehaving_clients.py
+++ b/tests/test_misbehaving_clients.py
@@ -21,6 +21,7 @@
 
 import experiment  # noqa: E402
 import test_gateway  # noqa: E402
+import wire  # noqa: E402
 from gateway_fixtures import (  # noqa: E402
     HOST, OpaqueServer, answer, config_document, route,
 )
@@ -58,6 +59,10 @@
 N_AHEAD = 400
 AHEAD_BYTES = 2 * MB
 BODY_BYTES = 262000
+# docs/PROTOCOL.md: frames between instances.
+HELLO = 1
+FRAME_MAX_BYTES = 8 * MB
+STRANGER_BYTES = 2 * MB
 # Established, and closed by the client only, in /proc/net/tcp.
 OPEN_STATES = ("01", "08")
 NO_ROUTE = (f"GET /x HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: 1\r\n\r\n"
@@ -496,6 +501,18 @@
         self.check_ordinary()
 
 
+class Peers(ClientsTest):
+    def test_strangers_with_long_frames(self):
+        """Guards against clients of the address for other instances that tell
+        no name, and send frames of the greatest length, each unfinished."""
+        gateway = self.start(descriptors_max=DESCRIPTORS_MAX)
+        hello = wire.frame(HELLO, length=FRAME_MAX_BYTES)
+        self.crowd.flood((gateway.ip, self.peer_port), N_IDLERS, hello,
+                         b"q" * 65536, STRANGER_BYTES)
+        self.assertLess(self.n_descriptors(gateway), DESCRIPTORS_MAX)
+        self.check_after(gateway)
+
+
 class Pages(ClientsTest):
     """The same clients on the other addresses, whose pages share the memory
     and the descriptors of the process."""
