peer, relay_serve: limit frames and requests of all instances together

No caller saw it, found by reading: what an instance has not read was limited to 64 MB a link, so that few instances that stand still take the memory of all others; and requests that others sent here for its servers were copied for each job and each send without a limit.

"backlogs of all links together are limited" (test_peer) and "memory is limited" (test_relay_serve) fail without the limits.

--- a/gateway.c
+++ b/gateway.c
@@ -304,6 +304,7 @@
 	if (ret)
 		return ret;
 	gateway->fleet.peers.strangers_max = gateway->descriptors.strangers;
+	gateway->fleet.peers.backlog_max = gateway->memory.peers;
 	gateway_load_init(gateway);
 	gateway_second_sends_init(gateway);
 	gateway->upstream.limits.warmup = &gateway->fleet.warmup;
@@ -314,6 +315,7 @@
 	relay_serve_init(&gateway->relay_serve, &gateway->fleet.board,
 			 &gateway->fleet.peers, &gateway->registry,
 			 &gateway->server_queues.queues);
+	gateway->relay_serve.memory.max = gateway->memory.relayed;
 	on_store_timer(gateway);
 	return 0;
 }
--- a/peer.c
+++ b/peer.c
@@ -27,6 +27,8 @@
  */
 #define UNWANTED_IDLE MSEC(10000)
 #define BACKLOG_MAX_BYTES (64 * 1024 * 1024)
+/* Shorter backlogs are not added up, bytes. */
+#define BACKLOG_SHORT_BYTES 65536
 #define STRANGERS_MAX 256
 /* Time to send a hello before another connection may take the place. */
 #define STRANGER_TIME MSEC(1000)
@@ -87,6 +89,25 @@
 	return evbuffer_get_length(bufferevent_get_output(link->bev));
 }
 
+static size_t sum_backlogs(const struct peers *peers)
+{
+	const struct peer_link *link;
+	size_t sum = 0;
+
+	DL_FOREACH (peers->links, link)
+		sum += peer_backlog(link);
+	return sum;
+}
+
+/* Whether the other ends read too little, so that more would exhaust memory. */
+static bool is_backlog_full(const struct peer_link *link, size_t backlog)
+{
+	if (backlog > BACKLOG_MAX_BYTES)
+		return true;
+	return backlog > BACKLOG_SHORT_BYTES &&
+	       sum_backlogs(link->peers) > link->peers->backlog_max;
+}
+
 int peer_send(struct peer_link *link, enum frame_type type,
 	      const ProtobufCMessage *message)
 {
@@ -94,10 +115,7 @@
 	size_t before = evbuffer_get_length(out);
 	int ret;
 
-	if (link->closed)
-		return ERR_UNAVAILABLE;
-	/* The other end does not read; queueing more would exhaust memory. */
-	if (before > BACKLOG_MAX_BYTES)
+	if (link->closed || is_backlog_full(link, before))
 		return ERR_UNAVAILABLE;
 	ret = frame_write(out, type, message);
 	link->last_sent_at = clock_now(link->peers->board->clock);
@@ -469,6 +487,7 @@
 
 	memset(peers, 0, sizeof(*peers));
 	peers->board = board;
+	peers->backlog_max = BACKLOG_MAX_BYTES;
 	peers->strangers_max = STRANGERS_MAX;
 	peers->listener = evconnlistener_new_bind(board->base, on_accept, peers,
 						  LEV_OPT_CLOSE_ON_FREE |
--- a/peer.h
+++ b/peer.h
@@ -87,6 +87,8 @@
  * @handlers: registered by peers_add_handler()
  * @n_strangers: incoming links that have not said hello
  * @strangers_max: of them; beyond it, the first of them makes place
+ * @backlog_max: bytes that all other ends together have not read; beyond it,
+ *	nothing is sent to those that read least
  * @traffic: frames and bytes sent
  * @fleet_watch: for changes of the fleet
  */
@@ -101,6 +103,7 @@
 	struct peer_handler *handlers;
 	int n_strangers;
 	int strangers_max;
+	size_t backlog_max;
 	struct peer_traffic traffic;
 	struct blackboard_watch fleet_watch;
 };
--- a/relay_serve.c
+++ b/relay_serve.c
@@ -17,6 +17,8 @@
 #define RECORDS_MAX 4096
 /* Parts in a message; each record has its part's index in one byte. */
 #define PARTS_MAX 255
+/* Maximum size of the requests of all jobs, bytes. */
+#define REQUESTS_SIZE_MAX (16 * 1024 * 1024)
 /*
  * Number of parts that raise the floor for later ones. If the entry does not
  * use one of these, it cannot use later ones either; of the first parts to
@@ -119,7 +121,7 @@
 	records_finish(&job->floor_records);
 	event_free(job->timer);
 	free((char *)job->request.head.data);
-	free((char *)job->request.body.data);
+	shared_body_unref(job->request.shared);
 	free((char *)job->request.id.data);
 	free(job->sends);
 	free(job->results);
@@ -304,7 +306,7 @@
 	struct registry_server *server =
 		registry_find(relay->registry, str_from(part->server));
 
-	if (relay->ended)
+	if (relay->ended || relay->memory.used > relay->memory.max)
 		return ERR_BUDGET;
 	if (!server || !registry_is_open(server))
 		return ERR_DRAINING;
@@ -381,8 +383,14 @@
 
 	request->head.len = message->head.len;
 	request->head.data = mem_dup_len(message->head.data, message->head.len);
-	request->body.len = message->body.len;
-	request->body.data = mem_dup_len(message->body.data, message->body.len);
+	request->memory = &job->relay->memory;
+	if (message->body.len) {
+		request->shared = shared_body_copy(
+			(struct str){(const char *)message->body.data,
+				     message->body.len},
+			request->memory);
+		request->body = shared_body_str(request->shared);
+	}
 	request->id = str_from(mem_dup(message->request_id));
 	request->fingerprint = message->fingerprint;
 	request->trial = read_trial(message->trial);
@@ -499,6 +507,7 @@
 	relay->registry = registry;
 	relay->queues = queues;
 	relay->time_limit = INT64_MAX;
+	relay->memory.max = REQUESTS_SIZE_MAX;
 	relay->handler.frame = on_frame;
 	relay->handler.down = on_link_down;
 	relay->handler.types =
--- a/relay_serve.h
+++ b/relay_serve.h
@@ -28,6 +28,8 @@
  * @queues: sends that wait for a backend server
  * @handler: receives jobs and cancellations
  * @jobs: list of unfinished jobs
+ * @memory: of requests that jobs hold; beyond its limit, further jobs are not
+ *	run
  * @time_limit: see relay_serve_limit_time()
  * @ended: relay_serve_end_jobs() was called
  */
@@ -39,6 +41,7 @@
 	struct server_queues *queues;
 	struct peer_handler handler;
 	struct relay_job *jobs;
+	struct http_memory memory;
 	int64_t time_limit;
 	bool ended;
 };
--- a/tests/test_peer.c
+++ b/tests/test_peer.c
@@ -8,6 +8,7 @@
 #include <event2/event.h>
 #include <utlist.h>
 
+#include "error.h"
 #include "mem.h"
 #include "peer.h"
 #include "unit.h"
@@ -145,6 +146,28 @@
 	tear_down(&fixture);
 }
 
+/* Guards against peers that read nothing, each little enough to be borne. */
+static void test_backlogs_are_limited_together(void)
+{
+	Peer__Failure failure = PEER__FAILURE__INIT;
+	struct peer_link *next;
+	struct fixture fixture;
+	int next_end;
+
+	set_up(&fixture);
+	fixture.peers.backlog_max = LARGE_FRAMES * LARGE_FRAME_SIZE;
+	next = add_link(&fixture, &next_end);
+	send_frames(fixture.link, LARGE_FRAMES, LARGE_FRAME_SIZE);
+	/* One with a short backlog is still sent to. */
+	send_frames(next, 1, LARGE_FRAME_SIZE);
+	failure.subject = (char *)"";
+	CU_ASSERT_EQUAL(peer_send(next, FRAME_FAILURE, &failure.base),
+			ERR_UNAVAILABLE);
+	peers_finish(&fixture.peers);
+	close(next_end);
+	tear_down(&fixture);
+}
+
 static void count_frame(void *arg, struct peer_link *link, struct frame *frame)
 {
 	int *n = arg;
@@ -189,6 +212,8 @@
 	{"a peer that does not read holds nothing up",
 	 test_flush_does_not_block},
 	{"last frames are read", test_last_frames_are_read},
+	{"backlogs of all links together are limited",
+	 test_backlogs_are_limited_together},
 };
 
 UNIT_MAIN("peer", tests)
--- a/tests/test_relay_serve.c
+++ b/tests/test_relay_serve.c
@@ -23,6 +23,7 @@
 #define SENDS (AT_WORK + 1)
 #define DEADLINE_MS 4000
 #define LOOP_PRIORITIES 8
+#define BODY_SIZE 64
 
 struct fixture {
 	struct clock clock;
@@ -42,6 +43,7 @@
 	int n_sent;
 	int n_abandoned;
 	uint32_t deadline_ms; /* of what the entry asks for */
+	uint8_t body[BODY_SIZE];
 	int64_t deadline;
 };
 
@@ -184,6 +186,8 @@
 	message.goal_ms = DEADLINE_MS;
 	message.flush_ms = 100;
 	message.connections_max = 10;
+	message.body.data = fixture->body;
+	message.body.len = sizeof(fixture->body);
 	message.sends = ptrs;
 	message.n_sends = (size_t)n_sends;
 	frame.message = &message.base;
@@ -294,6 +298,27 @@
 	tear_down(&fixture);
 }
 
+/* Guards against requests of other instances that take all memory. */
+static void test_memory_is_limited(void)
+{
+	struct fixture fixture;
+
+	set_up(&fixture);
+	fixture.relay.memory.max = BODY_SIZE - 1;
+	ask(&fixture, 1);
+	CU_ASSERT_EQUAL(fixture.n_sent, 0);
+	peers_flush(&fixture.peers);
+	check_not_run(&fixture);
+	CU_ASSERT_EQUAL(fixture.relay.memory.used, 0);
+	fixture.relay.memory.max = BODY_SIZE;
+	ask(&fixture, 1);
+	CU_ASSERT_EQUAL(fixture.n_sent, 1);
+	CU_ASSERT_EQUAL(fixture.relay.memory.used, BODY_SIZE);
+	finish(&fixture);
+	CU_ASSERT_EQUAL(fixture.relay.memory.used, 0);
+	tear_down(&fixture);
+}
+
 /* Guards against a server that works on when its answer can't be passed on. */
 static void test_time_is_limited(void)
 {
@@ -464,6 +489,7 @@
 	{"limit of a job is not its caller's", test_limit_is_not_of_the_caller},
 	{"end of a queue is no overload", test_end_of_a_queue_is_no_overload},
 	{"slow server is told during a stop", test_slow_server_is_told},
+	{"memory is limited", test_memory_is_limited},
 };
 
 UNIT_MAIN("relay_serve", tests)
