caller_conn: do not read on while answers are unsent

`serve` as the gateway: eight clients that sent request after request and read nothing took 935 MB (long pages), 263 MB (addresses) and 283 MB (refused searches), until the time-out of a request ended them after 60 s.

Cause: the HTTP library reads and processes whatever comes, and buffers it while a request is processed; nothing limited what it had not sent.

At most 4 KB are read ahead, and nothing is read while more than 64 KB of answers are unsent; the hook that tells of written output reads on. Once a second, while there are such callers, the answers of all are added up; beyond answer_bytes_max (64 MB) those with most are cut off.

--- a/caller_conn.c
+++ b/caller_conn.c
@@ -22,6 +22,12 @@
  */
 #define BODY_DISCARD_FACTOR 16
 
+/* Bytes that are buffered of further requests while one is processed. */
+#define READ_BUFFER_MAX 4096
+/* No further request is read while more bytes of responses are unsent. */
+#define UNSENT_MAX_BYTES 65536
+#define UNSENT_CHECK_PERIOD_S 1
+
 /**
  * struct caller_conn - one connection
  * @request_timer: closes the connection if a request takes too long to arrive
@@ -30,6 +36,7 @@
  * @body_bytes: received body of the current request
  * @refusal_code: why the current request is refused, or 0
  * @is_refused: the connection exceeds callers_max
+ * @held_back: nothing is read until the responses are sent
  * @was_paused: the request was being processed when the timer last expired
  * @prev: in the list of open connections
  * @next: same
@@ -42,6 +49,7 @@
 	uint64_t body_bytes;
 	int refusal_code;
 	bool is_refused;
+	bool held_back;
 	bool was_paused;
 	struct caller_conn *prev;
 	struct caller_conn *next;
@@ -162,10 +170,42 @@
 	return EVHTP_RES_OK;
 }
 
+/*
+ * A caller that does not take its responses sends no further requests: they are
+ * left in its own kernel's buffer.
+ */
+static void hold_back(struct caller_conn *conn)
+{
+	static const struct timeval period = {UNSENT_CHECK_PERIOD_S, 0};
+	struct event *check = conn->conns->unsent_timer;
+
+	conn->held_back = true;
+	bufferevent_disable(conn->evhtp->bev, EV_READ);
+	if (!evtimer_pending(check, NULL))
+		evtimer_add(check, &period);
+}
+
 static evhtp_res on_request_fini(evhtp_request_t *http, void *arg)
 {
+	struct caller_conn *conn = arg;
+
 	(void)http;
-	reset_request(arg);
+	reset_request(conn);
+	if (conn_unsent(conn->evhtp->bev) > UNSENT_MAX_BYTES)
+		hold_back(conn);
+	return EVHTP_RES_OK;
+}
+
+/* All responses were passed to the kernel. */
+static evhtp_res on_written(evhtp_connection_t *evhtp, void *arg)
+{
+	struct caller_conn *conn = arg;
+
+	if (!conn->held_back)
+		return EVHTP_RES_OK;
+	conn->held_back = false;
+	if (!is_processing(conn))
+		bufferevent_enable(evhtp->bev, EV_READ);
 	return EVHTP_RES_OK;
 }
 
@@ -193,6 +233,7 @@
 		{evhtp_hook_on_read, (evhtp_hook)on_body},
 		{evhtp_hook_on_request_fini, (evhtp_hook)on_request_fini},
 		{evhtp_hook_on_connection_fini, (evhtp_hook)on_connection_fini},
+		{evhtp_hook_on_write, (evhtp_hook)on_written},
 	};
 	size_t i;
 
@@ -221,10 +262,68 @@
 					   (uint64_t)tunables->body_max_bytes *
 						   BODY_DISCARD_FACTOR);
 	set_hooks(conn);
+	bufferevent_setwatermark(evhtp->bev, EV_READ, 0, READ_BUFFER_MAX);
 	reset_request(conn);
 	return EVHTP_RES_OK;
 }
 
+/*
+ * Finds the caller with most unsent bytes, and adds up those of all callers.
+ */
+static struct caller_conn *find_most_unsent(const struct caller_conns *conns,
+					    int64_t *sum)
+{
+	struct caller_conn *found = NULL;
+	struct caller_conn *conn;
+	size_t most = 0;
+
+	*sum = 0;
+	DL_FOREACH (conns->open, conn) {
+		size_t unsent = conn_unsent(conn->evhtp->bev);
+
+		*sum += (int64_t)unsent;
+		if (unsent <= most)
+			continue;
+		most = unsent;
+		found = conn;
+	}
+	return found;
+}
+
+/* The caller sees that the response is not complete. */
+static void give_up(struct caller_conn *conn)
+{
+	static const struct linger reset = {.l_onoff = 1};
+	struct blackboard *board = conn->conns->board;
+	struct bufferevent *bev = conn->evhtp->bev;
+
+	metric_inc(&board->counters.callers_given_up);
+	if (log_quota_take(&conn->conns->given_up_log, clock_now(board->clock)))
+		LOG_WARN("caller_given_up", LOG_TEXT("why", "memory"),
+			 LOG_U64("unsent_bytes", conn_unsent(bev)));
+	setsockopt(bufferevent_getfd(bev), SOL_SOCKET, SO_LINGER, &reset,
+		   sizeof(reset));
+	evhtp_connection_free(conn->evhtp);
+}
+
+/* Runs again as long as there are callers that take little. */
+static void on_unsent_timer(evutil_socket_t fd, short what, void *arg)
+{
+	static const struct timeval period = {UNSENT_CHECK_PERIOD_S, 0};
+	struct caller_conns *conns = arg;
+	const struct tunables *tunables = blackboard_tunables(conns->board);
+	struct caller_conn *most;
+	int64_t sum;
+
+	(void)fd;
+	(void)what;
+	while ((most = find_most_unsent(conns, &sum)) &&
+	       sum > tunables->answer_bytes_max)
+		give_up(most);
+	if (sum)
+		evtimer_add(conns->unsent_timer, &period);
+}
+
 void caller_conns_init(struct caller_conns *conns, struct blackboard *board,
 		       evhtp_t *http,
 		       void (*send_refusal)(evhtp_request_t *http, int code))
@@ -233,6 +332,8 @@
 	conns->open = NULL;
 	conns->n_open = 0;
 	conns->send_refusal = send_refusal;
+	conns->given_up_log = (struct log_quota){0};
+	conns->unsent_timer = evtimer_new(board->base, on_unsent_timer, conns);
 	evhtp_set_post_accept_cb(http, on_accept, conns);
 }
 
@@ -294,4 +395,5 @@
 {
 	while (conns->open)
 		end_conn(conns->open);
+	event_free(conns->unsent_timer);
 }
--- a/caller_conn.h
+++ b/caller_conn.h
@@ -11,6 +11,7 @@
 #include <evhtp.h>
 
 #include "blackboard.h"
+#include "log_quota.h"
 
 struct caller_conn;
 
@@ -19,12 +20,17 @@
  * @open: the open connections
  * @n_open: number of them
  * @send_refusal: sends the response to a refused request, with an error code
+ * @unsent_timer: limits the responses of all callers that are unsent, while
+ *	there are long ones
+ * @given_up_log: limits the lines about callers that were cut off
  */
 struct caller_conns {
 	struct blackboard *board;
 	struct caller_conn *open;
 	int64_t n_open;
 	void (*send_refusal)(evhtp_request_t *http, int code);
+	struct event *unsent_timer;
+	struct log_quota given_up_log;
 };
 
 /**
--- a/counters.h
+++ b/counters.h
@@ -116,6 +116,8 @@
 	  "requests ended before their deadline, as the process ends")         \
 	X(cut, METRIC_COUNTER, "garnetreach_requests_cut_total",               \
 	  "requests without an answer when the process ended")                 \
+	X(callers_given_up, METRIC_COUNTER, "garnetreach_callers_cut_total",   \
+	  "callers cut off: their answers took too much memory, unread")       \
 	X(answers_cut, METRIC_COUNTER, "garnetreach_answers_cut_total",        \
 	  "answers not passed to the kernel when the process ended")           \
 	X(home_stop_ended, METRIC_COUNTER,                                     \
