caller_conn: limit the requests of all callers together

Four hundred clients with unfinished bodies of 900,000 bytes took 243 MB of `serve`, and 4,096 may be connected: each body had a limit, their sum none.

Received heads and bodies are counted until their request has ended. Beyond request_bytes_max (64 MB) requests are refused with 503, not run, and what came of them is discarded; a quarter of it is kept for requests with bodies up to 4 KB, which are served while long ones fill the rest.

New: tunable request_bytes_max.

--- a/caller_conn.c
+++ b/caller_conn.c
@@ -27,6 +27,9 @@
 /* No further request is read while more bytes of responses are unsent. */
 #define UNSENT_MAX_BYTES 65536
 #define UNSENT_CHECK_PERIOD_S 1
+/* Requests with shorter bodies have a share of the memory to themselves. */
+#define SHORT_BODY_MAX_BYTES 4096
+#define SHORT_REQUESTS_DIVISOR 4
 
 /**
  * struct caller_conn - one connection
@@ -34,6 +37,7 @@
  *		   or its response too long to be read
  * @header_bytes: received headers of the current request
  * @body_bytes: received body of the current request
+ * @kept_bytes: of them, those that were not discarded
  * @refusal_code: why the current request is refused, or 0
  * @is_refused: the connection exceeds callers_max
  * @held_back: nothing is read until the responses are sent
@@ -47,6 +51,7 @@
 	struct event *request_timer;
 	uint64_t header_bytes;
 	uint64_t body_bytes;
+	uint64_t kept_bytes;
 	int refusal_code;
 	bool is_refused;
 	bool held_back;
@@ -67,9 +72,41 @@
 	evtimer_add(conn->request_timer, &tv);
 }
 
-static void reset_request(struct caller_conn *conn)
+/* Counts received bytes of the current request. */
+static void count_received(struct caller_conn *conn, uint64_t *bytes,
+			   uint64_t n)
+{
+	*bytes += n;
+	conn->conns->request_bytes += (int64_t)n;
+}
+
+/* A share is kept for short requests, which are served beside long ones. */
+static bool is_memory_full(const struct caller_conn *conn)
+{
+	const struct caller_conns *conns = conn->conns;
+	int64_t max = blackboard_tunables(conns->board)->request_bytes_max;
+
+	if (conn->body_bytes > SHORT_BODY_MAX_BYTES)
+		max -= max / SHORT_REQUESTS_DIVISOR;
+	return conns->request_bytes > max;
+}
+
+static void release_body(struct caller_conn *conn)
 {
+	conn->conns->request_bytes -= (int64_t)conn->kept_bytes;
+	conn->kept_bytes = 0;
+}
+
+static void release_received(struct caller_conn *conn)
+{
+	release_body(conn);
+	conn->conns->request_bytes -= (int64_t)conn->header_bytes;
 	conn->header_bytes = 0;
+}
+
+static void reset_request(struct caller_conn *conn)
+{
+	release_received(conn);
 	conn->body_bytes = 0;
 	conn->refusal_code = conn->is_refused ? ERR_OVERLOAD : 0;
 	conn->was_paused = false;
@@ -130,7 +167,7 @@
 	struct caller_conn *conn = arg;
 
 	(void)http;
-	conn->header_bytes += header->klen + header->vlen;
+	count_received(conn, &conn->header_bytes, header->klen + header->vlen);
 	return conn->header_bytes > HEADERS_MAX_BYTES ? EVHTP_RES_BADREQ
 						      : EVHTP_RES_OK;
 }
@@ -141,6 +178,8 @@
 	struct caller_conn *conn = arg;
 
 	(void)headers;
+	if (!conn->refusal_code && is_memory_full(conn))
+		conn->refusal_code = ERR_OVERLOAD;
 	if (conn->refusal_code)
 		refuse_request(conn, http, conn->refusal_code);
 	return EVHTP_RES_OK;
@@ -163,8 +202,14 @@
 		refuse_request(conn, http,
 			       conn->refusal_code ? conn->refusal_code
 						  : ERR_TOO_LARGE);
-	if (!conn->refusal_code)
+	else if (!conn->refusal_code && is_memory_full(conn))
+		refuse_request(conn, http, ERR_OVERLOAD);
+	if (!conn->refusal_code) {
+		count_received(conn, &conn->kept_bytes,
+			       evbuffer_get_length(chunk));
 		return EVHTP_RES_OK;
+	}
+	release_body(conn);
 	evbuffer_drain(chunk, evbuffer_get_length(chunk));
 	evbuffer_drain(http->buffer_in, evbuffer_get_length(http->buffer_in));
 	return EVHTP_RES_OK;
@@ -217,6 +262,7 @@
 	evhtp_connection_unset_hook(evhtp, evhtp_hook_on_request_fini);
 	DL_DELETE(conn->conns->open, conn);
 	conn->conns->n_open--;
+	release_received(conn);
 	event_free(conn->request_timer);
 	free(conn);
 	return EVHTP_RES_OK;
@@ -331,6 +377,7 @@
 	conns->board = board;
 	conns->open = NULL;
 	conns->n_open = 0;
+	conns->request_bytes = 0;
 	conns->send_refusal = send_refusal;
 	conns->given_up_log = (struct log_quota){0};
 	conns->unsent_timer = evtimer_new(board->base, on_unsent_timer, conns);
--- a/caller_conn.h
+++ b/caller_conn.h
@@ -19,6 +19,7 @@
  * struct caller_conns - all connections of callers
  * @open: the open connections
  * @n_open: number of them
+ * @request_bytes: received of requests that are read or processed
  * @send_refusal: sends the response to a refused request, with an error code
  * @unsent_timer: limits the responses of all callers that are unsent, while
  *	there are long ones
@@ -28,6 +29,7 @@
 	struct blackboard *board;
 	struct caller_conn *open;
 	int64_t n_open;
+	int64_t request_bytes;
 	void (*send_refusal)(evhtp_request_t *http, int code);
 	struct event *unsent_timer;
 	struct log_quota given_up_log;
--- a/table.h
+++ b/table.h
@@ -98,6 +98,7 @@
 	int64_t ticket_lifetime_ms;
 	int64_t queue_max;
 	int64_t callers_max;
+	int64_t request_bytes_max;
 	int64_t answer_bytes_max;
 	int64_t ticket_max;
 	int64_t ticket_bytes_max;
--- a/table_columns.c
+++ b/table_columns.c
@@ -139,6 +139,8 @@
 		   "searches admitted and not yet answered, per instance"),
 	INT_COLUMN(T, callers_max, 1, 1000000, 4096, "connections",
 		   "caller connections open at once, per instance"),
+	INT_COLUMN(T, request_bytes_max, 65536, 1073741824, 67108864, "bytes",
+		   "requests of callers not yet answered, per instance"),
 	INT_COLUMN(T, answer_bytes_max, 65536, 1073741824, 67108864, "bytes",
 		   "answers that callers have not taken, per instance"),
 	INT_COLUMN(T, ticket_max, 1, 10000000, 50000, "tickets",
