soak_stops: clients that don't behave beside the stops

bench/soak_crowd.py: 24 clients that send without reading, read slowly, send without end, connect and send nothing, send ahead, ask and leave, or shut one side, at the addresses of callers and of pages, seeded, and that keep using a connection whatever becomes of the instance.

--- a/bench/soak_stop_judge.py
+++ b/bench/soak_stop_judge.py
@@ -80,6 +80,9 @@
         self.callers = run.callers
         self.stops = run.stops
         self.lags = run.lags
+        self.crowd = run.crowd
+        self.peak_mb = run.peak_mb
+        self.memory_max_mb = run.memory_max_mb
 
     def is_cut(self, stopped, one):
         """Rule LOST, of an attempt that the stop covers."""
@@ -136,6 +139,11 @@
                            else one.end] += 1
         return dict(sorted(counts.items()))
 
+    def memory(self):
+        if not self.memory_max_mb or self.peak_mb < self.memory_max_mb:
+            return []
+        return [["memory", round(self.peak_mb), self.memory_max_mb]]
+
     def report(self):
         cuts = self.cuts()
         refused, twice = self.unsafe()
@@ -158,7 +166,10 @@
             "refused_but_ran": len(refused),
             "ran_twice": len(twice),
             "bad_exits": len(late),
+            "crowd_played": sum(one.n_played for one in self.crowd),
+            "peak_mb": round(self.peak_mb),
             "lag_s": round(sum(b - a for a, b in self.lags), 2),
             "failed": (cuts[:SHOWN_MAX] + refused[:SHOWN_MAX]
-                       + twice[:SHOWN_MAX] + late[:SHOWN_MAX] + idle),
+                       + twice[:SHOWN_MAX] + late[:SHOWN_MAX] + idle
+                       + self.memory()),
         }
--- a/bench/soak_stops.py
+++ b/bench/soak_stops.py
@@ -3,9 +3,11 @@
 don't read, and callers that use connections and addresses until the end.
 
 usage: soak_stops.py BUILD --seeds 1-50 --jobs 2 [--instances N] [--extremes]
+           [--crowd]
 
 With --extremes some stops have 1 s or 30 s, some instances are stopped as soon
-as they listen, and some uploads are left half sent.
+as they listen, and some uploads are left half sent. With --crowd there are
+clients that don't behave, and the memory of each process is checked, too.
 
 Checked is, by what callers and servers saw, that no whole request is cut by a
 stop without an answer, that no request is refused which a server ran, and none
@@ -25,6 +27,7 @@
 import time
 
 import experiment
+import soak_crowd
 import soak_seeds
 import soak_stop_caller
 from soak import LOAD_CONTROL
@@ -52,6 +55,11 @@
 HEADER_TIMEOUT_MS = 3000
 POLL_S = 0.01
 LAG_MIN_S = 0.03
+CROWD = 24
+CROWD_MEMORY_MB = 160
+MEMORY_PERIOD_S = 0.2
+# Without it, the sanitizer keeps freed memory, up to 256 MB.
+CROWD_ENVIRONMENT = {"ASAN_OPTIONS": "quarantine_size_mb=1"}
 
 
 class Run:
@@ -78,6 +86,11 @@
                     DATA_CENTRES[i % 2], self.rng.choice(GRACES_S),
                     log_level="info", load_control=load_control)
             for i in range(options.instances)]
+        self.crowd = []
+        self.peak_mb = 0
+        self.memory_max_mb = CROWD_MEMORY_MB if options.crowd else None
+        if options.crowd:
+            self.draw_crowd(seed)
         self.may_stop = set()
         self.attempts = []
         self.callers = []
@@ -86,6 +99,14 @@
         self.lags = []
         self.tasks = set()
 
+    def draw_crowd(self, seed):
+        self.crowd = [soak_crowd.Client(i, seed, self.gateways, HOST)
+                      for i in range(CROWD)]
+        for gateway in self.gateways:
+            gateway.settings["memory_max_mb"] = CROWD_MEMORY_MB
+            gateway.environment = CROWD_ENVIRONMENT
+            gateway.write_settings()
+
     def spawn(self, coroutine):
         task = asyncio.create_task(coroutine)
         self.tasks.add(task)
@@ -119,6 +140,20 @@
                 self.lags.append((before, now))
             before = now
 
+    def read_memory(self):
+        for gateway in self.gateways:
+            try:
+                peak_mb = experiment.peak_mb(gateway.process.pid)
+            except OSError:
+                # Between a stop and the next start.
+                continue
+            self.peak_mb = max(self.peak_mb, peak_mb)
+
+    async def watch_memory(self):
+        while True:
+            self.read_memory()
+            await asyncio.sleep(MEMORY_PERIOD_S)
+
     async def until_page(self, gateway, is_expected):
         """Wait until the status of its readiness is as expected."""
         until = time.monotonic() + READY_S
@@ -141,6 +176,7 @@
         await asyncio.gather(*map(self.until_ready, self.gateways))
         self.may_stop = set(range(len(self.gateways)))
         self.spawn(self.watch_lags())
+        self.spawn(self.watch_memory())
         settings = {
             "directories": [gateway.settings["directory_address"]
                             for gateway in self.gateways],
@@ -223,6 +259,7 @@
         until = time.monotonic() + PLAY_S
         calling = [self.spawn(caller.run(until + GRACE_MAX_S))
                    for caller in self.callers]
+        calling += [self.spawn(client.run()) for client in self.crowd]
         stopping = []
         while time.monotonic() < until:
             drawn = Stop(self.rng, len(self.gateways))
@@ -271,4 +308,4 @@
 
 if __name__ == "__main__":
     sys.exit(soak_seeds.main(__doc__, play_seed, "--instances", INSTANCES,
-                             ["--extremes"]))
+                             ["--extremes", "--crowd"]))
--- a/tests/test_soak_stops.py
+++ b/tests/test_soak_stops.py
@@ -16,6 +16,7 @@
 
 BUILD = None
 SEEDS = (1, 4)
+CROWD_SEEDS = (2,)
 GRACE_S, HOLD_S = 0.5, 0.2
 STAYS = "trap '' TERM; echo; while :; do sleep 0.01; done"
 ENDS = "trap 'exit 3' TERM; echo; while :; do sleep 0.01; done"
@@ -58,11 +59,19 @@
     def test_no_request_is_cut_by_a_stop(self):
         """Guards against instances that end with requests open, which get no
         answer, or a false one, or that don't end in time."""
+        self.play(SEEDS, crowd=False)
+
+    def test_beside_clients_that_do_not_behave(self):
+        """Guards against the same, and memory that grows, beside clients that
+        send or read outside the limits."""
+        self.play(CROWD_SEEDS, crowd=True)
+
+    def play(self, seeds, crowd):
         options = argparse.Namespace(build=BUILD, keep_logs=False,
-                                     extremes=False,
+                                     extremes=False, crowd=crowd,
                                      instances=soak_stops.INSTANCES)
         for report in soak_seeds.play_at_once(soak_stops.play_seed, options,
-                                              SEEDS):
+                                              seeds):
             print(json.dumps(report), file=sys.stderr)
             with self.subTest(seed=report["seed"]):
                 self.assertFalse(report["failed"])
