test_odd_entries: statuses of the store that are none

No fault: answers of the store with status 000, 001, 099, 600, 999, two digits or a blank in the number, and whole bodies, were refused before this test, too; the instance calls again and reads the list once the status is one.

--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -52,6 +52,7 @@
 # A list of the routes, one of the servers and the watches behind them.
 CALLS_PER_S_MAX = 20
 CALM_S = 2
+ODD_CALLS = 4
 # What a stand-in sends for a call at most.
 ENDLESS_MAX_BYTES = 2 * 1024 ** 3
 
@@ -348,6 +349,36 @@
         self.check_all_known(gateway)
 
 
+class OddStatusHandler(StoreHandler):
+    """Answers rightly, but for the status."""
+
+    status = None
+
+    def send_response(self, code, message=None):
+        self.wfile.write(f"HTTP/1.1 {self.status}\r\n".encode())
+
+
+class OddStatuses(OddEntriesTest):
+    def test_statuses(self):
+        """Guards against a status of the store that is none, or none of an
+        answer, in place of 200."""
+        self.start_good()
+        for status in ("000 Unknown", "000", "001 Odd", "099 Odd", "20 OK",
+                       "20 0 OK", "600 Odd", "999 Odd"):
+            with self.subTest(status=status):
+                self.store.RequestHandlerClass = type(
+                    "Handler", (OddStatusHandler,), {"status": status})
+                calls = self.store.call_count + ODD_CALLS
+                gateway = self.gateway()
+                self.wait("the store called again",
+                          lambda: self.store.call_count > calls)
+                self.assertFalse(gateway.is_ready())
+                self.store.RequestHandlerClass = StoreHandler
+                self.wait("ready", gateway.is_ready)
+                self.check_all_known(gateway)
+                self.assertEqual(gateway.stop(), 0)
+
+
 class EndlessHandler(StoreHandler):
     """Answers each call with bytes that do not end."""
 
