upstream: end at once when another request's answer ended the connection

A caller whose server answered another request, without a length, and closed the connection waited until the time-out of its route (504 after 3 s, also on routes that may be repeated), where the same answer with a length ends at once (502, or a second send).

Cause: end_broken() took any result of upstream_conn_handle_message() but 0 for the end of the exchange. For such an answer it is ERR_LOST, so that the exchange stayed on a dead connection until its timer.

Errors fail the exchange now. test_other_request_without_a_length failed before (504 for 502, both routes) and passes.

--- a/tests/test_odd_answers.py
+++ b/tests/test_odd_answers.py
@@ -93,6 +93,21 @@
         for _ in range(3):
             self.assertEqual(caller.request("/once/x").status, 200)
 
+    def test_other_request_without_a_length(self):
+        """Guards against a wait until the time-out, once an answer to another
+        request has ended with its connection."""
+        server, caller = self.start_odd()
+        server.close_after = True
+        server.respond = lambda s, r: answer(
+            FOREIGN_BODY, headers=[("X-Request-Id", "other"),
+                                   ("X-Server-Stamp", "s.other")], length=-1)
+        for path in ("/once/x", "/any/x"):
+            with self.subTest(path=path):
+                got = caller.request(path)
+                self.assertEqual(got.status, 502)
+                self.assertNotIn(FOREIGN_BODY, got.body)
+                self.assertIn(b"lost", got.body)
+
     def test_part_of_searches(self):
         """Guards against a server that is asked in each search though its
         answers are none."""
--- a/upstream.c
+++ b/upstream.c
@@ -339,15 +339,17 @@
 /* The server closed or reset an open connection. */
 static void end_broken(struct upstream_conn *conn, bool in_order)
 {
+	int ret = 0;
+
 	if (!conn->exchange) {
 		upstream_conn_free(conn);
 		return;
 	}
 	/* Without a length, only an orderly close marks the end. */
-	if (in_order && http_message_eof(&conn->message) == 1 &&
-	    upstream_conn_handle_message(conn))
-		return;
-	upstream_conn_fail(conn, ERR_LOST);
+	if (in_order && http_message_eof(&conn->message) == 1)
+		ret = upstream_conn_handle_message(conn);
+	if (ret <= 0)
+		upstream_conn_fail(conn, ret ? ret : ERR_LOST);
 }
 
 static void on_event(struct bufferevent *bev, short what, void *arg)
