test_misbehaving_clients: count unread bytes of the process alone

The bytes that the kernel holds were those of all sockets with the instance's IP, which a second run beside it has, too. They are those of the process's own descriptors now; crowd and bounds are as they were.

--- a/tests/test_misbehaving_clients.py
+++ b/tests/test_misbehaving_clients.py
@@ -6,6 +6,7 @@
 usage: test_misbehaving_clients.py BUILD [unittest options]
 """
 
+import os
 import pathlib
 import select
 import signal
@@ -65,11 +66,19 @@
 STRANGER_BYTES = 2 * MB
 # Established, and closed by the client only, in /proc/net/tcp.
 OPEN_STATES = ("01", "08")
+LISTENING = "0A"
 NO_ROUTE = (f"GET /x HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: 1\r\n\r\n"
             .encode())
 UNREAD_GET = "GET {} HTTP/1.1\r\nHost: a\r\n\r\n"
 
 
+def tcp_sockets():
+    """Return the fields of /proc/net/tcp: 1 is the local address, 3 the state,
+    4 the bytes unsent and unread, 9 the inode."""
+    lines = pathlib.Path("/proc/net/tcp").read_text().splitlines()
+    return [line.split() for line in lines[1:]]
+
+
 class WideServer(OpaqueServer):
     """Processes many requests at once."""
 
@@ -195,17 +204,22 @@
 
     def unread_mb(self, gateway):
         """Return what the kernel holds for the process to read."""
-        ip = socket.inet_aton(gateway.ip)[::-1].hex().upper()
-        unread = 0
-        for line in pathlib.Path("/proc/net/tcp").read_text().splitlines():
-            fields = line.split()
-            if fields[1].startswith(ip) and fields[3] != "0A":
-                unread += int(fields[4].partition(":")[2], 16)
-        return unread / MB
+        own = set()
+        for path in self.descriptors(gateway):
+            try:
+                own.add(os.readlink(path))
+            except OSError:
+                # Closed meanwhile.
+                pass
+        return sum(
+            int(row[4].partition(":")[2], 16) for row in tcp_sockets()
+            if f"socket:[{row[9]}]" in own and row[3] != LISTENING) / MB
+
+    def descriptors(self, gateway):
+        return list(pathlib.Path(f"/proc/{gateway.process.pid}/fd").iterdir())
 
     def n_descriptors(self, gateway):
-        return len(list(
-            pathlib.Path(f"/proc/{gateway.process.pid}/fd").iterdir()))
+        return len(self.descriptors(gateway))
 
     def ask(self, path="/any/1", method="GET", body=b""):
         """Return the status of an ordinary request, None without one."""
@@ -312,9 +326,8 @@
         """Return the number of the connections of callers that are open."""
         ip = socket.inet_aton(gateway.ip)[::-1].hex().upper()
         local = f"{ip}:{gateway.port:04X}"
-        rows = [line.split() for line in
-                pathlib.Path("/proc/net/tcp").read_text().splitlines()]
-        return sum(row[1] == local and row[3] in OPEN_STATES for row in rows)
+        return sum(row[1] == local and row[3] in OPEN_STATES
+                   for row in tcp_sockets())
 
     def test_unread_answer_before_close(self):
         """Guards against connections that are kept for ever, as the client
