gateway_pages: keep all three sums of an address within the pages' share

Each address took an eighth of the pages' memory for its requests, its answers and what is sent ahead each, so that four addresses could take half as much again as the plan gives them. It is a twelfth now.

--- a/gateway_pages.c
+++ b/gateway_pages.c
@@ -18,6 +18,8 @@
  * long. Short, so that callers soon leave an instance that fails or stops.
  */
 #define DIRECTORY_LIFETIME_S 2.0
+/* Requests, answers and what is sent ahead have equal shares. */
+#define SUMS 3
 
 static void respond_status(struct inbound_conn *conn, int status)
 {
@@ -283,7 +285,7 @@
 {
 	struct gateway *gateway = pages->gateway;
 	struct inbound *server = &pages->servers[pages->n];
-	size_t memory = gateway->memory.pages / GATEWAY_PAGES_ADDRESSES / 2;
+	size_t memory = gateway->memory.pages / GATEWAY_PAGES_ADDRESSES / SUMS;
 
 	if (!address->port)
 		return 0;
