inbound_limits: spare steady readers and short answers when memory is short

Found while reading the change: a request whose answer did not fit made room by resetting any caller who had a second for his answer, also one that reads 8 MB at a megabyte a second, and requests with short answers were refused beside expected long ones.

Room is made at the cost of callers only who need more than 10 s for the rest at the pace that they have had (answer_progress_time_left()); otherwise the new request is refused, which has not run. A quarter of the share is for answers up to 64 KB. With nothing unsent a request is always let in, so that a small memory_max_mb does not refuse the longest answer in calm.

--- a/answer_progress.h
+++ b/answer_progress.h
@@ -35,6 +35,16 @@
  */
 bool answer_progress_look(struct answer_progress *progress, size_t unsent);
 
+/**
+ * answer_progress_time_left() - how long the caller needs for the rest at the
+ * pace that it has had
+ * @unsent: bytes left
+ *
+ * Return: microseconds.
+ */
+int64_t answer_progress_time_left(const struct answer_progress *progress,
+				  size_t unsent, int64_t now);
+
 /**
  * answer_progress_cost() - what it costs to keep sending
  * @held: memory that is freed when the rest is sent, bytes
--- a/gateway_request.c
+++ b/gateway_request.c
@@ -440,9 +440,8 @@
 {
 	const struct route_stats *stats = get_route_stats(gateway, route);
 
-	return inbound_make_room(&gateway->inbound,
-				 gateway->expected_answers +
-					 (size_t)stats->answer_size);
+	return inbound_make_room(&gateway->inbound, (size_t)stats->answer_size,
+				 gateway->expected_answers);
 }
 
 static void refuse_no_memory(struct gateway *gateway, struct inbound_conn *conn,
--- a/inbound.h
+++ b/inbound.h
@@ -185,13 +185,15 @@
 			   struct evbuffer *fields, char *body, size_t len);
 
 /**
- * inbound_make_room() - make room for further responses
- * @size: of them, bytes
+ * inbound_make_room() - make room for a further response
+ * @size: of it, bytes
+ * @expected: of those that are to come before it, bytes
  *
- * Gives up responses that their callers have had time to take, slowest first.
+ * Gives up responses whose callers take little, slowest first. Short ones have
+ * a share to themselves.
  *
  * Return: whether there is room.
  */
-bool inbound_make_room(struct inbound *inbound, size_t size);
+bool inbound_make_room(struct inbound *inbound, size_t size, size_t expected);
 
 #endif
--- a/inbound_limits.c
+++ b/inbound_limits.c
@@ -29,6 +29,11 @@
 #define UNREAD_CHECK_PERIOD_S 1
 /* Time to take a response before others may need its memory more. */
 #define TAKING_TIME MSEC(1000)
+/* Who needs longer at its pace makes room for others' responses. */
+#define SLOW_TIME_LEFT MSEC(10000)
+/* Shorter responses are let in beside long ones, which have a share less. */
+#define SHORT_RESPONSE_MAX 65536
+#define SHORT_RESPONSES_DIVISOR 4
 
 void inbound_count_given_up(struct inbound *inbound, const char *ip,
 			    enum inbound_cause cause, size_t unsent)
@@ -160,13 +165,18 @@
 	}
 }
 
-/*
- * Finds the response that costs most to keep.
- *
- * @min_age: time that its caller must have had, microseconds
- */
+/* Whether its caller had time to take the response, and took little. */
+static bool is_slow(const struct inbound_conn *conn, int64_t now)
+{
+	return now - conn->progress.since >= TAKING_TIME &&
+	       answer_progress_time_left(&conn->progress,
+					 conn_unsent(conn->bev),
+					 now) > SLOW_TIME_LEFT;
+}
+
+/* Finds the response that costs most to keep, of all or of the slow ones. */
 static struct inbound_conn *find_costliest(const struct inbound *inbound,
-					   int64_t min_age)
+					   bool slow_only)
 {
 	int64_t now = clock_now(inbound->clock);
 	struct inbound_conn *costliest = NULL;
@@ -177,7 +187,7 @@
 		double cost = answer_progress_cost(&conn->progress, conn->held,
 						   conn_unsent(conn->bev), now);
 
-		if (!conn->held || now - conn->progress.since < min_age ||
+		if (!conn->held || (slow_only && !is_slow(conn, now)) ||
 		    (costliest && cost <= most))
 			continue;
 		most = cost;
@@ -186,15 +196,23 @@
 	return costliest;
 }
 
-bool inbound_make_room(struct inbound *inbound, size_t size)
+bool inbound_make_room(struct inbound *inbound, size_t size, size_t expected)
 {
 	const struct http_memory *answers = &inbound->answers;
+	size_t max = answers->max;
 	struct inbound_conn *conn;
 
-	while (answers->used + size > answers->max &&
-	       (conn = find_costliest(inbound, TAKING_TIME)))
+	/* In calm, a response of any size is let in. */
+	if (!answers->used && !expected)
+		return true;
+	if (size > SHORT_RESPONSE_MAX) {
+		max -= max / SHORT_RESPONSES_DIVISOR;
+		size += expected;
+	}
+	while (answers->used + size > max &&
+	       (conn = find_costliest(inbound, true)))
 		inbound_conn_give_up(conn, INBOUND_MEMORY);
-	return answers->used + size <= answers->max;
+	return answers->used + size <= max;
 }
 
 static void on_limiter(evutil_socket_t fd, short what, void *arg)
@@ -205,7 +223,7 @@
 	(void)fd;
 	(void)what;
 	while (inbound->answers.used > inbound->answers.max &&
-	       (conn = find_costliest(inbound, 0)))
+	       (conn = find_costliest(inbound, false)))
 		inbound_conn_give_up(conn, INBOUND_MEMORY);
 }
 
--- a/tests/test_answer_progress.c
+++ b/tests/test_answer_progress.c
@@ -23,6 +23,19 @@
 	CU_ASSERT(!answer_progress_look(&progress, 100));
 }
 
+/* Guards against callers that read steadily taken for those that do not. */
+static void test_time_left(void)
+{
+	struct answer_progress progress;
+
+	answer_progress_start(&progress, 8 * MB, 0);
+	CU_ASSERT(answer_progress_time_left(&progress, 6 * MB, MSEC(1000)) <=
+		  MSEC(3000));
+	CU_ASSERT(answer_progress_time_left(&progress, 8 * MB, MSEC(1000)) >
+		  MSEC(1000000));
+	CU_ASSERT(!answer_progress_time_left(&progress, 0, MSEC(1000)));
+}
+
 static double cost(size_t size, size_t unsent, int64_t time)
 {
 	struct answer_progress progress;
@@ -47,6 +60,7 @@
 static const struct unit_test tests[] = {
 	{"bytes that were taken are seen", test_progress_is_seen},
 	{"a caller that takes nothing is seen", test_nothing_taken_is_seen},
+	{"time left follows from the pace", test_time_left},
 	{"cost grows with memory and with time per byte", test_costs},
 };
 
