test_misbehaving_clients: callers as far as the limits go

A connection idle for four fifths of the idle time-out is still served, and the longest body on all kinds of routes; a byte more gets 413.

--- a/tests/test_misbehaving_clients.py
+++ b/tests/test_misbehaving_clients.py
@@ -408,6 +408,32 @@
         self.assertLess(self.n_descriptors(gateway), before + 200)
 
 
+class Honest(ClientsTest):
+    """Clients within the limits, as far as they go."""
+
+    def test_idle_connection_is_kept(self):
+        """Guards against a limit that ends an idle connection within four
+        fifths of the idle time-out, while there is place."""
+        gateway = self.start(idle_timeout_ms=5000,
+                             descriptors_max=DESCRIPTORS_MAX)
+        caller = self.caller(gateway)
+        self.assertEqual(caller.request("/any/1").status, 200)
+        self.crowd.send(self.front, DESCRIPTORS_MAX // 4, NO_ROUTE[:-4])
+        time.sleep(4)
+        self.assertEqual(caller.request("/any/2").status, 200)
+
+    def test_longest_body(self):
+        """Guards against a limit on requests that refuses the longest body,
+        and one that lets a longer one in."""
+        gateway = self.start()
+        for path in ("/any/1", "/once/1", "/shards/1"):
+            self.assertEqual(
+                self.ask(path, "POST", b"q" * BODY_BYTES), 200, path)
+        self.assertEqual(self.ask("/any/1", "POST", b"q" * (BODY_BYTES + 1)),
+                         413)
+        self.check(gateway)
+
+
 class Connections(ClientsTest):
     def check_full(self, gateway):
         self.check_ordinary()
