peer, relay_serve: count what is refused for memory

The limits on frames and relayed requests of all instances together had no counter, so that an operator could not see them at work: garnetreach_peer_frames_refused_total, garnetreach_relay_sends_refused_total, of gateways garnetreach_gateway_frames_refused and _sends_refused. test_peer and test_relay_serve check both.

--- a/counters.h
+++ b/counters.h
@@ -60,6 +60,12 @@
 	  "cancellations sent to backend servers")                             \
 	X(peer_frames_in, METRIC_COUNTER, "garnetreach_peer_frames_in_total",  \
 	  "frames received from other instances")                              \
+	X(peer_frames_refused, METRIC_COUNTER,                                 \
+	  "garnetreach_peer_frames_refused_total",                             \
+	  "frames not sent as other instances had not read too many")          \
+	X(relay_sends_refused, METRIC_COUNTER,                                 \
+	  "garnetreach_relay_sends_refused_total",                             \
+	  "sends of other instances not made for want of memory")              \
 	X(peer_strangers_closed, METRIC_COUNTER,                               \
 	  "garnetreach_peer_strangers_closed_total",                           \
 	  "connections closed as too many did not say which instance they "    \
--- a/gateway_pages.c
+++ b/gateway_pages.c
@@ -132,6 +132,10 @@
 		   gateway->fleet.board.counters.peer_links.value);
 	metric_set(&counters->strangers_closed,
 		   gateway->fleet.board.counters.peer_strangers_closed.value);
+	metric_set(&counters->gateway_frames_refused,
+		   gateway->fleet.board.counters.peer_frames_refused.value);
+	metric_set(&counters->relay_refused,
+		   gateway->fleet.board.counters.relay_sends_refused.value);
 	metric_set(&counters->heartbeat_bytes,
 		   gateway->fleet.board.counters.member_bytes_out.value);
 	metric_set(&counters->store_calls, (int64_t)gateway->store.calls);
--- a/gateway_stats.h
+++ b/gateway_stats.h
@@ -137,6 +137,11 @@
 	  "open connections between gateways, both directions")                \
 	X(strangers_closed, METRIC_GAUGE, "garnetreach_gateway_links_refused", \
 	  "connections closed as too many did not tell their instance")        \
+	X(gateway_frames_refused, METRIC_GAUGE,                                \
+	  "garnetreach_gateway_frames_refused",                                \
+	  "frames not sent since the start: gateways had not read too many")   \
+	X(relay_refused, METRIC_GAUGE, "garnetreach_gateway_sends_refused",    \
+	  "sends of other gateways not made since the start: no memory")       \
 	X(heartbeat_bytes, METRIC_GAUGE,                                       \
 	  "garnetreach_gateway_heartbeat_bytes",                               \
 	  "heartbeat bytes sent since start")                                  \
--- a/peer.c
+++ b/peer.c
@@ -115,8 +115,12 @@
 	size_t before = evbuffer_get_length(out);
 	int ret;
 
-	if (link->closed || is_backlog_full(link, before))
+	if (link->closed)
+		return ERR_UNAVAILABLE;
+	if (is_backlog_full(link, before)) {
+		metric_inc(&link->peers->board->counters.peer_frames_refused);
 		return ERR_UNAVAILABLE;
+	}
 	ret = frame_write(out, type, message);
 	link->last_sent_at = clock_now(link->peers->board->clock);
 	if (!ret)
--- a/relay_serve.c
+++ b/relay_serve.c
@@ -306,8 +306,12 @@
 	struct registry_server *server =
 		registry_find(relay->registry, str_from(part->server));
 
-	if (relay->ended || relay->memory.used > relay->memory.max)
+	if (relay->ended)
 		return ERR_BUDGET;
+	if (relay->memory.used > relay->memory.max) {
+		metric_inc(&relay->board->counters.relay_sends_refused);
+		return ERR_BUDGET;
+	}
 	if (!server || !registry_is_open(server))
 		return ERR_DRAINING;
 	server = registry_note_start(relay->registry, server, part->born);
--- a/tests/test_peer.c
+++ b/tests/test_peer.c
@@ -163,6 +163,7 @@
 	failure.subject = (char *)"";
 	CU_ASSERT_EQUAL(peer_send(next, FRAME_FAILURE, &failure.base),
 			ERR_UNAVAILABLE);
+	CU_ASSERT_EQUAL(fixture.board.counters.peer_frames_refused.value, 1);
 	peers_finish(&fixture.peers);
 	close(next_end);
 	tear_down(&fixture);
--- a/tests/test_relay_serve.c
+++ b/tests/test_relay_serve.c
@@ -310,6 +310,7 @@
 	peers_flush(&fixture.peers);
 	check_not_run(&fixture);
 	CU_ASSERT_EQUAL(fixture.relay.memory.used, 0);
+	CU_ASSERT_EQUAL(fixture.board.counters.relay_sends_refused.value, 1);
 	fixture.relay.memory.max = BODY_SIZE;
 	ask(&fixture, 1);
 	CU_ASSERT_EQUAL(fixture.n_sent, 1);
