--- a/review/rig.py
+++ b/review/rig.py
@@ -296,6 +296,10 @@
             return True
         if self.behave:
             return self.behave(self, conn, method, target, headers, body)
+        return self.work(conn, request_id, target, body)
+
+    def work(self, conn, request_id, target, body):
+        """Runs a request in one of the slots, or sheds it."""
         with self.lock:
             self.got.append((time.monotonic(), request_id, target))
             full = self.held >= SLOTS + QUEUE
