--- a/review/5/case.py
+++ b/review/5/case.py
@@ -5,7 +5,6 @@
 import os
 import pathlib
 import sys
-import tempfile
 import threading
 import time
 
@@ -56,8 +55,8 @@
             return 2
         stop = threading.Event()
         counts = {}
-        threads = [threading.Thread(target=ask, args=(gateways[n % 4], n, stop,
-                                                      record, counts))
+        threads = [threading.Thread(target=ask, daemon=True, args=(
+            gateways[n % 4], n, stop, record, counts))
                    for n in range(REQUESTERS)]
         for thread in threads:
             thread.start()
@@ -159,5 +158,4 @@
 
 
 if __name__ == "__main__":
-    with tempfile.TemporaryDirectory() as tmp:
-        sys.exit(main(tmp))
+    rig.run(main)
--- a/review/6/case.py
+++ b/review/6/case.py
@@ -5,7 +5,6 @@
 import os
 import pathlib
 import sys
-import tempfile
 import threading
 import time
 
@@ -86,8 +85,8 @@
             return 2
         stop = threading.Event()
         counts = {}
-        threads = [threading.Thread(target=ask, args=(gateways[n % 4], n, stop,
-                                                      record, counts))
+        threads = [threading.Thread(target=ask, daemon=True, args=(
+            gateways[n % 4], n, stop, record, counts))
                    for n in range(16)]
         for thread in threads:
             thread.start()
@@ -169,5 +168,4 @@
 
 
 if __name__ == "__main__":
-    with tempfile.TemporaryDirectory() as tmp:
-        sys.exit(main(tmp))
+    rig.run(main)
--- a/review/rig.py
+++ b/review/rig.py
@@ -8,13 +8,15 @@
 import json
 import os
 import pathlib
-import random
 import signal
 import socket
 import struct
 import subprocess
+import sys
+import tempfile
 import threading
 import time
+import traceback
 import urllib.parse
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
@@ -475,3 +477,16 @@
             return True
         time.sleep(0.05)
     return False
+
+
+def run(main):
+    """Calls main() with a temporary folder and exits with what it returns, or
+    with 2 if it could not run. SIGTERM ends it, and all that it started."""
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
+    try:
+        with tempfile.TemporaryDirectory() as directory:
+            code = main(directory)
+    except Exception:  # what could not run is no broken rule
+        traceback.print_exc()
+        code = 2
+    sys.exit(code)
