--- a/review/6/case.py
+++ b/review/6/case.py
@@ -17,6 +17,7 @@
 STABLE_S = 4.0      # Bounds.StableMs
 RETRIES_MAX = 3     # of BUDGET
 DOWN_S = 3.0        # a crashed server is back "after some seconds"
+EXPIRES_S = 3.6     # its entry goes after three ping intervals of silence
 KILLS = 2           # herd_kill with on = "core": all of them are killed
 ZONES = {"hall-mechelen": "be-central", "hall-leuven": "be-central"}
 SERVERS = 7         # of contractor-registry
@@ -52,7 +53,8 @@
         self.record.write(f"server {server.name} crashes, running "
                           f"{server.held} other requests")
         server.close()
-        self.store.remove(f"servers/{server.name}")
+        threading.Timer(EXPIRES_S, self.store.remove,
+                        (f"servers/{server.name}",)).start()
         for slot in slots:
             threading.Timer(DOWN_S, self.start, (slot,)).start()
         return False
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Builds what the scripts of review/4 to review/8 start besides the program of
+# Builds what the scripts of review/4 to review/6 start besides the program of
 # the deploy file. Their stand-ins are Python modules (review/rig.py) that need
 # no build; this only finds out whether they can run.
 cd "$(dirname "$0")" || exit 1
