registry: order a server's writes by its start and Sequence

Cause: the order of entries was the store's revision, which is the order in which the store did the writes. That an instance never heard of the drain is ruled out: the server got no request from 0.24 s after the drain until the late write.

Change: registry_compare() orders by start, then Sequence; the revision orders removals and answers with the same write. The sequence goes with rows between instances (0: an older instance, whose row at a known revision changes nothing). An earlier write moves the known revision on, and peers that have only listed the store are told what is known. As other writers may leave any number, an earlier write that stands for 4.8 s is taken: a late one is overwritten by the next beat or expires in 3.6 s. `draining` is taken at once. The server_word_dropped line has both starts, counts and revisions.

Why it holds: what a server said last is decided by its own count on each path; the hold outlives any late write, whose entry is overwritten or gone by then.

--- a/peer.pb-c.c
+++ b/peer.pb-c.c
@@ -4755,7 +4755,7 @@
   (ProtobufCMessageInit) peer__failure__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__view_server__field_descriptors[11] =
+static const ProtobufCFieldDescriptor peer__view_server__field_descriptors[13] =
 {
   {
     "id",
@@ -4889,6 +4889,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "sequence",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__ViewServer, sequence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "recounted_at",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__ViewServer, recounted_at),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__view_server__field_indices_by_name[] = {
   3,   /* field[3] = address */
@@ -4899,14 +4923,16 @@
   2,   /* field[2] = data_centre */
   6,   /* field[6] = draining */
   0,   /* field[0] = id */
+  12,   /* field[12] = recounted_at */
   7,   /* field[7] = removed */
+  11,   /* field[11] = sequence */
   1,   /* field[1] = service */
   4,   /* field[4] = slots */
 };
 static const ProtobufCIntRange peer__view_server__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor peer__view_server__descriptor =
 {
@@ -4916,7 +4942,7 @@
   "Peer__ViewServer",
   "peer",
   sizeof(Peer__ViewServer),
-  11,
+  13,
   peer__view_server__field_descriptors,
   peer__view_server__field_indices_by_name,
   1,  peer__view_server__number_ranges,
--- a/peer.pb-c.h
+++ b/peer.pb-c.h
@@ -747,10 +747,18 @@
    * the store's revision; 0: not known
    */
   uint64_t created_at;
+  /*
+   * of the server's write; 0: not known
+   */
+  uint64_t sequence;
+  /*
+   * the store's revision; 0: never
+   */
+  uint64_t recounted_at;
 };
 #define PEER__VIEW_SERVER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__view_server__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/registry.c
+++ b/registry.c
@@ -186,20 +186,31 @@
 	return removed && removed->changed_at >= changed_at;
 }
 
+static struct registry_write write_of(const struct server_entry *entry)
+{
+	return (struct registry_write){
+		.started_at_ms = entry->started_at_ms,
+		.sequence = entry->sequence,
+		.recounted_at = entry->recounted_at,
+	};
+}
+
 static void remember_removal(struct registry *registry, struct str id,
 			     uint64_t changed_at)
 {
+	const struct registry_server *server = registry_find(registry, id);
 	struct registry_removed *removed = find_removed(registry, id);
 
-	if (removed) {
-		if (changed_at > removed->changed_at)
-			removed->changed_at = changed_at;
-		return;
+	if (!removed) {
+		removed = &registry->removed[registry->n_removed++ %
+					     REGISTRY_REMOVED_MAX];
+		memset(removed, 0, sizeof(*removed));
+		removed->id = str_hash(id);
 	}
-	removed = &registry->removed[registry->n_removed++ %
-				     REGISTRY_REMOVED_MAX];
-	removed->id = str_hash(id);
-	removed->changed_at = changed_at;
+	if (changed_at > removed->changed_at)
+		removed->changed_at = changed_at;
+	if (server)
+		removed->last = write_of(&server->entry);
 }
 
 const char *registry_order_name(enum registry_order order)
@@ -208,6 +219,7 @@
 		[REGISTRY_NEWER] = "newer",
 		[REGISTRY_REPEATED] = "repeated",
 		[REGISTRY_OLDER] = "older",
+		[REGISTRY_EARLIER_WRITE] = "earlier_write",
 		[REGISTRY_EARLIER_START] = "earlier_start",
 		[REGISTRY_REMOVED] = "removed",
 	};
@@ -226,26 +238,126 @@
 	return removed ? removed->changed_at : 0;
 }
 
-enum registry_order registry_compare(const struct registry *registry,
-				     const struct server_entry *entry,
-				     uint64_t changed_at)
+struct registry_write registry_known_write(const struct registry *registry,
+					   struct str id)
 {
-	const struct registry_server *server =
-		registry_find(registry, str_from(entry->id));
+	const struct registry_server *server = registry_find(registry, id);
+	const struct registry_removed *removed;
+
+	if (server)
+		return write_of(&server->entry);
+	removed = find_removed(registry, id);
+	return removed ? removed->last : (struct registry_write){0};
+}
+
+static bool is_same_start(int64_t started_at_ms, int64_t other_ms)
+{
+	return started_at_ms == other_ms || !started_at_ms || !other_ms;
+}
+
+void registry_continue_count(const struct registry *registry,
+			     struct server_entry *entry)
+{
+	const struct registry_write known =
+		registry_known_write(registry, str_from(entry->id));
+
+	if (is_same_start(entry->started_at_ms, known.started_at_ms))
+		entry->recounted_at = known.recounted_at;
+}
+
+/*
+ * Return: below 0 if the entry is an earlier write than @known, above 0 if it
+ * is a later one, 0 if that can't be told or it is the same.
+ */
+static int compare_writes(const struct server_entry *entry,
+			  const struct registry_write *known)
+{
+	if (!entry->sequence || !known->sequence ||
+	    !is_same_start(entry->started_at_ms, known->started_at_ms))
+		return 0;
+	if (entry->recounted_at != known->recounted_at)
+		return entry->recounted_at < known->recounted_at ? -1 : 1;
+	if (entry->sequence == known->sequence)
+		return 0;
+	return entry->sequence < known->sequence ? -1 : 1;
+}
+
+static enum registry_order
+compare_with_removed(const struct registry *registry,
+		     const struct server_entry *entry, uint64_t changed_at)
+{
+	const struct registry_removed *removed =
+		find_removed(registry, str_from(entry->id));
+
+	/* Revisions of an earlier era can't be compared. */
+	if (!removed || (!removed->changed_at && changed_at))
+		return REGISTRY_NEWER;
+	/* Confirmed later than instances were told that it is not there. */
+	if (entry->recounted_at > removed->last.recounted_at &&
+	    entry->recounted_at >= removed->changed_at)
+		return REGISTRY_NEWER;
+	if (removed->changed_at >= changed_at)
+		return REGISTRY_REMOVED;
+	return compare_writes(entry, &removed->last) < 0
+		       ? REGISTRY_EARLIER_WRITE
+		       : REGISTRY_NEWER;
+}
+
+/* @server is not drained by an earlier write of it that comes from a peer. */
+static bool begins_to_drain(const struct registry_server *server,
+			    const struct server_entry *entry,
+			    uint64_t changed_at)
+{
+	return entry->draining && !server->entry.draining &&
+	       changed_at > server->changed_at &&
+	       entry->recounted_at == server->entry.recounted_at;
+}
+
+static enum registry_order
+compare_with_server(const struct registry_server *server,
+		    const struct server_entry *entry, uint64_t changed_at)
+{
+	const struct registry_write known = write_of(&server->entry);
+	bool equal = entry_eq(&server->entry, entry);
+	int order = compare_writes(entry, &known);
 
-	if (!server)
-		return registry_was_removed(registry, str_from(entry->id),
-					    changed_at)
-			       ? REGISTRY_REMOVED
-			       : REGISTRY_NEWER;
 	if (changed_at < server->changed_at)
-		return entry_eq(&server->entry, entry) ? REGISTRY_REPEATED
-						       : REGISTRY_OLDER;
+		return equal ? REGISTRY_REPEATED : REGISTRY_OLDER;
 	/* Late update of a previous process. */
 	if (entry->started_at_ms &&
 	    entry->started_at_ms < server->entry.started_at_ms)
 		return REGISTRY_EARLIER_START;
-	return REGISTRY_NEWER;
+	/* Known from an earlier era: the store may have lost the later ones. */
+	if (!server->changed_at)
+		return REGISTRY_NEWER;
+	/* A peer that does not read sequences has accepted any write. */
+	if (changed_at == server->changed_at && known.sequence &&
+	    !entry->sequence)
+		return equal ? REGISTRY_REPEATED : REGISTRY_OLDER;
+	/* A needless drain costs a server's room for a short time only. */
+	if (order >= 0 || begins_to_drain(server, entry, changed_at))
+		return REGISTRY_NEWER;
+	return equal ? REGISTRY_REPEATED : REGISTRY_EARLIER_WRITE;
+}
+
+enum registry_order registry_compare(const struct registry *registry,
+				     const struct server_entry *entry,
+				     uint64_t changed_at)
+{
+	const struct registry_server *server =
+		registry_find(registry, str_from(entry->id));
+
+	return server ? compare_with_server(server, entry, changed_at)
+		      : compare_with_removed(registry, entry, changed_at);
+}
+
+/* Only the revision, of a write that is earlier or already known. */
+static void keep_revision(struct registry_server *server,
+			  enum registry_order order, uint64_t changed_at)
+{
+	if (server && order != REGISTRY_EARLIER_START &&
+	    changed_at > server->changed_at)
+		server->changed_at = changed_at;
 }
 
 bool registry_put(struct registry *registry, const struct server_entry *entry,
@@ -253,11 +365,18 @@
 {
 	struct registry_server *server =
 		registry_find(registry, str_from(entry->id));
+	enum registry_order order =
+		registry_compare(registry, entry, changed_at);
+	struct registry_write known =
+		registry_known_write(registry, str_from(entry->id));
+	bool is_recount = compare_writes(entry, &known) < 0;
 	int64_t started_at_ms;
 	bool changed;
 
-	if (registry_compare(registry, entry, changed_at) != REGISTRY_NEWER)
+	if (order != REGISTRY_NEWER) {
+		keep_revision(server, order, changed_at);
 		return false;
+	}
 	if (server && strcmp(server->entry.service, entry->service)) {
 		remove_server(registry, server);
 		server = NULL;
@@ -271,6 +390,8 @@
 	started_at_ms = server->entry.started_at_ms;
 	server->entry = *entry;
 	server->entry.started_at_ms = started_at_ms;
+	if (is_recount)
+		server->entry.recounted_at = changed_at;
 	server->gone = false;
 	server->changed_at = changed_at;
 	if (entry->draining && changed)
@@ -368,6 +489,9 @@
 	if (started_at_ms <= entry.started_at_ms)
 		return server;
 	entry.started_at_ms = started_at_ms;
+	/* The new process counts anew. */
+	entry.sequence = 0;
+	entry.recounted_at = 0;
 	server = replace_restarted(registry, server, &entry);
 	/* The full entry with a newer revision is still to arrive. */
 	server->changed_at = changed_at;
--- a/registry.h
+++ b/registry.h
@@ -42,6 +42,10 @@
  *	published
  * @created_at: store revision at which the entry was created, 0: unknown; an
  *	entry that expires and returns gets a new one
+ * @sequence: number of this write, counted by the server since its start; 0:
+ *not published
+ * @recounted_at: store revision at which a lower @sequence than the known one
+ *	was last accepted, so that the count runs from there; 0: never
  * @cold_for: how much longer the server is cold and accepts few requests,
  *	microseconds from publication
  * @draining: it takes no new requests and will stop soon
@@ -54,6 +58,8 @@
 	int64_t slots;
 	int64_t started_at_ms;
 	uint64_t created_at;
+	uint64_t sequence;
+	uint64_t recounted_at;
 	int64_t cold_for;
 	bool draining;
 };
@@ -167,14 +173,28 @@
  */
 #define REGISTRY_REMOVED_MAX 4096
 
+/**
+ * struct registry_write - which of its writes a server's entry is
+ * @started_at_ms: see struct server_entry, as for the other members
+ * @sequence: of the write
+ * @recounted_at: of the write
+ */
+struct registry_write {
+	int64_t started_at_ms;
+	uint64_t sequence;
+	uint64_t recounted_at;
+};
+
 /**
  * struct registry_removed - a removed server
  * @id: hash of the server id
  * @changed_at: store revision of the removal; 0: in an earlier era of the store
+ * @last: the last write before it; without a start and a count if not known
  */
 struct registry_removed {
 	uint64_t id;
 	uint64_t changed_at;
+	struct registry_write last;
 };
 
 /**
@@ -219,11 +239,17 @@
 		   void *arg);
 void registry_finish(struct registry *registry);
 
-/* How a received entry compares to the known state of its server. */
+/*
+ * How a received entry compares to the known state of its server. A server's
+ * writes are ordered by its start, then by the sequence that it counts since:
+ * the store may do an earlier write later. The store's revision orders what
+ * the store knows: removals, and answers with the same write.
+ */
 enum registry_order {
 	REGISTRY_NEWER,
 	REGISTRY_REPEATED,	/* older, with the same content */
 	REGISTRY_OLDER,		/* older, with different content */
+	REGISTRY_EARLIER_WRITE, /* newer in the store, earlier of the server */
 	REGISTRY_EARLIER_START, /* of a previous process with this id */
 	REGISTRY_REMOVED,	/* older than the removal of its entry */
 };
@@ -254,12 +280,34 @@
 uint64_t registry_known_revision(const struct registry *registry,
 				 struct str id);
 
+/**
+ * registry_known_write() - the last accepted write of a server
+ * @registry: the registry
+ * @id: server id, which may have been removed
+ *
+ * Return: all zero if it is not known.
+ */
+struct registry_write registry_known_write(const struct registry *registry,
+					   struct str id);
+
+/**
+ * registry_continue_count() - set an entry's @recounted_at to the known one, as
+ * the store does not tell it
+ * @registry: the registry
+ * @entry: read from the store
+ */
+void registry_continue_count(const struct registry *registry,
+			     struct server_entry *entry);
+
 /**
  * registry_put() - add or update a server
  * @registry: the registry
  * @entry: copied
  * @changed_at: store revision of @entry; an older one than the known is ignored
  *
+ * Of an earlier write only @changed_at is kept, so that it is not taken for
+ * news again.
+ *
  * Return: whether anything but the revision changed.
  */
 bool registry_put(struct registry *registry, const struct server_entry *entry,
--- a/server_view.c
+++ b/server_view.c
@@ -15,6 +15,12 @@
  */
 #define RETURN_GRACE MSEC(2300)
 
+/*
+ * A server writes every 1.2 s, and an entry expires after three writes are
+ * missing: what stands for four is confirmed by the server that it names.
+ */
+#define CONFIRM_TIME MSEC(4800)
+
 /* A server whose entry disappeared, and may come back. */
 struct vanished_server {
 	char id[REGISTRY_NAME_SIZE];
@@ -24,6 +30,21 @@
 	struct vanished_server *next;
 };
 
+/*
+ * An entry that the store shows, but whose sequence is lower than the known
+ * one. A write that the store does late is overwritten by the server's next
+ * one, or expires; a server that counts anew, or whose known entry was written
+ * by somebody else, leaves it standing or goes on counting.
+ */
+struct unconfirmed_entry {
+	struct server_entry entry;
+	uint64_t changed_at;
+	uint64_t list_seq;
+	int64_t until;
+	struct unconfirmed_entry *prev;
+	struct unconfirmed_entry *next;
+};
+
 void server_view_init(struct server_view *view, const struct clock *clock,
 		      struct registry *registry,
 		      const struct server_view_ops *ops, void *arg)
@@ -44,21 +65,37 @@
 	free(missing);
 }
 
+static void forget_unconfirmed(struct server_view *view,
+			       struct unconfirmed_entry *unconfirmed)
+{
+	DL_DELETE(view->unconfirmed, unconfirmed);
+	free(unconfirmed);
+}
+
 void server_view_finish(struct server_view *view)
 {
+	while (view->unconfirmed)
+		forget_unconfirmed(view, view->unconfirmed);
 	while (view->vanished)
 		forget_missing(view, view->vanished);
 }
 
+/* The store expired no entry while it was away. */
 void server_view_store_returned(struct server_view *view)
 {
+	struct unconfirmed_entry *unconfirmed;
+
 	view->store_returned_at = clock_now(view->clock);
+	DL_FOREACH (view->unconfirmed, unconfirmed)
+		unconfirmed->until = view->store_returned_at + CONFIRM_TIME;
 }
 
 int64_t server_view_enter_era(struct server_view *view)
 {
 	while (view->vanished)
 		forget_missing(view, view->vanished);
+	while (view->unconfirmed)
+		forget_unconfirmed(view, view->unconfirmed);
 	registry_enter_era(view->registry);
 	server_view_store_returned(view);
 	view->era_until = view->store_returned_at + RETURN_GRACE;
@@ -84,6 +121,18 @@
 	return NULL;
 }
 
+static struct unconfirmed_entry *
+find_unconfirmed(const struct server_view *view, const char *id)
+{
+	struct unconfirmed_entry *unconfirmed;
+
+	DL_FOREACH (view->unconfirmed, unconfirmed) {
+		if (!strcmp(unconfirmed->entry.id, id))
+			return unconfirmed;
+	}
+	return NULL;
+}
+
 static void log_ignored_update(const char *id, const char *update,
 			       const char *why, uint64_t changed_at,
 			       uint64_t known_at)
@@ -122,6 +171,27 @@
 	return entry->draining ? "draining" : "ready";
 }
 
+static void log_ignored_entry(const struct server_view *view,
+			      const struct server_entry *entry, const char *why,
+			      uint64_t changed_at)
+{
+	const struct str id = str_from(entry->id);
+	const struct registry_write known =
+		registry_known_write(view->registry, id);
+
+	LOG_INFO("server_word_dropped", LOG_STR("server", id),
+		 LOG_TEXT("word", state_name(entry)), LOG_TEXT("why", why),
+		 LOG_U64("store_revision", changed_at),
+		 LOG_U64("known_revision",
+			 registry_known_revision(view->registry, id)),
+		 LOG_I64("born", entry->started_at_ms),
+		 LOG_I64("known_born", known.started_at_ms),
+		 LOG_U64("sequence", entry->sequence),
+		 LOG_U64("known_sequence", known.sequence),
+		 LOG_U64("recounted_at", entry->recounted_at),
+		 LOG_U64("known_recounted_at", known.recounted_at));
+}
+
 void server_view_remove(struct server_view *view, const char *id,
 			uint64_t changed_at, const char *why)
 {
@@ -129,6 +199,10 @@
 		registry_find(view->registry, str_from(id));
 	bool is_repeated =
 		registry_was_removed(view->registry, str_from(id), changed_at);
+	struct unconfirmed_entry *unconfirmed = find_unconfirmed(view, id);
+
+	if (unconfirmed && changed_at >= unconfirmed->changed_at)
+		forget_unconfirmed(view, unconfirmed);
 
 	if (server && changed_at < server->changed_at)
 		log_ignored_update(id, "removal", "older", changed_at,
@@ -217,10 +291,47 @@
 				 clock_now(view->clock));
 }
 
+/*
+ * Peers that have listed the store meanwhile may know nothing but this entry:
+ * they are told what is known here, which holds at its revision, too.
+ */
+static void keep_unconfirmed(struct server_view *view,
+			     const struct server_entry *entry,
+			     uint64_t changed_at)
+{
+	struct unconfirmed_entry *unconfirmed =
+		find_unconfirmed(view, entry->id);
+	bool goes_on =
+		unconfirmed && entry->sequence > unconfirmed->entry.sequence;
+
+	if (!unconfirmed) {
+		unconfirmed = mem_zalloc(sizeof(*unconfirmed));
+		DL_APPEND(view->unconfirmed, unconfirmed);
+	}
+	unconfirmed->entry = *entry;
+	unconfirmed->changed_at = changed_at;
+	if (!goes_on)
+		unconfirmed->until = clock_now(view->clock) + CONFIRM_TIME;
+	registry_put(view->registry, entry, changed_at);
+	view->ops->changed(view->arg, entry->id, changed_at,
+			   !registry_find(view->registry, str_from(entry->id)));
+}
+
+/* Whether it, or a later one of its server, waits to be confirmed already. */
+static bool is_unconfirmed(const struct server_view *view,
+			   const struct server_entry *entry,
+			   uint64_t changed_at)
+{
+	const struct unconfirmed_entry *unconfirmed =
+		find_unconfirmed(view, entry->id);
+
+	return unconfirmed && changed_at <= unconfirmed->changed_at;
+}
+
 /*
  * Ignored updates are logged with the reason, to trace entries that stay wrong.
  */
-static bool is_accepted(const struct server_view *view,
+static bool is_accepted(struct server_view *view,
 			const struct server_entry *entry, uint64_t changed_at)
 {
 	enum registry_order order =
@@ -228,10 +339,12 @@
 
 	if (order == REGISTRY_NEWER || order == REGISTRY_REPEATED)
 		return true;
-	log_ignored_update(entry->id, state_name(entry),
-			   registry_order_name(order), changed_at,
-			   registry_known_revision(view->registry,
-						   str_from(entry->id)));
+	if (order == REGISTRY_EARLIER_WRITE &&
+	    is_unconfirmed(view, entry, changed_at))
+		return false;
+	log_ignored_entry(view, entry, registry_order_name(order), changed_at);
+	if (order == REGISTRY_EARLIER_WRITE)
+		keep_unconfirmed(view, entry, changed_at);
 	return false;
 }
 
@@ -273,6 +386,7 @@
 static void put_entry(struct server_view *view,
 		      const struct server_entry *entry, uint64_t changed_at)
 {
+	struct unconfirmed_entry *unconfirmed;
 	bool changed;
 
 	if (!is_accepted(view, entry, changed_at) ||
@@ -280,6 +394,12 @@
 		return;
 	changed = registry_put(view->registry, entry, changed_at);
 	changed |= apply_cold(view, entry);
+	unconfirmed = find_unconfirmed(view, entry->id);
+	/* Peers may be waiting for it to be confirmed, too. */
+	if (unconfirmed && changed_at > unconfirmed->changed_at) {
+		forget_unconfirmed(view, unconfirmed);
+		changed = true;
+	}
 	if (!changed)
 		return;
 	/* The first list is logged in one line instead of, say, 9,200. */
@@ -290,10 +410,29 @@
 			 LOG_I64("born", entry->started_at_ms),
 			 LOG_I64("cold_for_ms",
 				 entry->cold_for / USEC_PER_MSEC),
+			 LOG_U64("sequence", entry->sequence),
 			 LOG_U64("store_revision", changed_at));
 	view->ops->changed(view->arg, entry->id, changed_at, false);
 }
 
+void server_view_confirm(struct server_view *view, int64_t at)
+{
+	struct unconfirmed_entry *unconfirmed;
+	struct unconfirmed_entry *next;
+
+	DL_FOREACH_SAFE (view->unconfirmed, unconfirmed, next) {
+		struct server_entry entry = unconfirmed->entry;
+		uint64_t changed_at = unconfirmed->changed_at;
+
+		if (at < unconfirmed->until)
+			continue;
+		forget_unconfirmed(view, unconfirmed);
+		log_ignored_entry(view, &entry, "confirmed", changed_at);
+		entry.recounted_at = changed_at;
+		put_entry(view, &entry, changed_at);
+	}
+}
+
 void server_view_put(struct server_view *view, const struct server_entry *entry,
 		     uint64_t changed_at)
 {
@@ -310,6 +449,7 @@
 void server_view_list(struct server_view *view,
 		      const struct server_entry *entry, uint64_t changed_at)
 {
+	struct unconfirmed_entry *unconfirmed;
 	struct registry_server *server;
 
 	if (is_era_settling(view) &&
@@ -324,6 +464,9 @@
 	server = registry_find(view->registry, str_from(entry->id));
 	if (server)
 		server->list_seq = view->list_seq;
+	unconfirmed = find_unconfirmed(view, entry->id);
+	if (unconfirmed && unconfirmed->changed_at == changed_at)
+		unconfirmed->list_seq = view->list_seq;
 }
 
 void server_view_begin_list(struct server_view *view)
@@ -348,3 +491,16 @@
 		server_view_vanished(view, id, at);
 	}
 }
+
+void server_view_end_store_list(struct server_view *view, uint64_t at)
+{
+	struct unconfirmed_entry *unconfirmed;
+	struct unconfirmed_entry *next;
+
+	server_view_end_list(view, at);
+	DL_FOREACH_SAFE (view->unconfirmed, unconfirmed, next) {
+		if (unconfirmed->list_seq != view->list_seq &&
+		    unconfirmed->changed_at <= at)
+			forget_unconfirmed(view, unconfirmed);
+	}
+}
--- a/server_view.h
+++ b/server_view.h
@@ -16,6 +16,7 @@
 #include "store.h"
 
 struct vanished_server;
+struct unconfirmed_entry;
 
 /**
  * struct server_view_ops - callbacks
@@ -35,6 +36,8 @@
  * @synced: the view was complete at least once
  * @vanished: servers whose entries disappeared during or just after an outage
  *	of the store; live ones are back within two seconds of its return
+ * @unconfirmed: entries in the store that look like earlier writes of their
+ *	servers; if they stand, they are the servers' own
  * @list_seq: number of full lists that were started
  * @store_returned_at: when the store last answered after an outage or a
  *	possible outage
@@ -52,6 +55,7 @@
 	void *arg;
 	bool synced;
 	struct vanished_server *vanished;
+	struct unconfirmed_entry *unconfirmed;
 	uint64_t list_seq;
 	int64_t store_returned_at;
 	int64_t era_until;
@@ -126,6 +130,16 @@
 void server_view_put(struct server_view *view, const struct server_entry *entry,
 		     uint64_t changed_at);
 
+/**
+ * server_view_confirm() - the view was up to date at a time
+ * @view: the view
+ * @at: microseconds
+ *
+ * Applies earlier writes of servers that have stood in the store until then for
+ * longer than the entry of a server that does not write again.
+ */
+void server_view_confirm(struct server_view *view, int64_t at);
+
 /**
  * server_view_list() - apply an entry of the list that was started last
  * @view: the view
@@ -167,6 +181,14 @@
  */
 void server_view_end_list(struct server_view *view, uint64_t at);
 
+/**
+ * server_view_end_store_list() - as server_view_end_list(), for a list of the
+ * store itself: earlier writes that it lacks are gone
+ * @view: the view
+ * @at: store revision of the list; newer entries are kept
+ */
+void server_view_end_store_list(struct server_view *view, uint64_t at);
+
 /**
  * server_view_tick() - remove vanished servers that did not come back in time
  * @view: the view
--- a/store_sync.c
+++ b/store_sync.c
@@ -100,6 +100,7 @@
 		server_view_vanished(&sync->servers, id, item->changed_at);
 		return;
 	}
+	registry_continue_count(sync->registry, &entry);
 	if (listing)
 		server_view_list(&sync->servers, &entry, item->changed_at);
 	else
@@ -277,6 +278,8 @@
 	    sync->view_gaps)
 		metric_histogram_add(sync->view_gaps, at - feed->fresh_at);
 	feed->fresh_at = at;
+	if (feed->topic == STORE_SERVERS)
+		server_view_confirm(&sync->servers, at);
 }
 
 static void set_known(struct store_sync *sync, const struct store_feed *feed)
@@ -327,7 +330,7 @@
 	note_gap(feed, feed->list_revision);
 	feed->revision = feed->list_revision;
 	if (feed->topic == STORE_SERVERS)
-		server_view_end_list(&sync->servers, feed->revision);
+		server_view_end_store_list(&sync->servers, feed->revision);
 	else
 		cordon_sync_end_list(&sync->cordons, feed->list_revision);
 }
--- a/tests/store_fixture.c
+++ b/tests/store_fixture.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "error.h"
+#include "platform/names.h"
 #include "unit.h"
 
 #define START_TIME MSEC(1000000)
@@ -12,6 +13,8 @@
 			  struct server_entry *entry)
 {
 	memset(entry, 0, sizeof(*entry));
+	if (item->value.len && item->value.data[0] == '{')
+		return platform_store.decode_server(item, entry);
 	if (str_eq(item->value, STR("unreadable")))
 		return ERR_SYNTAX;
 	str_copy(entry->id, sizeof(entry->id), store_key_str(&item->name));
--- a/tests/store_fixture.h
+++ b/tests/store_fixture.h
@@ -42,7 +42,7 @@
 void fixture_answer_servers(struct fixture *fixture);
 /*
  * Decodes a server entry. The value of an item is the server's state;
- * "unreadable" is a syntax error.
+ * "unreadable" is a syntax error. An object is read as the platform's.
  */
 int fixture_decode_server(const struct store_item *item,
 			  struct server_entry *entry);
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -443,7 +443,7 @@
         for key in ("slots", "cold_for_ms", "born", "Sequence"):
             for number in ("1" * 40, str(2 ** 64 - 1), str(2 ** 63 - 1),
                            "1e400", "-1", "NaN", '"1"', "null", "[]"):
-                if key == "Sequence" or number == str(2 ** 63 - 1):
+                if number == str(2 ** 63 - 1):
                     continue
                 text = json.dumps({**entry, key: "@"})
                 yield text.replace('"@"', number)
--- a/tests/test_registry.c
+++ b/tests/test_registry.c
@@ -379,6 +379,57 @@
 	registry_finish(&registry);
 }
 
+static bool put_write(struct registry *registry, int64_t started_at_ms,
+		      uint64_t sequence, bool draining, uint64_t changed_at)
+{
+	struct server_entry entry = entry_of("a", "dc1");
+
+	entry.started_at_ms = started_at_ms;
+	entry.sequence = sequence;
+	entry.draining = draining;
+	registry_continue_count(registry, &entry);
+	return registry_put(registry, &entry, changed_at);
+}
+
+/* Guards against an older write that is asked for and logged for ever, as the
+ * known revision stays below its own. */
+static void test_earlier_write_moves_revision_on(void)
+{
+	const struct registry_server *server;
+	struct registry registry;
+
+	init(&registry);
+	CU_ASSERT(put_write(&registry, 1000, 5, true, 20));
+	CU_ASSERT(!put_write(&registry, 1000, 4, false, 21));
+	server = registry_find(&registry, STR("a"));
+	CU_ASSERT(server->entry.draining);
+	CU_ASSERT_EQUAL(server->entry.sequence, 5);
+	CU_ASSERT_EQUAL(registry_known_revision(&registry, STR("a")), 21);
+	/* The same content. */
+	CU_ASSERT(!put_write(&registry, 1000, 3, true, 22));
+	CU_ASSERT_EQUAL(registry_known_revision(&registry, STR("a")), 22);
+	CU_ASSERT_EQUAL(server->entry.sequence, 5);
+	registry_finish(&registry);
+}
+
+/* Guards against a restarted server that is taken for a late write of its
+ * earlier process, as a peer had told of the start before. */
+static void test_start_told_by_a_peer_counts_anew(void)
+{
+	struct registry_server *server;
+	struct registry registry;
+
+	init(&registry);
+	CU_ASSERT(put_write(&registry, 1000, 50, false, 20));
+	server = registry_find(&registry, STR("a"));
+	server = registry_note_start(&registry, server, 2000);
+	CU_ASSERT(put_write(&registry, 2000, 1, true, 21));
+	CU_ASSERT(server->entry.draining);
+	CU_ASSERT(!put_write(&registry, 1000, 51, false, 22));
+	CU_ASSERT(server->entry.draining);
+	registry_finish(&registry);
+}
+
 /* A peer that requests a send learns of a restart before this instance. */
 static void test_restart_by_a_peer(void)
 {
@@ -458,6 +509,10 @@
 	{"removed stays removed", test_removed_stays_removed},
 	{"a restart is another server", test_restart_is_another_server},
 	{"update of an earlier start", test_update_of_an_earlier_start},
+	{"an earlier write moves the revision on",
+	 test_earlier_write_moves_revision_on},
+	{"a start told by a peer counts anew",
+	 test_start_told_by_a_peer_counts_anew},
 	{"a restart reported by a peer", test_restart_by_a_peer},
 	{"connections outlive a start", test_connections_outlive_a_start},
 	{"incarnation", test_incarnation},
--- a/tests/test_server_entry.c
+++ b/tests/test_server_entry.c
@@ -100,6 +100,25 @@
 	CU_ASSERT(read_with("{", "{\"born\":-1,") == ERR_RANGE);
 }
 
+/* Guards against entries of other writers whose sequence is none. */
+static void test_sequence(void)
+{
+	struct server_entry entry;
+
+	CU_ASSERT(!read_as("i-1", GOOD, &entry));
+	CU_ASSERT_EQUAL(entry.sequence, 0);
+	CU_ASSERT(!read_as("i-1",
+			   "{\"service\":\"s\",\"address\":\"10.1.0.9:80\","
+			   "\"data_centre\":\"dc\",\"slots\":2,\"state\":"
+			   "\"ready\",\"cold_for_ms\":0,\"Sequence\":27}",
+			   &entry));
+	CU_ASSERT_EQUAL(entry.sequence, 27);
+	CU_ASSERT(read_with("{", "{\"Sequence\":\"27\",") == ERR_TYPE);
+	CU_ASSERT(read_with("{", "{\"Sequence\":2.5,") == ERR_TYPE);
+	CU_ASSERT(read_with("{", "{\"Sequence\":null,") == ERR_TYPE);
+	CU_ASSERT(read_with("{", "{\"Sequence\":-1,") == ERR_RANGE);
+}
+
 /* A server in an unknown state must not receive requests. */
 static void test_unknown_state(void)
 {
@@ -275,6 +294,7 @@
 	{"odd values of items", test_odd_values_of_items},
 	{"next page", test_next_page},
 	{"wrong type", test_wrong_type},
+	{"sequence", test_sequence},
 	{"born", test_born},
 	{"unknown state", test_unknown_state},
 	{"out of bounds", test_out_of_bounds},
--- a/tests/test_view_order.c
+++ b/tests/test_view_order.c
@@ -283,6 +283,111 @@
 	cluster_finish(&cluster);
 }
 
+/* A write of the server as a peer tells it. */
+static void receive_write(struct node *node, uint64_t sequence, bool draining,
+			  uint64_t revision, uint64_t recounted_at)
+{
+	uint64_t known = node->sync.feeds[STORE_SERVERS].revision;
+	Peer__ViewServer row = PEER__VIEW_SERVER__INIT;
+
+	row.changed_at = revision;
+	row.sequence = sequence;
+	row.draining = draining;
+	row.recounted_at = recounted_at;
+	node_receive_row(node, 0, &row, known > revision ? known : revision);
+}
+
+static bool is_drained(const struct node *node)
+{
+	const struct registry_server *server =
+		registry_find(&node->registry, STR("server"));
+
+	return server && server->entry.draining;
+}
+
+static bool is_used(const struct node *node)
+{
+	const struct registry_server *server =
+		registry_find(&node->registry, STR("server"));
+
+	return server && registry_is_open(server);
+}
+
+/* Guards against a new instance that has listed a late write and sends
+ * requests to a server of which its peers know that it drains. */
+static void test_peer_knows_a_later_write(void)
+{
+	struct cluster cluster;
+	struct node *node;
+
+	cluster_init(&cluster, 2);
+	cluster_advance(&cluster, 5000);
+	node = &cluster.nodes[0];
+	receive_write(node, 1, false, 60, 0);
+	CU_ASSERT(is_used(node));
+	receive_write(node, 5, true, 60, 0);
+	CU_ASSERT(is_drained(node));
+	/* An instance of before sequences, which has accepted the late write.
+	 */
+	receive_write(node, 0, false, 60, 0);
+	CU_ASSERT(is_drained(node));
+	receive_write(node, 1, false, 60, 0);
+	CU_ASSERT(is_drained(node));
+	receive_write(node, 0, false, 61, 0);
+	CU_ASSERT(is_used(node));
+	cluster_finish(&cluster);
+}
+
+/* Guards against a wrong sequence that returns by a peer which still takes it
+ * for the server's last. */
+static void test_peer_knows_an_ended_count(void)
+{
+	const uint64_t wrong = UINT64_C(1) << 62;
+	struct cluster cluster;
+	struct node *node;
+
+	cluster_init(&cluster, 2);
+	cluster_advance(&cluster, 5000);
+	node = &cluster.nodes[0];
+	receive_write(node, wrong, true, 60, 0);
+	CU_ASSERT(is_drained(node));
+	receive_write(node, 9, false, 61, 61);
+	CU_ASSERT(is_used(node));
+	receive_write(node, wrong, true, 61, 0);
+	receive_write(node, wrong, true, 62, 0);
+	cluster_advance(&cluster, 1000);
+	CU_ASSERT(is_used(node));
+	receive_write(node, 12, true, 63, 61);
+	CU_ASSERT(is_drained(node));
+	cluster_finish(&cluster);
+}
+
+/* Guards against a server that came back and stays unknown to instances whose
+ * view is complete to a later revision than that of its entry. */
+static void test_peer_confirms_a_write(void)
+{
+	struct cluster cluster;
+	struct node *node;
+
+	cluster_init(&cluster, 2);
+	cluster_advance(&cluster, 5000);
+	node = &cluster.nodes[0];
+	receive_write(node, 9, false, 60, 0);
+	server_view_remove(&node->sync.servers, "server", 61, "peer");
+	/* Told while the entry was taken for a late write. */
+	server_view_remove(&node->sync.servers, "server", 62, "peer");
+	store_sync_confirm(&node->sync, STORE_SERVERS, 70,
+			   clock_now(&cluster.clock));
+	receive_write(node, 2, false, 62, 0);
+	CU_ASSERT(!is_used(node));
+	receive_write(node, 2, false, 62, 62);
+	CU_ASSERT(is_used(node));
+	server_view_remove(&node->sync.servers, "server", 71, "peer");
+	receive_write(node, 2, false, 62, 62);
+	CU_ASSERT(!is_used(node));
+	cluster_finish(&cluster);
+}
+
 static void put_ghost(struct node *node, uint64_t created_at)
 {
 	struct server_entry entry = {
@@ -467,6 +572,9 @@
 }
 
 static const struct unit_test tests[] = {
+	{"a peer knows a later write", test_peer_knows_a_later_write},
+	{"a peer knows a count that ended", test_peer_knows_an_ended_count},
+	{"a peer confirms a write", test_peer_confirms_a_write},
 	{"leaves while the store is silent", test_leaves_while_store_is_silent},
 	{"many changes", test_many_changes},
 	{"asked while holding back", test_asked_while_holding_back},
--- a/tests/view_cluster.c
+++ b/tests/view_cluster.c
@@ -554,23 +554,30 @@
 	return n;
 }
 
-void node_receive_server(struct node *node, uint64_t era, int64_t born,
-			 uint64_t revision)
+void node_receive_row(struct node *node, uint64_t era, Peer__ViewServer *row,
+		      uint64_t servers_at)
 {
-	Peer__ViewServer row = PEER__VIEW_SERVER__INIT;
-	Peer__ViewServer *rows[] = {&row};
+	Peer__ViewServer *rows[] = {row};
 	Peer__ViewUpdate message = PEER__VIEW_UPDATE__INIT;
 
-	row.id = (char *)"server";
-	row.service = (char *)"s";
-	row.data_centre = (char *)"dc0";
-	row.address = (char *)"127.0.0.1:1";
-	row.changed_at = revision;
-	row.born = born;
+	row->id = (char *)"server";
+	row->service = (char *)"s";
+	row->data_centre = (char *)"dc0";
+	row->address = (char *)"127.0.0.1:1";
 	message.servers = rows;
 	message.n_servers = 1;
-	message.servers_at = revision;
-	message.servers_from = revision - 1;
+	message.servers_at = servers_at;
+	message.servers_from = servers_at - 1;
 	message.store_era = era;
 	view_share_update(&node->share, "n1", &message);
 }
+
+void node_receive_server(struct node *node, uint64_t era, int64_t born,
+			 uint64_t revision)
+{
+	Peer__ViewServer row = PEER__VIEW_SERVER__INIT;
+
+	row.changed_at = revision;
+	row.born = born;
+	node_receive_row(node, era, &row, revision);
+}
--- a/tests/view_cluster.h
+++ b/tests/view_cluster.h
@@ -156,6 +156,12 @@
 int cluster_count_with_server(const struct cluster *cluster);
 /* Return: true if the registry lists the server as draining. */
 bool node_sees_drain(const struct node *node);
+/*
+ * A peer sends a change of the server, as known at @servers_at. The names and
+ * the address of @row are set.
+ */
+void node_receive_row(struct node *node, uint64_t era, Peer__ViewServer *row,
+		      uint64_t servers_at);
 /*
  * Delivers a view update from a peer in which the server changed at @revision.
  * @born: revision at which its entry was created
--- a/view_apply.c
+++ b/view_apply.c
@@ -25,7 +25,9 @@
 		server_view_remove(view, row->id, row->changed_at, "peer");
 		return;
 	}
-	if (server_view_has_left(view, row->id, row->changed_at, complete_to))
+	/* Whoever has confirmed a write sends it later than its revision. */
+	if (row->recounted_at != row->changed_at &&
+	    server_view_has_left(view, row->id, row->changed_at, complete_to))
 		return;
 	memset(&entry, 0, sizeof(entry));
 	str_copy(entry.id, sizeof(entry.id), str_from(row->id));
@@ -36,6 +38,8 @@
 	entry.draining = row->draining;
 	entry.started_at_ms = row->born;
 	entry.created_at = row->created_at;
+	entry.sequence = row->sequence;
+	entry.recounted_at = row->recounted_at;
 	entry.cold_for = MSEC((int64_t)row->cold_for_ms);
 	if (address_parse(str_from(row->address), &entry.address))
 		return;
--- a/view_update.c
+++ b/view_update.c
@@ -61,6 +61,8 @@
 	row->changed_at = server->changed_at;
 	row->born = server->entry.started_at_ms;
 	row->created_at = server->entry.created_at;
+	row->sequence = server->entry.sequence;
+	row->recounted_at = server->entry.recounted_at;
 	if (server->cold_until > now)
 		row->cold_for_ms =
 			(uint32_t)((server->cold_until - now) / USEC_PER_MSEC);
