dispatch: try a request that crashed servers once more in the same sending

Cause: what was learned goes with the last process, so that one late retry a start is the least. The second came from the order of things: the first sending ended with two servers lost, and the trial that a ban takes was left to the caller's next sending.

Change: a request that may be repeated, has crashed two servers and may run on no more is tried once more by itself, 200 ms after the last crash, announced before so that no other sending of it runs. The evidence for a ban is what it was: three servers, one of them on trial. Suspects of one crash are tried in turn, or the innocent one would be banned with the other. The verdict on a trial ends the hold where it ran: without that a retry that had become a trial ended the sending.

Not mended, as before: three late retries a start for requests that run once, and for three sendings in the same moment.

Why it holds: whoever has crashed two servers is on trial before its caller can send it again, so that all later sendings find it announced or banned.

--- a/dispatch.c
+++ b/dispatch.c
@@ -80,6 +80,7 @@
 	dispatch->start = clock_now(clock);
 	dispatch->deadline = deadline;
 	dispatch->send_by = INT64_MAX;
+	dispatch->trial_due = INT64_MAX;
 	dispatch->soft_deadline = dispatch->start + soft_timeout;
 	dispatch->parts = mem_zalloc((size_t)n * sizeof(*dispatch->parts));
 	for (i = 0; i < n; i++)
@@ -249,7 +250,8 @@
 		end_dispatch(dispatch, DISPATCH_PARTIAL, 0);
 	else if (dispatch_has_failed_trial(dispatch))
 		fail_all(dispatch, dispatch->trial_part->code);
-	else if (dispatch_hold_is_hopeless(dispatch))
+	else if (dispatch_hold_is_hopeless(dispatch) &&
+		 !dispatch_try_after_crashes(dispatch))
 		fail_all(dispatch, ERR_LOST);
 	else if (!can_reach_min_coverage(dispatch) &&
 		 !dispatch_send_left_out(dispatch))
@@ -284,7 +286,7 @@
  * deadline: each new request adds to the budget, and each that ends frees a
  * connection.
  */
-static void schedule_retry_or_fail(struct dispatch_part *part, int code)
+void dispatch_part_retry_or_fail(struct dispatch_part *part, int code)
 {
 	struct dispatch *dispatch = part->dispatch;
 	int64_t now = clock_now(dispatch->clock);
@@ -328,16 +330,23 @@
 		return;
 	ret = dispatch_part_send_first(part);
 	if (ret)
-		schedule_retry_or_fail(part, ret);
+		dispatch_part_retry_or_fail(part, ret);
 }
 
 static void send_pending(struct dispatch *dispatch)
 {
+	int64_t now = clock_now(dispatch->clock);
 	int i;
 
 	for (i = 0; i < dispatch->n_parts && can_reach_min_coverage(dispatch);
-	     i++)
-		dispatch_start_part(&dispatch->parts[i]);
+	     i++) {
+		struct dispatch_part *part = &dispatch->parts[i];
+
+		if (part->n_sends)
+			part->retry_at = now;
+		else
+			dispatch_start_part(part);
+	}
 }
 
 enum dispatch_outcome dispatch_start(struct dispatch *dispatch)
@@ -394,8 +403,12 @@
 		return;
 	if (dispatch->route->repeatable || !part->n_maybe_run)
 		ret = dispatch_part_send_again(part, "retry", false);
-	if (ret && !dispatch_part_in_flight(part))
-		schedule_retry_or_fail(part, ret);
+	if (!ret || dispatch_part_in_flight(part))
+		return;
+	if (ret == ERR_NO_REPLICA && dispatch->n_parts == 1 &&
+	    dispatch_try_after_crashes(dispatch))
+		return;
+	dispatch_part_retry_or_fail(part, ret);
 }
 
 /*
@@ -550,6 +563,14 @@
 		dispatch->soft_deadline = until - DEADLINE_MARGIN;
 }
 
+/* The other parts wait for the one on trial. */
+static bool is_waiting_for_trial(const struct dispatch_part *part)
+{
+	const struct dispatch *dispatch = part->dispatch;
+
+	return dispatch->trial_part && dispatch->trial_part != part;
+}
+
 enum dispatch_outcome dispatch_tick(struct dispatch *dispatch)
 {
 	int64_t now = clock_now(dispatch->clock);
@@ -559,7 +580,11 @@
 	for (i = 0; i < dispatch->n_parts && !dispatch->outcome; i++) {
 		struct dispatch_part *part = &dispatch->parts[i];
 
-		if (part->state == PART_PENDING && now >= part->retry_at)
+		if (is_waiting_for_trial(part))
+			continue;
+		if (part->state == PART_PENDING &&
+		    (now >= part->retry_at ||
+		     (dispatch->n_parts == 1 && now >= dispatch->trial_due)))
 			retry_part(part);
 		else if (may_hedge(part))
 			hedge_part(part, now);
@@ -577,10 +602,12 @@
 	if (dispatch->route->sharded && dispatch->soft_deadline > now &&
 	    dispatch->soft_deadline < due)
 		due = dispatch->soft_deadline;
+	if (dispatch->trial_due < due)
+		due = dispatch->trial_due;
 	for (i = 0; i < dispatch->n_parts; i++) {
 		const struct dispatch_part *part = &dispatch->parts[i];
 
-		if (part->state != PART_PENDING)
+		if (part->state != PART_PENDING || is_waiting_for_trial(part))
 			continue;
 		if (part->retry_at < due)
 			due = part->retry_at;
--- a/dispatch.h
+++ b/dispatch.h
@@ -149,6 +149,9 @@
  * @is_safe: the request is known to run well
  * @lives: the server of a send whose connection broke has answered since
  * @n_crashed: number of servers that are held for crashed by the request
+ * @trial_wait: how long until the request may run on one more server, as a
+ *	trial; sets the hash of the name of that server's service. Return:
+ *	microseconds, 0 if it may now, below 0 if it may not. NULL: it never may
  * @held: a part's retry is held back, for the log
  * @let_go: it no longer is, after @held_for microseconds, for the log
  */
@@ -156,6 +159,7 @@
 	bool (*is_safe)(void *arg);
 	bool (*lives)(void *arg, const struct dispatch_send *send);
 	int (*n_crashed)(void *arg);
+	int64_t (*trial_wait)(void *arg, uint64_t *service);
 	void (*held)(const struct dispatch_part *part);
 	void (*let_go)(const struct dispatch_part *part, const char *why,
 		       int64_t held_for);
@@ -224,6 +228,10 @@
  * @trial_service: hash of the name of the service whose part is sent first, see
  *	dispatch_begin_trial()
  * @trial_part: the only part that is sent, until it is answered; NULL: all are
+ * @trial_asked_at: when it was first asked for a trial after crashes,
+ *	microseconds; 0: it was not
+ * @trial_due: when to ask again, microseconds; INT64_MAX: not
+ * @tried_after_crashes: that trial was begun
  * @n_broke: parts with @broke
  * @server_lives: a server whose connection broke under it has answered since
  * @release_at: when a retry that is held back goes on without evidence,
@@ -268,6 +276,9 @@
 	int n_left_out;
 	uint64_t trial_service;
 	struct dispatch_part *trial_part;
+	int64_t trial_asked_at;
+	int64_t trial_due;
+	bool tried_after_crashes;
 	int n_broke;
 	bool server_lives;
 	int64_t release_at;
--- a/dispatch_hold.c
+++ b/dispatch_hold.c
@@ -6,10 +6,8 @@
 #define HOLD_CHECK_PERIOD MSEC(2)
 /* Servers that say nothing for so long are not waited for any longer. */
 #define HOLD_TIME_MAX MSEC(250)
-/* One server may crash of its own while the request runs there. */
-#define CRASHES_MIN 2
 
-static bool may_crash_servers(const struct dispatch *dispatch)
+bool dispatch_may_crash_servers(const struct dispatch *dispatch)
 {
 	const struct dispatch_evidence *evidence = dispatch->ops->evidence;
 
@@ -53,7 +51,7 @@
 {
 	const struct dispatch *dispatch = part->dispatch;
 
-	if (!may_crash_servers(dispatch))
+	if (!dispatch_may_crash_servers(dispatch))
 		return "runs_well";
 	if (dispatch->server_lives)
 		return "server_lives";
@@ -115,7 +113,7 @@
 bool dispatch_hold_forbids_hedge(const struct dispatch_part *part)
 {
 	return part->dispatch->n_parts == 1 &&
-	       may_crash_servers(part->dispatch) &&
+	       dispatch_may_crash_servers(part->dispatch) &&
 	       !dispatch_part_has_spare_server(part);
 }
 
@@ -132,8 +130,9 @@
 
 bool dispatch_hold_is_hopeless(const struct dispatch *dispatch)
 {
-	return dispatch->n_parts > 1 && dispatch->n_broke >= CRASHES_MIN &&
-	       may_crash_servers(dispatch) &&
-	       count_crashed(dispatch) >= CRASHES_MIN &&
+	return dispatch->n_parts > 1 &&
+	       dispatch->n_broke >= DISPATCH_CRASHES_MIN &&
+	       dispatch_may_crash_servers(dispatch) &&
+	       count_crashed(dispatch) >= DISPATCH_CRASHES_MIN &&
 	       !dispatch->server_lives;
 }
--- a/dispatch_private.h
+++ b/dispatch_private.h
@@ -4,6 +4,17 @@
 
 #include "dispatch.h"
 
+/* One server may crash of its own while a request runs there. */
+#define DISPATCH_CRASHES_MIN 2
+
+/**
+ * dispatch_may_crash_servers() - whether nobody has answered the request, and
+ * it is not known to run well
+ *
+ * Return: false for one on trial, and without evidence.
+ */
+bool dispatch_may_crash_servers(const struct dispatch *dispatch);
+
 /**
  * dispatch_part_in_flight() - whether a send of the part has no result yet
  */
@@ -31,6 +42,18 @@
  */
 void dispatch_continue_trial(struct dispatch *dispatch);
 
+/**
+ * dispatch_try_after_crashes() - run a request that has crashed servers on one
+ * more, as a trial, instead of ending it
+ *
+ * What only ran beside another request is answered then; one that crashes
+ * servers is banned, without another sending of its caller. Called again when
+ * the wait for the trial is over.
+ *
+ * Return: whether it waits for its trial or is on it.
+ */
+bool dispatch_try_after_crashes(struct dispatch *dispatch);
+
 /**
  * dispatch_has_failed_trial() - whether the part that was sent first failed
  */
@@ -41,6 +64,13 @@
  */
 int64_t dispatch_servers_max(const struct dispatch *dispatch);
 
+/**
+ * dispatch_part_retry_or_fail() - schedule another attempt to send a part, or
+ * mark it as failed
+ * @code: why it was not sent
+ */
+void dispatch_part_retry_or_fail(struct dispatch_part *part, int code);
+
 /**
  * dispatch_part_fail() - mark a pending part as failed
  */
--- a/gateway_request_private.h
+++ b/gateway_request_private.h
@@ -36,6 +36,10 @@
  * @suspect: it was a suspect on arrival, so that it runs on one server first
  * @trial_ticket: not started yet, while other instances may announce trials of
  *	it; 0: started; see gateway_trial.h
+ * @second_trial_ticket: of the trial after it crashed servers, see
+ *	gateway_trial_wait(); 0: none was announced
+ * @second_trial_at: when its announcement has reached all instances,
+ *	microseconds
  * @on_outcome: called after each change of the dispatch; answers and frees the
  *	request if @outcome is final
  * @prev: in the gateway's list of open requests
@@ -58,6 +62,8 @@
 	uint64_t return_key;
 	bool suspect;
 	uint64_t trial_ticket;
+	uint64_t second_trial_ticket;
+	int64_t second_trial_at;
 	void (*on_outcome)(struct gateway_request *request,
 			   enum dispatch_outcome outcome);
 	struct gateway_request *prev;
--- a/gateway_send.c
+++ b/gateway_send.c
@@ -8,6 +8,7 @@
 #include <event2/buffer.h>
 
 #include "error.h"
+#include "gateway_trial.h"
 #include "log.h"
 #include "mem.h"
 
@@ -384,6 +385,11 @@
 	return poison_n_crashed(poison_of(request), request->fingerprint);
 }
 
+static int64_t trial_wait(void *arg, uint64_t *service)
+{
+	return gateway_trial_wait(arg, service);
+}
+
 static void log_held(const struct dispatch_part *part)
 {
 	struct gateway_request *request = part->dispatch->arg;
@@ -411,6 +417,7 @@
 	.is_safe = is_safe,
 	.lives = server_lives,
 	.n_crashed = count_crashed,
+	.trial_wait = trial_wait,
 	.held = log_held,
 	.let_go = log_let_go,
 };
--- a/gateway_trial.c
+++ b/gateway_trial.c
@@ -10,6 +10,8 @@
 /* An announcement reaches all instances within this time, also other regions.
  */
 #define ANNOUNCE_TIME MSEC(15)
+/* How long another suspect's trial takes isn't known. */
+#define OTHER_TRIAL_CHECK_PERIOD MSEC(10)
 
 static struct poison *poison_of(const struct gateway_request *request)
 {
@@ -74,6 +76,44 @@
 	return own;
 }
 
+static bool announce_second_trial(struct gateway_request *request)
+{
+	uint64_t ticket = draw_ticket();
+
+	if (!poison_start_trial(poison_of(request), request->fingerprint,
+				request->dispatch.deadline, ticket))
+		return false;
+	request->second_trial_ticket = ticket;
+	request->second_trial_at =
+		clock_now(&request->gateway->clock) + ANNOUNCE_TIME;
+	return true;
+}
+
+int64_t gateway_trial_wait(struct gateway_request *request, uint64_t *service)
+{
+	const struct poison *poison = poison_of(request);
+	uint64_t hash = request->fingerprint;
+	int64_t now = clock_now(&request->gateway->clock);
+	int64_t wait = poison_calm_wait(poison, hash);
+
+	*service = poison_suspect_set(poison, hash);
+	if (!*service ||
+	    (!request->second_trial_ticket && !announce_second_trial(request)))
+		return -1;
+	if (!poison_owns_trial(poison, hash, request->second_trial_ticket))
+		return -1;
+	if (request->second_trial_at - now > wait)
+		wait = request->second_trial_at - now;
+	if (!wait &&
+	    poison_waits_for_trial(poison, hash, request->second_trial_ticket))
+		wait = OTHER_TRIAL_CHECK_PERIOD;
+	if (!wait && !request->suspect) {
+		request->suspect = true;
+		log_tried(request);
+	}
+	return wait;
+}
+
 void gateway_trial_refuse(struct gateway_request *request)
 {
 	int64_t wait =
--- a/gateway_trial.h
+++ b/gateway_trial.h
@@ -8,6 +8,7 @@
 #define GATEWAY_TRIAL_H
 
 #include <stdbool.h>
+#include <stdint.h>
 
 struct gateway_request;
 
@@ -35,6 +36,20 @@
  */
 bool gateway_trial_is_own(struct gateway_request *request);
 
+/**
+ * gateway_trial_wait() - how long until a request that crashed servers may run
+ * on one more, as a trial
+ * @request: started
+ * @service: set to the hash of the name of the service to try it on
+ *
+ * Announces the trial at the first call, so that other instances hold the
+ * request back.
+ *
+ * Return: microseconds; 0 if it may now; below 0 if it may not: it is banned,
+ * or no suspect any more, or its trial is another instance's.
+ */
+int64_t gateway_trial_wait(struct gateway_request *request, uint64_t *service);
+
 /**
  * gateway_trial_refuse() - answer that the request is on trial elsewhere
  */
--- a/poison.c
+++ b/poison.c
@@ -396,6 +396,34 @@
 	return true;
 }
 
+static bool shares_server(const struct poison_entry *a,
+			  const struct poison_entry *b)
+{
+	int i;
+
+	for (i = 0; i < a->n_servers; i++) {
+		if (poison_entry_has_server(b, a->servers[i]))
+			return true;
+	}
+	return false;
+}
+
+bool poison_waits_for_trial(const struct poison *poison, uint64_t hash,
+			    uint64_t ticket)
+{
+	const struct poison_entry *entry = poison_find_entry(poison, hash);
+	const struct poison_entry *other = poison->entries;
+	int64_t now = clock_now(poison->clock);
+
+	for (; entry && other; other = other->hh.next) {
+		if (other != entry && !other->banned &&
+		    other->trial_until > now && other->trial_ticket < ticket &&
+		    shares_server(entry, other))
+			return true;
+	}
+	return false;
+}
+
 bool poison_owns_trial(const struct poison *poison, uint64_t hash,
 		       uint64_t ticket)
 {
@@ -413,7 +441,7 @@
 		poison_notify_changed(poison, entry);
 }
 
-int64_t poison_trial_wait(const struct poison *poison, uint64_t hash)
+int64_t poison_calm_wait(const struct poison *poison, uint64_t hash)
 {
 	const struct poison_entry *entry = poison_find_entry(poison, hash);
 	int64_t now = clock_now(poison->clock);
@@ -425,8 +453,17 @@
 	calm_at = entry->updated + POISON_REPORT_WAIT;
 	if (entry->held_until > calm_at)
 		calm_at = entry->held_until;
-	if (calm_at > now)
-		return calm_at - now;
+	return calm_at > now ? calm_at - now : 0;
+}
+
+int64_t poison_trial_wait(const struct poison *poison, uint64_t hash)
+{
+	const struct poison_entry *entry = poison_find_entry(poison, hash);
+	int64_t calm_wait = poison_calm_wait(poison, hash);
+	int64_t now = clock_now(poison->clock);
+
+	if (!is_suspect(entry) || calm_wait)
+		return calm_wait;
 	return entry->trial_until > now
 		       ? poison_trial_time(poison, hash,
 					   entry->trial_until - now)
@@ -582,6 +619,9 @@
 	else
 		poison_entry_add_server(entry, server);
 	entry->crashed_on_trial |= run->watched && counted;
+	/* What its trial did is known now. */
+	if (run->watched)
+		entry->held_until = 0;
 	entry->replica_set = run->replica_set;
 	was_banned = entry->banned;
 	poison_update_ban(poison, entry);
--- a/poison.h
+++ b/poison.h
@@ -367,6 +367,19 @@
 bool poison_owns_trial(const struct poison *poison, uint64_t hash,
 		       uint64_t ticket);
 
+/**
+ * poison_waits_for_trial() - whether another suspect goes first, that ran on
+ * one of the crashed servers, too
+ * @poison: state of this instance
+ * @hash: fingerprint of the request
+ * @ticket: as in poison_start_trial()
+ *
+ * Both on one server at once, the one that did nothing would be banned with the
+ * other.
+ */
+bool poison_waits_for_trial(const struct poison *poison, uint64_t hash,
+			    uint64_t ticket);
+
 /**
  * poison_hold() - a trial ended, and its server may have crashed
  * @poison: state of this instance
@@ -378,6 +391,16 @@
  */
 void poison_hold(struct poison *poison, uint64_t hash, int64_t until);
 
+/**
+ * poison_calm_wait() - time until no server has crashed under a suspect for
+ * POISON_REPORT_WAIT, and its last trial is decided
+ * @poison: state of this instance
+ * @hash: fingerprint of the request
+ *
+ * Return: microseconds; 0 if that is so.
+ */
+int64_t poison_calm_wait(const struct poison *poison, uint64_t hash);
+
 /**
  * poison_trial_wait() - how long to hold a suspect back that is on trial, whose
  * last trial is not decided, or under which a server crashed less than
--- a/tests/dispatch_fixture.h
+++ b/tests/dispatch_fixture.h
@@ -30,6 +30,8 @@
  * @safe: the request is known to run well
  * @living: send whose server has answered since its connection broke, or NULL
  * @n_crashed: servers that are held for crashed by the request
+ * @may_be_tried: it may run on one more server, as a trial
+ * @trial_wait: how long until then, microseconds
  * @n_held: retries that were held back
  * @n_unread: second sends that were refused while others were unread
  * @let_go: why the last of them was let go, or NULL
@@ -55,6 +57,8 @@
 	bool safe;
 	const struct dispatch_send *living;
 	int n_crashed;
+	bool may_be_tried;
+	int64_t trial_wait;
 	int n_held;
 	int n_unread;
 	const char *let_go;
@@ -105,6 +109,14 @@
 	return ((const struct fixture *)arg)->n_crashed;
 }
 
+static inline int64_t on_trial_wait(void *arg, uint64_t *service)
+{
+	const struct fixture *fixture = arg;
+
+	*service = str_hash(STR("s0"));
+	return fixture->may_be_tried ? fixture->trial_wait : -1;
+}
+
 static inline void on_held(const struct dispatch_part *part)
 {
 	struct fixture *fixture = part->dispatch->arg;
@@ -133,6 +145,7 @@
 	.is_safe = on_is_safe,
 	.lives = on_lives,
 	.n_crashed = on_n_crashed,
+	.trial_wait = on_trial_wait,
 	.held = on_held,
 	.let_go = on_let_go,
 };
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -24,6 +24,10 @@
 # Repeats that may still arrive at servers after that.
 LATE_REPEATS_MAX = 3
 REPEATS = 12
+# In all they last longer than a request is held back for its trial.
+REPEAT_PAUSE_S = 0.5
+# Requests that earn an instance some retries.
+EARNING = 60
 
 
 class CrashingServer(OpaqueServer):
@@ -194,6 +198,64 @@
                              CRASHES_MAX + LATE_REPEATS_MAX)
 
 
+class StartOfAll(CrashTest):
+    """All instances are killed, and start again without what they knew."""
+
+    def restart_all(self, gateways):
+        for gateway in gateways:
+            gateway.process.kill()
+        for gateway in gateways:
+            gateway.process.wait()
+            gateway.start()
+        for gateway in gateways:
+            self.wait("ready", gateway.is_ready)
+
+    def earn_retries(self, gateways):
+        """Instances that have sent nothing yet have no budget for retries."""
+        for gateway in gateways:
+            caller = Caller(gateway)
+            for i in range(EARNING):
+                for path in ("any", "shards"):
+                    caller.request(f"/{path}/good{i}", request_id=f"g{i}")
+            caller.close()
+
+    def ids_of_bad(self):
+        return {request.id for server in self.servers
+                for request in server.ran if "bad" in request.target}
+
+    def check_one_sending_runs(self, target, gateways):
+        """Of the sendings after a start one reaches servers, in which it is
+        judged; all others are refused."""
+        self.restart_all(gateways)
+        self.earn_retries(gateways)
+        sent = []
+        for i in range(REPEATS):
+            got = self.send(gateways[i % 2], target)
+            sent.append((got.status, got.body))
+            time.sleep(REPEAT_PAUSE_S)
+        self.assertEqual(len(self.ids_of_bad()), 1, sent)
+        self.assertTrue(all(status == 503 for status, _ in sent[1:]), sent)
+
+    def test_single_service(self):
+        """Guards against a crashing request that reaches servers in two
+        sendings after each start: two starts cost more than may be."""
+        for i in range(16):
+            self.crashing_server(f"one-{i}", "one")
+        self.publish(routes=ROUTES, health_path="/health")
+        self.check_one_sending_runs("/any/bad", self.fleet(2))
+
+    def test_search(self):
+        """Guards against the same for a search over shards."""
+        for shard in SHARDS:
+            for i in range(8):
+                server = self.crashing_server(f"{shard}x{i}-{i}", shard)
+                server.answer_good = OpaqueServer.send_records
+        for i in range(2):
+            self.crashing_server(f"one-{i}", "one")
+        self.publish(routes=ROUTES, health_path="/health")
+        self.check_one_sending_runs("/shards/bad", self.fleet(2))
+
+
 class NotBlamed(CrashTest):
     """Servers that crash get nobody banned who did not crash them."""
 
--- a/tests/test_poison_gateway.c
+++ b/tests/test_poison_gateway.c
@@ -497,6 +497,52 @@
 	poison_finish(&peer.poison);
 }
 
+/* Guards against a suspect that is held back for what its trial did when that
+ * is known: its next trial is another sending of its caller then. */
+static void test_verdict_ends_the_hold(void)
+{
+	struct poison_run run;
+	struct fixture f;
+
+	setup_without_canaries(&f);
+	begin(&f, &run, HASH_A, "b0", POISON_NOT_TRIED);
+	lose_server(&f, "b0");
+	begin(&f, &run, HASH_A, "b1", POISON_ON_TRIAL);
+	poison_hold(&f.poison, HASH_A, clock_now(&f.clock) + MSEC(2500));
+	CU_ASSERT_EQUAL(poison_calm_wait(&f.poison, HASH_A), MSEC(2500));
+	lose_server(&f, "b1");
+	CU_ASSERT_EQUAL(poison_calm_wait(&f.poison, HASH_A),
+			POISON_REPORT_WAIT);
+	clock_advance(&f.clock, POISON_REPORT_WAIT);
+	CU_ASSERT_EQUAL(poison_calm_wait(&f.poison, HASH_A), 0);
+	poison_finish(&f.poison);
+}
+
+/* Guards against a ban of what ran beside a request that crashes servers, as
+ * both are on trial on one server at the same time. */
+static void test_trials_of_one_crash_in_turn(void)
+{
+	struct poison_run a;
+	struct poison_run b;
+	struct fixture f;
+	int64_t until;
+
+	setup_without_canaries(&f);
+	begin(&f, &a, HASH_A, "b0", POISON_NOT_TRIED);
+	begin(&f, &b, HASH_B, "b0", POISON_NOT_TRIED);
+	lose_server(&f, "b0");
+	until = clock_now(&f.clock) + MSEC(2000);
+	CU_ASSERT(poison_start_trial(&f.poison, HASH_A, until, 7));
+	CU_ASSERT(poison_start_trial(&f.poison, HASH_B, until, 5));
+	CU_ASSERT(poison_waits_for_trial(&f.poison, HASH_A, 7));
+	CU_ASSERT_FALSE(poison_waits_for_trial(&f.poison, HASH_B, 5));
+	clock_advance(&f.clock, POISON_REPORT_WAIT);
+	begin(&f, &b, HASH_B, "b1", POISON_ON_TRIAL);
+	poison_end(&f.poison, &b, true);
+	CU_ASSERT_FALSE(poison_waits_for_trial(&f.poison, HASH_A, 7));
+	poison_finish(&f.poison);
+}
+
 /* Guards against a cleared request that goes on waiting for its trial. */
 static void test_trial_ends_with_an_answer(void)
 {
@@ -607,6 +653,8 @@
 	 test_trial_and_crashes_of_two_instances},
 	{"passed trial runs everywhere", test_passed_trial_runs_everywhere},
 	{"one trial at a time", test_one_trial_at_a_time},
+	{"verdict ends the hold", test_verdict_ends_the_hold},
+	{"trials of one crash in turn", test_trials_of_one_crash_in_turn},
 	{"trial ends with an answer", test_trial_ends_with_an_answer},
 	{"run in doubt", test_run_in_doubt},
 	{"same server three times", test_same_server_three_times},
