server_view: keep only what the store itself shows as unconfirmed

Found when reading the diff of the order of a server's writes, not seen by callers. Two ways in which an earlier write or a wrong count came back 4.8 s later:

- An earlier write that a peer told was kept like one of the store.
What overwrites it may say what is known already, and is then told to nobody, so that the write was taken for confirmed: a server that drains got requests.
- A peer that still took a count for the server's that had ended counted as the teller of an earlier write.

Change: server_view_note_shown() keeps what the store shows; words of peers are ignored, and the teller gets what is known. A count that has ended is older, unless the row is of an instance that doesn't tell sequences.

Evidence: test_view_order, "a peer tells a late write" and 8 s in place of 1 s in "a peer knows a count that ended", failed on the commit before (2 assertions).

--- a/registry.c
+++ b/registry.c
@@ -282,6 +282,14 @@
 	return entry->sequence < known->sequence ? -1 : 1;
 }
 
+/* Of a peer that still takes a count for the server's that has ended. */
+static bool is_of_ended_count(const struct server_entry *entry,
+			      const struct registry_write *known)
+{
+	return entry->sequence && entry->recounted_at < known->recounted_at &&
+	       is_same_start(entry->started_at_ms, known->started_at_ms);
+}
+
 static enum registry_order
 compare_with_removed(const struct registry *registry,
 		     const struct server_entry *entry, uint64_t changed_at)
@@ -296,21 +304,20 @@
 	if (entry->recounted_at > removed->last.recounted_at &&
 	    entry->recounted_at >= removed->changed_at)
 		return REGISTRY_NEWER;
-	if (removed->changed_at >= changed_at)
+	if (removed->changed_at >= changed_at ||
+	    is_of_ended_count(entry, &removed->last))
 		return REGISTRY_REMOVED;
 	return compare_writes(entry, &removed->last) < 0
 		       ? REGISTRY_EARLIER_WRITE
 		       : REGISTRY_NEWER;
 }
 
-/* @server is not drained by an earlier write of it that comes from a peer. */
 static bool begins_to_drain(const struct registry_server *server,
 			    const struct server_entry *entry,
 			    uint64_t changed_at)
 {
 	return entry->draining && !server->entry.draining &&
-	       changed_at > server->changed_at &&
-	       entry->recounted_at == server->entry.recounted_at;
+	       changed_at > server->changed_at;
 }
 
 static enum registry_order
@@ -330,6 +337,8 @@
 	/* Known from an earlier era: the store may have lost the later ones. */
 	if (!server->changed_at)
 		return REGISTRY_NEWER;
+	if (is_of_ended_count(entry, &known))
+		return equal ? REGISTRY_REPEATED : REGISTRY_OLDER;
 	/* A peer that does not read sequences has accepted any write. */
 	if (changed_at == server->changed_at && known.sequence &&
 	    !entry->sequence)
@@ -355,7 +364,8 @@
 static void keep_revision(struct registry_server *server,
 			  enum registry_order order, uint64_t changed_at)
 {
-	if (server && order != REGISTRY_EARLIER_START &&
+	if (server &&
+	    (order == REGISTRY_REPEATED || order == REGISTRY_EARLIER_WRITE) &&
 	    changed_at > server->changed_at)
 		server->changed_at = changed_at;
 }
--- a/registry.h
+++ b/registry.h
@@ -42,8 +42,8 @@
  *	published
  * @created_at: store revision at which the entry was created, 0: unknown; an
  *	entry that expires and returns gets a new one
- * @sequence: number of this write, counted by the server since its start; 0:
- *not published
+ * @sequence: number of this write, which the server counts since its start;
+ *	0: not published
  * @recounted_at: store revision at which a lower @sequence than the known one
  *	was last accepted, so that the count runs from there; 0: never
  * @cold_for: how much longer the server is cold and accepts few requests,
--- a/server_view.c
+++ b/server_view.c
@@ -291,41 +291,42 @@
 				 clock_now(view->clock));
 }
 
-/*
- * Peers that have listed the store meanwhile may know nothing but this entry:
- * they are told what is known here, which holds at its revision, too.
- */
-static void keep_unconfirmed(struct server_view *view,
-			     const struct server_entry *entry,
-			     uint64_t changed_at)
+void server_view_note_shown(struct server_view *view,
+			    const struct server_entry *entry,
+			    uint64_t changed_at)
 {
 	struct unconfirmed_entry *unconfirmed =
 		find_unconfirmed(view, entry->id);
 	bool goes_on =
 		unconfirmed && entry->sequence > unconfirmed->entry.sequence;
 
+	if (registry_compare(view->registry, entry, changed_at) !=
+	    REGISTRY_EARLIER_WRITE)
+		return;
 	if (!unconfirmed) {
 		unconfirmed = mem_zalloc(sizeof(*unconfirmed));
 		DL_APPEND(view->unconfirmed, unconfirmed);
 	}
+	unconfirmed->list_seq = view->list_seq;
+	if (changed_at <= unconfirmed->changed_at)
+		return;
 	unconfirmed->entry = *entry;
 	unconfirmed->changed_at = changed_at;
 	if (!goes_on)
 		unconfirmed->until = clock_now(view->clock) + CONFIRM_TIME;
-	registry_put(view->registry, entry, changed_at);
-	view->ops->changed(view->arg, entry->id, changed_at,
-			   !registry_find(view->registry, str_from(entry->id)));
 }
 
-/* Whether it, or a later one of its server, waits to be confirmed already. */
-static bool is_unconfirmed(const struct server_view *view,
-			   const struct server_entry *entry,
-			   uint64_t changed_at)
+/*
+ * Peers that have listed the store meanwhile may know nothing but this entry:
+ * they are told what is known here, which holds at its revision, too.
+ */
+static void ignore_earlier_write(struct server_view *view,
+				 const struct server_entry *entry,
+				 uint64_t changed_at)
 {
-	const struct unconfirmed_entry *unconfirmed =
-		find_unconfirmed(view, entry->id);
-
-	return unconfirmed && changed_at <= unconfirmed->changed_at;
+	registry_put(view->registry, entry, changed_at);
+	view->ops->changed(view->arg, entry->id, changed_at,
+			   !registry_find(view->registry, str_from(entry->id)));
 }
 
 /*
@@ -336,15 +337,17 @@
 {
 	enum registry_order order =
 		registry_compare(view->registry, entry, changed_at);
+	uint64_t known_at =
+		registry_known_revision(view->registry, str_from(entry->id));
 
 	if (order == REGISTRY_NEWER || order == REGISTRY_REPEATED)
 		return true;
-	if (order == REGISTRY_EARLIER_WRITE &&
-	    is_unconfirmed(view, entry, changed_at))
+	/* It was ignored before. */
+	if (order == REGISTRY_EARLIER_WRITE && changed_at == known_at)
 		return false;
 	log_ignored_entry(view, entry, registry_order_name(order), changed_at);
 	if (order == REGISTRY_EARLIER_WRITE)
-		keep_unconfirmed(view, entry, changed_at);
+		ignore_earlier_write(view, entry, changed_at);
 	return false;
 }
 
@@ -449,7 +452,6 @@
 void server_view_list(struct server_view *view,
 		      const struct server_entry *entry, uint64_t changed_at)
 {
-	struct unconfirmed_entry *unconfirmed;
 	struct registry_server *server;
 
 	if (is_era_settling(view) &&
@@ -464,9 +466,6 @@
 	server = registry_find(view->registry, str_from(entry->id));
 	if (server)
 		server->list_seq = view->list_seq;
-	unconfirmed = find_unconfirmed(view, entry->id);
-	if (unconfirmed && unconfirmed->changed_at == changed_at)
-		unconfirmed->list_seq = view->list_seq;
 }
 
 void server_view_begin_list(struct server_view *view)
--- a/server_view.h
+++ b/server_view.h
@@ -130,6 +130,20 @@
 void server_view_put(struct server_view *view, const struct server_entry *entry,
 		     uint64_t changed_at);
 
+/**
+ * server_view_note_shown() - the store itself shows a server's entry
+ * @view: the view
+ * @entry: the entry, copied
+ * @changed_at: store revision of @entry
+ *
+ * To be called before server_view_put() or server_view_list(). An earlier write
+ * is kept until the store shows another one, or it is confirmed. Those of peers
+ * are not: what overwrites them may not be told to all.
+ */
+void server_view_note_shown(struct server_view *view,
+			    const struct server_entry *entry,
+			    uint64_t changed_at);
+
 /**
  * server_view_confirm() - the view was up to date at a time
  * @view: the view
--- a/store_sync.c
+++ b/store_sync.c
@@ -101,6 +101,7 @@
 		return;
 	}
 	registry_continue_count(sync->registry, &entry);
+	server_view_note_shown(&sync->servers, &entry, item->changed_at);
 	if (listing)
 		server_view_list(&sync->servers, &entry, item->changed_at);
 	else
--- a/tests/test_view_order.c
+++ b/tests/test_view_order.c
@@ -338,6 +338,24 @@
 	cluster_finish(&cluster);
 }
 
+/* Guards against a late write that a peer has told and nobody overwrites, as
+ * the server's next write says what is known already. */
+static void test_peer_tells_a_late_write(void)
+{
+	struct cluster cluster;
+	struct node *node;
+
+	cluster_init(&cluster, 2);
+	cluster_advance(&cluster, 5000);
+	node = &cluster.nodes[0];
+	receive_write(node, 5, true, 60, 0);
+	receive_write(node, 1, false, 61, 0);
+	CU_ASSERT(is_drained(node));
+	cluster_advance(&cluster, 8000);
+	CU_ASSERT(is_drained(node));
+	cluster_finish(&cluster);
+}
+
 /* Guards against a wrong sequence that returns by a peer which still takes it
  * for the server's last. */
 static void test_peer_knows_an_ended_count(void)
@@ -355,10 +373,13 @@
 	CU_ASSERT(is_used(node));
 	receive_write(node, wrong, true, 61, 0);
 	receive_write(node, wrong, true, 62, 0);
-	cluster_advance(&cluster, 1000);
+	cluster_advance(&cluster, 8000);
 	CU_ASSERT(is_used(node));
 	receive_write(node, 12, true, 63, 61);
 	CU_ASSERT(is_drained(node));
+	/* Of an instance of before sequences. */
+	receive_write(node, 0, false, 64, 0);
+	CU_ASSERT(is_used(node));
 	cluster_finish(&cluster);
 }
 
@@ -573,6 +594,7 @@
 
 static const struct unit_test tests[] = {
 	{"a peer knows a later write", test_peer_knows_a_later_write},
+	{"a peer tells a late write", test_peer_tells_a_late_write},
 	{"a peer knows a count that ended", test_peer_knows_an_ended_count},
 	{"a peer confirms a write", test_peer_confirms_a_write},
 	{"leaves while the store is silent", test_leaves_while_store_is_silent},
