--- a/bench/soak_crashing.py
+++ b/bench/soak_crashing.py
@@ -2,10 +2,12 @@
 crash under some searches, beside good ones, while gateways are killed and
 paused, servers crash of their own and shards are dark.
 
-usage: soak_crashing.py BUILD --seeds 1-50 --jobs 3 [--gateways N]
+usage: soak_crashing.py BUILD --seeds 1-50 --jobs 3 [--gateways N] [--start-all]
 
 Checked is that at most three arrivals of a search, sent by instances in touch,
 come later than 4 s after it crashed the third server, and that no good search is refused as a crashing one.
+With --start-all all gateways are killed and started again, twice; then sendings
+of the search are counted, as each start may cost some of their arrivals.
 Prints a JSON line for each run. The exit status is 1 if one failed.
 """
 
@@ -33,6 +35,9 @@
 SHARDS = 6
 REPLICAS = 2
 PLAY_S = 14
+# With --start-all: when all gateways are killed, and how much longer it plays.
+START_ALL_AT_S = (4, 12)
+START_ALL_PLAY_S = 8
 READY_S = 20
 DEADLINE_S = 2.5
 CALLERS = 6
@@ -51,13 +56,20 @@
         self.at_once = rng.choice((1, 1, 2, 3))
         self.interval_s = rng.uniform(0.2, 1.2)
         self.arrivals = []
+        self.first_arrivals = {}    # by request id
         self.crashes = []
 
-    def late_arrivals(self):
+    def count_late(self, times):
         if len(self.crashes) < CRASHES_MAX:
             return 0
         from_s = sorted(self.crashes)[CRASHES_MAX - 1] + STABLE_S
-        return sum(at > from_s for at in self.arrivals)
+        return sum(at > from_s for at in times)
+
+    def late_arrivals(self):
+        return self.count_late(self.arrivals)
+
+    def late_sendings(self):
+        return self.count_late(self.first_arrivals.values())
 
 
 class Plan:
@@ -181,7 +193,9 @@
 
     async def run_bad(self, bad, request_id, reader):
         if request_id not in self.run.sent_out_of_touch:
-            bad.arrivals.append(time.monotonic())
+            now = time.monotonic()
+            bad.arrivals.append(now)
+            bad.first_arrivals.setdefault(request_id, now)
         started = self.starts
         if await self.caller_leaves(reader, bad.after_s):
             if self.run.plan.drops_left:
@@ -200,6 +214,7 @@
         self.plan = Plan(seed)
         self.rng = random.Random(seed + 1)
         self.options = options
+        self.is_start_all = getattr(options, "start_all", False)
         self.directory = tempfile.TemporaryDirectory(prefix="soak-")
         self.store = Store()
         self.servers = [Server(self, shard, replica)
@@ -319,15 +334,29 @@
             await asyncio.gather(*(s.crash(for_s) for s in self.servers
                                    if s.service == server.service))
 
+    async def start_all(self, at):
+        await asyncio.sleep(max(0, at - time.monotonic()))
+        for gateway in self.gateways:
+            gateway.process.kill()
+        for gateway in self.gateways:
+            await asyncio.to_thread(gateway.process.wait)
+            gateway.start()
+            self.disturbed_at[gateway] = time.monotonic()
+
     async def play(self):
         await self.start()
         callers = [self.spawn(self.call_good(i)) for i in range(CALLERS)]
         callers += [self.spawn(self.call_bad(bad)) for bad in self.plan.bad]
         began = time.monotonic()
+        play_s = PLAY_S
+        if self.is_start_all:
+            play_s += START_ALL_PLAY_S
+            for at in START_ALL_AT_S:
+                self.spawn(self.start_all(began + at))
         for at, kind, number, for_s in self.plan.troubles:
             await asyncio.sleep(max(0, began + at - time.monotonic()))
             self.spawn(self.trouble(kind, number, for_s))
-        await asyncio.sleep(max(0, began + PLAY_S - time.monotonic()))
+        await asyncio.sleep(max(0, began + play_s - time.monotonic()))
         self.over = True
         await asyncio.wait(callers, timeout=3 * DEADLINE_S)
         for task in list(self.tasks):
@@ -357,7 +386,8 @@
         self.directory.cleanup()
 
     def report(self):
-        late = [bad.late_arrivals() for bad in self.plan.bad]
+        late = [bad.late_sendings() if self.is_start_all
+                else bad.late_arrivals() for bad in self.plan.bad]
         if max(late) > LATE_REPEATS_MAX:
             self.failures["late arrivals"] = max(late)
         return {"seed": self.seed, "failed": dict(self.failures),
@@ -379,7 +409,8 @@
 
 
 def main():
-    return soak_seeds.main(__doc__, play_seed, "--gateways")
+    return soak_seeds.main(__doc__, play_seed, "--gateways",
+                           flags=("--start-all",))
 
 
 if __name__ == "__main__":
