--- a/bench/soak.py
+++ b/bench/soak.py
@@ -42,6 +42,8 @@
     HOST, Gateway, Store, config_document, free_port, route,
 )
 
+# Of a sanitizer's report, more than its stack traces take.
+SANITIZER_LINES = 120
 READY_S = 30
 # Processes have started by then.
 START_S = 4
@@ -353,10 +355,15 @@
         return failed
 
     def has_memory_error(self):
-        """In a build with sanitizers."""
-        return any("AddressSanitizer:" in line.get("text", "")
-                   for g in self.gateways for line in g.log()
-                   if line["event"] == "no JSON")
+        """In a build with sanitizers, whose reports are printed."""
+        found = False
+        for gateway in self.gateways:
+            texts = [line.get("text", "") for line in gateway.log()
+                     if line["event"] == "no JSON"]
+            if any("AddressSanitizer:" in text for text in texts):
+                found = True
+                print("\n".join(texts[:SANITIZER_LINES]), flush=True)
+        return found
 
     def print_log(self, finding):
         """Print the lines of all instances that name the request."""
