test_write_order: sequences of another era, and none

A restored store may show lower sequences, and other writers leave none: both are taken by revision, as before.

--- a/tests/test_write_order.c
+++ b/tests/test_write_order.c
@@ -75,15 +75,21 @@
 	return server && registry_is_open(server);
 }
 
-static void start(struct fixture *fixture)
+static void start_in_era(struct fixture *fixture, uint64_t era)
 {
 	fixture_init(fixture);
+	fixture->era = era;
 	fixture_answer_routes(fixture, 1);
 	fixture_answer(fixture, STORE_SERVERS, 9, NULL, 0);
 	fixture_advance(fixture, 900);
 	CU_ASSERT(fixture->calls[STORE_SERVERS].watch);
 }
 
+static void start(struct fixture *fixture)
+{
+	start_in_era(fixture, 0);
+}
+
 /* Guards against requests to a draining server after a late write of it. */
 static void test_drained_stays_drained(void)
 {
@@ -258,6 +264,31 @@
 	fixture_finish(&fixture);
 }
 
+/* Guards against writes of a restored store, or without a sequence, that are
+ * taken for earlier ones. */
+static void test_sequence_of_another_era(void)
+{
+	struct fixture fixture;
+
+	start_in_era(&fixture, 1);
+	store_does(&fixture, (struct write){"ready", 30, 7, 0}, 20);
+	CU_ASSERT_EQUAL(find(&fixture)->entry.sequence, 30);
+	fixture.era = 2;
+	fixture_answer(&fixture, STORE_SERVERS, 11, NULL, 0);
+	fixture_advance(&fixture, 900);
+	CU_ASSERT(!fixture.calls[STORE_SERVERS].watch);
+	store_does(&fixture, (struct write){"draining", 5, 7, 0}, 12);
+	CU_ASSERT(find(&fixture) && !gets_requests(&fixture));
+	CU_ASSERT_EQUAL(find(&fixture)->entry.sequence, 5);
+	fixture_finish(&fixture);
+
+	start(&fixture);
+	store_does(&fixture, (struct write){"draining", 30, 7, 0}, 20);
+	store_does(&fixture, (struct write){"ready", 0, 7, 0}, 21);
+	CU_ASSERT(gets_requests(&fixture));
+	fixture_finish(&fixture);
+}
+
 static const struct unit_test tests[] = {
 	{"late write of a draining server", test_drained_stays_drained},
 	{"late write that expires", test_late_write_expires},
@@ -268,6 +299,7 @@
 	{"wrong sequence before a drain", test_wrong_sequence_hides_no_drain},
 	{"late write before an outage", test_outage_confirms_nothing},
 	{"late write in a list", test_late_write_in_a_list},
+	{"sequence of another era", test_sequence_of_another_era},
 };
 
 UNIT_MAIN("write_order", tests)
